--- /dev/null
+++ b/api/error.go
@@ -0,0 +1,119 @@
+// Package api defines the JSON documents that deckpulley exchanges over
+// HTTP/1.1 with callers, replicas, operators and the platform. It holds types
+// and constants alone: no handler and no client.
+package api
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// Outcome says what is known about the execution of a request.
+type Outcome string
+
+const (
+	// OutcomeSuccess means the answer is whole and belongs to the request.
+	OutcomeSuccess Outcome = "success"
+	// OutcomeRefused means the request never ran and never will.
+	OutcomeRefused Outcome = "refused"
+	// OutcomeFailed means the request ran, at least in part, and failed.
+	OutcomeFailed Outcome = "failed"
+	// OutcomeUnknown means nobody can tell whether the request ran.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Code names the cause of an error. Codes are stable: programs may compare them.
+type Code string
+
+const (
+	CodeInvalid           Code = "invalid"             // malformed or out of limits
+	CodeTooLarge          Code = "too_large"           // a stated size limit was passed
+	CodeUnauthorized      Code = "unauthorized"        // missing or wrong operator token
+	CodeNotFound          Code = "not_found"           // unknown path, model, route or object
+	CodeTicketRequired    Code = "ticket_required"     // not repeatable and without a ticket
+	CodeTicketInvalid     Code = "ticket_invalid"      // not authentic, or for another request
+	CodeTicketExpired     Code = "ticket_expired"      // used after its deadline
+	CodeTicketOrphaned    Code = "ticket_orphaned"     // the owner is gone or was restarted
+	CodeDuplicate         Code = "duplicate"           // a stream for this request already runs elsewhere
+	CodeOverloaded        Code = "overloaded"          // the queue is full or the share is used up
+	CodeDeadline          Code = "deadline"            // cannot be, or was not, done in the caller's time
+	CodeNoCapacity        Code = "no_capacity"         // no replica that may serve is available
+	CodeHomeUnavailable   Code = "home_unavailable"    // the home regions cannot serve now
+	CodeNoLease           Code = "no_lease"            // the gateway may not place requests now
+	CodeNotReady          Code = "not_ready"           // the node is starting or draining
+	CodeStale             Code = "stale_configuration" // the replica has seen a newer configuration
+	CodeReplicaDraining   Code = "replica_draining"    // the replica takes nothing new
+	CodeReplicaError      Code = "replica_error"       // the replica answered an error
+	CodeReplicaBroken     Code = "replica_broken"      // the connection or stream broke
+	CodeReplicaMismatch   Code = "replica_mismatch"    // the answer belongs to another request
+	CodeReplicaIncomplete Code = "replica_incomplete"  // the answer is shorter than announced
+	CodeReplicaStalled    Code = "replica_stalled"     // no event within the allowed gap
+	CodeVersionConflict   Code = "version_conflict"    // the base version is not the current one
+	CodeOrderConflict     Code = "order_conflict"      // the order id was used for another order
+	CodeNoPrimary         Code = "no_primary"          // no primary can be reached
+	CodePending           Code = "pending"             // stored, not yet known to be in force everywhere
+	CodeCanceled          Code = "canceled"            // the caller went away
+	CodeInternal          Code = "internal"            // a defect on our side
+)
+
+// Error is the body of every answer that is not a success, and the data of a
+// stream's error event.
+type Error struct {
+	// Code names the cause.
+	Code Code `json:"code"`
+	// Outcome says whether the request ran.
+	Outcome Outcome `json:"outcome"`
+	// Message is one sentence for a person.
+	Message string `json:"message"`
+	// Field names the offending field, as a dotted path, for CodeInvalid.
+	Field string `json:"field,omitempty"`
+	// Retry says whether sending the same request again may succeed.
+	Retry bool `json:"retry"`
+	// RetryAfterMS is the time in milliseconds to wait before that; 0 is none.
+	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
+	// RequestID repeats the request this error answers, if any.
+	RequestID string `json:"request_id,omitempty"`
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	if e.Field != "" {
+		return fmt.Sprintf("%s (%s): %s: %s", e.Code, e.Outcome, e.Field, e.Message)
+	}
+	return fmt.Sprintf("%s (%s): %s", e.Code, e.Outcome, e.Message)
+}
+
+// ErrorBody wraps an Error in every JSON answer that carries one.
+type ErrorBody struct {
+	Error *Error `json:"error"`
+}
+
+// Status is the HTTP status that carries the error.
+func (e *Error) Status() int {
+	switch e.Code {
+	case CodeInvalid, CodeTicketRequired, CodeTicketInvalid:
+		return http.StatusBadRequest
+	case CodeTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case CodeUnauthorized:
+		return http.StatusUnauthorized
+	case CodeNotFound:
+		return http.StatusNotFound
+	case CodeDuplicate, CodeVersionConflict, CodeOrderConflict, CodeStale:
+		return http.StatusConflict
+	case CodeTicketExpired, CodeTicketOrphaned:
+		return http.StatusGone
+	case CodeOverloaded:
+		return http.StatusTooManyRequests
+	case CodeNoCapacity, CodeHomeUnavailable, CodeNoLease, CodeNotReady, CodeReplicaDraining, CodeNoPrimary:
+		return http.StatusServiceUnavailable
+	case CodeDeadline:
+		return http.StatusGatewayTimeout
+	case CodePending:
+		return http.StatusAccepted
+	case CodeReplicaError, CodeReplicaBroken, CodeReplicaMismatch, CodeReplicaIncomplete, CodeReplicaStalled:
+		return http.StatusBadGateway
+	default:
+		return http.StatusInternalServerError
+	}
+}
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,240 @@
+// Package peer defines the messages between deckpulley's own processes. Each
+// type says who sends it, who answers, and what a lost or doubled one does.
+package peer
+
+import (
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/consensus"
+	"github.com/deckpulley/deckpulley/registry"
+	"github.com/deckpulley/deckpulley/transport"
+)
+
+// Kinds of messages.
+const (
+	KindConsensus  transport.Kind = iota + 1 // one-way ConsensusMessage, control to control
+	KindHello                                // call Hello/HelloReply, any node to control
+	KindForm                                 // call Form/FormReply, forming control node to the others
+	KindJoin                                 // call Join/JoinReply, new control node to control
+	KindRenew                                // call Renew/Grant, gateway to primary
+	KindNotify                               // one-way Notify, primary to gateway
+	KindUpdate                               // call UpdateRequest/UpdateReply, any node toward the primary
+	KindOrder                                // call OrderRequest/OrderReply, control toward the primary
+	KindMintTicket                           // call MintTicket/MintTicketReply, gateway to gateway
+	KindOffer                                // call Offer/OfferReply, gateway to gateway
+	KindWithdraw                             // call Withdraw/WithdrawReply, gateway to gateway
+	KindLoad                                 // one-way RegionLoad, gateway to gateway
+	KindRun                                  // stream Run to RunEvents, gateway to the gateway that granted
+	KindOwner                                // stream OwnerRequest to RunEvents, gateway to a ticket's owner
+)
+
+// ConsensusMessage wraps one message of the replicated log. Cluster keeps the
+// messages of another group out. Loss, doubling and reordering are harmless.
+type ConsensusMessage struct {
+	Cluster string            `cbor:"1,keyasint"`
+	Message consensus.Message `cbor:"2,keyasint"`
+}
+
+// Hello asks a control node what it is and whom it knows.
+type Hello struct {
+	Name     string       `cbor:"1,keyasint"`
+	Identity consensus.ID `cbor:"2,keyasint,omitempty"`
+}
+
+// HelloReply is answered by every control node, formed or not.
+type HelloReply struct {
+	Name     string       `cbor:"1,keyasint"`
+	Identity consensus.ID `cbor:"2,keyasint"`
+	// Cluster is empty while the node belongs to no group.
+	Cluster string `cbor:"3,keyasint,omitempty"`
+	// Forming is the identity of the node whose Form it has promised to accept.
+	Forming consensus.ID       `cbor:"4,keyasint,omitempty"`
+	Leader  consensus.ID       `cbor:"5,keyasint,omitempty"`
+	Members []consensus.Member `cbor:"6,keyasint,omitempty"`
+}
+
+// Form tells a fresh control node the first membership of a new group. It is
+// accepted once, by a node that has no group. A doubled one changes nothing.
+type Form struct {
+	Cluster  string             `cbor:"1,keyasint"`
+	Snapshot consensus.Snapshot `cbor:"2,keyasint"`
+}
+
+// FormReply acknowledges after the disk has it.
+type FormReply struct {
+	Accepted bool `cbor:"1,keyasint"`
+}
+
+// Join asks the primary to add a control node whose disk is new. It is repeated
+// until the node is a voter; a doubled one changes nothing.
+type Join struct {
+	Member consensus.Member `cbor:"1,keyasint"`
+}
+
+// JoinReply names the group, and the primary if this node is not it.
+type JoinReply struct {
+	Cluster  string             `cbor:"1,keyasint"`
+	Accepted bool               `cbor:"2,keyasint"`
+	Primary  string             `cbor:"3,keyasint,omitempty"` // peers' address
+	Members  []consensus.Member `cbor:"4,keyasint,omitempty"`
+}
+
+// GatewayInfo is what a gateway says of itself.
+type GatewayInfo struct {
+	Name        string `cbor:"1,keyasint"`
+	Incarnation string `cbor:"2,keyasint"`
+	Zone        string `cbor:"3,keyasint"`
+	Region      string `cbor:"4,keyasint"`
+	PeerAddress string `cbor:"5,keyasint"`
+	HTTPAddress string `cbor:"6,keyasint"`
+	Leaving     bool   `cbor:"7,keyasint,omitempty"` // drains and goes: give the lease up
+}
+
+// Renew asks for a lease and reports what the gateway holds. The gateway counts
+// the lease from the moment it sent this message. A lost one is sent again.
+type Renew struct {
+	Cluster string      `cbor:"1,keyasint,omitempty"` // empty until first granted
+	Gateway GatewayInfo `cbor:"2,keyasint"`
+	Term    uint64      `cbor:"3,keyasint"` // newest term the gateway has seen
+	// Held is the newest serial it has a copy of, 0 for none; Active is the one
+	// that decides its placements, 0 for none.
+	Held          uint32 `cbor:"4,keyasint"`
+	Active        uint32 `cbor:"5,keyasint"`
+	ActiveVersion uint64 `cbor:"6,keyasint"`
+}
+
+// Grant answers Renew. Only a primary that knows itself in office grants.
+type Grant struct {
+	Granted bool   `cbor:"1,keyasint"`
+	Cluster string `cbor:"2,keyasint"`
+	Term    uint64 `cbor:"3,keyasint"`
+	// LeaseMS is the length of the lease in milliseconds from the sending of Renew.
+	LeaseMS int64 `cbor:"4,keyasint,omitempty"`
+	// Activate allows the gateway to make every held serial up to this one active; 0 is none.
+	Activate uint32 `cbor:"5,keyasint,omitempty"`
+	// Transfer brings the gateway's copy up to date; nil when it is.
+	Transfer *registry.Transfer `cbor:"6,keyasint,omitempty"`
+	// Primary is the peers' address of the primary when this node is not it; empty if unknown.
+	Primary string `cbor:"7,keyasint,omitempty"`
+	// Control lists the control nodes' peers' addresses as they are now.
+	Control []string `cbor:"8,keyasint,omitempty"`
+}
+
+// Notify tells a gateway that there is something to renew for (as RFC 1996):
+// a new serial, a new activation or a new primary. A lost one is made good by
+// the next renewal.
+type Notify struct {
+	Cluster string `cbor:"1,keyasint"`
+	Term    uint64 `cbor:"2,keyasint"`
+	Primary string `cbor:"3,keyasint"` // peers' address
+	Serial  uint32 `cbor:"4,keyasint"`
+	// Activate is as in Grant: a gateway with a lease of this term acts on it at once.
+	Activate uint32 `cbor:"5,keyasint,omitempty"`
+}
+
+// UpdateRequest forwards one registry update toward the primary (section 6).
+type UpdateRequest struct {
+	Update registry.Update `cbor:"1,keyasint"`
+	// Hops bounds forwarding, since the source has no loop detection (7.17).
+	Hops uint8 `cbor:"2,keyasint"`
+}
+
+// UpdateReply answers after the primary has (6.4).
+type UpdateReply struct {
+	Code   registry.ResponseCode `cbor:"1,keyasint"`
+	Serial uint32                `cbor:"2,keyasint"`
+	// Primary hints where to go when Code is ServFail for want of a primary here.
+	Primary string `cbor:"3,keyasint,omitempty"`
+}
+
+// OrderRequest forwards an operator's or the platform's order. Exactly one of
+// the orders is set.
+type OrderRequest struct {
+	Configuration *api.ConfigurationOrder `cbor:"1,keyasint,omitempty"`
+	Evacuation    *api.EvacuationOrder    `cbor:"2,keyasint,omitempty"`
+	Replicas      *api.ReplicaList        `cbor:"3,keyasint,omitempty"`
+	Hops          uint8                   `cbor:"4,keyasint"`
+	// WaitMS is how long the sender will wait, in milliseconds.
+	WaitMS int64 `cbor:"5,keyasint"`
+}
+
+// OrderReply carries the first answer to the order, or an error that leaves the
+// order open.
+type OrderReply struct {
+	Answer *api.OrderAnswer `cbor:"1,keyasint,omitempty"`
+	Error  *api.Error       `cbor:"2,keyasint,omitempty"`
+}
+
+// MintTicket asks another region's gateway to own a request.
+type MintTicket struct {
+	Request api.WhereRequest `cbor:"1,keyasint"`
+}
+
+// MintTicketReply carries the owner's ticket.
+type MintTicketReply struct {
+	Answer *api.WhereAnswer `cbor:"1,keyasint,omitempty"`
+	Error  *api.Error       `cbor:"2,keyasint,omitempty"`
+}
+
+// Offer asks a gateway of another region to take a request. A lost reply
+// leaves a grant that dies by itself.
+type Offer struct {
+	OfferID   string              `cbor:"1,keyasint"`
+	From      string              `cbor:"2,keyasint"` // gateway name
+	Request   api.GenerateRequest `cbor:"3,keyasint"` // without its ticket
+	HomeOnly  []string            `cbor:"4,keyasint,omitempty"`
+	TimeLeft  int64               `cbor:"5,keyasint"` // ms
+	Version   uint64              `cbor:"6,keyasint"` // sender's active configuration version
+	Attempt   int                 `cbor:"7,keyasint"`
+	Incarnate string              `cbor:"8,keyasint"` // sender's incarnation
+}
+
+// OfferReply grants a reservation that lives GrantMS, or declines.
+type OfferReply struct {
+	Granted bool       `cbor:"1,keyasint"`
+	GrantMS int64      `cbor:"2,keyasint,omitempty"`
+	Error   *api.Error `cbor:"3,keyasint,omitempty"`
+	// Incarnation of the granting gateway; the body must reach the same one.
+	Incarnation string `cbor:"4,keyasint,omitempty"`
+}
+
+// Withdraw cancels an offer. Only a confirmed withdrawal lets the sender say
+// refused or try elsewhere.
+type Withdraw struct {
+	OfferID     string `cbor:"1,keyasint"`
+	Incarnation string `cbor:"2,keyasint"`
+}
+
+// WithdrawReply confirms that the offer never ran and never will.
+type WithdrawReply struct {
+	NeverRan bool `cbor:"1,keyasint"`
+}
+
+// RegionLoad is a gateway's digest of its own region, sent to gateways of other
+// regions. A lost or stale one makes spill less even, nothing else.
+type RegionLoad struct {
+	Region   string             `cbor:"1,keyasint"`
+	Gateway  string             `cbor:"2,keyasint"`
+	Sequence uint64             `cbor:"3,keyasint"`
+	Services map[string]float64 `cbor:"4,keyasint"` // utilization by service, 1 is full
+}
+
+// Run starts the work of a granted offer, once. It is not repeated: a break
+// after it was sent leaves the outcome unknown unless a Withdraw is confirmed.
+type Run struct {
+	OfferID     string `cbor:"1,keyasint"`
+	Incarnation string `cbor:"2,keyasint"`
+}
+
+// OwnerRequest passes a request with a ticket to the gateway that the ticket names.
+type OwnerRequest struct {
+	Request api.GenerateRequest `cbor:"1,keyasint"`
+}
+
+// RunEvent is one step of an answer. Exactly one field is set. Answer, End and
+// Error are the last of their stream.
+type RunEvent struct {
+	Answer *api.GenerateAnswer `cbor:"1,keyasint,omitempty"`
+	Piece  *api.StreamPiece    `cbor:"2,keyasint,omitempty"`
+	End    *api.StreamEnd      `cbor:"3,keyasint,omitempty"`
+	Error  *api.Error          `cbor:"4,keyasint,omitempty"`
+}
--- /dev/null
+++ b/places/places.go
@@ -0,0 +1,167 @@
+// Package places defines the records that deckpulley keeps in its registry: the
+// names, the kinds and the typed data of each. It translates between records
+// and types and decides nothing.
+package places
+
+import (
+	"github.com/deckpulley/deckpulley/registry"
+)
+
+// Apex is the name of the one table of a fleet.
+const Apex registry.Name = "places."
+
+// Kinds of records beside the head (SOA) and member (NS) records.
+const (
+	TypeConfiguration registry.Type = registry.FirstOwnType + iota // "configuration.places."
+	TypeService                                                    // "<service>.services.places."
+	TypeRoute                                                      // "<model>.routes.places."
+	TypeRegion                                                     // "<region>.regions.places."
+	TypeZone                                                       // "<zone>.zones.places.": its region
+	TypeEvacuation                                                 // "<zone>.zones.places.": present while evacuated
+	TypeClient                                                     // "<client>.clients.places."
+	TypeHome                                                       // "<home>.homes.places."
+	TypeTenant                                                     // "<tenant>.tenants.places."
+	TypeLimits                                                     // "configuration.places.": set points
+	TypeReplica                                                    // "<replica>.replicas.places.": from the platform's list
+	TypeDrain                                                      // "<replica>.replicas.places.": the platform wants it drained
+	TypeCondition                                                  // "<replica>.replicas.places.": from its watcher
+	TypeGateway                                                    // "<gateway>.gateways.places.": member record of a gateway
+	TypeOrder                                                      // "<order id>.orders.places.": answer to an order
+	TypeAuthor                                                     // "configuration.places.": who sent the document
+)
+
+// Configuration is the version marker of the configuration in the table.
+type Configuration struct {
+	Version uint64 `cbor:"1,keyasint"`
+	// Document is the text as handed over, for reading back.
+	Author   string `cbor:"2,keyasint,omitempty"`
+	Document string `cbor:"3,keyasint,omitempty"`
+}
+
+// Service is a set of interchangeable replicas.
+type Service struct {
+	// Kind is "model" or "web".
+	Kind string `cbor:"1,keyasint"`
+	// MaxConcurrency bounds requests in flight per replica.
+	MaxConcurrency int `cbor:"2,keyasint"`
+}
+
+// Route maps a model name that callers use to a service.
+type Route struct {
+	Service string `cbor:"1,keyasint"`
+	// Class is the latency class of requests that name none.
+	Class string `cbor:"2,keyasint,omitempty"`
+	// Home, if set, binds every request of the route to a home rule.
+	Home string `cbor:"3,keyasint,omitempty"`
+	// Weight is the fair share among routes when short. Default 1.
+	Weight int `cbor:"4,keyasint,omitempty"`
+}
+
+// Region says how a region takes part.
+type Region struct {
+	// Spill lists the regions that take its overflow, in order.
+	Spill []string `cbor:"1,keyasint,omitempty"`
+	// Capacity is its weight relative to others.
+	Capacity int `cbor:"2,keyasint"`
+}
+
+// Zone names the region of an availability zone.
+type Zone struct {
+	Region string `cbor:"1,keyasint"`
+}
+
+// Evacuation marks a zone as evacuated.
+type Evacuation struct {
+	Author string `cbor:"1,keyasint,omitempty"`
+	Order  string `cbor:"2,keyasint"`
+}
+
+// Client maps a client group to the region that serves it.
+type Client struct {
+	Region string `cbor:"1,keyasint"`
+}
+
+// Home lists the only regions that may run requests bound to it.
+type Home struct {
+	Regions []string `cbor:"1,keyasint"`
+}
+
+// Tenant binds a tenant to a home and a share.
+type Tenant struct {
+	Home   string `cbor:"1,keyasint,omitempty"`
+	Weight int    `cbor:"2,keyasint,omitempty"`
+}
+
+// Limits are the set points of the configuration.
+type Limits struct {
+	// RetryRatio is the aim for retries over first attempts. Default 0.1.
+	RetryRatio float64 `cbor:"1,keyasint"`
+	// QueueLength bounds the queue of a service in one gateway. Default 64.
+	QueueLength int `cbor:"2,keyasint"`
+	// TargetUtilization is the set point of load per replica. Default 0.8.
+	TargetUtilization float64 `cbor:"3,keyasint"`
+	// FirstTokenMS is the set point for the first token, in ms. Default 920.
+	FirstTokenMS int `cbor:"4,keyasint"`
+	// ColdConcurrency is the first step of a cold replica's ramp. Default 1.
+	ColdConcurrency int `cbor:"5,keyasint"`
+	// StreamGapMS is the longest wait for the next event of a stream. Default 10000.
+	StreamGapMS int `cbor:"6,keyasint"`
+}
+
+// Replica is one replica as listed by the platform.
+type Replica struct {
+	Service string `cbor:"1,keyasint"`
+	Zone    string `cbor:"2,keyasint"`
+	Region  string `cbor:"3,keyasint"`
+	Address string `cbor:"4,keyasint"`
+}
+
+// ConditionState is a replica's slow state as its watcher sees it.
+type ConditionState string
+
+const (
+	ConditionUp       ConditionState = "up"
+	ConditionCold     ConditionState = "cold"
+	ConditionDraining ConditionState = "draining"
+	ConditionDown     ConditionState = "down"
+)
+
+// Condition is written by the replica's one watcher, conditional on the
+// condition that it replaces.
+type Condition struct {
+	State ConditionState `cbor:"1,keyasint"`
+	// Incarnation is the replica's.
+	Incarnation string `cbor:"2,keyasint,omitempty"`
+	// Feeder is the one gateway that may place requests while State is cold.
+	Feeder string `cbor:"3,keyasint,omitempty"`
+}
+
+// Gateway is the member record of a gateway.
+type Gateway struct {
+	Incarnation string `cbor:"1,keyasint"`
+	Zone        string `cbor:"2,keyasint"`
+	Region      string `cbor:"3,keyasint"`
+	PeerAddress string `cbor:"4,keyasint"`
+	HTTPAddress string `cbor:"5,keyasint"`
+	// Up is false once its lease has run out.
+	Up bool `cbor:"6,keyasint"`
+}
+
+// Order keeps the first answer to an order.
+type Order struct {
+	// Digest is a hash of the order's content: the same id with other content is a conflict.
+	Digest   uint64 `cbor:"1,keyasint"`
+	Accepted bool   `cbor:"2,keyasint"`
+	Version  uint64 `cbor:"3,keyasint"`
+	// Number orders the answers by age; the oldest beyond the kept number are removed.
+	Number uint64 `cbor:"4,keyasint"`
+	Code   string `cbor:"5,keyasint,omitempty"`
+	Reason string `cbor:"6,keyasint,omitempty"`
+	Field  string `cbor:"7,keyasint,omitempty"`
+}
+
+// Contents is the typed reading of one view of the table, immutable. Large sets
+// (routes, tenants, orders) are looked up on demand; small ones are decoded once.
+type Contents struct {
+	view registry.View
+}
--- /dev/null
+++ b/routing/routing.go
@@ -0,0 +1,47 @@
+// Package routing decides where a request runs: the region, and within the own
+// region the replica, with admission, queueing, fair shares, cold ramps, outlier
+// ejection and the retry budget. The decisions of its sub-packages are pure;
+// Router adds the lock and the waiting around them.
+package routing
+
+import (
+	"time"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/places"
+)
+
+// Plan is everything routing needs from the registry's active table. It is
+// immutable: a new activation brings a new Plan.
+type Plan = places.Contents
+
+// Request is what routing must know of one request.
+type Request struct {
+	ID           string
+	Tenant       string
+	Model        string
+	Service      string
+	Class        api.Class
+	Prefixes     []api.Prefix
+	PromptTokens int // after the prefixes
+	MaxTokens    int
+	Client       string
+	// Home lists the only regions that may run it; empty is any.
+	Home []string
+	// Deadline is monotonic (time.Now carries the reading).
+	Deadline time.Time
+	// Attempt is 1 for the first attempt.
+	Attempt int
+	// Exclude names replicas already tried.
+	Exclude map[string]bool
+}
+
+// Result says how an attempt on a replica ended.
+type Result uint8
+
+const (
+	ResultSuccess    Result = iota
+	ResultNotStarted        // the replica said refused: it never ran
+	ResultFailed            // the replica failed or broke
+	ResultCanceled          // the caller went away
+)
