Give the registry and places their first whole form

Cause: the other packages code against views, updates and typed records. A document is kept in content-defined chunks so that a small change of it transfers little. The kind AUTHOR is gone: the version marker names the author.

--- /dev/null
+++ b/places/contents.go
@@ -0,0 +1,327 @@
+package places
+
+import (
+	"fmt"
+	"maps"
+
+	"github.com/deckpulley/deckpulley/registry"
+)
+
+// Contents is the typed reading of one view of the table, immutable. Large sets
+// (routes, clients, homes, tenants, orders) are looked up on demand; small ones
+// are decoded once. Maps returned are shared and must not be changed.
+type Contents struct {
+	view          registry.View
+	configuration Configuration
+	configured    bool
+	limits        Limits
+	services      map[string]Service
+	regions       map[string]Region
+	zones         map[string]Zone
+	evacuations   map[string]Evacuation
+	replicas      map[string]Replica
+	drains        map[string]Drain
+	conditions    map[string]Condition
+	gateways      map[string]Gateway
+}
+
+// Read decodes a whole view. It costs in proportion to the small sets.
+func Read(view registry.View) (*Contents, error) {
+	contents := &Contents{
+		view:        view,
+		services:    map[string]Service{},
+		regions:     map[string]Region{},
+		zones:       map[string]Zone{},
+		evacuations: map[string]Evacuation{},
+		replicas:    map[string]Replica{},
+		drains:      map[string]Drain{},
+		conditions:  map[string]Condition{},
+		gateways:    map[string]Gateway{},
+	}
+	under := []registry.Name{ConfigurationName, servicesName, regionsName, zonesName, replicasName, gatewaysName}
+	for _, name := range under {
+		var failure error
+		view.Walk(name, registry.TypeANY, func(record registry.Record) bool {
+			failure = contents.put(record)
+			return failure == nil
+		})
+		if failure != nil {
+			return nil, failure
+		}
+	}
+	contents.limits = contents.limits.withDefaults()
+	return contents, nil
+}
+
+// Next returns the reading of a newer view, given the transfer that led to it
+// from the view of c. It costs in proportion to the transfer and to the small
+// sets that the transfer touches; the others are shared with c.
+func (c *Contents) Next(view registry.View, transfer registry.Transfer) (*Contents, error) {
+	if transfer.Full || transfer.From != c.Serial() || transfer.To != view.Serial() {
+		return Read(view)
+	}
+	next := *c
+	next.view = view
+	copied := map[registry.Type]bool{}
+	for _, record := range transfer.Removed {
+		next.own(record.Type, copied)
+		if err := next.drop(record); err != nil {
+			return nil, err
+		}
+	}
+	for _, record := range transfer.Added {
+		next.own(record.Type, copied)
+		if err := next.put(record); err != nil {
+			return nil, err
+		}
+	}
+	next.limits = next.limits.withDefaults()
+	return &next, nil
+}
+
+// own makes the set of one kind a copy, once, before it is changed.
+func (c *Contents) own(recordType registry.Type, copied map[registry.Type]bool) {
+	if copied[recordType] {
+		return
+	}
+	copied[recordType] = true
+	switch recordType {
+	case TypeService:
+		c.services = maps.Clone(c.services)
+	case TypeRegion:
+		c.regions = maps.Clone(c.regions)
+	case TypeZone:
+		c.zones = maps.Clone(c.zones)
+	case TypeEvacuation:
+		c.evacuations = maps.Clone(c.evacuations)
+	case TypeReplica:
+		c.replicas = maps.Clone(c.replicas)
+	case TypeDrain:
+		c.drains = maps.Clone(c.drains)
+	case TypeCondition:
+		c.conditions = maps.Clone(c.conditions)
+	case TypeGateway:
+		c.gateways = maps.Clone(c.gateways)
+	}
+}
+
+// put takes one record into the reading. Kinds that are looked up on demand are skipped.
+func (c *Contents) put(record registry.Record) error {
+	switch record.Type {
+	case TypeConfiguration:
+		c.configured = true
+		return into(record, &c.configuration)
+	case TypeLimits:
+		return into(record, &c.limits)
+	case TypeService:
+		return putObject(c.services, record)
+	case TypeRegion:
+		return putObject(c.regions, record)
+	case TypeZone:
+		return putObject(c.zones, record)
+	case TypeEvacuation:
+		return putObject(c.evacuations, record)
+	case TypeReplica:
+		return putObject(c.replicas, record)
+	case TypeDrain:
+		return putObject(c.drains, record)
+	case TypeCondition:
+		return putObject(c.conditions, record)
+	case TypeGateway:
+		return putObject(c.gateways, record)
+	}
+	return nil
+}
+
+// drop takes one record out of the reading.
+func (c *Contents) drop(record registry.Record) error {
+	switch record.Type {
+	case TypeConfiguration:
+		c.configured = false
+		c.configuration = Configuration{}
+	case TypeLimits:
+		c.limits = Limits{}
+	case TypeService:
+		return dropObject(c.services, record)
+	case TypeRegion:
+		return dropObject(c.regions, record)
+	case TypeZone:
+		return dropObject(c.zones, record)
+	case TypeEvacuation:
+		return dropObject(c.evacuations, record)
+	case TypeReplica:
+		return dropObject(c.replicas, record)
+	case TypeDrain:
+		return dropObject(c.drains, record)
+	case TypeCondition:
+		return dropObject(c.conditions, record)
+	case TypeGateway:
+		return dropObject(c.gateways, record)
+	}
+	return nil
+}
+
+// into decodes into a cleared value.
+func into[T any](record registry.Record, value *T) error {
+	decoded, err := decodeAs[T](record)
+	if err != nil {
+		return err
+	}
+	*value = decoded
+	return nil
+}
+
+func putObject[T any](objects map[string]T, record registry.Record) error {
+	object, err := ObjectName(record.Name)
+	if err != nil {
+		return err
+	}
+	value, err := decodeAs[T](record)
+	if err != nil {
+		return err
+	}
+	objects[object] = value
+	return nil
+}
+
+func dropObject[T any](objects map[string]T, record registry.Record) error {
+	object, err := ObjectName(record.Name)
+	if err != nil {
+		return err
+	}
+	delete(objects, object)
+	return nil
+}
+
+// lookup decodes the one record of a type at a name.
+func lookup[T any](view registry.View, name registry.Name, recordType registry.Type) (T, bool) {
+	var none T
+	if name == "" {
+		return none, false
+	}
+	records := view.Lookup(name, recordType)
+	if len(records) != 1 {
+		return none, false
+	}
+	value, err := decodeAs[T](records[0])
+	if err != nil {
+		return none, false
+	}
+	return value, true
+}
+
+// View returns the view that was read.
+func (c *Contents) View() registry.View { return c.view }
+
+// Version returns the configuration version, zero before the first configuration.
+func (c *Contents) Version() uint64 { return c.configuration.Version }
+
+// Serial returns the serial of the view.
+func (c *Contents) Serial() uint32 { return c.view.Serial() }
+
+// ConfigurationRecord returns the version marker with the document's text.
+// It is false before the first configuration.
+func (c *Contents) ConfigurationRecord() (Configuration, bool) {
+	if !c.configured {
+		return Configuration{}, false
+	}
+	configuration := c.configuration
+	text, err := joinDocument(c.view, configuration.Chunks)
+	if err != nil {
+		return Configuration{}, false
+	}
+	configuration.Document = text
+	return configuration, true
+}
+
+// Marker returns the version marker without the text, at no cost.
+func (c *Contents) Marker() (Configuration, bool) { return c.configuration, c.configured }
+
+// Limits returns the set points, defaults filled in.
+func (c *Contents) Limits() Limits { return c.limits }
+
+// Service returns a service.
+func (c *Contents) Service(service string) (Service, bool) {
+	value, found := c.services[service]
+	return value, found
+}
+
+// Services returns all services.
+func (c *Contents) Services() map[string]Service { return c.services }
+
+// Route returns the route of a model name.
+func (c *Contents) Route(model string) (Route, bool) {
+	return lookup[Route](c.view, RouteName(model), TypeRoute)
+}
+
+// Regions returns all regions.
+func (c *Contents) Regions() map[string]Region { return c.regions }
+
+// Zones returns all zones.
+func (c *Contents) Zones() map[string]Zone { return c.zones }
+
+// Evacuated reports whether a zone is evacuated.
+func (c *Contents) Evacuated(zone string) bool {
+	_, found := c.evacuations[zone]
+	return found
+}
+
+// Evacuations returns all evacuations by zone.
+func (c *Contents) Evacuations() map[string]Evacuation { return c.evacuations }
+
+// Client returns the mapping of a client group.
+func (c *Contents) Client(client string) (Client, bool) {
+	return lookup[Client](c.view, ClientName(client), TypeClient)
+}
+
+// Home returns a home rule.
+func (c *Contents) Home(home string) (Home, bool) {
+	return lookup[Home](c.view, HomeName(home), TypeHome)
+}
+
+// Tenant returns a tenant.
+func (c *Contents) Tenant(tenant string) (Tenant, bool) {
+	return lookup[Tenant](c.view, TenantName(tenant), TypeTenant)
+}
+
+// Replicas returns all replicas.
+func (c *Contents) Replicas() map[string]Replica { return c.replicas }
+
+// Drained reports whether the platform drains a replica.
+func (c *Contents) Drained(replica string) bool {
+	_, found := c.drains[replica]
+	return found
+}
+
+// Condition returns the condition of a replica.
+func (c *Contents) Condition(replica string) (Condition, bool) {
+	value, found := c.conditions[replica]
+	return value, found
+}
+
+// Gateways returns the member records of all gateways, up or not.
+func (c *Contents) Gateways() map[string]Gateway { return c.gateways }
+
+// Order returns the stored answer to an order.
+func (c *Contents) Order(order string) (Order, bool) {
+	return lookup[Order](c.view, OrderName(order), TypeOrder)
+}
+
+// WalkOrders calls visit for the stored answers until it returns false. The
+// order of the visits is that of the places, not of the answers' age.
+func (c *Contents) WalkOrders(visit func(order string, answer Order) bool) error {
+	var failure error
+	c.view.Walk(ordersName, TypeOrder, func(record registry.Record) bool {
+		order, err := ObjectName(record.Name)
+		if err == nil {
+			var answer Order
+			answer, err = decodeAs[Order](record)
+			if err == nil {
+				return visit(order, answer)
+			}
+		}
+		failure = fmt.Errorf("reading orders: %w", err)
+		return false
+	})
+	return failure
+}
--- /dev/null
+++ b/places/document.go
@@ -0,0 +1,89 @@
+package places
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/deckpulley/deckpulley/registry"
+)
+
+// A document is kept in chunks that end after a line chosen by its content, so
+// that a small change of a large document changes few records.
+const (
+	chunkLineModulus = 32      // one line in so many ends a chunk
+	maxChunkBytes    = 8 << 10 // octets
+	digestBytes      = 16      // octets of a chunk's SHA-256 kept as its name
+)
+
+// SplitDocument returns the chunks of a text in order. Joined they are the text.
+func SplitDocument(text string) []string {
+	var chunks []string
+	start := 0
+	for at := 0; at < len(text); {
+		end := lineEnd(text, at, start+maxChunkBytes)
+		if xxhash.Sum64String(text[at:end])%chunkLineModulus == 0 || end-start >= maxChunkBytes {
+			chunks = append(chunks, text[start:end])
+			start = end
+		}
+		at = end
+	}
+	if start < len(text) {
+		chunks = append(chunks, text[start:])
+	}
+	return chunks
+}
+
+// lineEnd returns the end of the line that starts at, at most limit.
+func lineEnd(text string, at, limit int) int {
+	end := len(text)
+	if newline := strings.IndexByte(text[at:], '\n'); newline >= 0 {
+		end = at + newline + 1
+	}
+	return min(end, limit)
+}
+
+// DocumentRecords returns the records that hold a text and the digests to put
+// into Configuration.Chunks.
+func DocumentRecords(text string) (records []registry.Record, digests [][]byte) {
+	seen := map[registry.Name]bool{}
+	for _, chunk := range SplitDocument(text) {
+		digest := sha256.Sum256([]byte(chunk))
+		digests = append(digests, digest[:digestBytes])
+		name := chunkName(digest[:digestBytes])
+		if seen[name] {
+			continue
+		}
+		seen[name] = true
+		records = append(records, registry.Record{Name: name, Type: TypeDocument, Class: registry.ClassTable, Data: []byte(chunk)})
+	}
+	return records, digests
+}
+
+// DocumentNames returns the places of the chunks with these digests.
+func DocumentNames(digests [][]byte) []registry.Name {
+	var names []registry.Name
+	for _, digest := range digests {
+		names = append(names, chunkName(digest))
+	}
+	return names
+}
+
+func chunkName(digest []byte) registry.Name {
+	return documentsName.Child(hex.EncodeToString(digest))
+}
+
+// joinDocument reads the text back from its chunks.
+func joinDocument(view registry.View, digests [][]byte) (string, error) {
+	var text strings.Builder
+	for _, digest := range digests {
+		records := view.Lookup(chunkName(digest), TypeDocument)
+		if len(records) != 1 {
+			return "", fmt.Errorf("places: chunk %x of the document is missing", digest)
+		}
+		text.Write(records[0].Data)
+	}
+	return text.String(), nil
+}
--- a/places/places.go
+++ b/places/places.go
@@ -27,15 +27,24 @@
 	TypeCondition                                                  // "<replica>.replicas.places.": from its watcher
 	TypeGateway                                                    // "<gateway>.gateways.places.": member record of a gateway
 	TypeOrder                                                      // "<order id>.orders.places.": answer to an order
-	TypeAuthor                                                     // "configuration.places.": who sent the document
+	TypeDocument                                                   // "<digest>.documents.places.": a chunk of the document
 )
 
 // Configuration is the version marker of the configuration in the table.
 type Configuration struct {
 	Version uint64 `cbor:"1,keyasint"`
-	// Document is the text as handed over, for reading back.
-	Author   string `cbor:"2,keyasint,omitempty"`
-	Document string `cbor:"3,keyasint,omitempty"`
+	Author  string `cbor:"2,keyasint,omitempty"`
+	// Chunks are the digests of the document's chunks, in order.
+	Chunks [][]byte `cbor:"4,keyasint,omitempty"`
+	// Document is the text as handed over, for reading back. It is not part of the
+	// record: Contents.ConfigurationRecord joins it from its chunks.
+	Document string `cbor:"-"`
+}
+
+// Drain marks a replica that the platform wants drained.
+type Drain struct {
+	// Reason is for people.
+	Reason string `cbor:"1,keyasint,omitempty"`
 }
 
 // Service is a set of interchangeable replicas.
@@ -159,9 +168,3 @@
 	Reason string `cbor:"6,keyasint,omitempty"`
 	Field  string `cbor:"7,keyasint,omitempty"`
 }
-
-// Contents is the typed reading of one view of the table, immutable. Large sets
-// (routes, tenants, orders) are looked up on demand; small ones are decoded once.
-type Contents struct {
-	view registry.View
-}
--- /dev/null
+++ b/registry/name.go
@@ -0,0 +1,223 @@
+package registry
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// Bounds of names, in octets of the wire form (RFC 1035, 2.3.4).
+const (
+	MaxLabelBytes = 63
+	MaxNameBytes  = 255
+)
+
+// Root is the name that holds every other.
+const Root Name = "."
+
+// ErrName is wrapped by every error about the form of a name.
+var ErrName = errors.New("registry: malformed name")
+
+// ParseName returns the canonical form of text: ASCII letters in lower case, a
+// final dot, escapes only where needed. It accepts the escapes \X and \DDD of
+// master files (RFC 1035, 5.1).
+func ParseName(text string) (Name, error) {
+	labels, err := splitLabels(text)
+	if err != nil {
+		return "", err
+	}
+	if len(labels) == 0 {
+		return Root, nil
+	}
+	var canonical strings.Builder
+	canonical.Grow(len(text) + 1)
+	wire := 1
+	for _, label := range labels {
+		if len(label) == 0 {
+			return "", fmt.Errorf("%w: %q has an empty label", ErrName, text)
+		}
+		if len(label) > MaxLabelBytes {
+			return "", fmt.Errorf("%w: label of %d octets, at most %d", ErrName, len(label), MaxLabelBytes)
+		}
+		wire += 1 + len(label)
+		writeLabel(&canonical, label)
+		canonical.WriteByte('.')
+	}
+	if wire > MaxNameBytes {
+		return "", fmt.Errorf("%w: %d octets, at most %d", ErrName, wire, MaxNameBytes)
+	}
+	return Name(canonical.String()), nil
+}
+
+// In reports whether the name is apex or below it (sections 1.2 and 7.18).
+func (n Name) In(apex Name) bool {
+	if n == "" || apex == "" {
+		return false
+	}
+	if apex == Root || n == apex {
+		return true
+	}
+	head, found := strings.CutSuffix(string(n), "."+string(apex))
+	if !found {
+		return false
+	}
+	backslashes := len(head) - len(strings.TrimRight(head, `\`))
+	return backslashes%2 == 0
+}
+
+// Child returns the name one label below n. The label is raw: dots and other
+// special octets in it are escaped.
+func (n Name) Child(label string) Name {
+	var text strings.Builder
+	writeLabel(&text, []byte(label))
+	text.WriteByte('.')
+	if n != Root {
+		text.WriteString(string(n))
+	}
+	return Name(text.String())
+}
+
+// Labels returns the raw labels, the leftmost first. It returns nil for a
+// malformed name and for Root.
+func (n Name) Labels() []string {
+	labels, err := splitLabels(string(n))
+	if err != nil {
+		return nil
+	}
+	var raw []string
+	for _, label := range labels {
+		raw = append(raw, string(label))
+	}
+	return raw
+}
+
+// canonicalName returns the canonical form of a name from outside.
+func canonicalName(n Name) (Name, error) {
+	if plainCanonical(n) {
+		return n, nil
+	}
+	return ParseName(string(n))
+}
+
+// plainCanonical recognizes the common canonical names without allocating.
+func plainCanonical(n Name) bool {
+	if len(n) < 2 || len(n) > MaxNameBytes-1 || n[len(n)-1] != '.' {
+		return false
+	}
+	label := 0
+	for i := 0; i < len(n); i++ {
+		octet := n[i]
+		switch {
+		case octet == '.':
+			if label == 0 || label > MaxLabelBytes {
+				return false
+			}
+			label = 0
+		case octet >= 'a' && octet <= 'z', octet >= '0' && octet <= '9', octet == '-', octet == '_':
+			label++
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// key returns the form that the table sorts by: labels from the apex down, each
+// closed by a zero octet, so that a name and all below it are neighbours.
+func (n Name) key() string {
+	text := string(n)
+	if text == "." || text == "" {
+		return ""
+	}
+	key := make([]byte, 0, len(text))
+	end := len(text) - 1
+	for i := end - 1; i >= 0; i-- {
+		if text[i] != '.' || escapedAt(text, i) {
+			continue
+		}
+		key = append(key, text[i+1:end]...)
+		key = append(key, 0)
+		end = i
+	}
+	key = append(key, text[:end]...)
+	return string(append(key, 0))
+}
+
+// escapedAt reports whether an odd number of backslashes stands before text[i].
+func escapedAt(text string, i int) bool {
+	count := 0
+	for i--; i >= 0 && text[i] == '\\'; i-- {
+		count++
+	}
+	return count%2 == 1
+}
+
+// splitLabels undoes escapes and splits at the dots that are not escaped.
+func splitLabels(text string) ([][]byte, error) {
+	if text == "" {
+		return nil, fmt.Errorf("%w: empty", ErrName)
+	}
+	if text == "." {
+		return nil, nil
+	}
+	var labels [][]byte
+	var label []byte
+	for i := 0; i < len(text); {
+		if text[i] == '.' {
+			labels = append(labels, label)
+			label = nil
+			i++
+			continue
+		}
+		octet, width, err := unescape(text[i:])
+		if err != nil {
+			return nil, err
+		}
+		label = append(label, octet)
+		i += width
+	}
+	if label != nil {
+		labels = append(labels, label)
+	}
+	return labels, nil
+}
+
+// unescape reads one octet of text and how many characters it took.
+func unescape(text string) (octet byte, width int, err error) {
+	if text[0] != '\\' {
+		return text[0], 1, nil
+	}
+	if len(text) < 2 {
+		return 0, 0, fmt.Errorf("%w: ends in a backslash", ErrName)
+	}
+	if !isDigit(text[1]) {
+		return text[1], 2, nil
+	}
+	if len(text) < 4 || !isDigit(text[2]) || !isDigit(text[3]) {
+		return 0, 0, fmt.Errorf("%w: an octet escape needs three digits", ErrName)
+	}
+	value := int(text[1]-'0')*100 + int(text[2]-'0')*10 + int(text[3]-'0')
+	if value > 255 {
+		return 0, 0, fmt.Errorf("%w: octet escape %d", ErrName, value)
+	}
+	return byte(value), 4, nil
+}
+
+func isDigit(character byte) bool { return character >= '0' && character <= '9' }
+
+// writeLabel writes a raw label in canonical form.
+func writeLabel(text *strings.Builder, label []byte) {
+	for _, octet := range label {
+		switch {
+		case octet >= 'A' && octet <= 'Z':
+			text.WriteByte(octet + 'a' - 'A')
+		case octet == '.' || octet == '\\':
+			text.WriteByte('\\')
+			text.WriteByte(octet)
+		case octet > ' ' && octet < 0x7f:
+			text.WriteByte(octet)
+		default:
+			fmt.Fprintf(text, `\%03d`, octet)
+		}
+	}
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -99,6 +99,8 @@
 	Singleton bool
 	// Key, if set, extracts the part compared on adding: an equal key replaces (as WKS in 1.1.5).
 	Key func(data []byte) []byte
+	// Check, if set, judges added data during the prescan (section 7.14); an error is FormErr.
+	Check func(data []byte) error
 }
 
 // Schema is the set of kinds a table knows; others are unrecognized types (3.4.1.2).
@@ -116,6 +118,8 @@
 	// Failed is the index of the record that decided an error, with its section; -1 if none.
 	Failed  int
 	Section string // "table", "prerequisite", "permission", "change" or ""
+	// Reason is the error behind Refused, ServFail or a FormErr about data; nil else.
+	Reason error
 }
 
 // Transfer carries a table, or the difference between two serials, to a
@@ -128,6 +132,3 @@
 	Removed []Record `cbor:"4,keyasint,omitempty"`
 	Added   []Record `cbor:"5,keyasint,omitempty"`
 }
-
-// View is an immutable reading of a table at one serial. Taking one costs O(1).
-type View struct{}
--- /dev/null
+++ b/registry/schema.go
@@ -0,0 +1,81 @@
+package registry
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+)
+
+// ErrSchema is wrapped by the errors of NewSchema.
+var ErrSchema = errors.New("registry: invalid schema")
+
+// wksKeyBytes are the address and the protocol that lead the data of a WKS record.
+const wksKeyBytes = 5
+
+// NewSchema returns a schema with the source's own NS, CNAME, SOA and WKS and
+// the kinds given. It fails on a type below FirstOwnType and on a type or name
+// declared twice.
+func NewSchema(kinds ...Kind) (*Schema, error) {
+	schema := &Schema{kinds: sourceKinds()}
+	names := map[string]bool{}
+	for _, kind := range schema.kinds {
+		names[kind.Name] = true
+	}
+	for _, kind := range kinds {
+		if kind.Type < FirstOwnType {
+			return nil, fmt.Errorf("%w: type %d of %q is below %d", ErrSchema, kind.Type, kind.Name, FirstOwnType)
+		}
+		if _, taken := schema.kinds[kind.Type]; taken {
+			return nil, fmt.Errorf("%w: type %d is declared twice", ErrSchema, kind.Type)
+		}
+		if kind.Name == "" || names[kind.Name] {
+			return nil, fmt.Errorf("%w: name %q of type %d is empty or taken", ErrSchema, kind.Name, kind.Type)
+		}
+		names[kind.Name] = true
+		schema.kinds[kind.Type] = kind
+	}
+	return schema, nil
+}
+
+// Kind returns the declaration of a type.
+func (s *Schema) Kind(recordType Type) (Kind, bool) {
+	kind, known := s.kinds[recordType]
+	return kind, known
+}
+
+// sourceKinds declares the types that the source gives rules for (1.1.5).
+func sourceKinds() map[Type]Kind {
+	return map[Type]Kind{
+		TypeNS:    {Type: TypeNS, Name: "NS"},
+		TypeCNAME: {Type: TypeCNAME, Name: "CNAME", Singleton: true},
+		TypeSOA:   {Type: TypeSOA, Name: "SOA", Singleton: true, Check: checkHead},
+		TypeWKS:   {Type: TypeWKS, Name: "WKS", Key: wksKey, Check: checkWKS},
+	}
+}
+
+func wksKey(data []byte) []byte {
+	return data[:min(wksKeyBytes, len(data))]
+}
+
+func checkWKS(data []byte) error {
+	if len(data) < wksKeyBytes {
+		return fmt.Errorf("registry: WKS data of %d octets, at least %d", len(data), wksKeyBytes)
+	}
+	return nil
+}
+
+func checkHead(data []byte) error {
+	_, err := decodeHead(data)
+	return err
+}
+
+// replaces reports whether adding data replaces existing (section 1.1.5).
+func (k Kind) replaces(existing, data []byte) bool {
+	if k.Singleton {
+		return true
+	}
+	if k.Key != nil && bytes.Equal(k.Key(existing), k.Key(data)) {
+		return true
+	}
+	return bytes.Equal(existing, data)
+}
