Prove the registry against the source, a model and damaged input

Cause: every other part decides by the registry, so its rules must be those of the source, text before pseudocode. EncodeUpdate refuses texts that decoding would not accept.

--- a/registry/codec.go
+++ b/registry/codec.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"unicode/utf8"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -95,11 +96,15 @@
 	return head, err
 }
 
-// EncodeUpdate returns the encoding of an update. Equal updates encode equally.
+// EncodeUpdate returns the encoding of an update, which DecodeUpdate accepts.
+// Equal updates encode equally.
 func EncodeUpdate(update *Update) ([]byte, error) {
 	if err := update.checkLimits(); err != nil {
 		return nil, err
 	}
+	if err := update.checkTexts(); err != nil {
+		return nil, err
+	}
 	data := encode(update)
 	if len(data) > MaxUpdateBytes {
 		return nil, &LimitError{What: "octets of update", Got: len(data), Limit: MaxUpdateBytes}
@@ -142,6 +147,25 @@
 	return nil
 }
 
+// checkTexts requires the texts to be UTF-8, since decoding accepts no other.
+func (u *Update) checkTexts() error {
+	texts := []string{u.Requestor}
+	for _, entry := range u.Tables {
+		texts = append(texts, string(entry.Name))
+	}
+	for _, section := range [][]Record{u.Prerequisites, u.Changes, u.Additional} {
+		for i := range section {
+			texts = append(texts, string(section[i].Name))
+		}
+	}
+	for _, text := range texts {
+		if !utf8.ValidString(text) {
+			return fmt.Errorf("%w: %q is not UTF-8", ErrMalformed, text)
+		}
+	}
+	return nil
+}
+
 func checkRecordLimits(records []Record) error {
 	for i := range records {
 		if size := len(records[i].Data); size > MaxDataBytes {
--- /dev/null
+++ b/registry/model_test.go
@@ -0,0 +1,331 @@
+package registry
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// model is the slow, obvious table: a list of records, judged by walking it.
+type model struct {
+	records []Record // without the head
+	head    Head
+}
+
+func (m *model) count(match func(Record) bool) int {
+	total := 0
+	for _, record := range m.all() {
+		if match(record) {
+			total++
+		}
+	}
+	return total
+}
+
+func (m *model) all() []Record {
+	return append(slices.Clone(m.records), HeadRecord(testApex, m.head))
+}
+
+func sameName(a, b Record) bool { return strings.EqualFold(string(a.Name), string(b.Name)) }
+
+func sameSet(a, b Record) bool { return sameName(a, b) && a.Type == b.Type }
+
+func outside(record Record) bool {
+	name := strings.ToLower(string(record.Name))
+	return name != "t." && !strings.HasSuffix(name, ".t.")
+}
+
+// prerequisite judges sections 3.2.1 to 3.2.3 for one record.
+func (m *model) prerequisite(record Record) ResponseCode {
+	inUse := m.count(func(r Record) bool { return sameName(r, record) }) > 0
+	exists := m.count(func(r Record) bool { return sameSet(r, record) }) > 0
+	isAny := record.Type == TypeANY
+	switch {
+	case outside(record):
+		return NotZone
+	case record.TTL != 0:
+		return FormErr
+	case record.Class == ClassTable:
+		return NoError
+	case record.Class != ClassAny && record.Class != ClassNone, len(record.Data) > 0:
+		return FormErr
+	case record.Class == ClassAny && isAny && !inUse:
+		return NXDomain
+	case record.Class == ClassAny && !isAny && !exists:
+		return NXRRSet
+	case record.Class == ClassNone && isAny && inUse:
+		return YXDomain
+	case record.Class == ClassNone && !isAny && exists:
+		return YXRRSet
+	}
+	return NoError
+}
+
+func (m *model) prerequisites(section []Record) ResponseCode {
+	for _, record := range section {
+		if code := m.prerequisite(record); code != NoError {
+			return code
+		}
+	}
+	for _, wanted := range section {
+		if wanted.Class != ClassTable {
+			continue
+		}
+		for _, pair := range [][2][]Record{{section, m.all()}, {m.all(), section}} {
+			for _, record := range pair[0] {
+				if record.Class != ClassTable || !sameSet(record, wanted) {
+					continue
+				}
+				if !slices.ContainsFunc(pair[1], func(r Record) bool {
+					return r.Class == ClassTable && sameSet(r, record) && bytes.Equal(r.Data, record.Data)
+				}) {
+					return NXRRSet
+				}
+			}
+		}
+		if m.count(func(r Record) bool { return sameSet(r, wanted) }) == 0 {
+			return NXRRSet
+		}
+	}
+	return NoError
+}
+
+func (m *model) prescan(section []Record) ResponseCode {
+	known := []Type{TypeNS, TypeCNAME, TypeSOA, TypeWKS, typeMany, typeOne, typeKeyed, typeDigits}
+	for _, record := range section {
+		isKnown := slices.Contains(known, record.Type)
+		switch {
+		case record.Class != ClassTable && record.Class != ClassAny && record.Class != ClassNone:
+			return FormErr
+		case outside(record):
+			return NotZone
+		case !isKnown && !(record.Class == ClassAny && record.Type == TypeANY):
+			return FormErr
+		case record.Class != ClassTable && record.TTL != 0:
+			return FormErr
+		case record.Class == ClassAny && len(record.Data) > 0:
+			return FormErr
+		}
+	}
+	return NoError
+}
+
+func (m *model) drop(match func(Record) bool) {
+	m.records = slices.DeleteFunc(m.records, match)
+}
+
+// change applies sections 3.4.2.2 to 3.4.2.4 for one record.
+func (m *model) change(record Record) {
+	record.Name = Name(strings.ToLower(string(record.Name)))
+	atApex := record.Name == testApex
+	switch record.Class {
+	case ClassTable:
+		m.add(record)
+	case ClassAny:
+		m.drop(func(r Record) bool {
+			kept := atApex && (r.Type == TypeNS || r.Type == TypeSOA)
+			return sameName(r, record) && !kept && (record.Type == TypeANY || record.Type == r.Type)
+		})
+	case ClassNone:
+		lastMember := m.count(func(r Record) bool { return r.Name == testApex && r.Type == TypeNS }) == 1
+		if atApex && record.Type == TypeNS && lastMember {
+			return
+		}
+		m.drop(func(r Record) bool { return sameSet(r, record) && bytes.Equal(r.Data, record.Data) })
+	}
+}
+
+func (m *model) add(record Record) {
+	if record.Type == TypeSOA {
+		head, _ := decodeHead(record.Data)
+		if record.Name == testApex && head.Serial != 0 && int32(head.Serial-m.head.Serial) > 0 {
+			m.head = head
+		}
+		return
+	}
+	for _, r := range m.all() {
+		if sameName(r, record) && (r.Type == TypeCNAME) != (record.Type == TypeCNAME) {
+			return
+		}
+	}
+	m.drop(func(r Record) bool {
+		if !sameSet(r, record) {
+			return false
+		}
+		singleton := r.Type == TypeCNAME || r.Type == typeOne
+		keyed := r.Type == typeKeyed && string(r.Data[:min(1, len(r.Data))]) == string(record.Data[:min(1, len(record.Data))])
+		return singleton || keyed || bytes.Equal(r.Data, record.Data)
+	})
+	m.records = append(m.records, record)
+}
+
+// apply returns the code; the serial rises once if anything differs afterwards.
+func (m *model) apply(update Update) ResponseCode {
+	if code := m.prerequisites(update.Prerequisites); code != NoError {
+		return code
+	}
+	if code := m.prescan(update.Changes); code != NoError {
+		return code
+	}
+	before, serial := m.dump(), m.head.Serial
+	for _, record := range update.Changes {
+		m.change(record)
+	}
+	if m.head.Serial == serial && !slices.Equal(before, m.dump()) {
+		m.head.Serial++
+		if m.head.Serial == 0 {
+			m.head.Serial = 1
+		}
+	}
+	return NoError
+}
+
+func (m *model) dump() []string {
+	written := lines(m.records...)
+	slices.Sort(written)
+	return written
+}
+
+func sorted(lines []string) []string {
+	slices.Sort(lines)
+	return lines
+}
+
+// drawRecord draws a record of few names and values, so that records often meet.
+func drawRecord(t *rapid.T, serial uint32) Record {
+	record := Record{
+		Name:  rapid.SampledFrom([]Name{"t.", "a.t.", "A.t.", "b.t.", "x.b.t.", "*.t.", "u."}).Draw(t, "name"),
+		Type:  rapid.SampledFrom([]Type{typeMany, typeMany, typeOne, typeKeyed, TypeNS, TypeCNAME, TypeSOA, TypeANY, TypeAXFR, 9999}).Draw(t, "type"),
+		Class: rapid.SampledFrom([]Class{ClassTable, ClassTable, ClassTable, ClassAny, ClassNone, 7}).Draw(t, "class"),
+		TTL:   rapid.SampledFrom([]uint32{0, 0, 0, 60}).Draw(t, "ttl"),
+	}
+	if record.Type == TypeSOA && record.Class == ClassTable {
+		offset := rapid.SampledFrom([]uint32{0, 1, 5, 1 << 31, 1<<31 - 1, 1<<32 - 3}).Draw(t, "offset")
+		record.Data = encodeHead(Head{Primary: "a", Serial: serial + offset})
+		return record
+	}
+	if record.Class != ClassAny || rapid.IntRange(0, 9).Draw(t, "spoil") == 0 {
+		record.Data = []byte(rapid.SampledFrom([]string{"a1", "a2", "b1", ""}).Draw(t, "data"))
+	}
+	return record
+}
+
+// drawPrerequisite mostly draws well-formed ones that the model satisfies or
+// fails by value, not by form.
+func drawPrerequisite(t *rapid.T, m *model) []Record {
+	switch rapid.IntRange(0, 5).Draw(t, "prerequisite") {
+	case 0:
+		record := drawRecord(t, m.head.Serial)
+		return []Record{Exists(record.Name, record.Type)}
+	case 1:
+		record := drawRecord(t, m.head.Serial)
+		return []Record{Absent(record.Name, record.Type)}
+	case 2:
+		return []Record{InUse(drawRecord(t, m.head.Serial).Name)}
+	case 3:
+		return []Record{NotInUse(drawRecord(t, m.head.Serial).Name)}
+	case 4:
+		wanted := rapid.SampledFrom(m.all()).Draw(t, "held")
+		var set []Record
+		for _, record := range m.all() {
+			if sameSet(record, wanted) {
+				set = append(set, Equals(record))
+			}
+		}
+		return set
+	}
+	return []Record{drawRecord(t, m.head.Serial)}
+}
+
+// seen is a view and what it showed when it was taken.
+type seen struct {
+	view   View
+	serial uint32
+	dump   []string
+}
+
+// TestTableEqualsModel applies random updates to a table, to the model, and by
+// transfers to a secondary that falls behind at random; views taken on the way
+// must not change, and a snapshot must restore the same table.
+func TestTableEqualsModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := rapid.SampledFrom([]uint32{1, 10, 1<<31 - 2, 1<<32 - 3}).Draw(t, "start")
+		head := Head{Primary: "a", Serial: start}
+		table, err := New(testApex, testSchema(), head, []string{"a", "b"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		reference := &model{records: slices.Clone(members), head: head}
+		secondary := NewSecondary(testApex, testSchema())
+		var views []seen
+		for range rapid.IntRange(1, 12).Draw(t, "updates") {
+			update := drawUpdate(t, reference)
+			want := reference.apply(update)
+			result := table.Apply(&update, nil)
+			if result.Code != want || table.Head() != reference.head {
+				t.Fatalf("code %s, head %+v, want %s, %+v", result.Code, table.Head(), want, reference.head)
+			}
+			if difference := cmp.Diff(reference.dump(), sorted(dump(table.View()))); difference != "" {
+				t.Fatalf("records differ (-model +table):\n%s", difference)
+			}
+			if rapid.Bool().Draw(t, "transfer") {
+				follow(t, table, secondary)
+			}
+			views = append(views, seen{view: table.View(), serial: table.Serial(), dump: dump(table.View())})
+		}
+		follow(t, table, secondary)
+		for _, taken := range views {
+			if taken.view.Serial() != taken.serial || !slices.Equal(dump(taken.view), taken.dump) {
+				t.Fatalf("the view of serial %d has changed", taken.serial)
+			}
+		}
+	})
+}
+
+func drawUpdate(t *rapid.T, reference *model) Update {
+	update := NewUpdate(testApex, nil, nil)
+	for range rapid.IntRange(0, 2).Draw(t, "prerequisites") {
+		update.Prerequisites = append(update.Prerequisites, drawPrerequisite(t, reference)...)
+	}
+	for range rapid.IntRange(0, 4).Draw(t, "changes") {
+		update.Changes = append(update.Changes, drawRecord(t, reference.head.Serial))
+	}
+	return update
+}
+
+// follow brings the secondary up by an encoded transfer and compares snapshots.
+func follow(t *rapid.T, table, secondary *Table) {
+	data, err := EncodeTransfer(table.Difference(secondary.Serial()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	transfer, err := DecodeTransfer(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if transfer.Full != (secondary.Serial() == 0) {
+		t.Fatalf("full transfer: %v, held %d", transfer.Full, secondary.Serial())
+	}
+	if err := secondary.ApplyTransfer(transfer); err != nil {
+		t.Fatal(err)
+	}
+	want, err := table.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := secondary.Snapshot()
+	if err != nil || !bytes.Equal(got, want) {
+		t.Fatalf("secondary differs after %+v, error %v", transfer, err)
+	}
+	restored, err := Restore(testSchema(), want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again, err := restored.Snapshot(); err != nil || !bytes.Equal(again, want) {
+		t.Fatalf("the restored table differs, error %v", err)
+	}
+}
--- /dev/null
+++ b/registry/transfer_test.go
@@ -0,0 +1,210 @@
+package registry
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+)
+
+// grow applies updates that add one record each.
+func grow(t testing.TB, table *Table, from, to int) {
+	t.Helper()
+	for i := from; i < to; i++ {
+		update := NewUpdate(testApex, nil, []Record{Add(rr(testApex.Child(fmt.Sprintf("n%d", i)), typeOne, "1"))})
+		if result := table.Apply(&update, nil); result.Code != NoError {
+			t.Fatal(result.Code)
+		}
+	}
+}
+
+func TestJournalIsBounded(t *testing.T) {
+	table := testTable(t)
+	grow(t, table, 0, MaxJournalUpdates+1)
+	if transfer := table.Difference(testSerial + 1); transfer.Full || len(transfer.Added) != MaxJournalUpdates+1 {
+		t.Errorf("from the oldest kept: full %v, %d added", transfer.Full, len(transfer.Added))
+	}
+	if transfer := table.Difference(testSerial); !transfer.Full {
+		t.Error("from before the oldest kept: incremental")
+	}
+	if transfer := table.Difference(table.Serial() + 1); !transfer.Full {
+		t.Error("from a serial of the future: incremental")
+	}
+	large := make([]byte, MaxDataBytes)
+	for i := range MaxJournalBytes/MaxDataBytes + 1 {
+		large[0], large[1] = byte(i), byte(i>>8)
+		update := NewUpdate(testApex, nil, []Record{Add(rr("large.t.", typeOne, string(large)))})
+		if result := table.Apply(&update, nil); result.Code != NoError {
+			t.Fatal(result.Code)
+		}
+	}
+	if table.journal.bytes > MaxJournalBytes {
+		t.Errorf("journal of %d octets, at most %d", table.journal.bytes, MaxJournalBytes)
+	}
+	records, size := 0, 0
+	for _, entry := range table.journal.entries {
+		r, s := weight(entry)
+		records, size = records+r, size+s
+	}
+	if records != table.journal.records || size != table.journal.bytes {
+		t.Errorf("journal counts %d records and %d octets, holds %d and %d", table.journal.records, table.journal.bytes, records, size)
+	}
+}
+
+func TestTransferCostsWhatChanged(t *testing.T) {
+	table := testTable(t)
+	grow(t, table, 0, 2000)
+	held := table.Serial()
+	update := NewUpdate(testApex, nil, []Record{Add(rr("n7.t.", typeOne, "2")), Add(rr("new.t.", typeOne, "1"))})
+	table.Apply(&update, nil)
+	transfer := table.Difference(held)
+	if transfer.Full || len(transfer.Removed) != 2 || len(transfer.Added) != 3 {
+		t.Errorf("transfer %+v, want old record and head out, two records and head in", transfer)
+	}
+}
+
+func TestTransfersThatDoNotFit(t *testing.T) {
+	primary := testTable(t)
+	full := primary.Difference(0)
+	held := primary.Serial()
+	grow(t, primary, 0, 1)
+	next := primary.Difference(held)
+	alter := func(change func(*Transfer)) Transfer {
+		altered := next
+		altered.Added = slices.Clone(next.Added)
+		altered.Removed = slices.Clone(next.Removed)
+		change(&altered)
+		return altered
+	}
+	cases := []struct {
+		name     string
+		transfer Transfer
+		want     error
+	}{
+		{"gap", alter(func(x *Transfer) { x.From++ }), ErrGap},
+		{"not newer", Transfer{Full: true, To: held - 1, Added: full.Added}, ErrNotNewer},
+		{"half the circle away", Transfer{Full: true, To: held + 1<<31, Added: full.Added}, ErrNotNewer},
+		{"removes what is absent", alter(func(x *Transfer) { x.Removed = append(x.Removed, rr("z.t.", typeOne, "1")) }), ErrTransfer},
+		{"adds what is present", alter(func(x *Transfer) { x.Added = append(x.Added, members[0]) }), ErrTransfer},
+		{"name outside", alter(func(x *Transfer) { x.Added = append(x.Added, rr("z.u.", typeOne, "1")) }), ErrTransfer},
+		{"name in upper case", alter(func(x *Transfer) { x.Added = append(x.Added, rr("Z.t.", typeOne, "1")) }), ErrTransfer},
+		{"malformed name", alter(func(x *Transfer) { x.Added = append(x.Added, rr("", typeOne, "1")) }), ErrTransfer},
+		{"unrecognized type", alter(func(x *Transfer) { x.Added = append(x.Added, rr("z.t.", 9999, "1")) }), ErrTransfer},
+		{"class of a deletion", alter(func(x *Transfer) { x.Added = append(x.Added, withClass(rr("z.t.", typeOne, "1"), ClassNone)) }), ErrTransfer},
+		{"serial not the head's", alter(func(x *Transfer) { x.To++ }), ErrTransfer},
+		{"without the new head", alter(func(x *Transfer) { x.Added = x.Added[:0] }), ErrTransfer},
+		{"two heads", alter(func(x *Transfer) { x.Removed = nil }), ErrTransfer},
+		{"without members", alter(func(x *Transfer) { x.Removed = append(x.Removed, members...) }), ErrTransfer},
+		{"full with removals", Transfer{Full: true, To: held + 1, Removed: members, Added: full.Added}, ErrTransfer},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			secondary := NewSecondary(testApex, testSchema())
+			if err := secondary.ApplyTransfer(full); err != nil {
+				t.Fatal(err)
+			}
+			before := dump(secondary.View())
+			if err := secondary.ApplyTransfer(c.transfer); !errors.Is(err, c.want) {
+				t.Errorf("error %v, want %v", err, c.want)
+			}
+			if secondary.Serial() != held || !slices.Equal(before, dump(secondary.View())) {
+				t.Error("a transfer that fails has changed the table")
+			}
+			if err := secondary.ApplyTransfer(next); err != nil || secondary.Serial() != primary.Serial() {
+				t.Errorf("the right transfer afterwards: %v", err)
+			}
+		})
+	}
+	empty := NewSecondary(testApex, testSchema())
+	if err := empty.ApplyTransfer(next); !errors.Is(err, ErrGap) {
+		t.Errorf("incremental to an empty secondary: %v, want ErrGap", err)
+	}
+}
+
+func TestSnapshotsThatAreDamaged(t *testing.T) {
+	data, err := testTable(t, rr("m.t.", typeMany, "1")).Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Restore(testSchema(), data); err != nil {
+		t.Fatal(err)
+	}
+	for length := range len(data) {
+		if _, err := Restore(testSchema(), data[:length]); err == nil {
+			t.Errorf("restored from %d of %d octets", length, len(data))
+		}
+	}
+	headless := encode(snapshot{Format: snapshotFormat, Apex: testApex, Records: members})
+	foreign := encode(snapshot{Format: snapshotFormat + 1, Apex: testApex})
+	if _, err := Restore(testSchema(), headless); !errors.Is(err, ErrTransfer) {
+		t.Errorf("without a head: %v, want ErrTransfer", err)
+	}
+	if _, err := Restore(testSchema(), foreign); !errors.Is(err, ErrMalformed) {
+		t.Errorf("another format: %v, want ErrMalformed", err)
+	}
+}
+
+// TestViewsWhileWriting reads views in many goroutines while the table changes:
+// two records that each update sets together must be seen equal.
+func TestViewsWhileWriting(t *testing.T) {
+	const updates, readers = 300, 4
+	table := testTable(t, rr("p.t.", typeOne, "0"), rr("q.t.", typeOne, "0"))
+	done := make(chan struct{})
+	var group sync.WaitGroup
+	for range readers {
+		group.Go(func() {
+			for last := uint32(0); ; {
+				view := table.View()
+				p, q := view.Lookup("p.t.", typeOne), view.Lookup("q.t.", typeOne)
+				if string(p[0].Data) != string(q[0].Data) || SerialLess(view.Serial(), last) {
+					t.Errorf("serial %d after %d: %s and %s", view.Serial(), last, p[0].Data, q[0].Data)
+				}
+				last = view.Serial()
+				select {
+				case <-done:
+					return
+				default:
+				}
+			}
+		})
+	}
+	for i := range updates {
+		value := fmt.Sprint(i + 1)
+		update := NewUpdate(testApex, nil, []Record{Add(rr("p.t.", typeOne, value)), Add(rr("q.t.", typeOne, value))})
+		if result := table.Apply(&update, nil); !result.Changed {
+			t.Errorf("update %d: %s", i, result.Code)
+		}
+	}
+	close(done)
+	group.Wait()
+}
+
+// BenchmarkView shows that taking a view costs the same at any size.
+func BenchmarkView(b *testing.B) {
+	for _, size := range []int{100, 10_000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			table := testTable(b)
+			grow(b, table, 0, size)
+			b.ReportAllocs()
+			for b.Loop() {
+				_ = table.View()
+			}
+		})
+	}
+}
+
+// BenchmarkApply shows what one changing update costs in tables of several sizes.
+func BenchmarkApply(b *testing.B) {
+	for _, size := range []int{100, 10_000, 100_000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			table := testTable(b)
+			grow(b, table, 0, size)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				update := NewUpdate(testApex, nil, []Record{Add(rr("n7.t.", typeOne, fmt.Sprint(i)))})
+				table.Apply(&update, nil)
+			}
+		})
+	}
+}
