--- /dev/null
+++ b/Makefile
@@ -0,0 +1,90 @@
+# Targets for people; `make help` lists them.
+SHELL := /usr/bin/env bash
+.SHELLFLAGS := -euo pipefail -c
+.DEFAULT_GOAL := help
+
+export CGO_ENABLED := 1
+
+GOLANGCI_LINT_VERSION := v2.15.0
+GOFUMPT_VERSION := v0.12.0
+TOOLS := $(CURDIR)/.tools
+
+DEPLOYMENT ?= kodovka
+# make sets SECONDS from the command line; the shell's own variable of that name must not leak in.
+ifeq ($(origin SECONDS),command line)
+RUN_SECONDS := $(SECONDS)
+else
+RUN_SECONDS := 20
+endif
+SCENARIO ?=
+SEEDS ?= 20000
+FIRST_SEED ?= 1
+NAME ?= placement
+NODES ?= 402
+REPLICAS ?= 12000
+
+.PHONY: help
+help: ## list the targets
+	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 20
+
+.PHONY: build
+build: ## put all programs into bin/
+	mkdir -p bin
+	go build -o bin/ ./cmd/...
+
+.PHONY: test
+test: ## unit, property and simulation tests with the race detector
+	go test -race -timeout 10m ./...
+
+.PHONY: tools
+tools: ## install the pinned formatter and linter into .tools/
+	mkdir -p $(TOOLS)
+	test -x $(TOOLS)/gofumpt || GOBIN=$(TOOLS) go install mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
+	test -x $(TOOLS)/golangci-lint || GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+
+.PHONY: format
+format: tools ## format all Go files
+	$(TOOLS)/gofumpt -w $$(git ls-files '*.go')
+
+.PHONY: lint
+lint: tools ## check formatting and run the linter
+	@unformatted=$$($(TOOLS)/gofumpt -l $$(git ls-files '*.go')); \
+	if [ -n "$$unformatted" ]; then echo "not formatted (make format): $$unformatted"; exit 1; fi
+	$(TOOLS)/golangci-lint run ./...
+
+.PHONY: fleet
+fleet: build ## run a whole deployment: DEPLOYMENT=kodovka|georgia SECONDS=20
+	bin/deckpulley-fleet run --deployment $(DEPLOYMENT) --seconds $(RUN_SECONDS)
+
+.PHONY: faults-short
+faults-short: build ## the short fault suite on real processes
+	bin/deckpulley-fleet faults --deployment $(DEPLOYMENT) --short
+
+.PHONY: faults
+faults: build ## the whole fault suite; SCENARIO=name DEPLOYMENT=name for one
+ifeq ($(SCENARIO),)
+	bin/deckpulley-fleet faults --deployment kodovka
+	bin/deckpulley-fleet faults --deployment georgia
+else
+	bin/deckpulley-fleet faults --deployment $(DEPLOYMENT) --scenario $(SCENARIO)
+endif
+
+.PHONY: simulate
+simulate: build ## more histories of the replicated log: SEEDS=20000 FIRST_SEED=1
+	bin/deckpulley-simulate --seeds $(SEEDS) --first-seed $(FIRST_SEED)
+
+.PHONY: planted
+planted: build ## each planted defect and the seeds until it was caught
+	bin/deckpulley-simulate --planted
+
+.PHONY: experiment
+experiment: build ## an experiment in virtual time: NAME=placement
+	bin/deckpulley-experiment $(NAME)
+
+.PHONY: capacity
+capacity: build ## measure the slopes and rewrite the tables of docs/CAPACITY.md
+	bin/deckpulley-scale --write docs/CAPACITY.md
+
+.PHONY: bench-gateway
+bench-gateway: ## benchmarks of the request path
+	go test -run '^$$' -bench . -benchmem ./gateway/... ./stream/... ./routing/... ./ticket/...
