--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -104,6 +104,7 @@
 	file   *os.File
 	buffer *bufio.Writer
 	source string
+	failed error // first error of a write or flush, returned by Close
 	stop   chan struct{}
 	done   chan struct{}
 }
@@ -136,10 +137,17 @@
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.buffer.Write(line)
-	w.buffer.WriteByte('\n')
+	_, err = w.buffer.Write(append(line, '\n'))
+	w.keep(err)
 	if event.Kind == ReplicaExecuted || event.Kind == ReplicaReceived {
-		w.buffer.Flush() // an execution must be on record even if the process is killed next
+		w.keep(w.buffer.Flush()) // an execution must be on record even if the process is killed next
+	}
+}
+
+// keep remembers the first error. The caller holds the mutex.
+func (w *Writer) keep(err error) {
+	if w.failed == nil {
+		w.failed = err
 	}
 }
 
@@ -151,7 +159,7 @@
 		select {
 		case <-ticker.C:
 			w.mutex.Lock()
-			w.buffer.Flush()
+			w.keep(w.buffer.Flush())
 			w.mutex.Unlock()
 		case <-w.stop:
 			return
@@ -159,16 +167,16 @@
 	}
 }
 
-// Close flushes and closes the log.
+// Close flushes and closes the log. It returns the first error of any write.
 func (w *Writer) Close() error {
 	close(w.stop)
 	<-w.done
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	flushErr := w.buffer.Flush()
-	closeErr := w.file.Close()
-	if flushErr != nil {
-		return fmt.Errorf("flushing event log: %w", flushErr)
+	w.keep(w.buffer.Flush())
+	w.keep(w.file.Close())
+	if w.failed != nil {
+		return fmt.Errorf("writing event log: %w", w.failed)
 	}
-	return closeErr
+	return nil
 }
