Grant and hold leases by proof of office

Cause: gateways may act only on a serial that no acknowledged one outdates. A lease is judged run out only up to the newest proof of office, and granted only to holders not behind what may have been reported in force; others get a grant of length zero, which carries the transfer and the activation. peer.Renew gains Valid.

--- /dev/null
+++ b/lease/grantor.go
@@ -0,0 +1,297 @@
+package lease
+
+import (
+	"sort"
+	"time"
+)
+
+// HolderID names one incarnation of one holder.
+type HolderID struct {
+	Holder      string
+	Incarnation string
+}
+
+// Request is one renewal as the grantor sees it.
+type Request struct {
+	Holder      string
+	Incarnation string
+	// Held is the newest serial that the holder has a copy of, 0 for none.
+	Held uint32
+	// Active is the serial that decides at the holder, 0 for none. It never falls
+	// within one incarnation.
+	Active uint32
+	// Leaving gives the lease up; the holder has stopped acting on it already.
+	Leaving bool
+	// Valid says that the holder's lease was valid when it sent the request.
+	Valid bool
+	// Term is the newest term that the holder knew when it sent the request.
+	Term uint64
+}
+
+// Decision answers one renewal.
+type Decision struct {
+	// Granted says that the grantor is in office: the transfer and Activate may be
+	// taken from it. Without it nothing else holds.
+	Granted bool
+	// Length of the lease from the sending of the request. Zero is no lease yet:
+	// the holder must first make a newer serial active.
+	Length time.Duration
+	// Activate allows every held serial up to this one to become active; 0 is none.
+	Activate uint32
+}
+
+// HolderStatus describes one live lease.
+type HolderStatus struct {
+	Holder      string
+	Incarnation string
+	Remaining   time.Duration
+	Held        uint32
+	Active      uint32
+}
+
+type lease struct {
+	expires time.Duration
+	held    uint32
+	active  uint32
+	told    bool // Expired has reported it
+}
+
+// Grantor is the primary's side for one term of office. It is not safe for
+// concurrent use. Discard it when the office is lost.
+type Grantor struct {
+	terms       Terms
+	term        uint64
+	windowEnd   time.Duration
+	serial      uint32 // newest serial of the table
+	floor       uint32 // serial of the election, an upper bound on what others reported in force
+	activate    uint32
+	reported    uint32 // newest serial that InForce returned
+	contact     time.Duration
+	contactSeen bool
+	leases      map[HolderID]*lease
+	left        map[HolderID]time.Duration // until when late renewals of those that left are ignored
+}
+
+// NewGrantor begins a term of office at the monotonic time elected. serial is
+// the table's once every entry of earlier terms is applied.
+func NewGrantor(terms Terms, term uint64, elected time.Duration, serial uint32) *Grantor {
+	return &Grantor{
+		terms:     terms,
+		term:      term,
+		windowEnd: elected + terms.Window(),
+		serial:    serial,
+		floor:     serial,
+		leases:    make(map[HolderID]*lease),
+		left:      make(map[HolderID]time.Duration),
+	}
+}
+
+// Term returns the term of office.
+func (g *Grantor) Term() uint64 { return g.term }
+
+// SetSerial tells the newest serial of the table.
+func (g *Grantor) SetSerial(serial uint32) {
+	g.serial = newerSerial(g.serial, serial)
+}
+
+// SetContact tells the newest proof of office: the sending time of the newest
+// heartbeat round that a majority acknowledged in this term. Call it whenever it
+// changes and before InForce, since leases are judged as run out only up to it.
+func (g *Grantor) SetContact(contact time.Duration) {
+	if !g.contactSeen || contact > g.contact {
+		g.contact = contact
+		g.contactSeen = true
+	}
+}
+
+// Renew decides one renewal. contact is as in SetContact; contactKnown is false
+// while there is none in this term.
+func (g *Grantor) Renew(now, contact time.Duration, contactKnown bool, request Request) Decision {
+	id := HolderID{Holder: request.Holder, Incarnation: request.Incarnation}
+	if contactKnown {
+		g.SetContact(contact)
+	}
+	if request.Leaving {
+		g.leave(now, id)
+		return Decision{Activate: g.Activate(now)}
+	}
+	if !g.inOffice(now) {
+		return Decision{}
+	}
+	if now < g.left[id] {
+		return Decision{Granted: true, Activate: g.Activate(now)}
+	}
+	length := time.Duration(0)
+	if g.mayHold(request) {
+		g.grant(now, id, request)
+		length = g.terms.Length
+	}
+	return Decision{Granted: true, Length: length, Activate: g.activation(request.Active)}
+}
+
+func (g *Grantor) inOffice(now time.Duration) bool {
+	return g.contactSeen && now-g.contact <= g.terms.QuorumAge
+}
+
+// mayHold keeps the invariant: whoever gets a lease is not behind anything that
+// was reported in force by this or an earlier primary.
+func (g *Grantor) mayHold(request Request) bool {
+	if request.Active == 0 {
+		return false
+	}
+	if !g.windowOver() {
+		continued := request.Valid && request.Term == g.term
+		return continued || !serialLess(request.Active, g.floor)
+	}
+	g.InForce(g.contact)
+	return !serialLess(request.Active, g.reported)
+}
+
+func (g *Grantor) grant(now time.Duration, id HolderID, request Request) {
+	entry, known := g.leases[id]
+	if !known {
+		entry = &lease{}
+		g.leases[id] = entry
+	}
+	entry.expires = now + g.terms.Length + g.terms.Margin
+	entry.held = newerSerial(entry.held, request.Held)
+	entry.active = newerSerial(entry.active, request.Active)
+	entry.told = false
+}
+
+func (g *Grantor) leave(now time.Duration, id HolderID) {
+	delete(g.leases, id)
+	for other, until := range g.left {
+		if until <= now {
+			delete(g.left, other)
+		}
+	}
+	g.left[id] = now + g.terms.Length + g.terms.Margin
+}
+
+// windowOver says whether every lease of earlier primaries has run out, as far
+// as the proof of office reaches.
+func (g *Grantor) windowOver() bool {
+	return g.contactSeen && g.contact >= g.windowEnd
+}
+
+// activation raises Activate by what is now known. reported is a serial that
+// some holder has just reported as active, 0 for none.
+func (g *Grantor) activation(reported uint32) uint32 {
+	g.activate = newerSerial(g.activate, reported)
+	for _, entry := range g.leases {
+		g.activate = newerSerial(g.activate, entry.active)
+	}
+	if !g.windowOver() {
+		return g.activate
+	}
+	held := g.serial
+	for _, entry := range g.leases {
+		if g.live(entry) && serialLess(entry.held, held) {
+			held = entry.held
+		}
+	}
+	g.activate = newerSerial(g.activate, held)
+	return g.activate
+}
+
+// live says that the lease may be valid at its holder, as far as the proof of
+// office reaches.
+func (g *Grantor) live(entry *lease) bool {
+	return entry.expires > g.contact
+}
+
+// Activate returns the newest serial that holders may make active: the newest
+// one held by all of them, and never older than one that a holder reported as
+// active. 0 is none yet.
+func (g *Grantor) Activate(time.Duration) uint32 {
+	return g.activation(0)
+}
+
+// InForce returns the newest serial that every live lease holder reports as
+// active. It is unknown (false) until the leases of earlier primaries have run
+// out, or while a live lease has reported no active serial.
+func (g *Grantor) InForce(time.Duration) (uint32, bool) {
+	if !g.windowOver() {
+		return 0, false
+	}
+	oldest := g.serial
+	for _, entry := range g.leases {
+		if !g.live(entry) {
+			continue
+		}
+		if entry.active == 0 {
+			return 0, false
+		}
+		if serialLess(entry.active, oldest) {
+			oldest = entry.active
+		}
+	}
+	g.reported = newerSerial(g.reported, oldest)
+	return g.reported, true
+}
+
+// Expired returns the holders whose leases have run out since the last call,
+// each once, and forgets those that no longer matter.
+func (g *Grantor) Expired(now time.Duration) []HolderID {
+	var expired []HolderID
+	for id, entry := range g.leases {
+		if entry.expires > now {
+			continue
+		}
+		if !entry.told {
+			entry.told = true
+			expired = append(expired, id)
+		}
+		if !g.live(entry) {
+			delete(g.leases, id)
+		}
+	}
+	sort.Slice(expired, func(i, j int) bool { return less(expired[i], expired[j]) })
+	return expired
+}
+
+// Holders lists the live leases by name.
+func (g *Grantor) Holders(now time.Duration) []HolderStatus {
+	holders := make([]HolderStatus, 0, len(g.leases))
+	for id, entry := range g.leases {
+		if entry.expires <= now {
+			continue
+		}
+		holders = append(holders, HolderStatus{
+			Holder:      id.Holder,
+			Incarnation: id.Incarnation,
+			Remaining:   entry.expires - now,
+			Held:        entry.held,
+			Active:      entry.active,
+		})
+	}
+	sort.Slice(holders, func(i, j int) bool {
+		left := HolderID{Holder: holders[i].Holder, Incarnation: holders[i].Incarnation}
+		right := HolderID{Holder: holders[j].Holder, Incarnation: holders[j].Incarnation}
+		return less(left, right)
+	})
+	return holders
+}
+
+func less(a, b HolderID) bool {
+	if a.Holder != b.Holder {
+		return a.Holder < b.Holder
+	}
+	return a.Incarnation < b.Incarnation
+}
+
+// NextDeadline returns when something changes by the passing of time alone: the
+// end of the window or the next lease that runs out. NoDeadline is never.
+func (g *Grantor) NextDeadline(now time.Duration) time.Duration {
+	next := NoDeadline
+	if g.windowEnd > now {
+		next = g.windowEnd
+	}
+	for _, entry := range g.leases {
+		if entry.expires > now && entry.expires < next {
+			next = entry.expires
+		}
+	}
+	return next
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -2,9 +2,36 @@
 // "Leases: An Efficient Fault-Tolerant Mechanism for Distributed File Cache
 // Consistency" (Gray and Cheriton, 1989). Grantor runs at the primary; Holder
 // runs at each gateway. All times are monotonic and local to one process.
+//
+// The invariant that both sides keep together: at no moment has a holder with a
+// valid lease an active serial older than one that any primary has reported by
+// Grantor.InForce. It rests on these rules.
+//
+//   - A holder counts its lease from the sending of the renewal; the grantor
+//     counts Length+Margin from its own, later, granting.
+//   - A grantor grants, and judges that a lease ran out, only up to the newest
+//     moment for which it has proof of office: the sending of a heartbeat round
+//     that a majority acknowledged. No other primary was in office before it.
+//   - A lease is granted only to a holder whose reported active serial is not
+//     older than what may have been reported in force. To any other holder the
+//     grantor answers with a Length of zero: it may take the transfer and make
+//     serials active, and gets its lease at the next renewal.
+//   - A new grantor waits Length+QuorumAge+Margin before it reports a serial as
+//     in force. In this window it lets no serial become active that no holder
+//     reports as active, and grants to a holder that is behind the serial of its
+//     election only if that holder still had a valid lease when it asked, and
+//     asked knowing the grantor's term.
 package lease
 
-import "time"
+import (
+	"errors"
+	"fmt"
+	"math"
+	"time"
+)
+
+// NoDeadline is returned by Grantor.NextDeadline when nothing is due.
+const NoDeadline = time.Duration(math.MaxInt64)
 
 // Terms are the constants both sides must agree on.
 type Terms struct {
@@ -28,3 +55,45 @@
 		Renewal:   300 * time.Millisecond,
 	}
 }
+
+// Validate says whether leases of these terms can be kept up.
+func (t Terms) Validate() error {
+	switch {
+	case t.Length <= 0:
+		return errors.New("length must be above zero")
+	case t.Margin <= 0:
+		return errors.New("margin must be above zero")
+	case t.QuorumAge <= 0:
+		return errors.New("quorum_age must be above zero")
+	case t.Renewal <= 0:
+		return errors.New("renewal must be above zero")
+	case t.Length < minimumRenewals*t.Renewal:
+		return fmt.Errorf("length %v must be at least %d renewals of %v", t.Length, minimumRenewals, t.Renewal)
+	}
+	return nil
+}
+
+// minimumRenewals is how many renewals a lease must last, so that the loss of
+// one does not end it.
+const minimumRenewals = 2
+
+// Window is how long a new primary waits for the leases that it cannot know of.
+func (t Terms) Window() time.Duration {
+	return t.Length + t.QuorumAge + t.Margin
+}
+
+// serialLess compares two serials as RFC 1982 does. Zero stands for "none" and
+// is less than every serial.
+func serialLess(a, b uint32) bool {
+	if a == 0 || b == 0 {
+		return a == 0 && b != 0
+	}
+	return int32(a-b) < 0
+}
+
+func newerSerial(a, b uint32) uint32 {
+	if serialLess(a, b) {
+		return b
+	}
+	return a
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -100,14 +100,20 @@
 	Held          uint32 `cbor:"4,keyasint"`
 	Active        uint32 `cbor:"5,keyasint"`
 	ActiveVersion uint64 `cbor:"6,keyasint"`
+	// Valid says that the gateway's lease is valid at the sending.
+	Valid bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Grant answers Renew. Only a primary that knows itself in office grants.
 type Grant struct {
+	// Granted says that Activate and Transfer are to be taken, and the lease if
+	// LeaseMS is above zero.
 	Granted bool   `cbor:"1,keyasint"`
 	Cluster string `cbor:"2,keyasint"`
 	Term    uint64 `cbor:"3,keyasint"`
 	// LeaseMS is the length of the lease in milliseconds from the sending of Renew.
+	// Zero with Granted is no lease yet: the gateway makes what it may active and
+	// renews at once. An older lease that is still valid stays so.
 	LeaseMS int64 `cbor:"4,keyasint,omitempty"`
 	// Activate allows the gateway to make every held serial up to this one active; 0 is none.
 	Activate uint32 `cbor:"5,keyasint,omitempty"`
