--- /dev/null
+++ b/settings/derived.go
@@ -0,0 +1,74 @@
+package settings
+
+import (
+	"cmp"
+	"io"
+	"log/slog"
+	"os"
+	"time"
+
+	"github.com/deckpulley/deckpulley/lease"
+)
+
+// Defaults and bounds of Watch.
+const (
+	DefaultPollInterval = 500 * time.Millisecond
+	DefaultPollTimeout  = time.Second
+	maxPollInterval     = 2 * time.Second
+	maxPollTimeout      = 5 * time.Second
+)
+
+const (
+	logFormatText = "text"
+	logFormatJSON = "json"
+)
+
+var logLevels = map[string]slog.Level{
+	"":      slog.LevelInfo,
+	"debug": slog.LevelDebug,
+	"info":  slog.LevelInfo,
+	"warn":  slog.LevelWarn,
+	"error": slog.LevelError,
+}
+
+// PollInterval returns Interval or its default.
+func (w Watch) PollInterval() time.Duration {
+	return cmp.Or(time.Duration(w.Interval), DefaultPollInterval)
+}
+
+// PollTimeout returns Timeout or its default.
+func (w Watch) PollTimeout() time.Duration {
+	return cmp.Or(time.Duration(w.Timeout), DefaultPollTimeout)
+}
+
+// LeaseTerms returns the terms of leases, defaults filled in.
+func (s *Settings) LeaseTerms() lease.Terms {
+	defaults := lease.DefaultTerms()
+	return lease.Terms{
+		Length:    cmp.Or(time.Duration(s.Lease.Length), defaults.Length),
+		Margin:    cmp.Or(time.Duration(s.Lease.Margin), defaults.Margin),
+		QuorumAge: cmp.Or(time.Duration(s.Lease.QuorumAge), defaults.QuorumAge),
+		Renewal:   cmp.Or(time.Duration(s.Lease.Renewal), defaults.Renewal),
+	}
+}
+
+// LogLevel returns the level of the log.
+func (s *Settings) LogLevel() slog.Level { return logLevels[s.Log.Level] }
+
+// Logger returns a logger to standard error with the node's name on every line.
+func (s *Settings) Logger() *slog.Logger {
+	level := new(slog.LevelVar)
+	level.Set(s.LogLevel())
+	return s.LoggerTo(os.Stderr, level)
+}
+
+// LoggerTo is Logger with another destination and with a level that the caller
+// may change later, as on a reload.
+func (s *Settings) LoggerTo(destination io.Writer, level *slog.LevelVar) *slog.Logger {
+	options := &slog.HandlerOptions{Level: level}
+	var handler slog.Handler = slog.NewTextHandler(destination, options)
+	if s.Log.Format == logFormatJSON {
+		handler = slog.NewJSONHandler(destination, options)
+	}
+	return slog.New(handler).With("node", s.Name)
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -47,6 +47,8 @@
 
 	// DialOverrides replaces addresses when dialling, for tests behind relays.
 	DialOverrides map[string]string `yaml:"dial_overrides,omitempty"`
+
+	file string
 }
 
 // Log says how to log.
--- /dev/null
+++ b/settings/validate.go
@@ -0,0 +1,264 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"regexp"
+	"sort"
+)
+
+// Bounds of names and lists.
+const (
+	// RecommendedSeeds is how many seeds a fleet of three zones should name.
+	RecommendedSeeds = 3
+	maxSeeds         = 16
+	maxControl       = 9
+)
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+// Validate checks the whole, the files that it names included. The error is of
+// type Errors and names every problem.
+func (s *Settings) Validate() error {
+	v := &validator{settings: s}
+	v.names()
+	v.role()
+	v.addresses()
+	v.seeds()
+	v.initialControl()
+	v.dialOverrides()
+	v.log()
+	v.lease()
+	v.watch()
+	v.files()
+	if len(v.problems) > 0 {
+		return v.problems
+	}
+	return nil
+}
+
+type validator struct {
+	settings *Settings
+	problems Errors
+}
+
+func (v *validator) fail(field, format string, arguments ...any) {
+	v.problems = append(v.problems, v.settings.problem(field, fmt.Sprintf(format, arguments...)))
+}
+
+func (v *validator) names() {
+	v.name("name", v.settings.Name)
+	v.name("zone", v.settings.Zone)
+	v.name("region", v.settings.Region)
+}
+
+func (v *validator) name(field, value string) {
+	switch {
+	case value == "":
+		v.fail(field, "is required")
+	case !namePattern.MatchString(value):
+		v.fail(field, "%q must be 1 to 63 letters, digits, dots, dashes or underscores and begin with a letter or digit", value)
+	}
+}
+
+func (v *validator) role() {
+	s := v.settings
+	switch s.Role {
+	case RoleControl:
+		v.dataFolder()
+		if s.CallerAddress != "" {
+			v.fail("caller_address", "is for gateways only")
+		}
+	case RoleGateway:
+		if s.DataFolder != "" {
+			v.fail("data_folder", "is for control nodes only: a gateway keeps nothing on disk")
+		}
+		if len(s.InitialControl) > 0 {
+			v.fail("initial_control", "is for control nodes only")
+		}
+	case "":
+		v.fail("role", "is required: %q or %q", RoleControl, RoleGateway)
+	default:
+		v.fail("role", "%q must be %q or %q", s.Role, RoleControl, RoleGateway)
+	}
+}
+
+// dataFolder must exist: a missing one is more often a disk that is not mounted
+// than a new node.
+func (v *validator) dataFolder() {
+	folder := v.settings.DataFolder
+	if folder == "" {
+		v.fail("data_folder", "is required for a control node")
+		return
+	}
+	info, err := os.Stat(folder)
+	switch {
+	case os.IsNotExist(err):
+		v.fail("data_folder", "%s does not exist: make it, or mount its disk", folder)
+	case err != nil:
+		v.fail("data_folder", "%s: %v", folder, plainError(err))
+	case !info.IsDir():
+		v.fail("data_folder", "%s is not a folder", folder)
+	}
+}
+
+func (v *validator) addresses() {
+	s := v.settings
+	taken := make(map[netip.AddrPort]string)
+	v.ownAddress("peer_address", s.PeerAddress, taken)
+	v.ownAddress("operator_address", s.OperatorAddress, taken)
+	if s.Role == RoleGateway {
+		v.ownAddress("caller_address", s.CallerAddress, taken)
+	}
+}
+
+// ownAddress checks one listening address. It is told to others, so that it must
+// name one interface.
+func (v *validator) ownAddress(field, value string, taken map[netip.AddrPort]string) {
+	if value == "" {
+		v.fail(field, "is required")
+		return
+	}
+	address, ok := v.address(field, value)
+	if !ok {
+		return
+	}
+	if other, used := taken[address]; used {
+		v.fail(field, "%s is also the %s", value, other)
+		return
+	}
+	taken[address] = field
+}
+
+func (v *validator) address(field, value string) (netip.AddrPort, bool) {
+	address, err := netip.ParseAddrPort(value)
+	switch {
+	case err != nil:
+		v.fail(field, "%q must be an IP number and a port, such as 10.0.0.7:7400", value)
+	case address.Port() == 0:
+		v.fail(field, "%q must name a port other than 0", value)
+	case address.Addr().IsUnspecified():
+		v.fail(field, "%q must name one address, since others are told it", value)
+	default:
+		return address, true
+	}
+	return netip.AddrPort{}, false
+}
+
+func (v *validator) seeds() {
+	s := v.settings
+	if len(s.Seeds) == 0 {
+		v.fail("seeds", "is required: the peers' addresses of %d other processes are recommended", RecommendedSeeds)
+		return
+	}
+	if len(s.Seeds) > maxSeeds {
+		v.fail("seeds", "names %d addresses, %d at the most", len(s.Seeds), maxSeeds)
+	}
+	taken := make(map[netip.AddrPort]string)
+	for i, seed := range s.Seeds {
+		field := fmt.Sprintf("seeds[%d]", i)
+		address, ok := v.address(field, seed)
+		if !ok {
+			continue
+		}
+		if other, used := taken[address]; used {
+			v.fail(field, "%s is also %s", seed, other)
+		}
+		taken[address] = field
+		if seed == s.OperatorAddress {
+			v.fail(field, "%s is this node's operator_address; a seed is a peers' address", seed)
+		}
+	}
+}
+
+func (v *validator) initialControl() {
+	s := v.settings
+	if len(s.InitialControl) > maxControl {
+		v.fail("initial_control", "names %d nodes, %d at the most", len(s.InitialControl), maxControl)
+	}
+	taken := make(map[netip.AddrPort]string)
+	for _, name := range sortedKeys(s.InitialControl) {
+		field := "initial_control." + name
+		v.name(field, name)
+		address, ok := v.address(field, s.InitialControl[name])
+		if !ok {
+			continue
+		}
+		if other, used := taken[address]; used {
+			v.fail(field, "%s is also %s", address, other)
+		}
+		taken[address] = field
+	}
+	own, named := s.InitialControl[s.Name]
+	if named && own != s.PeerAddress {
+		v.fail("initial_control."+s.Name, "%s differs from this node's peer_address %s", own, s.PeerAddress)
+	}
+}
+
+func (v *validator) dialOverrides() {
+	overrides := v.settings.DialOverrides
+	for _, from := range sortedKeys(overrides) {
+		v.address("dial_overrides."+from, from)
+		v.address("dial_overrides."+from, overrides[from])
+	}
+}
+
+func (v *validator) log() {
+	if _, ok := logLevels[v.settings.Log.Level]; !ok {
+		v.fail("log.level", "%q must be debug, info, warn or error", v.settings.Log.Level)
+	}
+	switch v.settings.Log.Format {
+	case "", logFormatText, logFormatJSON:
+	default:
+		v.fail("log.format", "%q must be %s or %s", v.settings.Log.Format, logFormatText, logFormatJSON)
+	}
+}
+
+func (v *validator) lease() {
+	if err := v.settings.LeaseTerms().Validate(); err != nil {
+		v.fail("lease", "%v", err)
+	}
+}
+
+func (v *validator) watch() {
+	watch := v.settings.Watch
+	if watch.PollInterval() > maxPollInterval {
+		v.fail("watch.interval", "%v is above %v: a draining replica would be noticed too late", watch.PollInterval(), maxPollInterval)
+	}
+	if watch.PollTimeout() > maxPollTimeout {
+		v.fail("watch.timeout", "%v is above %v: a lost replica would be noticed too late", watch.PollTimeout(), maxPollTimeout)
+	}
+}
+
+func (v *validator) files() {
+	if v.settings.KeyFile == "" {
+		v.fail("key_file", "is required")
+	} else if _, err := v.settings.Keys(); err != nil {
+		v.problems = append(v.problems, asFieldError(err))
+	}
+	if _, err := v.settings.Tokens(); err != nil {
+		v.problems = append(v.problems, asFieldError(err))
+	}
+}
+
+func sortedKeys(values map[string]string) []string {
+	keys := make([]string, 0, len(values))
+	for key := range values {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// Warnings names what is allowed but better changed.
+func (s *Settings) Warnings() []string {
+	var warnings []string
+	if len(s.Seeds) < RecommendedSeeds {
+		warnings = append(warnings, fmt.Sprintf("%s: seeds: %d given, %d recommended: with fewer a node may find nobody at its start", s.File(), len(s.Seeds), RecommendedSeeds))
+	}
+	if s.TokenFile == "" {
+		warnings = append(warnings, fmt.Sprintf("%s: token_file: not set: the operators' port asks nobody for a token", s.File()))
+	}
+	return warnings
+}
