--- /dev/null
+++ b/transport/frame.go
@@ -0,0 +1,153 @@
+package transport
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// frameType says what an envelope is for.
+type frameType uint8
+
+const (
+	frameOneWay  frameType = iota + 1 // message without an answer
+	frameRequest                      // call; answered by frameReply or frameFailure with the same ID
+	frameReply
+	frameFailure
+	frameCancel // the caller of ID has given up
+	framePing   // answered by framePong at once
+	framePong
+	frameOpen // request of a stream; followed by items and frameEnd or frameFailure
+	frameItem
+	frameEnd
+)
+
+// envelope is the CBOR content of a frame.
+type envelope struct {
+	_       struct{} `cbor:",toarray"`
+	Type    frameType
+	ID      uint64
+	Kind    Kind
+	LeftMS  int64 // time that the caller still waits, in milliseconds; 0 is unbounded
+	Problem string
+	Body    cbor.RawMessage
+}
+
+// Limits of what is decoded, beyond the frame's own.
+const (
+	lengthBytes     = 4
+	maxArrayItems   = 1 << 22
+	maxMapPairs     = 1 << 22
+	maxNesting      = 32
+	reusableBuffer  = 64 << 10
+	handshakeFrame  = 4 << 10
+	writeChunkBytes = 64 << 10
+)
+
+// Errors of frames.
+var (
+	errFrameEmpty    = errors.New("transport: empty frame")
+	errFrameTooLarge = errors.New("transport: frame above the limit")
+)
+
+var (
+	encoding = mustEncoding()
+	decoding = mustDecoding()
+)
+
+func mustEncoding() cbor.EncMode {
+	mode, err := cbor.EncOptions{}.EncMode()
+	if err != nil {
+		panic(fmt.Sprintf("transport: encoding options: %v", err))
+	}
+	return mode
+}
+
+func mustDecoding() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxArrayElements: maxArrayItems,
+		MaxMapPairs:      maxMapPairs,
+		MaxNestedLevels:  maxNesting,
+		IndefLength:      cbor.IndefLengthForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(fmt.Sprintf("transport: decoding options: %v", err))
+	}
+	return mode
+}
+
+// encodeFrame returns the whole frame of a value.
+func encodeFrame(value any, limit int) ([]byte, error) {
+	content, err := encoding.Marshal(value)
+	if err != nil {
+		return nil, fmt.Errorf("encoding: %w", err)
+	}
+	if len(content) > limit {
+		return nil, fmt.Errorf("%w: %d bytes, %d allowed", errFrameTooLarge, len(content), limit)
+	}
+	frame := make([]byte, lengthBytes+len(content))
+	binary.BigEndian.PutUint32(frame, uint32(len(content)))
+	copy(frame[lengthBytes:], content)
+	return frame, nil
+}
+
+// encodeMessage returns the frame of an envelope whose body is the message.
+func encodeMessage(head envelope, message any, limit int) ([]byte, error) {
+	body, err := encoding.Marshal(message)
+	if err != nil {
+		return nil, fmt.Errorf("encoding message of kind %d: %w", head.Kind, err)
+	}
+	head.Body = body
+	return encodeFrame(head, limit)
+}
+
+// readFrame reads one frame's content. The length is checked before anything is
+// allocated; a buffer that is large enough is used again.
+func readFrame(reader io.Reader, limit int, buffer []byte) ([]byte, error) {
+	var prefix [lengthBytes]byte
+	if _, err := io.ReadFull(reader, prefix[:]); err != nil {
+		return nil, err
+	}
+	length := binary.BigEndian.Uint32(prefix[:])
+	if length == 0 {
+		return nil, errFrameEmpty
+	}
+	if uint64(length) > uint64(limit) {
+		return nil, fmt.Errorf("%w: %d bytes, %d allowed", errFrameTooLarge, length, limit)
+	}
+	if int(length) > cap(buffer) {
+		buffer = make([]byte, length)
+	}
+	content := buffer[:length]
+	if _, err := io.ReadFull(reader, content); err != nil {
+		if errors.Is(err, io.EOF) {
+			return nil, io.ErrUnexpectedEOF
+		}
+		return nil, err
+	}
+	return content, nil
+}
+
+// decodeEnvelope reads an envelope; its body is a copy.
+func decodeEnvelope(content []byte, into *envelope) error {
+	*into = envelope{}
+	if err := decoding.Unmarshal(content, into); err != nil {
+		return fmt.Errorf("decoding frame: %w", err)
+	}
+	if into.Type < frameOneWay || into.Type > frameEnd {
+		return fmt.Errorf("decoding frame: unknown type %d", into.Type)
+	}
+	return nil
+}
+
+// decodeBody fills a value from a message's body.
+func decodeBody(body cbor.RawMessage, into any) error {
+	if into == nil {
+		return nil
+	}
+	return decoding.Unmarshal(body, into)
+}
