Replicate a log by terms and keep it on disk

Cause: the registry's source names no way to replace a lost primary without two writers, and keeps an acknowledged change on one disk only.

--- /dev/null
+++ b/consensus/cluster_test.go
@@ -0,0 +1,216 @@
+package consensus
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+const (
+	testElection  = 600 * time.Millisecond
+	testHeartbeat = 100 * time.Millisecond
+	testStep      = 10 * time.Millisecond
+)
+
+// cluster runs nodes in virtual time over a network without delay, which drops
+// what block says. Each node's disk is what its Readies asked to persist.
+type cluster struct {
+	t       *testing.T
+	now     time.Duration
+	nodes   map[ID]*Node
+	disks   map[ID]*Config
+	applied map[ID][]Entry
+	frozen  map[ID]bool
+	block   func(Message) bool
+	sent    map[MessageKind]int
+}
+
+func membersOf(ids ...ID) Membership {
+	var membership Membership
+	for _, id := range ids {
+		membership.Members = append(membership.Members, Member{ID: id, Name: "node-" + string(id), Address: string(id) + ":1"})
+	}
+	return membership
+}
+
+func newCluster(t *testing.T, ids ...ID) *cluster {
+	t.Helper()
+	c := &cluster{
+		t: t, nodes: map[ID]*Node{}, disks: map[ID]*Config{}, applied: map[ID][]Entry{},
+		frozen: map[ID]bool{}, block: func(Message) bool { return false }, sent: map[MessageKind]int{},
+	}
+	for _, id := range ids {
+		c.add(id, Snapshot{Index: 1, Term: 1, Membership: membersOf(ids...)})
+	}
+	return c
+}
+
+func (c *cluster) add(id ID, snapshot Snapshot) {
+	c.disks[id] = &Config{
+		ID: id, ElectionTimeout: testElection, HeartbeatInterval: testHeartbeat,
+		Seed: 7, HardState: HardState{Term: snapshot.Term}, Snapshot: snapshot, MaxInflight: 8,
+	}
+	c.restart(id)
+}
+
+func (c *cluster) restart(id ID) {
+	c.t.Helper()
+	node, err := New(*c.disks[id])
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.nodes[id] = node
+	c.applied[id] = nil
+	node.Tick(c.now)
+}
+
+func (c *cluster) ids() []ID {
+	var ids []ID
+	for id := range c.nodes {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// settle delivers until nothing is left to do.
+func (c *cluster) settle() {
+	c.t.Helper()
+	for round := 0; ; round++ {
+		if round > 10_000 {
+			c.t.Fatal("the group does not come to rest")
+		}
+		var messages []Message
+		for _, id := range c.ids() {
+			if !c.frozen[id] && c.nodes[id].HasReady() {
+				messages = append(messages, c.drive(id)...)
+			}
+		}
+		if len(messages) == 0 && !c.busy() {
+			return
+		}
+		for _, message := range messages {
+			c.deliver(message)
+		}
+	}
+}
+
+func (c *cluster) busy() bool {
+	for _, id := range c.ids() {
+		if !c.frozen[id] && c.nodes[id].HasReady() {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *cluster) drive(id ID) []Message {
+	node, disk := c.nodes[id], c.disks[id]
+	ready := node.Ready()
+	if ready.Snapshot != nil {
+		disk.Snapshot, disk.Entries = *ready.Snapshot, nil
+		c.applied[id] = nil
+	}
+	if ready.HardState != nil {
+		disk.HardState = *ready.HardState
+	}
+	if len(ready.Entries) > 0 {
+		first := ready.Entries[0].Index
+		kept := slices.DeleteFunc(slices.Clone(disk.Entries), func(entry Entry) bool { return entry.Index >= first })
+		disk.Entries = append(kept, ready.Entries...)
+	}
+	c.applied[id] = append(c.applied[id], ready.Committed...)
+	node.Advance(ready)
+	return ready.Messages
+}
+
+func (c *cluster) deliver(message Message) {
+	c.sent[message.Kind]++
+	node := c.nodes[message.To]
+	if node == nil || c.frozen[message.To] || c.block(message) {
+		return
+	}
+	if err := node.Step(c.now, message); err != nil {
+		c.t.Fatalf("step %+v: %v", message, err)
+	}
+}
+
+func (c *cluster) run(duration time.Duration) {
+	c.t.Helper()
+	for end := c.now + duration; c.now < end; {
+		c.now += testStep
+		for _, id := range c.ids() {
+			if !c.frozen[id] {
+				c.nodes[id].Tick(c.now)
+			}
+		}
+		c.settle()
+	}
+}
+
+// leader runs until the running nodes agree on one, and returns it.
+func (c *cluster) leader() *Node {
+	c.t.Helper()
+	for range 2000 {
+		c.run(testStep)
+		var newest *Node
+		for _, id := range c.ids() {
+			node := c.nodes[id]
+			if node.role == Leader && !c.frozen[id] && (newest == nil || node.term > newest.term) {
+				newest = node
+			}
+		}
+		if newest != nil && newest.commit == newest.log.last() {
+			return newest
+		}
+	}
+	c.t.Fatal("no leader")
+	return nil
+}
+
+func (c *cluster) propose(leader *Node, text string) uint64 {
+	c.t.Helper()
+	index, _, err := leader.Propose(c.now, []byte(text))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return index
+}
+
+// texts lists what a node's state machine was given.
+func (c *cluster) texts(id ID) []string {
+	var texts []string
+	for _, entry := range c.applied[id] {
+		if entry.Kind == EntryNormal {
+			texts = append(texts, string(entry.Data))
+		}
+	}
+	return texts
+}
+
+func (c *cluster) other(than ...ID) *Node {
+	for _, id := range c.ids() {
+		if !slices.Contains(than, id) {
+			return c.nodes[id]
+		}
+	}
+	return nil
+}
+
+// cut blocks the messages from and to a node.
+func (c *cluster) cut(id ID) {
+	c.block = func(message Message) bool { return message.From == id || message.To == id }
+}
+
+func (c *cluster) heal() {
+	c.block = func(Message) bool { return false }
+}
+
+func numbered(prefix string, count int) []string {
+	var texts []string
+	for i := range count {
+		texts = append(texts, fmt.Sprintf("%s%d", prefix, i))
+	}
+	return texts
+}
--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -106,6 +106,7 @@
 // Ready is one batch of work. The driver persists HardState, Snapshot and
 // Entries with a sync, then sends Messages, then applies Snapshot and
 // Committed, then calls Advance. Nothing may be reordered across these steps.
+// storage.Persist does the first. A HardState or Snapshot of nil is unchanged.
 type Ready struct {
 	HardState *HardState
 	Snapshot  *Snapshot
--- /dev/null
+++ b/consensus/consensus_test.go
@@ -0,0 +1,441 @@
+package consensus
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestReplicationInOrderWithPipelining(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	leader := c.leader()
+	want := numbered("update", 100)
+	for _, text := range want {
+		c.propose(leader, text)
+	}
+	appends := c.sent[MessageAppend]
+	c.settle()
+	for _, id := range c.ids() {
+		if difference := cmp.Diff(want, c.texts(id)); difference != "" {
+			t.Errorf("%s: %s", id, difference)
+		}
+	}
+	if batched := c.sent[MessageAppend] - appends; batched > 10 {
+		t.Errorf("100 proposals of one instant took %d appends", batched)
+	}
+}
+
+func TestSingleVoterCommitsAlone(t *testing.T) {
+	c := newCluster(t, "a")
+	leader := c.leader()
+	index := c.propose(leader, "alone")
+	c.settle()
+	if leader.Status().Applied != index {
+		t.Fatalf("applied %d, want %d", leader.Status().Applied, index)
+	}
+	if contact, known := leader.QuorumContact(); !known || c.now-contact > testHeartbeat {
+		t.Fatalf("contact %v, %v at %v", contact, known, c.now)
+	}
+}
+
+// TestOlderTermIsNotCommittedByCounting is figure 8 of the Raft paper: every
+// member holds an entry of an older term, and the new leader knows it.
+func TestOlderTermIsNotCommittedByCounting(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	old := c.leader().config.ID
+	c.block = func(message Message) bool { return message.Kind == MessageAppendReply }
+	index := c.propose(c.nodes[old], "of an older term")
+	c.settle()
+	c.restart(old)
+	c.block = func(message Message) bool { return message.Kind == MessageAppend }
+	node := c.nodes[old]
+	node.campaign(true)
+	c.settle()
+	if node.role != Leader {
+		t.Fatal("the member with the longest log lost the election")
+	}
+	for _, id := range c.ids() {
+		if id == old {
+			continue
+		}
+		if !c.nodes[id].log.matches(index, node.term-1) {
+			t.Fatalf("%s does not hold the entry", id)
+		}
+		answer := Message{Kind: MessageAppendReply, From: id, To: old, Term: node.term, Index: index}
+		if err := node.Step(c.now, answer); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if node.commit >= index {
+		t.Fatalf("index %d of an older term was committed by counting", index)
+	}
+	c.heal()
+	c.run(time.Second)
+	if c.leader().commit <= index {
+		t.Fatal("the entry was never committed by one of a newer term")
+	}
+}
+
+func TestReturningMemberDoesNotDisturb(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	leader := c.leader()
+	term := leader.term
+	away := c.other(leader.config.ID)
+	c.cut(away.config.ID)
+	c.run(10 * time.Second)
+	c.heal()
+	c.run(2 * time.Second)
+	if leader.role != Leader || leader.term != term || away.leader != leader.config.ID {
+		t.Fatalf("leader %v in term %d, was term %d; returned member follows %q", leader.role, leader.term, term, away.leader)
+	}
+}
+
+func TestOneWayCutDoesNotElect(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	leader := c.leader()
+	term := leader.term
+	deaf := c.other(leader.config.ID).config.ID
+	c.block = func(message Message) bool { return message.To == deaf && message.From == leader.config.ID }
+	c.run(10 * time.Second)
+	if leader.role != Leader || leader.term != term {
+		t.Fatalf("a deaf member unseated the leader: %v in term %d", leader.role, leader.term)
+	}
+}
+
+// TestMuteLeaderStepsDown cuts a leader's outgoing side: the others replace it,
+// and it leaves office by itself within an election timeout.
+func TestMuteLeaderStepsDown(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	old := c.leader()
+	term := old.term
+	c.block = func(message Message) bool { return message.From == old.config.ID }
+	c.run(testElection + 2*testHeartbeat)
+	if old.role == Leader {
+		t.Fatal("a leader without a majority is still in office")
+	}
+	if _, _, err := old.Propose(c.now, nil); !errors.Is(err, ErrNotLeader) {
+		t.Fatalf("it took a proposal: %v", err)
+	}
+	if successor := c.leader(); successor == old || successor.term <= term {
+		t.Fatal("no successor")
+	}
+}
+
+// TestFrozenLeader freezes a leader, elects a successor, and hands the old one
+// answers that waited in its buffers: none makes its contact fresh again.
+func TestFrozenLeader(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	old := c.leader()
+	var buffered []Message
+	c.now += testHeartbeat
+	old.Tick(c.now)
+	for _, message := range c.drive(old.config.ID) {
+		if err := c.nodes[message.To].Step(c.now, message); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, id := range c.ids() {
+		if id != old.config.ID {
+			buffered = append(buffered, c.drive(id)...)
+		}
+	}
+	frozenAt := c.now
+	c.frozen[old.config.ID] = true
+	c.run(25 * time.Second)
+	successor := c.leader()
+	for _, message := range buffered {
+		if err := old.Step(c.now, message); err != nil {
+			t.Fatal(err)
+		}
+	}
+	contact, known := old.QuorumContact()
+	if !known || contact > frozenAt {
+		t.Fatalf("contact %v (%v) after a freeze at %v", contact, known, frozenAt)
+	}
+	if _, _, err := old.Propose(c.now, []byte("beside the successor")); !errors.Is(err, ErrNotLeader) {
+		t.Fatalf("thawed leader took a proposal: %v", err)
+	}
+	c.frozen[old.config.ID] = false
+	c.run(time.Second)
+	if old.role == Leader || old.leader != successor.config.ID {
+		t.Fatalf("thawed leader is %v and follows %q", old.role, old.leader)
+	}
+}
+
+// TestHintSkipsWholeTerms leaves a deposed leader with a long tail that nobody
+// else has, and counts the rejections until the logs meet.
+func TestHintSkipsWholeTerms(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	old := c.leader()
+	c.cut(old.config.ID)
+	for _, text := range numbered("lost", 200) {
+		c.propose(old, text)
+		c.settle()
+	}
+	c.run(3 * time.Second)
+	successor := c.leader()
+	want := numbered("majority", 300)
+	for _, text := range want {
+		c.propose(successor, text)
+		c.settle()
+	}
+	third := c.other(old.config.ID, successor.config.ID)
+	if err := successor.TransferLeadership(c.now, third.config.ID); err != nil {
+		t.Fatal(err)
+	}
+	c.settle()
+	rejections := 0
+	c.block = func(message Message) bool {
+		if message.Kind == MessageAppendReply && message.Reject {
+			rejections++
+		}
+		return false
+	}
+	c.run(2 * time.Second)
+	if difference := cmp.Diff(want, c.texts(old.config.ID)); difference != "" {
+		t.Fatal(difference)
+	}
+	if rejections == 0 || rejections > 6 {
+		t.Fatalf("%d rejections until the logs met", rejections)
+	}
+}
+
+func TestLaggingMemberGetsSnapshotOnce(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	leader := c.leader()
+	away := c.other(leader.config.ID).config.ID
+	c.cut(away)
+	var last uint64
+	for _, text := range numbered("update", 50) {
+		last = c.propose(leader, text)
+		c.settle()
+	}
+	snapshot, err := leader.Compact(last, []byte("state"), 5)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if from := KeepFrom(snapshot, 5); leader.log.boundaryIndex != from-1 || from != last-4 {
+		t.Fatalf("log begins after %d, keep from %d, last %d", leader.log.boundaryIndex, from, last)
+	}
+	if _, err := leader.Compact(last, nil, 5); !errors.Is(err, ErrCompacted) {
+		t.Fatalf("compacting twice: %v", err)
+	}
+	c.block = func(message Message) bool { return message.To == away && message.Kind == MessageSnapshot }
+	c.run(3 * time.Second)
+	if sent := c.sent[MessageSnapshot]; sent > 3 {
+		t.Fatalf("a lost snapshot was sent %d times in 3 s", sent)
+	}
+	c.heal()
+	c.run(4 * time.Second)
+	if got := c.nodes[away].Status().Applied; got != last {
+		t.Fatalf("applied %d, want %d", got, last)
+	}
+	c.propose(leader, "after")
+	c.settle()
+	if difference := cmp.Diff([]string{"after"}, c.texts(away)); difference != "" {
+		t.Fatal(difference)
+	}
+	c.restart(away)
+	c.run(time.Second)
+	if c.nodes[away].Status().Applied != last+1 {
+		t.Fatal("a restart lost the snapshot")
+	}
+}
+
+func TestMembershipRules(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	leader := c.leader()
+	follower := c.other(leader.config.ID)
+	members := leader.Status().Membership
+	learner := Member{ID: "d", Name: "node-d", Learner: true}
+	plus := Membership{Members: append(slices.Clone(members.Members), learner)}
+	twice := Membership{Members: append(slices.Clone(plus.Members), Member{ID: "e", Learner: true})}
+	swapped := Membership{Members: append(slices.Clone(members.Members[1:]), learner)}
+	doubled := Membership{Members: append(slices.Clone(members.Members), members.Members[0])}
+	cases := []struct {
+		node *Node
+		to   Membership
+		want error
+	}{
+		{follower, plus, ErrNotLeader},
+		{leader, twice, ErrMembershipStep},
+		{leader, swapped, ErrMembershipStep},
+		{leader, doubled, ErrMembershipInvalid},
+		{leader, Membership{}, ErrMembershipInvalid},
+		{leader, plus, nil},
+		{leader, twice, ErrMembershipPending},
+	}
+	for position, test := range cases {
+		if _, _, err := test.node.ProposeMembership(c.now, test.to); !errors.Is(err, test.want) {
+			t.Errorf("case %d: %v, want %v", position, err, test.want)
+		}
+	}
+	if !leader.membership().has("d") {
+		t.Error("a change must hold as soon as it is appended")
+	}
+	fresh := newCluster(t, "a", "b", "c")
+	fresh.block = func(message Message) bool { return message.Kind == MessageAppendReply }
+	for fresh.nodes["a"].role != Leader {
+		fresh.nodes["a"].campaign(true)
+		fresh.settle()
+	}
+	if _, _, err := fresh.nodes["a"].ProposeMembership(fresh.now, plus); !errors.Is(err, ErrMembershipPending) {
+		t.Errorf("a leader that has committed nothing of its term proposed a change: %v", err)
+	}
+}
+
+// TestReplacementOfEveryMember replaces all three voters one after another, the
+// leader included, and reads everything back from the newcomers.
+func TestReplacementOfEveryMember(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	var want []string
+	for step, pair := range [][2]ID{{"a", "d"}, {"b", "e"}, {"c", "f"}} {
+		leader := c.leader()
+		text := numbered("update", 3)[step]
+		want = append(want, text)
+		c.propose(leader, text)
+		c.settle()
+		newcomer := Member{ID: pair[1], Name: "node-" + string(pair[1]), Learner: true}
+		c.add(pair[1], Snapshot{})
+		c.change(func(m Membership) Membership {
+			m.Members = append(m.Members, newcomer)
+			return m
+		})
+		c.change(func(m Membership) Membership {
+			m.Members = slices.DeleteFunc(m.Members, func(member Member) bool { return member.ID == pair[0] })
+			return m
+		})
+		c.run(3 * time.Second)
+		if c.nodes[pair[0]].role == Leader {
+			t.Fatalf("removed %s is still in office", pair[0])
+		}
+		delete(c.nodes, pair[0])
+		c.change(func(m Membership) Membership {
+			for i := range m.Members {
+				m.Members[i].Learner = false
+			}
+			return m
+		})
+	}
+	c.run(time.Second)
+	for _, id := range []ID{"d", "e", "f"} {
+		if got := c.texts(id); !slices.Equal(got, want) {
+			t.Errorf("%s holds %v, want %v", id, got, want)
+		}
+	}
+	if voters := c.leader().Status().Membership.Voters(); len(voters) != 3 {
+		t.Fatalf("%d voters", len(voters))
+	}
+}
+
+// change proposes a membership at the leader and waits for its commit.
+func (c *cluster) change(edit func(Membership) Membership) {
+	c.t.Helper()
+	leader := c.leader()
+	if _, _, err := leader.ProposeMembership(c.now, edit(leader.Status().Membership)); err != nil {
+		c.t.Fatal(err)
+	}
+	c.run(time.Second)
+}
+
+func TestLearnerNeitherVotesNorCounts(t *testing.T) {
+	c := newCluster(t, "a", "b")
+	c.add("d", Snapshot{})
+	c.change(func(m Membership) Membership {
+		m.Members = append(m.Members, Member{ID: "d", Learner: true})
+		return m
+	})
+	leader := c.leader()
+	voter := c.other(leader.config.ID, "d").config.ID
+	c.frozen[voter] = true
+	index := c.propose(leader, "needs the other voter")
+	c.settle()
+	if leader.commit >= index || c.nodes["d"].log.last() < index {
+		t.Fatalf("commit %d, learner at %d, entry %d", leader.commit, c.nodes["d"].log.last(), index)
+	}
+	c.frozen[leader.config.ID] = true
+	c.run(5 * time.Second)
+	if c.nodes["d"].role != Follower || c.nodes["d"].term != leader.term {
+		t.Fatal("a learner campaigned")
+	}
+}
+
+func TestTransferIsQuickAndWaivesStickiness(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	old := c.leader()
+	next := c.other(old.config.ID)
+	if err := old.TransferLeadership(c.now, "nobody"); !errors.Is(err, ErrNotVoter) {
+		t.Fatalf("transfer to a stranger: %v", err)
+	}
+	if err := old.TransferLeadership(c.now, next.config.ID); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := old.Propose(c.now, nil); !errors.Is(err, ErrTransferring) {
+		t.Fatalf("proposal during a transfer: %v", err)
+	}
+	c.settle()
+	if next.role != Leader || old.role != Follower {
+		t.Fatalf("successor is %v, predecessor %v", next.role, old.role)
+	}
+	if _, known := old.QuorumContact(); known {
+		t.Fatal("the predecessor reports a contact")
+	}
+}
+
+func TestTransferThatFailsIsGivenUp(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	leader := c.leader()
+	target := c.other(leader.config.ID).config.ID
+	c.frozen[target] = true
+	if err := leader.TransferLeadership(c.now, target); err != nil {
+		t.Fatal(err)
+	}
+	c.run(testElection + testHeartbeat)
+	index := c.propose(leader, "after the transfer was given up")
+	c.settle()
+	if leader.commit != index {
+		t.Fatalf("commit %d, want %d", leader.commit, index)
+	}
+}
+
+func TestMessageForAnotherIdentityIsRefused(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	err := c.nodes["a"].Step(0, Message{Kind: MessageVote, From: "b", To: "wiped", Term: 9})
+	if !errors.Is(err, ErrMisaddressed) || c.nodes["a"].term != 1 {
+		t.Fatalf("got %v, term %d", err, c.nodes["a"].term)
+	}
+	bad := Message{Kind: MessageAppend, From: "b", To: "a", Term: 9, Index: 1, LogTerm: 1, Entries: entriesOf(5, 6)}
+	if err := c.nodes["a"].Step(0, bad); !errors.Is(err, ErrMalformed) {
+		t.Fatalf("a gap in an append: %v", err)
+	}
+}
+
+func entriesOf(indexes ...uint64) []Entry {
+	var entries []Entry
+	for _, index := range indexes {
+		entries = append(entries, Entry{Index: index, Term: 1})
+	}
+	return entries
+}
+
+// TestSnapshotWithoutHardState restarts a member whose power went between the
+// snapshot and the hard state: its term must not lie below its log's.
+func TestSnapshotWithoutHardState(t *testing.T) {
+	node, err := New(Config{
+		ID:        "a",
+		HardState: HardState{Term: 2, Vote: "b", Commit: 3},
+		Snapshot:  Snapshot{Index: 9, Term: 5, Membership: membersOf("a", "b", "c")},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if status := node.Status(); status.Term != 5 || status.Commit != 9 || node.vote != None {
+		t.Fatalf("term %d, commit %d, vote %q", status.Term, status.Commit, node.vote)
+	}
+	if _, err := New(Config{ID: "a", Entries: entriesOf(1, 3)}); !errors.Is(err, ErrConfig) {
+		t.Fatalf("a gap in the log: %v", err)
+	}
+}
--- /dev/null
+++ b/consensus/election.go
@@ -0,0 +1,169 @@
+package consensus
+
+import "time"
+
+// Elections. Invariants:
+//   - a member gives one vote a term, and only to a log at least as complete as
+//     its own; so two leaders of one term, or a leader without a committed
+//     entry, are impossible
+//   - a pre-vote changes nothing at the member asked, so a member that was
+//     frozen or cut off does not disturb the group when it returns
+//   - a member that has heard its leader within ElectionTimeout helps nobody
+//     else, unless the leader itself asked for the election
+
+func (n *Node) resetElectionDeadline() {
+	spread := time.Duration(n.random.Int64N(int64(n.config.ElectionTimeout)))
+	n.electionDeadline = n.now + n.config.ElectionTimeout + spread
+}
+
+// hearsLeader tells whether this member knows a leader in office.
+func (n *Node) hearsLeader() bool {
+	if n.role == Leader {
+		n.checkQuorum()
+		return n.role == Leader
+	}
+	return n.leader != None && n.now-n.heardLeader < n.config.ElectionTimeout
+}
+
+func (n *Node) becomeFollower(term uint64, leader ID) {
+	if term > n.term {
+		n.term = term
+		n.vote = None
+	}
+	n.role = Follower
+	n.leader = leader
+	n.office = nil
+	n.ballots = nil
+	n.resetElectionDeadline()
+}
+
+// followLeader notes a sign of life from the leader of the present term.
+func (n *Node) followLeader(leader ID) {
+	if n.role != Follower || n.leader != leader {
+		n.becomeFollower(n.term, leader)
+	}
+	n.heardLeader = n.now
+	n.resetElectionDeadline()
+}
+
+func (n *Node) electionTimedOut() {
+	n.resetElectionDeadline()
+	if !n.membership().votes(n.config.ID) {
+		n.leader = None
+		return
+	}
+	n.campaignBeforeVote()
+}
+
+// campaignBeforeVote asks whether an election could be won.
+func (n *Node) campaignBeforeVote() {
+	n.role = PreCandidate
+	n.leader = None
+	n.ballots = map[ID]bool{n.config.ID: true}
+	n.askVoters(Message{Kind: MessagePreVote, Term: n.term + 1})
+	n.countBallots()
+}
+
+// campaign starts an election in a new term.
+func (n *Node) campaign(transfer bool) {
+	n.role = Candidate
+	n.leader = None
+	n.term++
+	n.vote = n.config.ID
+	n.ballots = map[ID]bool{n.config.ID: true}
+	n.resetElectionDeadline()
+	n.askVoters(Message{Kind: MessageVote, Transfer: transfer})
+	n.countBallots()
+}
+
+func (n *Node) askVoters(message Message) {
+	message.Index = n.log.last()
+	message.LogTerm = n.log.lastTerm()
+	for _, member := range n.membership().Members {
+		if member.Learner || member.ID == n.config.ID {
+			continue
+		}
+		message.To = member.ID
+		n.send(message)
+	}
+}
+
+func (n *Node) handlePreVote(message Message) {
+	if n.hearsLeader() && !message.Transfer {
+		return
+	}
+	granted := message.Term > n.term && n.log.upToDate(message.Index, message.LogTerm)
+	reply := Message{Kind: MessagePreVoteReply, To: message.From, Term: message.Term}
+	if !granted {
+		reply.Term = n.term
+		reply.Reject = true
+	}
+	n.send(reply)
+}
+
+func (n *Node) handleVote(message Message) {
+	free := n.vote == None && n.leader == None || n.vote == message.From
+	granted := free && n.acceptableLog(message)
+	if granted {
+		n.vote = message.From
+		n.resetElectionDeadline()
+	}
+	n.send(Message{Kind: MessageVoteReply, To: message.From, Reject: !granted})
+}
+
+func (n *Node) acceptableLog(message Message) bool {
+	if n.defects.Has(defectVoteIgnoresLog) {
+		return true
+	}
+	return n.log.upToDate(message.Index, message.LogTerm)
+}
+
+func (n *Node) handleBallot(message Message) {
+	expected := Candidate
+	if message.Kind == MessagePreVoteReply {
+		expected = PreCandidate
+	}
+	if n.role != expected {
+		return
+	}
+	if expected == PreCandidate && !message.Reject && message.Term != n.term+1 {
+		return
+	}
+	n.ballots[message.From] = !message.Reject
+	n.countBallots()
+}
+
+func (n *Node) countBallots() {
+	voters, granted, rejected := 0, 0, 0
+	for _, member := range n.membership().Members {
+		if member.Learner {
+			continue
+		}
+		voters++
+		if ballot, cast := n.ballots[member.ID]; cast && ballot {
+			granted++
+		} else if cast {
+			rejected++
+		}
+	}
+	quorum := voters/2 + 1
+	switch {
+	case granted >= quorum && n.role == PreCandidate:
+		n.campaign(false)
+	case granted >= quorum:
+		n.becomeLeader()
+	case rejected >= quorum:
+		n.becomeFollower(n.term, None)
+	}
+}
+
+// becomeLeader takes office and appends the entry that lets earlier terms'
+// entries be committed (Raft, section 5.4.2).
+func (n *Node) becomeLeader() {
+	n.role = Leader
+	n.leader = n.config.ID
+	n.ballots = nil
+	n.office = newOffice(n)
+	n.appendOwn(EntryNoop, nil)
+	n.beginRound()
+}
--- /dev/null
+++ b/consensus/transfer.go
@@ -0,0 +1,49 @@
+package consensus
+
+import "time"
+
+// TransferLeadership hands the office over to a voter as soon as that voter
+// holds the whole log. Proposals are refused meanwhile. It is given up after
+// one ElectionTimeout.
+func (n *Node) TransferLeadership(now time.Duration, to ID) error {
+	n.advanceClock(now)
+	if err := n.acceptsProposals(); err != nil {
+		return err
+	}
+	member := n.office.progress[to]
+	if member == nil || !n.membership().votes(to) {
+		return ErrNotVoter
+	}
+	n.office.transferTo = to
+	n.office.transferDeadline = n.now + n.config.ElectionTimeout
+	n.flush = true
+	n.finishTransfer(to)
+	return nil
+}
+
+// finishTransfer calls the successor to an election once it holds everything.
+func (n *Node) finishTransfer(id ID) {
+	if n.role != Leader || n.office.transferTo != id {
+		return
+	}
+	if n.office.progress[id].match == n.log.last() {
+		n.send(Message{Kind: MessageTimeoutNow, To: id})
+	}
+}
+
+func (n *Node) expireTransfer() {
+	if n.office.transferTo != None && n.now >= n.office.transferDeadline {
+		n.office.transferTo = None
+	}
+}
+
+// handleTimeoutNow starts an election at the leader's own request.
+func (n *Node) handleTimeoutNow(message Message) {
+	if n.role != Follower || !n.membership().votes(n.config.ID) {
+		return
+	}
+	if n.leader != None && n.leader != message.From {
+		return
+	}
+	n.campaign(true)
+}
--- /dev/null
+++ b/storage/disk.go
@@ -0,0 +1,249 @@
+package storage
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	bolt "go.etcd.io/bbolt"
+
+	"github.com/deckpulley/deckpulley/consensus"
+)
+
+const (
+	fileName       = "consensus.db"
+	fileMode       = 0o600
+	folderMode     = 0o700
+	lockTimeout    = 5 * time.Second
+	identityBytes  = 16
+	formatVersion  = 1
+	singletonIndex = 0
+)
+
+var (
+	metaBucket     = []byte("meta")
+	stateBucket    = []byte("state")
+	logBucket      = []byte("log")
+	snapshotBucket = []byte("snapshot")
+
+	formatKey   = []byte("format")
+	identityKey = []byte("identity")
+	clusterKey  = []byte("cluster")
+	hardKey     = []byte("hard")
+	boundsKey   = []byte("bounds")
+	currentKey  = []byte("current")
+)
+
+// bounds are the first and last index that the log bucket must hold; both are
+// zero for an empty log. They show an entry that is missing at an end.
+type bounds struct {
+	First uint64 `cbor:"1,keyasint"`
+	Last  uint64 `cbor:"2,keyasint"`
+}
+
+// Disk is a Store in one file under a folder. Each write is one transaction
+// that is synced before the method returns. A write that a power cut tore is
+// undone as a whole at the next Open.
+type Disk struct {
+	database *bolt.DB
+	failed   *FinalError
+}
+
+var _ Store = (*Disk)(nil)
+
+// Open opens the folder's store, and makes the folder, the store and its random
+// identity at the first start.
+func Open(folder string) (*Disk, error) {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return nil, fmt.Errorf("storage: make folder: %w", err)
+	}
+	path := filepath.Join(folder, fileName)
+	database, err := bolt.Open(path, fileMode, &bolt.Options{Timeout: lockTimeout})
+	if err != nil {
+		return nil, fmt.Errorf("storage: open %s: %w", path, err)
+	}
+	disk := &Disk{database: database}
+	if err := disk.prepare(folder); err != nil {
+		return nil, errors.Join(err, database.Close())
+	}
+	return disk, nil
+}
+
+// prepare makes what a new store needs in one transaction, then syncs the
+// folder, so that the file itself cannot disappear.
+func (d *Disk) prepare(folder string) error {
+	err := d.write("prepare", func(tx *bolt.Tx) error {
+		for _, name := range [][]byte{metaBucket, stateBucket, logBucket, snapshotBucket} {
+			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
+				return err
+			}
+		}
+		meta := tx.Bucket(metaBucket)
+		if meta.Get(identityKey) != nil {
+			return nil
+		}
+		if err := put(meta, formatKey, singletonIndex, formatVersion); err != nil {
+			return err
+		}
+		identity, err := newIdentity()
+		if err != nil {
+			return err
+		}
+		return put(meta, identityKey, singletonIndex, identity)
+	})
+	if err != nil {
+		return err
+	}
+	return syncFolder(folder)
+}
+
+func newIdentity() (consensus.ID, error) {
+	random := make([]byte, identityBytes)
+	if _, err := rand.Read(random); err != nil {
+		return consensus.None, err
+	}
+	return consensus.ID(hex.EncodeToString(random)), nil
+}
+
+func syncFolder(folder string) error {
+	handle, err := os.Open(folder)
+	if err != nil {
+		return fmt.Errorf("storage: open folder: %w", err)
+	}
+	return errors.Join(handle.Sync(), handle.Close())
+}
+
+// write runs one synced transaction. The first failure is final.
+func (d *Disk) write(operation string, change func(*bolt.Tx) error) error {
+	if d.failed != nil {
+		return d.failed
+	}
+	if err := d.database.Update(change); err != nil {
+		d.failed = &FinalError{Operation: operation, Err: err}
+		return d.failed
+	}
+	return nil
+}
+
+func put(bucket *bolt.Bucket, key []byte, position uint64, value any) error {
+	record, err := encodeRecord(position, value)
+	if err != nil {
+		return err
+	}
+	return bucket.Put(key, record)
+}
+
+// SetCluster implements Store.
+func (d *Disk) SetCluster(cluster string) error {
+	return d.write("set cluster", func(tx *bolt.Tx) error {
+		return put(tx.Bucket(metaBucket), clusterKey, singletonIndex, cluster)
+	})
+}
+
+// Save implements Store.
+func (d *Disk) Save(state *consensus.HardState, entries []consensus.Entry) error {
+	if state == nil && len(entries) == 0 {
+		return nil
+	}
+	return d.write("save", func(tx *bolt.Tx) error {
+		if state != nil {
+			if err := put(tx.Bucket(stateBucket), hardKey, singletonIndex, *state); err != nil {
+				return err
+			}
+		}
+		if len(entries) == 0 {
+			return nil
+		}
+		return appendEntries(tx, entries)
+	})
+}
+
+// appendEntries drops what the new entries overwrite, and adds them.
+func appendEntries(tx *bolt.Tx, entries []consensus.Entry) error {
+	log := tx.Bucket(logBucket)
+	first := entries[0].Index
+	if err := deleteFrom(log, first); err != nil {
+		return err
+	}
+	for _, entry := range entries {
+		if err := put(log, indexKey(entry.Index), entry.Index, entry); err != nil {
+			return err
+		}
+	}
+	return saveBounds(tx)
+}
+
+func deleteFrom(log *bolt.Bucket, index uint64) error {
+	cursor := log.Cursor()
+	for key, _ := cursor.Seek(indexKey(index)); key != nil; key, _ = cursor.Seek(indexKey(index)) {
+		if err := cursor.Delete(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func deleteBefore(log *bolt.Bucket, index uint64) error {
+	cursor := log.Cursor()
+	for key, _ := cursor.First(); key != nil && keyIndex(key) < index; key, _ = cursor.First() {
+		if err := cursor.Delete(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func saveBounds(tx *bolt.Tx) error {
+	cursor := tx.Bucket(logBucket).Cursor()
+	var held bounds
+	if key, _ := cursor.First(); key != nil {
+		held.First = keyIndex(key)
+	}
+	if key, _ := cursor.Last(); key != nil {
+		held.Last = keyIndex(key)
+	}
+	return put(tx.Bucket(stateBucket), boundsKey, singletonIndex, held)
+}
+
+// SaveSnapshot implements Store. A log that holds another entry at the
+// snapshot's index leads somewhere else and is dropped whole.
+func (d *Disk) SaveSnapshot(snapshot consensus.Snapshot, keepFrom uint64) error {
+	return d.write("save snapshot", func(tx *bolt.Tx) error {
+		record, err := encodeRecord(snapshot.Index, snapshot)
+		if err != nil {
+			return err
+		}
+		if err := tx.Bucket(snapshotBucket).Put(currentKey, record); err != nil {
+			return err
+		}
+		log := tx.Bucket(logBucket)
+		if !leadsThrough(log, snapshot) {
+			keepFrom = 0
+			if err := deleteFrom(log, 0); err != nil {
+				return err
+			}
+		}
+		if err := deleteBefore(log, keepFrom); err != nil {
+			return err
+		}
+		return saveBounds(tx)
+	})
+}
+
+func leadsThrough(log *bolt.Bucket, snapshot consensus.Snapshot) bool {
+	record := log.Get(indexKey(snapshot.Index))
+	var entry consensus.Entry
+	if record == nil || decodeRecord(snapshot.Index, record, &entry) != nil {
+		return false
+	}
+	return entry.Term == snapshot.Term
+}
+
+// Close implements Store.
+func (d *Disk) Close() error {
+	return d.database.Close()
+}
--- /dev/null
+++ b/storage/load.go
@@ -0,0 +1,139 @@
+package storage
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	bolt "go.etcd.io/bbolt"
+
+	"github.com/deckpulley/deckpulley/consensus"
+)
+
+// Load implements Store.
+func (d *Disk) Load() (Loaded, error) {
+	var loaded Loaded
+	if d.failed != nil {
+		return loaded, d.failed
+	}
+	err := d.database.View(func(tx *bolt.Tx) error {
+		return readAll(tx, &loaded)
+	})
+	if err != nil {
+		return Loaded{}, err
+	}
+	return loaded, verify(loaded)
+}
+
+func readAll(tx *bolt.Tx, loaded *Loaded) error {
+	var format int
+	if err := get(tx, metaBucket, formatKey, &format, true); err != nil {
+		return err
+	}
+	if format != formatVersion {
+		return &CorruptError{Bucket: string(metaBucket), Reason: fmt.Sprintf("unknown format %d", format)}
+	}
+	if err := get(tx, metaBucket, identityKey, &loaded.Identity, true); err != nil {
+		return err
+	}
+	if err := get(tx, metaBucket, clusterKey, &loaded.Cluster, false); err != nil {
+		return err
+	}
+	if err := get(tx, stateBucket, hardKey, &loaded.HardState, false); err != nil {
+		return err
+	}
+	if err := readSnapshot(tx, loaded); err != nil {
+		return err
+	}
+	return readLog(tx, loaded)
+}
+
+// get reads one of the records of which there is one only.
+func get(tx *bolt.Tx, bucket, key []byte, value any, required bool) error {
+	record := tx.Bucket(bucket).Get(key)
+	if record == nil {
+		if required {
+			return &CorruptError{Bucket: string(bucket), Reason: string(key) + " is missing"}
+		}
+		return nil
+	}
+	if err := decodeRecord(singletonIndex, record, value); err != nil {
+		return &CorruptError{Bucket: string(bucket), Reason: string(key) + ": " + err.Error()}
+	}
+	return nil
+}
+
+// readSnapshot takes the index from the payload and checks it by the checksum.
+func readSnapshot(tx *bolt.Tx, loaded *Loaded) error {
+	record := tx.Bucket(snapshotBucket).Get(currentKey)
+	if record == nil {
+		return nil
+	}
+	snapshot, err := decodeSnapshot(record)
+	if err != nil {
+		return &CorruptError{Bucket: string(snapshotBucket), Index: snapshot.Index, Reason: err.Error()}
+	}
+	loaded.Snapshot = snapshot
+	return nil
+}
+
+func readLog(tx *bolt.Tx, loaded *Loaded) error {
+	var held bounds
+	if err := get(tx, stateBucket, boundsKey, &held, false); err != nil {
+		return err
+	}
+	next := held.First
+	err := tx.Bucket(logBucket).ForEach(func(key, record []byte) error {
+		if len(key) != indexSize {
+			return &CorruptError{Bucket: string(logBucket), Reason: "key is not an index"}
+		}
+		index := keyIndex(key)
+		if index != next {
+			return &CorruptError{Bucket: string(logBucket), Index: next, Reason: "entry is missing"}
+		}
+		next++
+		var entry consensus.Entry
+		if err := decodeRecord(index, record, &entry); err != nil {
+			return &CorruptError{Bucket: string(logBucket), Index: index, Reason: err.Error()}
+		}
+		if entry.Index != index {
+			return &CorruptError{Bucket: string(logBucket), Index: index, Reason: "entry is of another index"}
+		}
+		loaded.Entries = append(loaded.Entries, entry)
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if held.Last != 0 && next != held.Last+1 {
+		return &CorruptError{Bucket: string(logBucket), Index: next, Reason: "entry is missing"}
+	}
+	return nil
+}
+
+// verify checks what the records say together.
+func verify(loaded Loaded) error {
+	previousTerm := uint64(0)
+	last := loaded.Snapshot.Index
+	for _, entry := range loaded.Entries {
+		if entry.Term < previousTerm {
+			return &CorruptError{Bucket: string(logBucket), Index: entry.Index, Reason: "term falls"}
+		}
+		previousTerm = entry.Term
+	}
+	if count := len(loaded.Entries); count > 0 {
+		if first := loaded.Entries[0].Index; first > last+1 {
+			return &CorruptError{Bucket: string(logBucket), Index: last + 1, Reason: "gap between snapshot and log"}
+		}
+		last = max(last, loaded.Entries[count-1].Index)
+	}
+	if loaded.HardState.Commit > last {
+		return &CorruptError{Bucket: string(logBucket), Index: last + 1, Reason: "committed entry is missing"}
+	}
+	return nil
+}
+
+const indexSize = 8
+
+func keyIndex(key []byte) uint64 {
+	return binary.BigEndian.Uint64(key)
+}
