--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,358 @@
+package admission
+
+import (
+	"slices"
+	"time"
+
+	"github.com/deckpulley/deckpulley/api"
+)
+
+// Refusal says why the queue does not take, or no longer keeps, an item.
+type Refusal uint8
+
+const (
+	// Admitted is no refusal.
+	Admitted Refusal = iota
+	// RefusedFull means that the queue is full and the tenant has its share of it.
+	RefusedFull
+	// RefusedDeadline means that the item cannot make its time.
+	RefusedDeadline
+)
+
+const (
+	// longPart of the queue's length is open to long requests.
+	longPart = 0.75
+	// ShortestRetryAfter and LongestRetryAfter bound the estimate given to callers.
+	ShortestRetryAfter = 100 * time.Millisecond
+	LongestRetryAfter  = 10 * time.Second
+	// unknownRetryAfter is given while no rate is known.
+	unknownRetryAfter = time.Second
+)
+
+// Item is one waiting request.
+type Item[T any] struct {
+	// Tenant is the flow that shares are counted by.
+	Tenant string
+	// Class is the latency class, which has a queue of its own.
+	Class api.Class
+	// Weight is the tenant's share relative to others; at least a thousandth.
+	Weight float64
+	// Cost is the expected work, in any unit that all items share.
+	Cost float64
+	// Deadline is when the answer must have begun.
+	Deadline time.Time
+	// Needs is the expected time from the start to the first token.
+	Needs time.Duration
+	// Payload is the caller's.
+	Payload T
+
+	start  float64 // virtual start time
+	finish float64
+	queued bool
+}
+
+// Queue is the bounded queue of one service: one fair queue per latency class.
+type Queue[T any] struct {
+	length  int
+	classes [3]classQueue[T]
+}
+
+// classQueue orders its items by virtual start time (start-time fair queueing).
+type classQueue[T any] struct {
+	items   []*Item[T]
+	flows   map[string]*flow
+	virtual float64
+	pass    float64 // virtual time of the class among the classes
+}
+
+type flow struct {
+	finish  float64
+	backlog int
+	weight  float64
+}
+
+// NewQueue returns an empty queue that holds at most length items.
+func NewQueue[T any](length int) *Queue[T] {
+	queue := &Queue[T]{length: max(1, length)}
+	for index := range queue.classes {
+		queue.classes[index].flows = make(map[string]*flow)
+	}
+	return queue
+}
+
+// SetLength changes the bound; items beyond it stay until they leave.
+func (q *Queue[T]) SetLength(length int) {
+	q.length = max(1, length)
+}
+
+// Len counts the waiting items.
+func (q *Queue[T]) Len() int {
+	total := 0
+	for index := range q.classes {
+		total += len(q.classes[index].items)
+	}
+	return total
+}
+
+// ClassLen counts the waiting items of a class.
+func (q *Queue[T]) ClassLen(class api.Class) int {
+	return len(q.classes[classIndex(class)].items)
+}
+
+// Offer asks for a place. The rate is the service's completions per second, 0
+// for unknown. If the queue is full and another tenant holds more than its
+// share, that tenant's newest item is returned as pushed out, to be refused.
+func (q *Queue[T]) Offer(now time.Time, item *Item[T], rate float64) (pushedOut *Item[T], refusal Refusal) {
+	class := &q.classes[classIndex(item.Class)]
+	item.Weight = max(item.Weight, 0.001)
+	class.tag(item)
+	wait := q.wait(class.position(item), item.Class, rate)
+	if now.Add(wait + item.Needs).After(item.Deadline) {
+		return nil, RefusedDeadline
+	}
+	if q.full(item.Class) {
+		pushedOut = class.overdrawn(item)
+		if pushedOut == nil {
+			return nil, RefusedFull
+		}
+		q.Remove(pushedOut)
+		class.tag(item)
+	}
+	q.insert(class, item)
+	return pushedOut, Admitted
+}
+
+// Take offers the waiting items in fair order to accept, and removes and
+// returns the first that it accepts; nil if there is none.
+func (q *Queue[T]) Take(accept func(*Item[T]) bool) *Item[T] {
+	for _, index := range q.order() {
+		class := &q.classes[index]
+		for _, item := range class.items {
+			if !accept(item) {
+				continue
+			}
+			class.virtual = max(class.virtual, item.start)
+			class.pass += 1 / classWeight(index)
+			q.detach(class, item, false)
+			return item
+		}
+	}
+	return nil
+}
+
+// Remove takes an item out that is no longer wanted. It reports whether the
+// item was waiting.
+func (q *Queue[T]) Remove(item *Item[T]) bool {
+	if !item.queued {
+		return false
+	}
+	q.detach(&q.classes[classIndex(item.Class)], item, true)
+	return true
+}
+
+// Sweep removes and returns the items that can no longer make their time.
+func (q *Queue[T]) Sweep(now time.Time, rate float64) []*Item[T] {
+	var hopeless []*Item[T]
+	for index := range q.classes {
+		class := &q.classes[index]
+		position := 0
+		for _, item := range slices.Clone(class.items) {
+			wait := q.wait(position, item.Class, rate)
+			if now.Add(wait + item.Needs).After(item.Deadline) {
+				q.Remove(item)
+				hopeless = append(hopeless, item)
+				continue
+			}
+			position++
+		}
+	}
+	return hopeless
+}
+
+// Drain removes and returns all items.
+func (q *Queue[T]) Drain() []*Item[T] {
+	var all []*Item[T]
+	for index := range q.classes {
+		for _, item := range slices.Clone(q.classes[index].items) {
+			q.Remove(item)
+			all = append(all, item)
+		}
+	}
+	return all
+}
+
+// RetryAfter estimates when a new request would find room.
+func (q *Queue[T]) RetryAfter(rate float64) time.Duration {
+	if rate <= 0 {
+		return unknownRetryAfter
+	}
+	seconds := float64(q.Len()+1) / rate
+	estimate := time.Duration(min(seconds, LongestRetryAfter.Seconds()) * float64(time.Second))
+	return max(estimate, ShortestRetryAfter)
+}
+
+// wait estimates the time until the item at a position of its class starts.
+func (q *Queue[T]) wait(position int, class api.Class, rate float64) time.Duration {
+	if rate <= 0 || position == 0 {
+		return 0
+	}
+	own := classWeight(classIndex(class))
+	total := own
+	for index := range q.classes {
+		if index != classIndex(class) && len(q.classes[index].items) > 0 {
+			total += classWeight(index)
+		}
+	}
+	seconds := float64(position) / (rate * own / total)
+	return time.Duration(min(seconds, time.Hour.Seconds()) * float64(time.Second))
+}
+
+func (q *Queue[T]) full(class api.Class) bool {
+	if q.Len() >= q.length {
+		return true
+	}
+	longest := max(1, int(longPart*float64(q.length)))
+	return class == api.ClassLong && q.ClassLen(class) >= longest
+}
+
+// order lists the classes that have items by their virtual time.
+func (q *Queue[T]) order() []int {
+	order := make([]int, 0, len(q.classes))
+	for index := range q.classes {
+		if len(q.classes[index].items) > 0 {
+			order = append(order, index)
+		}
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		switch {
+		case q.classes[a].pass < q.classes[b].pass:
+			return -1
+		case q.classes[a].pass > q.classes[b].pass:
+			return 1
+		default:
+			return a - b
+		}
+	})
+	return order
+}
+
+func (q *Queue[T]) insert(class *classQueue[T], item *Item[T]) {
+	if len(class.items) == 0 {
+		class.pass = q.leastPass()
+	}
+	place, _ := slices.BinarySearchFunc(class.items, item, func(element, target *Item[T]) int {
+		if element.start <= target.start {
+			return -1
+		}
+		return 1
+	})
+	class.items = slices.Insert(class.items, place, item)
+	tenant := class.flows[item.Tenant]
+	if tenant == nil {
+		tenant = &flow{}
+		class.flows[item.Tenant] = tenant
+	}
+	tenant.finish = item.finish
+	tenant.weight = item.Weight
+	tenant.backlog++
+	item.queued = true
+}
+
+// leastPass is the smallest virtual time of the classes with items, 0 if none
+// has any: a class that comes back has no credit and no debt.
+func (q *Queue[T]) leastPass() float64 {
+	least := -1.0
+	for index := range q.classes {
+		class := &q.classes[index]
+		if len(class.items) > 0 && (least < 0 || class.pass < least) {
+			least = class.pass
+		}
+	}
+	return max(least, 0)
+}
+
+func (q *Queue[T]) detach(class *classQueue[T], item *Item[T], giveBack bool) {
+	place := slices.Index(class.items, item)
+	class.items = slices.Delete(class.items, place, place+1)
+	item.queued = false
+	tenant := class.flows[item.Tenant]
+	tenant.backlog--
+	if giveBack && tenant.finish == item.finish {
+		tenant.finish = item.start
+	}
+	if tenant.backlog == 0 && tenant.finish <= class.virtual {
+		delete(class.flows, item.Tenant)
+	}
+	if len(class.items) == 0 {
+		class.virtual = 0
+		clear(class.flows)
+	}
+}
+
+// tag gives an item its virtual times as if it arrived now.
+func (c *classQueue[T]) tag(item *Item[T]) {
+	item.start = c.virtual
+	if tenant := c.flows[item.Tenant]; tenant != nil {
+		item.start = max(c.virtual, tenant.finish)
+	}
+	item.finish = item.start + max(item.Cost, 0.001)/item.Weight
+}
+
+// position is the number of items that start before a tagged one.
+func (c *classQueue[T]) position(item *Item[T]) int {
+	count := 0
+	for _, other := range c.items {
+		if other.start <= item.start {
+			count++
+		}
+	}
+	return count
+}
+
+// overdrawn is the newest item of the tenant with the largest backlog for its
+// weight, if that is larger than the newcomer's would be; else nil.
+func (c *classQueue[T]) overdrawn(newcomer *Item[T]) *Item[T] {
+	own := 1.0
+	if tenant := c.flows[newcomer.Tenant]; tenant != nil {
+		own += float64(tenant.backlog)
+	}
+	largest := own / newcomer.Weight
+	var victim *Item[T]
+	for _, item := range c.items {
+		tenant := c.flows[item.Tenant]
+		if item.Tenant == newcomer.Tenant {
+			continue
+		}
+		share := float64(tenant.backlog) / tenant.weight
+		if share > largest || (victim != nil && victim.Tenant == item.Tenant) {
+			largest = share
+			victim = item
+		}
+	}
+	return victim
+}
+
+const (
+	quickIndex = iota
+	fetchIndex
+	longIndex
+)
+
+func classIndex(class api.Class) int {
+	switch class {
+	case api.ClassLong:
+		return longIndex
+	case api.ClassFetch:
+		return fetchIndex
+	default:
+		return quickIndex
+	}
+}
+
+// classWeight is the share of starts that a class gets while others wait too.
+func classWeight(index int) float64 {
+	if index == longIndex {
+		return 1
+	}
+	return 3
+}
--- /dev/null
+++ b/outlier/outlier.go
@@ -0,0 +1,190 @@
+// Package outlier ejects replicas that do clearly worse than their peers, for a
+// bounded time, and never more than a stated part of a group. It is pure: time
+// is an input.
+package outlier
+
+import (
+	"slices"
+	"time"
+)
+
+// Config holds the constants of ejection.
+type Config struct {
+	// Failures in a row eject.
+	Failures int
+	// ErrorRate over the recent requests ejects, once there are MinimumRequests.
+	ErrorRate       float64
+	MinimumRequests float64
+	// Slowness ejects a replica whose smoothed latency is this many times the
+	// median of the group.
+	Slowness float64
+	// Part of the group that may be ejected at a time, rounded down.
+	Part float64
+	// Shortest and Longest bound the time of an ejection, which doubles with
+	// each ejection that follows within Longest of the one before.
+	Shortest, Longest time.Duration
+}
+
+// DefaultConfig returns the documented constants.
+func DefaultConfig() Config {
+	return Config{
+		Failures:        5,
+		ErrorRate:       0.5,
+		MinimumRequests: 6,
+		Slowness:        4,
+		Part:            0.4,
+		Shortest:        2 * time.Second,
+		Longest:         30 * time.Second,
+	}
+}
+
+// smoothing is the weight of one request in the moving figures.
+const smoothing = 0.1
+
+// medianAge is how long a computed median is used.
+const medianAge = 200 * time.Millisecond
+
+type member struct {
+	failuresInRow int
+	errorRate     float64
+	latency       float64 // seconds, smoothed
+	requests      float64
+	ejectedUntil  time.Time
+	ejections     int
+}
+
+// Group judges the replicas of one service in one region.
+type Group struct {
+	config   Config
+	members  map[string]*member
+	median   float64 // of the members' latency, seconds; 0 is unknown
+	medianAt time.Time
+}
+
+// NewGroup returns an empty group.
+func NewGroup(config Config) *Group {
+	return &Group{config: config, members: make(map[string]*member)}
+}
+
+// Keep makes the group consist of the named replicas. The others are forgotten.
+func (g *Group) Keep(names []string) {
+	kept := make(map[string]*member, len(names))
+	for _, name := range names {
+		kept[name] = g.members[name]
+		if kept[name] == nil {
+			kept[name] = &member{}
+		}
+	}
+	g.members = kept
+}
+
+// Forget clears what is known of a replica, as when it was started anew.
+func (g *Group) Forget(name string) {
+	if _, ok := g.members[name]; ok {
+		g.members[name] = &member{}
+	}
+}
+
+// Success records a completed request and its latency. It reports whether the
+// replica was ejected by it.
+func (g *Group) Success(now time.Time, name string, latency time.Duration) bool {
+	m := g.members[name]
+	if m == nil {
+		return false
+	}
+	m.failuresInRow = 0
+	m.requests++
+	m.errorRate -= smoothing * m.errorRate
+	if m.latency == 0 {
+		m.latency = latency.Seconds()
+	}
+	m.latency += smoothing * (latency.Seconds() - m.latency)
+	if !g.slow(now, m) {
+		return false
+	}
+	return g.eject(now, m)
+}
+
+// Failure records a failed request. It reports whether the replica was ejected
+// by it.
+func (g *Group) Failure(now time.Time, name string) bool {
+	m := g.members[name]
+	if m == nil {
+		return false
+	}
+	m.failuresInRow++
+	m.requests++
+	m.errorRate += smoothing * (1 - m.errorRate)
+	inRow := m.failuresInRow >= g.config.Failures
+	rate := m.requests >= g.config.MinimumRequests && m.errorRate >= g.config.ErrorRate
+	if !inRow && !rate {
+		return false
+	}
+	return g.eject(now, m)
+}
+
+// EjectedUntil is the end of the replica's ejection; the zero time or a past
+// one means that it is not ejected.
+func (g *Group) EjectedUntil(name string) time.Time {
+	if m := g.members[name]; m != nil {
+		return m.ejectedUntil
+	}
+	return time.Time{}
+}
+
+// Ejected counts the replicas ejected at now.
+func (g *Group) Ejected(now time.Time) int {
+	count := 0
+	for _, m := range g.members {
+		if m.ejectedUntil.After(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// Allowed is the largest number of replicas that may be ejected at a time.
+func (g *Group) Allowed() int {
+	return int(g.config.Part * float64(len(g.members)))
+}
+
+func (g *Group) eject(now time.Time, m *member) bool {
+	if m.ejectedUntil.After(now) || g.Ejected(now) >= g.Allowed() {
+		return false
+	}
+	if now.Sub(m.ejectedUntil) > g.config.Longest {
+		m.ejections = 0
+	}
+	length := min(g.config.Shortest<<min(m.ejections, 16), g.config.Longest)
+	m.ejections++
+	m.ejectedUntil = now.Add(length)
+	m.failuresInRow, m.errorRate, m.requests, m.latency = 0, 0, 0, 0
+	return true
+}
+
+// slow compares a replica with the median of the group.
+func (g *Group) slow(now time.Time, m *member) bool {
+	if m.requests < g.config.MinimumRequests {
+		return false
+	}
+	if now.Sub(g.medianAt) >= medianAge {
+		g.median, g.medianAt = g.medianLatency(), now
+	}
+	return g.median > 0 && m.latency > g.config.Slowness*g.median
+}
+
+// medianLatency is the median of the members with enough requests, 0 if there
+// are fewer than three: of two nobody can say which is the outlier.
+func (g *Group) medianLatency() float64 {
+	latencies := make([]float64, 0, len(g.members))
+	for _, peer := range g.members {
+		if peer.requests >= g.config.MinimumRequests {
+			latencies = append(latencies, peer.latency)
+		}
+	}
+	if len(latencies) < 3 {
+		return 0
+	}
+	slices.Sort(latencies)
+	return latencies[len(latencies)/2]
+}
--- /dev/null
+++ b/placement/region.go
@@ -0,0 +1,192 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Knowledge says how good the known load of a region is.
+type Knowledge uint8
+
+const (
+	// Unheard means that no load was ever reported.
+	Unheard Knowledge = iota
+	// Fresh means that the load is recent.
+	Fresh
+	// Stale means that reports have stopped: the region may be cut off or lost.
+	Stale
+)
+
+const (
+	// leastHeadroom keeps a full region's weight above zero, so that it stays last.
+	leastHeadroom = 0.02
+	// unheardLoad is assumed of a region that has not reported yet.
+	unheardLoad = 0.5
+)
+
+// Region is what is known of one region for one service.
+type Region struct {
+	Name string
+	Hash uint64
+	// Capacity is its weight relative to others.
+	Capacity float64
+	// Usable is false if the plan leaves it no replica or no gateway.
+	Usable bool
+	// Load is its utilization, 1 is full.
+	Load      float64
+	Knowledge Knowledge
+	// TakesSpill is the state of its Gate.
+	TakesSpill bool
+	// Recovery is the part of its traffic that a region may have again after it
+	// was lost, 1 for all.
+	Recovery float64
+}
+
+// RegionWork is what the choice of a region must know of a request.
+type RegionWork struct {
+	// Key is a hash of the request's id: the same request is decided alike.
+	Key uint64
+	// Preferred is the region that serves the client.
+	Preferred string
+	// Spill lists the regions after it, in the order of the configuration.
+	Spill []string
+	// Home, if not nil, lists the only regions that may run it.
+	Home []string
+	// Fraction of the preferred region's requests that should go elsewhere.
+	Fraction float64
+}
+
+// Order lists the regions to try, best first; it never has one outside the home.
+//
+// The preferred region comes first unless the request is drawn to be spilled or
+// the region is recovering. Overflow regions follow, drawn in proportion to
+// capacity and headroom; regions that fell silent come last.
+func Order(work RegionWork, regions map[string]*Region) []string {
+	candidates := candidatesOf(work, regions)
+	if len(candidates) == 0 {
+		return nil
+	}
+	hasPreferred := candidates[0].Name == work.Preferred
+	overflow := candidates
+	if hasPreferred {
+		overflow = candidates[1:]
+	}
+	sortOverflow(work.Key, overflow)
+	order := make([]string, 0, len(candidates))
+	for _, region := range overflow {
+		order = append(order, region.Name)
+	}
+	if !hasPreferred {
+		return order
+	}
+	return slices.Insert(order, preferredPlace(work, candidates[0], overflow), work.Preferred)
+}
+
+// candidatesOf lists the usable regions that the request may use, the preferred
+// one first, without doubles.
+func candidatesOf(work RegionWork, regions map[string]*Region) []*Region {
+	names := make([]string, 0, 1+len(work.Spill)+len(work.Home))
+	names = append(names, work.Preferred)
+	names = append(names, work.Spill...)
+	names = append(names, work.Home...)
+	candidates := make([]*Region, 0, len(names))
+	for position, name := range names {
+		region := regions[name]
+		if region == nil || !region.Usable || slices.Contains(names[:position], name) {
+			continue
+		}
+		if work.Home != nil && !slices.Contains(work.Home, name) {
+			continue
+		}
+		candidates = append(candidates, region)
+	}
+	return candidates
+}
+
+func sortOverflow(key uint64, overflow []*Region) {
+	score := func(region *Region) float64 {
+		load := region.Load
+		if region.Knowledge != Fresh {
+			load = unheardLoad
+		}
+		weight := max(region.Capacity, leastHeadroom) * max(1-load, leastHeadroom) * region.Recovery
+		return weightedScore(Score(key, region.Hash), max(weight, 1e-9))
+	}
+	slices.SortStableFunc(overflow, func(a, b *Region) int {
+		if stale := cmp.Compare(rank(a), rank(b)); stale != 0 {
+			return stale
+		}
+		return cmp.Compare(score(a), score(b))
+	})
+}
+
+// rank puts regions that take spill before the full ones, and silent ones last.
+func rank(region *Region) int {
+	switch {
+	case region.Knowledge == Stale:
+		return 2
+	case region.Knowledge == Fresh && !region.TakesSpill:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// preferredPlace is the place of the preferred region in the order: 0 as a
+// rule, 1 behind one overflow region if the request is drawn to go there, the
+// last before silent regions if the preferred one is silent itself.
+func preferredPlace(work RegionWork, preferred *Region, overflow []*Region) int {
+	if len(overflow) == 0 {
+		return 0
+	}
+	if preferred.Knowledge == Stale {
+		place := 0
+		for place < len(overflow) && overflow[place].Knowledge != Stale {
+			place++
+		}
+		return place
+	}
+	first := overflow[0]
+	if rank(first) != 0 {
+		return 0
+	}
+	if Uniform(Score(work.Key, recoverySalt)) >= preferred.Recovery {
+		return 1
+	}
+	spilled := Uniform(Score(work.Key, spillSalt)) < work.Fraction
+	if spilled && first.Knowledge == Fresh {
+		return 1
+	}
+	return 0
+}
+
+const (
+	recoverySalt = 1
+	spillSalt    = 2
+)
+
+const (
+	// gateMargin is how far below the set point a region's load must be before
+	// it starts to take spill.
+	gateMargin = 0.15
+	// gateLead is how far below the sender's load it must be as well, so that
+	// two loaded regions do not trade load back and forth.
+	gateLead = 0.1
+)
+
+// Gate says with hysteresis whether a region takes spill from this one.
+type Gate struct {
+	open bool
+}
+
+// Update takes the remote and the own load and the set point of utilization.
+// The gate opens when the remote load is clearly below the set point and the
+// own load, and closes when it has reached either.
+func (g *Gate) Update(remote, own, setPoint float64) bool {
+	if g.open {
+		g.open = remote < setPoint && remote < own
+		return g.open
+	}
+	g.open = remote < setPoint-gateMargin && remote < own-gateLead
+	return g.open
+}
--- /dev/null
+++ b/ramp/ramp.go
@@ -0,0 +1,64 @@
+// Package ramp raises what one replica is given step by step, and only on
+// successes: for a cold replica slowly, for a returning one faster. It is pure
+// and keeps no time at all: without successes nothing grows.
+package ramp
+
+// Growth says how a ramp rises.
+type Growth uint8
+
+const (
+	// Additive adds one after as many successes as the present limit. It is
+	// meant for cold replicas, whose speed rises with what they have done.
+	Additive Growth = iota
+	// Doubling doubles after as many successes as the present limit. It is meant
+	// for warm replicas that return.
+	Doubling
+)
+
+// Ramp bounds the requests in flight on one replica.
+type Ramp struct {
+	growth    Growth
+	initial   int
+	limit     int
+	full      int
+	successes int
+}
+
+// New starts a ramp at initial that is done at full. Both are at least 1.
+func New(growth Growth, initial, full int) *Ramp {
+	initial = max(1, initial)
+	full = max(1, full)
+	return &Ramp{growth: growth, initial: initial, limit: min(initial, full), full: full}
+}
+
+// Limit is the number of requests that may be in flight now.
+func (r *Ramp) Limit() int {
+	return r.limit
+}
+
+// Done reports whether the ramp has reached its end.
+func (r *Ramp) Done() bool {
+	return r.limit >= r.full
+}
+
+// Success records a request that the replica completed.
+func (r *Ramp) Success() {
+	r.successes++
+	if r.successes < r.limit {
+		return
+	}
+	r.successes = 0
+	switch r.growth {
+	case Additive:
+		r.limit = min(r.full, r.limit+1)
+	case Doubling:
+		r.limit = min(r.full, r.limit*2)
+	}
+}
+
+// Failure records a request that the replica failed: the limit halves, to its
+// first step at the least.
+func (r *Ramp) Failure() {
+	r.successes = 0
+	r.limit = max(min(r.initial, r.full), r.limit/2)
+}
