--- a/admission/queue.go
+++ b/admission/queue.go
@@ -143,7 +143,7 @@
 // Remove takes an item out that is no longer wanted. It reports whether the
 // item was waiting.
 func (q *Queue[T]) Remove(item *Item[T]) bool {
-	if !item.queued {
+	if item == nil || !item.queued {
 		return false
 	}
 	q.detach(&q.classes[classIndex(item.Class)], item, true)
@@ -169,14 +169,20 @@
 	return hopeless
 }
 
+// Items returns the waiting items.
+func (q *Queue[T]) Items() []*Item[T] {
+	all := make([]*Item[T], 0, q.Len())
+	for index := range q.classes {
+		all = append(all, q.classes[index].items...)
+	}
+	return all
+}
+
 // Drain removes and returns all items.
 func (q *Queue[T]) Drain() []*Item[T] {
-	var all []*Item[T]
-	for index := range q.classes {
-		for _, item := range slices.Clone(q.classes[index].items) {
-			q.Remove(item)
-			all = append(all, item)
-		}
+	all := q.Items()
+	for _, item := range all {
+		q.Remove(item)
 	}
 	return all
 }
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -18,6 +18,8 @@
 	// Slowness ejects a replica whose smoothed latency is this many times the
 	// median of the group.
 	Slowness float64
+	// LeastSlow is the latency below which nothing counts as slow.
+	LeastSlow time.Duration
 	// Part of the group that may be ejected at a time, rounded down.
 	Part float64
 	// Shortest and Longest bound the time of an ejection, which doubles with
@@ -32,6 +34,7 @@
 		ErrorRate:       0.5,
 		MinimumRequests: 6,
 		Slowness:        4,
+		LeastSlow:       500 * time.Millisecond,
 		Part:            0.4,
 		Shortest:        2 * time.Second,
 		Longest:         30 * time.Second,
@@ -47,8 +50,9 @@
 type member struct {
 	failuresInRow int
 	errorRate     float64
-	latency       float64 // seconds, smoothed
 	requests      float64
+	latency       float64 // seconds, smoothed
+	samples       float64 // of latency
 	ejectedUntil  time.Time
 	ejections     int
 }
@@ -85,16 +89,25 @@
 	}
 }
 
-// Success records a completed request and its latency. It reports whether the
-// replica was ejected by it.
-func (g *Group) Success(now time.Time, name string, latency time.Duration) bool {
+// Success records a completed request.
+func (g *Group) Success(name string) {
 	m := g.members[name]
 	if m == nil {
-		return false
+		return
 	}
 	m.failuresInRow = 0
 	m.requests++
 	m.errorRate -= smoothing * m.errorRate
+}
+
+// Latency records how long a request waited for its first token. It reports
+// whether the replica was ejected by it.
+func (g *Group) Latency(now time.Time, name string, latency time.Duration) bool {
+	m := g.members[name]
+	if m == nil {
+		return false
+	}
+	m.samples++
 	if m.latency == 0 {
 		m.latency = latency.Seconds()
 	}
@@ -158,13 +171,14 @@
 	length := min(g.config.Shortest<<min(m.ejections, 16), g.config.Longest)
 	m.ejections++
 	m.ejectedUntil = now.Add(length)
-	m.failuresInRow, m.errorRate, m.requests, m.latency = 0, 0, 0, 0
+	m.failuresInRow, m.errorRate, m.requests = 0, 0, 0
+	m.latency, m.samples = 0, 0
 	return true
 }
 
 // slow compares a replica with the median of the group.
 func (g *Group) slow(now time.Time, m *member) bool {
-	if m.requests < g.config.MinimumRequests {
+	if m.samples < g.config.MinimumRequests || m.latency < g.config.LeastSlow.Seconds() {
 		return false
 	}
 	if now.Sub(g.medianAt) >= medianAge {
@@ -178,7 +192,7 @@
 func (g *Group) medianLatency() float64 {
 	latencies := make([]float64, 0, len(g.members))
 	for _, peer := range g.members {
-		if peer.requests >= g.config.MinimumRequests {
+		if peer.samples >= g.config.MinimumRequests {
 			latencies = append(latencies, peer.latency)
 		}
 	}
--- a/ramp/ramp.go
+++ b/ramp/ramp.go
@@ -36,6 +36,11 @@
 	return r.limit
 }
 
+// Growth is how the ramp rises.
+func (r *Ramp) Growth() Growth {
+	return r.growth
+}
+
 // Done reports whether the ramp has reached its end.
 func (r *Ramp) Done() bool {
 	return r.limit >= r.full
--- /dev/null
+++ b/routing/acquire.go
@@ -0,0 +1,258 @@
+package routing
+
+import (
+	"context"
+	"time"
+
+	"github.com/deckpulley/deckpulley/admission"
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/placement"
+)
+
+// costUnit is the number of tokens that count as one unit of cost in fair shares.
+const costUnit = 1024
+
+// waiter is one request on its way to a slot.
+type waiter struct {
+	request Request
+	chain   []placement.Link
+	work    placement.Work
+	item    *admission.Item[*waiter]
+	done    chan struct{} // closed once slot or failure is set
+	slot    *Slot
+	failure *api.Error
+}
+
+func newWaiter(request Request) *waiter {
+	w := &waiter{request: request, chain: placement.Chain(request.Prefixes)}
+	w.work.Tokens = promptTokens(&request)
+	if link, ok := placement.Affinity(w.chain); ok {
+		w.work.Key = link.Hash
+		w.work.Bulk = float64(link.Tokens)
+	}
+	return w
+}
+
+func (w *waiter) grant(slot *Slot) {
+	w.slot = slot
+	close(w.done)
+}
+
+func (w *waiter) refuse(failure *api.Error) {
+	w.failure = failure
+	close(w.done)
+}
+
+// Acquire waits for a slot on a replica of the own region. It returns within
+// the request's deadline, earlier if the request cannot make its time, and with
+// CodeCanceled if ctx ends first. A refused request never ran. Every slot must
+// be given back with Slot.Finish.
+func (r *Router) Acquire(ctx context.Context, request Request) (*Slot, *api.Error) {
+	w := newWaiter(request)
+	for {
+		slot, failure := r.acquireOnce(ctx, w)
+		if failure != nil || slot.Usable(time.Now()) {
+			return slot, failure
+		}
+		// The plan or the replica changed between the grant and now.
+		slot.Finish(ResultNotStarted, nil, time.Now())
+	}
+}
+
+// Reserve returns a slot at once or refuses; it never waits.
+func (r *Router) Reserve(request Request) (*Slot, *api.Error) {
+	now := time.Now()
+	w := newWaiter(request)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.tick(now)
+	target, failure := r.admit(now, &w.request)
+	if failure != nil {
+		return nil, failure
+	}
+	if slot := target.immediate(now, w); slot != nil {
+		return slot, nil
+	}
+	if !target.anyUsable(now) {
+		return nil, target.unusableError(&w.request)
+	}
+	retryAfter := target.queue.RetryAfter(target.rate(now))
+	return nil, refusal(&w.request, api.CodeOverloaded, retryAfter, "no replica of %q has room", target.name)
+}
+
+func (r *Router) acquireOnce(ctx context.Context, w *waiter) (*Slot, *api.Error) {
+	slot, failure := r.enter(w)
+	if slot != nil || failure != nil {
+		return slot, failure
+	}
+	return r.await(ctx, w)
+}
+
+// enter grants or refuses at once, or leaves the waiter queued.
+func (r *Router) enter(w *waiter) (*Slot, *api.Error) {
+	now := time.Now()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.tick(now)
+	service, failure := r.admit(now, &w.request)
+	if failure != nil {
+		return nil, failure
+	}
+	if slot := service.immediate(now, w); slot != nil {
+		return slot, nil
+	}
+	w.done = make(chan struct{})
+	w.slot, w.failure = nil, nil
+	return nil, service.enqueue(now, w)
+}
+
+// await waits for the grant or the refusal of a queued request.
+func (r *Router) await(ctx context.Context, w *waiter) (*Slot, *api.Error) {
+	// The timer only wakes the judgement of the queue if nothing else does.
+	timer := time.NewTimer(tickInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-w.done:
+			return w.slot, w.failure
+		case <-ctx.Done():
+			return nil, r.cancel(w)
+		case <-timer.C:
+			r.wake(w)
+			timer.Reset(tickInterval)
+		}
+	}
+}
+
+// wake judges the queue of a waiter again.
+func (r *Router) wake(w *waiter) {
+	now := time.Now()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.tick(now)
+	if service := r.services[w.request.Service]; service != nil {
+		service.dispatch(now)
+	}
+}
+
+// cancel takes a waiter out whose caller has gone.
+func (r *Router) cancel(w *waiter) *api.Error {
+	r.mutex.Lock()
+	if service := r.services[w.request.Service]; service != nil {
+		service.queue.Remove(w.item)
+	}
+	slot := w.slot
+	r.mutex.Unlock()
+	if slot != nil {
+		slot.Finish(ResultNotStarted, nil, time.Now())
+	}
+	return refusal(&w.request, api.CodeCanceled, 0, "the caller went away before a replica was found")
+}
+
+// admit finds the service of a request, or the reason why it cannot be served
+// here at all.
+func (r *Router) admit(now time.Time, request *Request) (*service, *api.Error) {
+	if failure := r.planError(request); failure != nil {
+		return nil, failure
+	}
+	if !now.Before(request.Deadline) {
+		return nil, refusal(request, api.CodeDeadline, 0, "the caller's time has run out")
+	}
+	target := r.services[request.Service]
+	if !target.possible() || target.unusableFor(now) >= unusableWait {
+		return nil, target.unusableError(request)
+	}
+	return target, nil
+}
+
+// planError judges a request by the present plan alone, and moves it to the
+// service that its model is routed to now.
+func (r *Router) planError(request *Request) *api.Error {
+	if r.plan == nil {
+		return refusal(request, api.CodeNotReady, unavailableRetry, "no configuration is active yet")
+	}
+	if request.resolved != r.plan {
+		route, ok := r.plan.Route(request.Model)
+		if !ok {
+			return refusal(request, api.CodeNotFound, 0, "no route for model %q", request.Model)
+		}
+		request.Service = route.Service
+	}
+	if r.services[request.Service] == nil {
+		return refusal(request, api.CodeNotFound, 0, "no service %q", request.Service)
+	}
+	if !mayRunIn(r.plan, request, r.config.Region) {
+		return refusal(request, api.CodeHomeUnavailable, unavailableRetry, "region %q is outside the request's home", r.config.Region)
+	}
+	return nil
+}
+
+// judgeAgain queues a waiter anew whose service has gone or changed.
+func (r *Router) judgeAgain(now time.Time, w *waiter) {
+	target, failure := r.admit(now, &w.request)
+	if failure != nil {
+		w.refuse(failure)
+		return
+	}
+	if slot := target.immediate(now, w); slot != nil {
+		w.grant(slot)
+		return
+	}
+	if failure := target.enqueue(now, w); failure != nil {
+		w.refuse(failure)
+	}
+}
+
+// immediate grants a slot if nobody of the class waits and a replica has room.
+func (s *service) immediate(now time.Time, w *waiter) *Slot {
+	if s.queue.ClassLen(w.request.Class) > 0 {
+		return nil
+	}
+	choice := s.place(now, w)
+	if choice.target == nil {
+		return nil
+	}
+	return s.newSlot(now, w, choice)
+}
+
+// enqueue gives the waiter a place in the queue, or says why not.
+func (s *service) enqueue(now time.Time, w *waiter) *api.Error {
+	w.item = &admission.Item[*waiter]{
+		Tenant:   w.request.Tenant,
+		Class:    w.request.Class,
+		Weight:   shareOf(s.router.plan, &w.request),
+		Cost:     1 + (w.work.Tokens+float64(w.request.MaxTokens))/costUnit,
+		Deadline: w.request.Deadline,
+		Needs:    s.needs(w),
+		Payload:  w,
+	}
+	rate := s.rate(now)
+	pushedOut, refused := s.queue.Offer(now, w.item, rate)
+	if pushedOut != nil {
+		pushedOut.Payload.refuse(s.fullError(&pushedOut.Payload.request, rate))
+	}
+	switch refused {
+	case admission.RefusedFull:
+		return s.fullError(&w.request, rate)
+	case admission.RefusedDeadline:
+		return s.lateError(&w.request, rate)
+	default:
+		return nil
+	}
+}
+
+func (s *service) fullError(request *Request, rate float64) *api.Error {
+	return refusal(request, api.CodeOverloaded, s.queue.RetryAfter(rate), "the queue of %q is full", s.name)
+}
+
+func (s *service) lateError(request *Request, rate float64) *api.Error {
+	return refusal(request, api.CodeDeadline, s.queue.RetryAfter(rate), "%q cannot begin the answer in the caller's time", s.name)
+}
+
+func (s *service) unusableError(request *Request) *api.Error {
+	code := api.CodeNoCapacity
+	if len(request.Home) > 0 {
+		code = api.CodeHomeUnavailable
+	}
+	return refusal(request, code, unavailableRetry, "no replica of %q is usable in region %q", s.name, s.router.config.Region)
+}
--- /dev/null
+++ b/routing/regions.go
@@ -0,0 +1,258 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/placement"
+	"github.com/deckpulley/deckpulley/places"
+)
+
+const (
+	// loadAge is how long a region's load counts as known.
+	loadAge = 3 * time.Second
+	// loadSmoothing is the weight of one message about a region's load.
+	loadSmoothing = 0.5
+	// recoveryTime is how long a region that returns takes to its full traffic.
+	recoveryTime = 5 * time.Second
+	// leastRecovery is the part of its traffic that it has at once.
+	leastRecovery = 0.1
+)
+
+// remote is what another region's gateways tell of it.
+type remote struct {
+	heard      time.Time
+	recovering time.Time // when it was heard again after a silence
+	loads      map[string]float64
+}
+
+// Regions lists the regions to try for a request, best first. A region outside
+// the request's home is never listed. The list is empty if no region is left;
+// Refusal then says why. A request that came from another region's gateway must
+// not be passed on again, whatever the list says.
+func (r *Router) Regions(request Request) []string {
+	now := time.Now()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.tick(now)
+	if r.plan == nil {
+		return nil
+	}
+	service := r.services[request.Service]
+	if service == nil {
+		return nil
+	}
+	home, ok := r.boundRegions(&request)
+	if !ok {
+		return nil
+	}
+	preferred := r.preferredRegion(&request)
+	work := placement.RegionWork{
+		Key:       placement.Hash(request.ID) ^ r.config.Seed,
+		Preferred: preferred,
+		Spill:     r.plan.Regions()[preferred].Spill,
+		Home:      home,
+	}
+	if preferred == r.config.Region {
+		work.Fraction = service.spill.Output()
+	}
+	return placement.Order(work, service.regions)
+}
+
+// Refusal is the answer to a request for which Regions is empty.
+func (r *Router) Refusal(request Request) *api.Error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.plan == nil {
+		return refusal(&request, api.CodeNotReady, unavailableRetry, "no configuration is active yet")
+	}
+	if r.services[request.Service] == nil {
+		return refusal(&request, api.CodeNotFound, 0, "no service %q", request.Service)
+	}
+	if _, bound := homeOf(r.plan, &request); bound || len(request.Home) > 0 {
+		return refusal(&request, api.CodeHomeUnavailable, unavailableRetry, "no region of the request's home can serve %q now", request.Service)
+	}
+	return refusal(&request, api.CodeNoCapacity, unavailableRetry, "no region can serve %q now", request.Service)
+}
+
+// Load is the utilization of each service in the own region, 1 is full, to be
+// told to other regions.
+func (r *Router) Load() map[string]float64 {
+	now := time.Now()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.tick(now)
+	load := make(map[string]float64, len(r.services))
+	for name, service := range r.services {
+		if len(service.replicas) > 0 {
+			load[name] = service.utilization
+		}
+	}
+	return load
+}
+
+// SetRemoteLoad takes what a gateway of another region tells of its services.
+func (r *Router) SetRemoteLoad(region string, load map[string]float64, at time.Time) {
+	if region == r.config.Region {
+		return
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.remotes[region]
+	if known == nil {
+		known = &remote{loads: make(map[string]float64)}
+		r.remotes[region] = known
+	}
+	silent := !known.heard.IsZero() && at.Sub(known.heard) >= loadAge
+	if silent {
+		known.recovering = at
+		clear(known.loads)
+	}
+	known.heard = later(known.heard, at)
+	for name, value := range load {
+		before, had := known.loads[name]
+		if had {
+			value = before + loadSmoothing*(value-before)
+		}
+		known.loads[name] = value
+	}
+}
+
+// boundRegions is the home that binds a request under the present plan and the
+// one it was resolved under; nil is any. It is false if no region is left.
+func (r *Router) boundRegions(request *Request) (home []string, ok bool) {
+	if request.resolved == r.plan && len(request.Home) == 0 {
+		return nil, true
+	}
+	present, bound := homeOf(r.plan, request)
+	if !bound {
+		if len(request.Home) == 0 {
+			return nil, true
+		}
+		return request.Home, true
+	}
+	for _, region := range present {
+		if mayRunIn(r.plan, request, region) {
+			home = append(home, region)
+		}
+	}
+	return home, len(home) > 0
+}
+
+// preferredRegion is the region that serves the request's client, else the own.
+func (r *Router) preferredRegion(request *Request) string {
+	if request.Client == "" {
+		return r.config.Region
+	}
+	client, ok := r.plan.Client(request.Client)
+	if !ok {
+		return r.config.Region
+	}
+	return client.Region
+}
+
+// setRegions finds, for each service, the regions that the plan leaves a
+// replica and a gateway.
+func (r *Router) setRegions(plan *Plan, now time.Time) {
+	reachable := map[string]bool{r.config.Region: true}
+	for _, gateway := range plan.Gateways() {
+		if gateway.Up {
+			reachable[gateway.Region] = true
+		}
+	}
+	usable := make(map[string]map[string]bool, len(r.services))
+	for name, replica := range plan.Replicas() {
+		if !planAdmits(plan, name, replica) || !reachable[replica.Region] {
+			continue
+		}
+		if usable[replica.Service] == nil {
+			usable[replica.Service] = make(map[string]bool)
+		}
+		usable[replica.Service][replica.Region] = true
+	}
+	for name, service := range r.services {
+		service.setRegions(plan.Regions(), usable[name])
+		service.refreshRegions(now)
+	}
+}
+
+// planAdmits reports whether the plan alone lets a replica have new work.
+func planAdmits(plan *Plan, name string, replica places.Replica) bool {
+	if plan.Drained(name) || plan.Evacuated(replica.Zone) {
+		return false
+	}
+	condition, ok := plan.Condition(name)
+	if !ok {
+		return true
+	}
+	return condition.State == places.ConditionUp || condition.State == places.ConditionCold
+}
+
+func (s *service) setRegions(listed map[string]places.Region, usable map[string]bool) {
+	for name := range s.regions {
+		if _, ok := listed[name]; !ok {
+			delete(s.regions, name)
+			delete(s.gates, name)
+		}
+	}
+	for name, settings := range listed {
+		region := s.regions[name]
+		if region == nil {
+			region = &placement.Region{Name: name, Hash: placement.Hash(name), Recovery: 1}
+			s.regions[name] = region
+			s.gates[name] = &placement.Gate{}
+		}
+		region.Capacity = float64(settings.Capacity)
+		region.Usable = usable[name]
+	}
+}
+
+// refreshRegions brings what is known of the regions' loads up to date.
+func (s *service) refreshRegions(now time.Time) {
+	own := s.router.config.Region
+	setPoint := s.spill.Status().SetPoint
+	for name, region := range s.regions {
+		if name == own {
+			s.refreshOwn(now, region)
+			continue
+		}
+		known := s.router.remotes[name]
+		if known == nil {
+			region.Knowledge = placement.Unheard
+			continue
+		}
+		load, reported := known.loads[s.name]
+		switch {
+		case now.Sub(known.heard) >= loadAge:
+			region.Knowledge = placement.Stale
+		case !reported:
+			region.Knowledge = placement.Unheard
+		default:
+			region.Knowledge = placement.Fresh
+		}
+		region.Load = load
+		region.Recovery = recovered(now, known.recovering)
+		fresh := region.Knowledge == placement.Fresh
+		region.TakesSpill = s.gates[name].Update(load, s.utilization, setPoint) && fresh
+	}
+}
+
+// refreshOwn judges the own region by what this gateway sees itself. Without a
+// usable replica for a while it counts as silent and comes last.
+func (s *service) refreshOwn(now time.Time, region *placement.Region) {
+	region.Load = s.utilization
+	region.Knowledge = placement.Fresh
+	region.Recovery = recovered(now, s.recovering)
+	if s.unusableFor(now) >= unusableWait {
+		region.Knowledge = placement.Stale
+	}
+}
+
+// recovered is the part of its traffic that a region may have at now.
+func recovered(now, since time.Time) float64 {
+	if since.IsZero() {
+		return 1
+	}
+	part := now.Sub(since).Seconds() / recoveryTime.Seconds()
+	return min(1, max(leastRecovery, part))
+}
--- /dev/null
+++ b/routing/replica.go
@@ -0,0 +1,283 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/deckpulley/deckpulley/admission"
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/detector"
+	"github.com/deckpulley/deckpulley/placement"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/ramp"
+)
+
+const (
+	// defaultConcurrency bounds a replica when neither the service nor the
+	// replica says anything.
+	defaultConcurrency = 8
+	// returnPart of its bound is a returning warm replica's first step.
+	returnPart = 0.25
+	// longClosure is the time without work after which a replica is ramped again.
+	longClosure = 3 * time.Second
+	// feederChange is how long a new feeder of the same cold replica waits, so
+	// that what the feeder before it had under way is seen in a report.
+	feederChange = time.Second
+	// holdSmoothing is the weight of one request in the time a slot is held.
+	holdSmoothing = 0.1
+	// trustSmoothing is the weight of one answer in the trust in expected caches.
+	trustSmoothing = 0.1
+)
+
+// replica is what the gateway knows of one replica of its region.
+type replica struct {
+	name    string
+	hash    uint64
+	number  int // in its service
+	listed  places.Replica
+	service *service
+	watched bool // this gateway is its watcher
+	gone    bool // no longer listed
+
+	allowed     bool // by list, drain record and zone
+	condition   places.Condition
+	conditioned bool
+
+	report   api.ReplicaReport
+	reported bool
+	unknown  bool // the last poll failed
+	former   string
+	created  time.Time
+	watch    *detector.Detector
+	fact     detector.Hysteresis[places.ConditionState]
+	emitted  emission
+
+	open        bool // everything but time admits new work
+	everOpen    bool
+	suspectedAt time.Time
+	closedUntil time.Time // ejection or change of feeder
+	closedAt    time.Time
+
+	inFlight     int
+	inFlightLong int
+	others       int     // requests of other gateways, by the last report
+	sentTokens   float64 // prefill sent since the last report
+	epoch        uint64  // counts reports
+	hold         float64 // seconds a request holds a slot, smoothed
+	trust        float64 // found over expected cached tokens, smoothed
+	limit        *admission.Limit
+	ramp         *ramp.Ramp
+	rampedFor    string // incarnation the ramp belongs to
+	fedAt        time.Time
+}
+
+func newReplica(service *service, name string, number int, listed places.Replica, now time.Time) *replica {
+	target := &replica{
+		name:    name,
+		hash:    placement.Hash(name),
+		number:  number,
+		listed:  listed,
+		service: service,
+		created: now,
+		watch:   detector.New(service.router.watching, now),
+		trust:   1,
+	}
+	target.limit = admission.NewLimit(target.bound(), service.firstToken)
+	return target
+}
+
+// plan takes over what the active plan says of the replica.
+func (t *replica) plan(now time.Time, plan *Plan) {
+	router := t.service.router
+	t.watched = placement.Owner(t.name, router.gateways) == router.config.Gateway
+	t.allowed = !plan.Drained(t.name) && !plan.Evacuated(t.listed.Zone)
+	before, had := t.condition, t.conditioned
+	t.condition, t.conditioned = plan.Condition(t.name)
+	self := router.config.Gateway
+	tookOver := had && t.conditioned && t.condition.Feeder == self &&
+		before.Feeder != self && before.Feeder != "" && before.Incarnation == t.condition.Incarnation
+	if tookOver {
+		t.closedUntil = later(t.closedUntil, now.Add(feederChange))
+	}
+	t.limit.SetSetPoint(t.service.firstToken)
+	t.limit.SetMaximum(t.bound())
+	t.refresh(now)
+}
+
+// observe takes a report unless it is older than what is known.
+func (t *replica) observe(at time.Time, report api.ReplicaReport) {
+	if report.Replica != t.name || report.Incarnation == "" || report.Incarnation == t.former {
+		return
+	}
+	same := t.reported && report.Incarnation == t.report.Incarnation
+	if same && report.Sequence < t.report.Sequence {
+		return
+	}
+	if same {
+		t.evictions(report.CacheEvictions - t.report.CacheEvictions)
+	} else {
+		t.restarted(at)
+	}
+	t.report = report
+	t.reported, t.unknown = true, false
+	t.watch.Heard(at)
+	t.suspectedAt = t.watch.SuspectedAt()
+	t.others = max(0, report.Running+report.Queued-t.inFlight)
+	t.sentTokens = 0
+	t.epoch++
+	t.limit.SetMaximum(t.bound())
+	t.refresh(at)
+}
+
+// restarted forgets what was learnt of the incarnation before.
+func (t *replica) restarted(at time.Time) {
+	if t.reported {
+		t.former = t.report.Incarnation
+	}
+	t.service.index.Forget(t.number)
+	t.service.group.Forget(t.name)
+	t.closedUntil = time.Time{}
+	t.fact.Reset()
+	t.watch = detector.New(t.service.router.watching, at)
+	t.limit = admission.NewLimit(t.bound(), t.service.firstToken)
+	t.hold, t.trust = 0, 1
+}
+
+// evictions drops this gateway's part of what the replica evicted.
+func (t *replica) evictions(count uint64) {
+	if count == 0 || count > placement.IndexEntries {
+		return
+	}
+	gateways := max(1, len(t.service.router.gateways))
+	part := (int(count) + gateways - 1) / gateways
+	t.service.index.Evicted(t.number, part)
+}
+
+// refresh recomputes whether everything but time admits new work.
+func (t *replica) refresh(now time.Time) {
+	was := t.open
+	t.open = t.allowed && t.reported && !t.unknown && !t.report.Draining &&
+		t.report.ConfigurationVersion <= t.service.router.version && t.doorOpen()
+	if was && !t.open {
+		t.closedAt = now
+	}
+	if !t.open {
+		return
+	}
+	t.startRamp(now, was)
+}
+
+// doorOpen judges the condition record against the report. A cold replica is
+// open to the one feeder that the plan names for this incarnation, and to
+// nobody while the plan does not name one.
+func (t *replica) doorOpen() bool {
+	if !t.conditioned {
+		return !t.report.Cold
+	}
+	switch t.condition.State {
+	case places.ConditionUp:
+		return !t.report.Cold
+	case places.ConditionCold:
+		return t.condition.Feeder == t.service.router.config.Gateway &&
+			t.condition.Incarnation == t.report.Incarnation
+	default:
+		return false
+	}
+}
+
+// cold reports whether the replica counts as cold: until both its own report
+// and the plan say otherwise.
+func (t *replica) cold() bool {
+	return t.report.Cold || (t.conditioned && t.condition.State == places.ConditionCold)
+}
+
+// startRamp begins a ramp for a new incarnation, after a long closure, and when
+// a fed replica has become warm.
+func (t *replica) startRamp(now time.Time, was bool) {
+	fresh := t.rampedFor != t.report.Incarnation
+	long := !was && now.Sub(t.closedAt) >= longClosure
+	bound := t.bound()
+	if fresh || long {
+		t.rampedFor = t.report.Incarnation
+		t.ramp = t.newRamp(bound)
+		return
+	}
+	becameWarm := t.ramp != nil && t.ramp.Growth() == ramp.Additive && !t.cold()
+	if becameWarm {
+		t.ramp = ramp.New(ramp.Doubling, t.ramp.Limit(), bound)
+	}
+}
+
+func (t *replica) newRamp(bound int) *ramp.Ramp {
+	if t.cold() {
+		return ramp.New(ramp.Additive, t.service.coldConcurrency, bound)
+	}
+	return ramp.New(ramp.Doubling, int(returnPart*float64(bound)), bound)
+}
+
+// bound is the fixed upper limit of requests in flight.
+func (t *replica) bound() int {
+	bound := t.service.settings.MaxConcurrency
+	if bound <= 0 {
+		bound = defaultConcurrency
+	}
+	if t.report.Slots > 0 {
+		bound = min(bound, t.report.Slots)
+	}
+	return bound
+}
+
+// usable reports whether the replica may get anything new at all.
+func (t *replica) usable(now time.Time) bool {
+	return t.open && now.Before(t.suspectedAt) && !now.Before(t.closedUntil)
+}
+
+// ceiling is the limit on the replica's requests from all gateways.
+func (t *replica) ceiling() int {
+	ceiling := min(t.limit.Value(), t.bound())
+	if t.ramp != nil {
+		ceiling = min(ceiling, t.ramp.Limit())
+	}
+	return ceiling
+}
+
+// room reports whether one more request of a class fits. A gateway may always
+// use its even part of the ceiling, and the rest as far as the last report
+// showed it free. A cold replica has no such part: its ceiling binds all.
+func (t *replica) room(class api.Class) bool {
+	ceiling := t.ceiling()
+	if t.cold() {
+		return t.inFlight+t.others < ceiling
+	}
+	gateways := max(1, len(t.service.router.gateways))
+	part := (ceiling + gateways - 1) / gateways
+	own := max(part, ceiling-t.others)
+	if t.inFlight >= own {
+		return false
+	}
+	return class != api.ClassLong || t.inFlightLong < admission.ClassLimit(own, class)
+}
+
+// busy counts the requests on the replica, as far as known.
+func (t *replica) busy() int {
+	return t.inFlight + t.others
+}
+
+func (t *replica) candidate(position int, cached float64) placement.Candidate {
+	return placement.Candidate{
+		Number:  position,
+		Hash:    t.hash,
+		Pending: float64(t.report.PendingPrefillTokens) + t.sentTokens,
+		Speed:   t.report.PrefillTokensPerSecond,
+		Busy:    float64(t.busy()),
+		Slots:   float64(max(1, t.report.Slots)),
+		Hold:    t.hold,
+		Cached:  cached * t.trust,
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/routing/router_test.go
@@ -0,0 +1,370 @@
+package routing
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/registry"
+)
+
+// fleet builds plans for tests from a real registry table.
+type fleet struct {
+	t       testing.TB
+	records []registry.Record
+}
+
+func newFleet(t testing.TB) *fleet {
+	f := &fleet{t: t}
+	f.set(
+		places.ConfigurationRecord(places.Configuration{Version: 1}),
+		places.LimitsRecord(places.Limits{QueueLength: 8}),
+		places.ServiceRecord("large", places.Service{Kind: "model", MaxConcurrency: 4}),
+		places.RouteRecord("large-1", places.Route{Service: "large"}),
+		places.RegionRecord("east", places.Region{Spill: []string{"west"}, Capacity: 5}),
+		places.RegionRecord("west", places.Region{Spill: []string{"east"}, Capacity: 4}),
+		places.ZoneRecord("east-a", places.Zone{Region: "east"}),
+		places.ZoneRecord("west-a", places.Zone{Region: "west"}),
+		places.HomeRecord("east-only", places.Home{Regions: []string{"east"}}),
+		places.HomeRecord("west-only", places.Home{Regions: []string{"west"}}),
+		places.TenantRecord("bound", places.Tenant{Home: "east-only"}),
+		places.ClientRecord("westerners", places.Client{Region: "west"}),
+	)
+	f.gateway("g1", "east-a", "east", true)
+	f.gateway("g2", "west-a", "west", true)
+	return f
+}
+
+// set adds records or replaces those of the same name and type.
+func (f *fleet) set(records ...registry.Record) {
+	for _, record := range records {
+		f.remove(record.Name, record.Type)
+		f.records = append(f.records, record)
+	}
+}
+
+func (f *fleet) remove(name registry.Name, recordType registry.Type) {
+	for index, record := range f.records {
+		if record.Name == name && record.Type == recordType {
+			f.records = append(f.records[:index], f.records[index+1:]...)
+			return
+		}
+	}
+}
+
+func (f *fleet) gateway(name, zone, region string, up bool) {
+	f.set(places.GatewayRecord(name, places.Gateway{Incarnation: "1", Zone: zone, Region: region, Up: up}))
+}
+
+func (f *fleet) replica(name, zone, region string) {
+	f.set(places.ReplicaRecord(name, places.Replica{
+		Service: "large", Zone: zone, Region: region, Address: name + ":80",
+	}))
+}
+
+func (f *fleet) condition(name string, state places.ConditionState, feeder string) {
+	f.set(places.ConditionRecord(name, places.Condition{State: state, Incarnation: name + "-1", Feeder: feeder}))
+}
+
+func (f *fleet) plan() *Plan {
+	f.t.Helper()
+	table, err := registry.New(places.Apex, places.Schema(), registry.Head{Primary: "c1", Serial: 1}, []string{"c1"})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	changes := make([]registry.Record, 0, len(f.records))
+	for _, record := range f.records {
+		changes = append(changes, registry.Add(record))
+	}
+	update := registry.NewUpdate(places.Apex, nil, changes)
+	if result := table.Apply(&update, nil); result.Code != registry.NoError {
+		f.t.Fatalf("table: %v", result)
+	}
+	contents, err := places.Read(table.View())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return contents
+}
+
+func report(name string) api.ReplicaReport {
+	return api.ReplicaReport{
+		Replica: name, Incarnation: name + "-1", Service: "large",
+		Slots: 4, PrefillTokensPerSecond: 1000, Sequence: 1, ConfigurationVersion: 1,
+	}
+}
+
+func request(id string) Request {
+	return Request{
+		ID: id, Model: "large-1", Service: "large", Class: api.ClassQuick,
+		PromptTokens: 10, Deadline: time.Now().Add(10 * time.Second), Attempt: 1,
+	}
+}
+
+func newRouter(region, gateway string) *Router {
+	return New(Config{Region: region, Gateway: gateway, Seed: 1})
+}
+
+func mustReserve(t *testing.T, router *Router, request Request) *Slot {
+	t.Helper()
+	slot, failure := router.Reserve(request)
+	if failure != nil {
+		t.Fatalf("reserve %s: %v", request.ID, failure)
+	}
+	return slot
+}
+
+func wantRefused(t *testing.T, router *Router, request Request, code api.Code) {
+	t.Helper()
+	slot, failure := router.Reserve(request)
+	if slot != nil || failure == nil || failure.Code != code || failure.Outcome != api.OutcomeRefused {
+		t.Fatalf("reserve %s: slot %v, %v; want refused with %s", request.ID, slot, failure, code)
+	}
+}
+
+// TestNothingNew goes through every reason why a replica gets nothing new, each
+// alone, and sees it return once the reason is gone.
+func TestNothingNew(t *testing.T) {
+	cases := []struct {
+		name  string
+		begin func(f *fleet, r *Router)
+		end   func(f *fleet, r *Router)
+	}{
+		{
+			name: "report says draining",
+			begin: func(_ *fleet, r *Router) {
+				told := report("r1")
+				told.Draining, told.Sequence = true, 2
+				r.Observe("r1", told, time.Now())
+			},
+			end: func(_ *fleet, r *Router) {
+				told := report("r1")
+				told.Sequence = 3
+				r.Observe("r1", told, time.Now())
+			},
+		},
+		{
+			name:  "platform drains",
+			begin: func(f *fleet, _ *Router) { f.set(places.DrainRecord("r1", places.Drain{})) },
+			end:   func(f *fleet, _ *Router) { f.remove(places.ReplicaName("r1"), places.TypeDrain) },
+		},
+		{
+			name:  "condition draining",
+			begin: func(f *fleet, _ *Router) { f.condition("r1", places.ConditionDraining, "") },
+			end:   func(f *fleet, _ *Router) { f.condition("r1", places.ConditionUp, "") },
+		},
+		{
+			name:  "condition down",
+			begin: func(f *fleet, _ *Router) { f.condition("r1", places.ConditionDown, "") },
+			end:   func(f *fleet, _ *Router) { f.condition("r1", places.ConditionUp, "") },
+		},
+		{
+			name: "zone evacuated",
+			begin: func(f *fleet, _ *Router) {
+				f.set(places.EvacuationRecord("east-a", places.Evacuation{Order: "o"}))
+			},
+			end: func(f *fleet, _ *Router) { f.remove(places.ZoneName("east-a"), places.TypeEvacuation) },
+		},
+		{
+			name:  "cold with another feeder",
+			begin: func(f *fleet, _ *Router) { f.condition("r1", places.ConditionCold, "g9") },
+			end:   func(f *fleet, _ *Router) { f.condition("r1", places.ConditionCold, "g1") },
+		},
+		{
+			name:  "poll failed",
+			begin: func(_ *fleet, r *Router) { r.PollFailed("r1", time.Now()) },
+			end:   func(_ *fleet, r *Router) { r.Observe("r1", report("r1"), time.Now()) },
+		},
+		{
+			name: "replica has seen a newer configuration",
+			begin: func(_ *fleet, r *Router) {
+				told := report("r1")
+				told.ConfigurationVersion, told.Sequence = 2, 2
+				r.Observe("r1", told, time.Now())
+			},
+			end: func(f *fleet, _ *Router) {
+				f.set(places.ConfigurationRecord(places.Configuration{Version: 2}))
+			},
+		},
+		{
+			name: "restarted and cold",
+			begin: func(_ *fleet, r *Router) {
+				told := report("r1")
+				told.Incarnation, told.Cold = "r1-2", true
+				r.Observe("r1", told, time.Now())
+			},
+			end: func(f *fleet, _ *Router) {
+				f.set(places.ConditionRecord("r1", places.Condition{
+					State: places.ConditionCold, Incarnation: "r1-2", Feeder: "g1",
+				}))
+			},
+		},
+		{
+			name:  "silent",
+			begin: func(_ *fleet, _ *Router) { time.Sleep(1500 * time.Millisecond) },
+			end:   func(_ *fleet, r *Router) { r.Observe("r1", report("r1"), time.Now()) },
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t)
+				f.replica("r1", "east-a", "east")
+				router := newRouter("east", "g1")
+				router.SetPlan(f.plan())
+				router.Observe("r1", report("r1"), time.Now())
+				early := mustReserve(t, router, request("early"))
+				c.begin(f, router)
+				router.SetPlan(f.plan())
+				wantRefused(t, router, request("during"), api.CodeNoCapacity)
+				if early.Usable(time.Now()) {
+					t.Fatal("a slot granted before is still usable")
+				}
+				early.Finish(ResultNotStarted, nil, time.Now())
+				c.end(f, router)
+				router.SetPlan(f.plan())
+				time.Sleep(feederChange)
+				mustReserve(t, router, request("after"))
+			})
+		})
+	}
+}
+
+// TestQueuedRequestsAreJudgedAgain lets requests wait and takes their replica
+// away by a new plan: each gets its refusal at once, not at its deadline.
+func TestQueuedRequestsAreJudgedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.replica("r1", "east-a", "east")
+		router := newRouter("east", "g1")
+		router.SetPlan(f.plan())
+		router.Observe("r1", report("r1"), time.Now())
+		mustReserve(t, router, request("holds the first step of the ramp"))
+		answers := make(chan *api.Error, 2)
+		for index := range 2 {
+			waiting := request(fmt.Sprint("waits", index))
+			go func() {
+				_, failure := router.Acquire(context.Background(), waiting)
+				answers <- failure
+			}()
+		}
+		synctest.Wait()
+		start := time.Now()
+		f.set(places.EvacuationRecord("east-a", places.Evacuation{Order: "o"}))
+		router.SetPlan(f.plan())
+		for range 2 {
+			failure := <-answers
+			if failure == nil || failure.Code != api.CodeNoCapacity || failure.RetryAfterMS <= 0 {
+				t.Fatalf("got %v, want no_capacity with a time to come back", failure)
+			}
+		}
+		if waited := time.Since(start); waited > 0 {
+			t.Fatalf("refusal held back for %v", waited)
+		}
+	})
+}
+
+// TestAcquire checks the waiting: a grant when a slot is given back, the
+// refusal when no replica is left usable, and a caller that goes away.
+func TestAcquire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.replica("r1", "east-a", "east")
+		router := newRouter("east", "g1")
+		router.SetPlan(f.plan())
+		router.Observe("r1", report("r1"), time.Now())
+		held := mustReserve(t, router, request("holder"))
+		ctx, cancel := context.WithCancel(context.Background())
+		gone := make(chan *api.Error, 1)
+		go func() {
+			_, failure := router.Acquire(ctx, request("goes away"))
+			gone <- failure
+		}()
+		synctest.Wait()
+		cancel()
+		if failure := <-gone; failure == nil || failure.Code != api.CodeCanceled {
+			t.Fatalf("canceled: %v", failure)
+		}
+		granted := make(chan *Slot, 1)
+		go func() {
+			slot, failure := router.Acquire(context.Background(), request("waits"))
+			if failure != nil {
+				t.Errorf("waits: %v", failure)
+			}
+			granted <- slot
+		}()
+		synctest.Wait()
+		held.Finish(ResultSuccess, nil, time.Now())
+		held.Finish(ResultSuccess, nil, time.Now())
+		slot := <-granted
+		if got := router.Status().Services[0]; got.InFlight != 1 || got.Queued != 0 {
+			t.Fatalf("status %+v, want 1 in flight", got)
+		}
+		slot.Finish(ResultSuccess, nil, time.Now())
+		time.Sleep(1400 * time.Millisecond) // the replica falls silent
+		start := time.Now()
+		_, failure := router.Acquire(context.Background(), request("late"))
+		if failure == nil || failure.Code != api.CodeNoCapacity {
+			t.Fatalf("no usable replica: %v", failure)
+		}
+		if waited := time.Since(start); waited > unusableWait+tickInterval {
+			t.Fatalf("waited %v for a replica", waited)
+		}
+	})
+}
+
+// TestHomes checks that a home binds from whatever rule it comes, under the
+// plan of the moment.
+func TestHomes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.replica("r1", "east-a", "east")
+		f.replica("r2", "west-a", "west")
+		router := newRouter("east", "g1")
+		router.SetPlan(f.plan())
+		router.Observe("r1", report("r1"), time.Now())
+		resolve := func(generate api.GenerateRequest) Request {
+			generate.RequestID, generate.Model = "q", "large-1"
+			resolved, failure := router.Resolve(generate, time.Now())
+			if failure != nil {
+				t.Fatalf("resolve: %v", failure)
+			}
+			return resolved
+		}
+		free := resolve(api.GenerateRequest{})
+		if got := router.Regions(free); len(got) != 2 || got[0] != "east" {
+			t.Fatalf("free: %v", got)
+		}
+		if got := router.Regions(resolve(api.GenerateRequest{Client: "westerners"})); got[0] != "west" {
+			t.Fatalf("client mapping: %v", got)
+		}
+		if got := router.Regions(resolve(api.GenerateRequest{Tenant: "bound", Client: "westerners"})); len(got) != 1 || got[0] != "east" {
+			t.Fatalf("bound tenant: %v", got)
+		}
+		west := resolve(api.GenerateRequest{Home: "west-only"})
+		wantRefused(t, router, west, api.CodeHomeUnavailable)
+		_, failure := router.Resolve(api.GenerateRequest{Model: "large-1", Tenant: "bound", Home: "west-only"}, time.Now())
+		if failure == nil || failure.Code != api.CodeHomeUnavailable {
+			t.Fatalf("homes without a common region: %v", failure)
+		}
+		// A new plan binds the route: the free request from before is bound too.
+		f.set(places.RouteRecord("large-1", places.Route{Service: "large", Home: "west-only"}))
+		router.SetPlan(f.plan())
+		if got := router.Regions(free); len(got) != 1 || got[0] != "west" {
+			t.Fatalf("bound by the new plan: %v", got)
+		}
+		wantRefused(t, router, free, api.CodeHomeUnavailable)
+		f.set(places.EvacuationRecord("west-a", places.Evacuation{Order: "o"}))
+		router.SetPlan(f.plan())
+		if got := router.Regions(free); len(got) != 0 {
+			t.Fatalf("home evacuated: %v", got)
+		}
+		if refused := router.Refusal(free); refused.Code != api.CodeHomeUnavailable {
+			t.Fatalf("refusal: %v", refused)
+		}
+	})
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -28,12 +28,17 @@
 	Client       string
 	// Home lists the only regions that may run it; empty is any.
 	Home []string
+	// HomeRule is the home rule that the request itself named, if any.
+	HomeRule string
 	// Deadline is monotonic (time.Now carries the reading).
 	Deadline time.Time
 	// Attempt is 1 for the first attempt.
 	Attempt int
 	// Exclude names replicas already tried.
 	Exclude map[string]bool
+
+	// resolved is the plan under which Home was found.
+	resolved *Plan
 }
 
 // Result says how an attempt on a replica ended.
--- /dev/null
+++ b/routing/service.go
@@ -0,0 +1,359 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/deckpulley/deckpulley/admission"
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/outlier"
+	"github.com/deckpulley/deckpulley/placement"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/setpoint"
+)
+
+const (
+	// feedInterval is the time between two requests that are sent to a cold
+	// replica for its own sake.
+	feedInterval = 200 * time.Millisecond
+	// feedPart of a request's remaining time may be spent to feed a cold replica.
+	feedPart = 0.25
+	// enoughCompletions is when the measured rate replaces the estimated one.
+	enoughCompletions = 5
+	// unservable is the utilization told of a service without a usable replica.
+	unservable = 100
+)
+
+// Gains of the spill controller, argued in docs/design/routing.md.
+const (
+	spillProportional = 0.25
+	spillIntegral     = 0.35 // per second
+	spillSmoothing    = 500 * time.Millisecond
+	spillMaximum      = 0.9
+)
+
+// service is the routing state of one service.
+type service struct {
+	router   *Router
+	name     string
+	settings places.Service
+	replicas []*replica
+	numbers  []*replica // by number, nil if free
+	cached   []float64  // by number, scratch of place
+
+	firstToken      time.Duration
+	coldConcurrency int
+
+	group       *outlier.Group
+	index       *placement.Index
+	queue       *admission.Queue[*waiter]
+	completions admission.Rate
+	completed   int
+	hold        float64 // seconds a request takes, smoothed
+	delay       float64 // seconds to the first token without own prefill, smoothed
+
+	spill       *setpoint.Controller
+	utilization float64
+	regions     map[string]*placement.Region
+	gates       map[string]*placement.Gate
+	closedSince time.Time // no replica was usable since; zero if one is
+	recovering  time.Time // when the own region had a usable replica again
+
+	candidates []placement.Candidate
+}
+
+func newService(router *Router, name string, limits places.Limits) *service {
+	return &service{
+		router:  router,
+		name:    name,
+		group:   outlier.NewGroup(outlier.DefaultConfig()),
+		index:   placement.NewIndex(0),
+		queue:   admission.NewQueue[*waiter](limits.QueueLength),
+		regions: make(map[string]*placement.Region),
+		gates:   make(map[string]*placement.Gate),
+		spill: setpoint.New(setpoint.Config{
+			Name:         "utilization",
+			SetPoint:     limits.TargetUtilization,
+			Proportional: spillProportional,
+			Integral:     spillIntegral,
+			Reverse:      true,
+			Maximum:      spillMaximum,
+			Smoothing:    spillSmoothing,
+		}),
+	}
+}
+
+func (s *service) set(settings places.Service, limits places.Limits) {
+	s.settings = settings
+	s.firstToken = time.Duration(limits.FirstTokenMS) * time.Millisecond
+	s.coldConcurrency = limits.ColdConcurrency
+	s.queue.SetLength(limits.QueueLength)
+	s.spill.SetSetPoint(limits.TargetUtilization)
+}
+
+func (s *service) add(name string, listed places.Replica, now time.Time) *replica {
+	number := 0
+	for number < len(s.numbers) && s.numbers[number] != nil {
+		number++
+	}
+	target := newReplica(s, name, number, listed, now)
+	if number == len(s.numbers) {
+		s.numbers = append(s.numbers, target)
+		s.cached = append(s.cached, 0)
+	}
+	s.numbers[number] = target
+	return target
+}
+
+func (s *service) remove(target *replica) {
+	s.index.Forget(target.number)
+	s.numbers[target.number] = nil
+	target.open, target.allowed, target.gone = false, false, true
+}
+
+// regroup brings the list of replicas and the groups that judge them in line.
+func (s *service) regroup() {
+	s.replicas = s.replicas[:0]
+	names := make([]string, 0, len(s.numbers))
+	for _, target := range s.numbers {
+		if target != nil {
+			s.replicas = append(s.replicas, target)
+			names = append(names, target.name)
+		}
+	}
+	s.group.Keep(names)
+	s.index.SetCount(len(names))
+}
+
+// promptTokens is the whole prompt of a request.
+func promptTokens(request *Request) float64 {
+	total := request.PromptTokens
+	for _, prefix := range request.Prefixes {
+		total += prefix.Tokens
+	}
+	return float64(total)
+}
+
+// chosen is a replica with what was expected of it.
+type chosen struct {
+	target *replica
+	cached float64 // tokens, by the index
+}
+
+// place chooses a replica with room for the waiter's request, nil if there is none.
+func (s *service) place(now time.Time, w *waiter) chosen {
+	s.index.Cached(w.chain, func(number, tokens int) {
+		s.cached[number] = float64(tokens)
+	})
+	choice := s.feed(now, w)
+	if choice.target == nil {
+		choice = s.choose(now, w)
+	}
+	for number := range s.cached {
+		s.cached[number] = 0
+	}
+	return choice
+}
+
+func (s *service) choose(now time.Time, w *waiter) chosen {
+	s.candidates = s.candidates[:0]
+	for position, target := range s.replicas {
+		if !target.usable(now) || !target.room(w.request.Class) || w.request.Exclude[target.name] {
+			continue
+		}
+		s.candidates = append(s.candidates, target.candidate(position, s.cached[target.number]))
+	}
+	best, _ := placement.Choose(s.candidates, w.work)
+	if best < 0 {
+		return chosen{}
+	}
+	target := s.replicas[s.candidates[best].Number]
+	return chosen{target: target, cached: s.cached[target.number]}
+}
+
+// feed picks a cold replica that waits for work, if the request can bear it:
+// expected times alone would never choose a slow replica, and it would stay cold.
+func (s *service) feed(now time.Time, w *waiter) chosen {
+	for _, target := range s.replicas {
+		due := target.cold() && now.Sub(target.fedAt) >= feedInterval
+		if !due || !target.usable(now) || !target.room(w.request.Class) || w.request.Exclude[target.name] {
+			continue
+		}
+		candidate := target.candidate(0, s.cached[target.number])
+		left := w.request.Deadline.Sub(now).Seconds()
+		if candidate.FirstToken(w.work.Tokens) > feedPart*left {
+			continue
+		}
+		target.fedAt = now
+		return chosen{target: target, cached: s.cached[target.number]}
+	}
+	return chosen{}
+}
+
+// dispatch grants slots to waiting requests in fair order while there is room.
+func (s *service) dispatch(now time.Time) {
+	if s.queue.Len() == 0 {
+		return
+	}
+	full := make(map[api.Class]bool)
+	accept := func(item *admission.Item[*waiter]) bool {
+		w := item.Payload
+		if full[w.request.Class] {
+			return false
+		}
+		choice := s.place(now, w)
+		if choice.target == nil {
+			full[w.request.Class] = full[w.request.Class] || len(w.request.Exclude) == 0
+			return false
+		}
+		w.grant(s.newSlot(now, w, choice))
+		return true
+	}
+	for s.queue.Take(accept) != nil {
+	}
+	s.sweep(now)
+}
+
+// sweep refuses the waiting requests that can no longer make their time, and
+// all of them once no replica has been usable for a while.
+func (s *service) sweep(now time.Time) {
+	rate := s.rate(now)
+	for _, item := range s.queue.Sweep(now, rate) {
+		item.Payload.refuse(s.lateError(&item.Payload.request, rate))
+	}
+	if s.queue.Len() > 0 && s.unusableFor(now) >= unusableWait {
+		for _, item := range s.queue.Drain() {
+			item.Payload.refuse(s.unusableError(&item.Payload.request))
+		}
+	}
+}
+
+// judgeQueue refuses waiting requests that the present plan no longer admits.
+func (s *service) judgeQueue(now time.Time) {
+	if s.queue.Len() == 0 {
+		return
+	}
+	possible := s.possible()
+	for _, item := range s.queue.Items() {
+		failure := s.router.planError(&item.Payload.request)
+		if failure == nil && !possible {
+			failure = s.unusableError(&item.Payload.request)
+		}
+		if failure != nil && s.queue.Remove(item) {
+			item.Payload.refuse(failure)
+		}
+	}
+	s.sweep(now)
+}
+
+// takeRerouted removes the waiters whose model belongs to another service under
+// a new plan.
+func (s *service) takeRerouted(plan *Plan) []*waiter {
+	var moved []*waiter
+	for _, item := range s.queue.Items() {
+		route, _ := plan.Route(item.Payload.request.Model)
+		if route.Service != s.name && s.queue.Remove(item) {
+			moved = append(moved, item.Payload)
+		}
+	}
+	return moved
+}
+
+// possible reports whether the plan leaves a replica that may become usable
+// without another plan.
+func (s *service) possible() bool {
+	for _, target := range s.replicas {
+		state := target.condition.State
+		shut := target.conditioned && (state == places.ConditionDown || state == places.ConditionDraining)
+		if target.allowed && !shut {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *service) anyUsable(now time.Time) bool {
+	for _, target := range s.replicas {
+		if target.usable(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// unusableFor is the time since a replica was last usable, 0 if one is.
+func (s *service) unusableFor(now time.Time) time.Duration {
+	if s.anyUsable(now) {
+		if !s.closedSince.IsZero() && now.Sub(s.closedSince) >= unusableWait {
+			s.recovering = now
+		}
+		s.closedSince = time.Time{}
+		return 0
+	}
+	if s.closedSince.IsZero() {
+		s.closedSince = now
+	}
+	return now.Sub(s.closedSince)
+}
+
+// rate is the completions per second that the queue can count on, 0 if unknown:
+// measured, and by Little's law while too few were seen.
+func (s *service) rate(now time.Time) float64 {
+	if s.completed >= enoughCompletions {
+		return max(s.completions.PerSecond(now), 0.01)
+	}
+	inFlight := 0
+	for _, target := range s.replicas {
+		inFlight += target.inFlight
+	}
+	if s.hold <= 0 {
+		return 0
+	}
+	return float64(inFlight) / s.hold
+}
+
+// needs is the expected time from the start to the first token on the best
+// replica for it, without any queueing.
+func (s *service) needs(w *waiter) time.Duration {
+	speed := 0.0
+	for _, target := range s.replicas {
+		if target.open {
+			speed = max(speed, target.report.PrefillTokensPerSecond)
+		}
+	}
+	if speed <= 0 {
+		return 0
+	}
+	most := 0
+	s.index.Cached(w.chain, func(_, tokens int) {
+		most = max(most, tokens)
+	})
+	seconds := max(0, w.work.Tokens-float64(most)) / speed
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// tick updates the controllers and the knowledge of the regions.
+func (s *service) tick(now time.Time) {
+	s.unusableFor(now)
+	s.utilization = s.measureUtilization(now)
+	s.spill.Update(now, s.utilization)
+	s.refreshRegions(now)
+	s.sweep(now)
+}
+
+// measureUtilization is the work on the usable replicas and in the queue over
+// their ceilings. A cold replica that another gateway feeds is left out.
+func (s *service) measureUtilization(now time.Time) float64 {
+	busy := float64(s.queue.Len())
+	ceilings := 0.0
+	for _, target := range s.replicas {
+		if !target.usable(now) {
+			continue
+		}
+		busy += float64(target.busy())
+		ceilings += float64(target.ceiling())
+	}
+	if ceilings == 0 {
+		return unservable
+	}
+	return busy / ceilings
+}
--- a/setpoint/setpoint.go
+++ b/setpoint/setpoint.go
@@ -58,8 +58,8 @@
 	return &Controller{config: config, integral: initial, output: initial, measured: math.NaN()}
 }
 
-// SetPoint changes the aim; the output moves from where it is.
-func (c *Controller) SetPoint(value float64) {
+// SetSetPoint changes the aim; the output moves on from where it is.
+func (c *Controller) SetSetPoint(value float64) {
 	c.config.SetPoint = value
 }
 
