--- a/admission/queue.go
+++ b/admission/queue.go
@@ -25,6 +25,8 @@
 	// ShortestRetryAfter and LongestRetryAfter bound the estimate given to callers.
 	ShortestRetryAfter = 100 * time.Millisecond
 	LongestRetryAfter  = 10 * time.Second
+	// passLag bounds how far a class falls behind in virtual time.
+	passLag = 2
 	// unknownRetryAfter is given while no rate is known.
 	unknownRetryAfter = time.Second
 )
@@ -132,7 +134,7 @@
 				continue
 			}
 			class.virtual = max(class.virtual, item.start)
-			class.pass += 1 / classWeight(index)
+			q.advancePass(index)
 			q.detach(class, item, false)
 			return item
 		}
@@ -244,7 +246,7 @@
 
 func (q *Queue[T]) insert(class *classQueue[T], item *Item[T]) {
 	if len(class.items) == 0 {
-		class.pass = q.leastPass()
+		class.pass = q.passOnReturn(class)
 	}
 	place, _ := slices.BinarySearchFunc(class.items, item, func(element, target *Item[T]) int {
 		if element.start <= target.start {
@@ -264,9 +266,10 @@
 	item.queued = true
 }
 
-// leastPass is the smallest virtual time of the classes with items, 0 if none
-// has any: a class that comes back has no credit and no debt.
-func (q *Queue[T]) leastPass() float64 {
+// passOnReturn is the virtual time of a class that has items again: no earlier
+// than the others', so that it has no credit from before, and its own if it is
+// ahead of them. An empty queue remembers nothing.
+func (q *Queue[T]) passOnReturn(returning *classQueue[T]) float64 {
 	least := -1.0
 	for index := range q.classes {
 		class := &q.classes[index]
@@ -274,7 +277,20 @@
 			least = class.pass
 		}
 	}
-	return max(least, 0)
+	if least < 0 {
+		return 0
+	}
+	return max(returning.pass, least)
+}
+
+// advancePass counts a start of a class. The others fall at most passLag
+// behind: a class that could not start for a while does not take all after.
+func (q *Queue[T]) advancePass(index int) {
+	started := &q.classes[index]
+	started.pass += 1 / classWeight(index)
+	for other := range q.classes {
+		q.classes[other].pass = max(q.classes[other].pass, started.pass-passLag)
+	}
 }
 
 func (q *Queue[T]) detach(class *classQueue[T], item *Item[T], giveBack bool) {
--- a/placement/region.go
+++ b/placement/region.go
@@ -160,9 +160,10 @@
 	return 0
 }
 
+// Salts keep independent draws from one key apart.
 const (
-	recoverySalt = 1
-	spillSalt    = 2
+	recoverySalt = 0x6a09e667f3bcc908
+	spillSalt    = 0xbb67ae8584caa73b
 )
 
 const (
