Add replica and platform stand-ins and the workload

A fleet cannot be shown to work without replicas that prefill, decode and misbehave, and without callers' traffic. internal/emulator models a replica in virtual time (prefix tree with eviction, continuous batching, cold start), internal/standin serves it over HTTP with the event log and told faults, internal/workload draws seeded requests for both deployments.

--- /dev/null
+++ b/cmd/standin-platform/main.go
@@ -0,0 +1,167 @@
+// Command standin-platform lists the replicas of a fleet to its control nodes,
+// for tests and trials on one machine. No deployment runs it.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/deckpulley/deckpulley/internal/eventlog"
+	"github.com/deckpulley/deckpulley/internal/standin"
+)
+
+// Exit statuses.
+const (
+	statusFailed  = 1
+	statusInvalid = 2
+)
+
+// readHeaderTimeout bounds a slow client of the control port.
+const readHeaderTimeout = 5 * time.Second
+
+// options are the flags.
+type options struct {
+	control   []string
+	replicas  string
+	token     string
+	tokenFile string
+	listen    string
+	log       string
+	name      string
+	verbose   bool
+}
+
+func main() {
+	var flags options
+	command := &cobra.Command{
+		Use:           "standin-platform",
+		Short:         "List the replicas of a fleet to its control nodes",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          func(command *cobra.Command, _ []string) error { return run(command.Context(), flags) },
+	}
+	set := command.Flags()
+	set.StringSliceVar(&flags.control, "control", nil, "operators' addresses (host:port) of nodes, tried in turn")
+	set.StringVar(&flags.replicas, "replicas", "", "file (YAML or JSON) with the replica list")
+	set.StringVar(&flags.token, "token", "", "token of the platform")
+	set.StringVar(&flags.tokenFile, "token-file", "", "file that holds the token")
+	set.StringVar(&flags.listen, "listen", "127.0.0.1:0", "address (host:port) of the control port")
+	set.StringVar(&flags.log, "log", "", "file to append events to")
+	set.StringVar(&flags.name, "name", "platform", "name in the event log")
+	set.BoolVar(&flags.verbose, "verbose", false, "say why nodes did not acknowledge")
+	for _, name := range []string{"control", "replicas"} {
+		if err := command.MarkFlagRequired(name); err != nil {
+			panic(err)
+		}
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := command.ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "standin-platform:", err)
+		os.Exit(exitStatus(err))
+	}
+}
+
+// servingError marks an error that is not one of flags or files.
+type servingError struct{ error }
+
+func exitStatus(err error) int {
+	var serving servingError
+	if errors.As(err, &serving) {
+		return statusFailed
+	}
+	return statusInvalid
+}
+
+func run(ctx context.Context, flags options) error {
+	token, err := readToken(flags)
+	if err != nil {
+		return err
+	}
+	config := standin.PlatformConfig{
+		Control:      flags.control,
+		ReplicasFile: flags.replicas,
+		Token:        token,
+		Logger:       logger(flags.verbose),
+	}
+	if flags.log != "" {
+		writer, err := eventlog.Open(flags.log, flags.name)
+		if err != nil {
+			return err
+		}
+		defer writer.Close()
+		config.Log = writer
+	}
+	platform := standin.NewPlatform(config)
+	listener, err := net.Listen("tcp", flags.listen)
+	if err != nil {
+		return servingError{fmt.Errorf("listening: %w", err)}
+	}
+	server := &http.Server{Handler: platform, ReadHeaderTimeout: readHeaderTimeout}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			config.Logger.Error("serving", "error", err)
+		}
+	}()
+	defer server.Close()
+	config.Logger.Info("serving", "address", listener.Addr().String())
+	reloadLoop(ctx, platform, config.Logger)
+	return nil
+}
+
+// resendPause is the time between attempts while no node acknowledges the list.
+const resendPause = time.Second
+
+// reloadLoop sends the list at once and again on each SIGHUP. A list that no
+// node has acknowledged is sent again until one does.
+func reloadLoop(ctx context.Context, platform *standin.Platform, logger *slog.Logger) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	for {
+		var resend <-chan time.Time
+		if err := platform.Reload(ctx); err != nil {
+			logger.Error("replica list not acknowledged", "error", err)
+			resend = time.After(resendPause)
+		} else {
+			logger.Info("replica list acknowledged")
+		}
+		select {
+		case <-hangup:
+		case <-resend:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func readToken(flags options) (string, error) {
+	if flags.tokenFile == "" {
+		return flags.token, nil
+	}
+	content, err := os.ReadFile(flags.tokenFile)
+	if err != nil {
+		return "", fmt.Errorf("reading the token: %w", err)
+	}
+	return strings.TrimSpace(string(content)), nil
+}
+
+func logger(verbose bool) *slog.Logger {
+	level := slog.LevelInfo
+	if verbose {
+		level = slog.LevelDebug
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+}
--- /dev/null
+++ b/internal/emulator/emulator_test.go
@@ -0,0 +1,258 @@
+package emulator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/deckpulley/deckpulley/api"
+)
+
+// exact are parameters without randomness.
+func exact() Parameters {
+	parameters := DefaultParameters(KindModel)
+	parameters.Jitter = 0
+	return parameters
+}
+
+// finish runs a replica until it is idle.
+func finish(replica Replica) []Event {
+	var events []Event
+	for {
+		next, pending := replica.NextEvent()
+		if !pending {
+			return events
+		}
+		events = append(events, replica.Advance(next)...)
+	}
+}
+
+func chain(ids ...string) []api.Prefix {
+	prefixes := make([]api.Prefix, len(ids))
+	for index, id := range ids {
+		prefixes[index] = api.Prefix{ID: id, Tokens: 1000}
+	}
+	return prefixes
+}
+
+func TestModelTimesFollowTheParameters(t *testing.T) {
+	cases := []struct {
+		name       string
+		cold       bool
+		earlier    [][]api.Prefix
+		prefixes   []api.Prefix
+		cached     int
+		firstToken time.Duration
+		end        time.Duration
+	}{
+		{"nothing cached", false, nil, chain("a", "b"), 0, 105 * time.Millisecond, 117 * time.Millisecond},
+		{"all cached", false, [][]api.Prefix{chain("a", "b")}, chain("a", "b"), 2000, 5 * time.Millisecond, 17 * time.Millisecond},
+		{"common beginning", false, [][]api.Prefix{chain("a", "b")}, chain("a", "c"), 1000, 55 * time.Millisecond, 67 * time.Millisecond},
+		{"same id below another parent", false, [][]api.Prefix{chain("a", "b")}, chain("c", "b"), 0, 105 * time.Millisecond, 117 * time.Millisecond},
+		{"cold", true, nil, chain("a"), 0, 275 * time.Millisecond, 335 * time.Millisecond},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			replica := New(exact(), 1, test.cold)
+			for index, prefixes := range test.earlier {
+				if err := replica.Submit(0, Job{ID: fmt.Sprint("earlier", index), Prefixes: prefixes, AnswerTokens: 1}); err != nil {
+					t.Fatal(err)
+				}
+				finish(replica)
+			}
+			start := 10 * time.Second
+			if err := replica.Submit(start, Job{ID: "job", Prefixes: test.prefixes, PromptTokens: 100, AnswerTokens: 2}); err != nil {
+				t.Fatal(err)
+			}
+			want := []Event{
+				{"job", EventToken, start + test.firstToken, 1, test.cached},
+				{"job", EventToken, start + test.end, 2, test.cached},
+				{"job", EventEnd, start + test.end, 2, test.cached},
+			}
+			if difference := cmp.Diff(want, finish(replica)); difference != "" {
+				t.Errorf("events (-want +got):\n%s", difference)
+			}
+		})
+	}
+}
+
+func TestStepTimeGrowsWithTheBatch(t *testing.T) {
+	replica := New(exact(), 1, false)
+	for index := range 16 {
+		if err := replica.Submit(0, Job{ID: fmt.Sprint(index), PromptTokens: 1, AnswerTokens: 100}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	events := finish(replica)
+	middle := len(events) / 2
+	gap := events[middle+16].At - events[middle].At
+	if want := 19500 * time.Microsecond; gap != want {
+		t.Errorf("step of a full batch = %v, want %v", gap, want)
+	}
+}
+
+func TestEvictionTakesTheLeastRecentlyUsedLeaf(t *testing.T) {
+	parameters := exact()
+	parameters.CacheTokens = 4500
+	replica := New(parameters, 1, false).(*modelReplica)
+	run := func(prefixes ...string) int {
+		if err := replica.Submit(replica.stepEnd, Job{ID: "job", Prefixes: chain(prefixes...), AnswerTokens: 1}); err != nil {
+			t.Fatal(err)
+		}
+		events := finish(replica)
+		return events[len(events)-1].CachedTokens
+	}
+	run("a", "b")
+	run("a", "c")
+	run("a", "d")
+	run("a", "b") // c is the oldest leaf now, a and d stay
+	run("a", "e") // evicts c
+	for _, step := range []struct {
+		leaf string
+		want int
+	}{{"b", 2000}, {"d", 2000}, {"c", 1000}, {"e", 1000}} {
+		if cached := run("a", step.leaf); cached != step.want {
+			t.Errorf("cached tokens of a, %s = %d, want %d", step.leaf, cached, step.want)
+		}
+	}
+	if err := replica.Submit(replica.stepEnd, Job{ID: "huge", PromptTokens: 4500, AnswerTokens: 1}); err != ErrTooLarge {
+		t.Errorf("a job beyond the cache: %v, want ErrTooLarge", err)
+	}
+}
+
+func TestColdReplicaWarmsByRequestsOrTime(t *testing.T) {
+	for _, kind := range []Kind{KindModel, KindWeb} {
+		parameters := DefaultParameters(kind)
+		parameters.WarmRequests = 3
+		replica := New(parameters, 1, true)
+		for index := range 3 {
+			if !replica.State(0).Cold {
+				t.Errorf("%s: warm after %d answers, want 3", kind, index)
+			}
+			if err := replica.Submit(0, Job{ID: fmt.Sprint(index), PromptTokens: 1, AnswerTokens: 1}); err != nil {
+				t.Fatal(err)
+			}
+			finish(replica)
+		}
+		if replica.State(0).Cold {
+			t.Errorf("%s: cold after 3 answers", kind)
+		}
+		replica.MakeCold(time.Minute)
+		if !replica.State(time.Minute + 19*time.Second).Cold {
+			t.Errorf("%s: warm before warm_seconds", kind)
+		}
+		if replica.State(time.Minute + 20*time.Second).Cold {
+			t.Errorf("%s: cold after warm_seconds", kind)
+		}
+	}
+}
+
+// TestEveryAcceptedJobIsAnsweredOnce draws histories of submissions,
+// cancellations, drains and cold starts over both kinds.
+func TestEveryAcceptedJobIsAnsweredOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		kind := rapid.SampledFrom([]Kind{KindModel, KindWeb}).Draw(t, "kind")
+		parameters := DefaultParameters(kind)
+		parameters.Slots = 3
+		parameters.QueueLength = 2
+		parameters.CacheTokens = 6000
+		seed := rapid.Uint64().Draw(t, "seed")
+		replica := New(parameters, seed, false)
+		twin := New(parameters, seed, false)
+		var now time.Duration
+		var events, twinEvents []Event
+		accepted := make(map[string]int)
+		canceled := make(map[string]bool)
+		for index := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 60).Draw(t, "wait")) * time.Millisecond
+			events = append(events, replica.Advance(now)...)
+			twinEvents = append(twinEvents, twin.Advance(now)...)
+			id := fmt.Sprint(index)
+			switch rapid.IntRange(0, 9).Draw(t, "action") {
+			case 0:
+				victim := fmt.Sprint(rapid.IntRange(0, index).Draw(t, "victim"))
+				replica.Cancel(now, victim)
+				twin.Cancel(now, victim)
+				canceled[victim] = true
+			case 1:
+				replica.MakeCold(now)
+				twin.MakeCold(now)
+			default:
+				job := Job{
+					ID:           id,
+					Prefixes:     chain("a", rapid.SampledFrom([]string{"b", "c", "d", "e"}).Draw(t, "leaf")),
+					PromptTokens: rapid.IntRange(0, 900).Draw(t, "prompt"),
+					AnswerTokens: rapid.IntRange(1, 20).Draw(t, "answer"),
+				}
+				err := replica.Submit(now, job)
+				if twinErr := twin.Submit(now, job); twinErr != err {
+					t.Fatalf("equal replicas differ: %v and %v", err, twinErr)
+				}
+				if err == nil {
+					accepted[id] = job.AnswerTokens
+				}
+			}
+			if state := replica.State(now); state.Running > 3 || state.Queued > 5 || state.CacheUsed > 1 {
+				t.Fatalf("state out of bounds: %+v", state)
+			}
+		}
+		events = append(events, finish(replica)...)
+		twinEvents = append(twinEvents, finish(twin)...)
+		if difference := cmp.Diff(twinEvents, events); difference != "" {
+			t.Fatalf("equal replicas differ:\n%s", difference)
+		}
+		checkEvents(t, kind, events, accepted, canceled)
+		if model, isModel := replica.(*modelReplica); isModel {
+			checkCache(t, model)
+		}
+	})
+}
+
+func checkEvents(t *rapid.T, kind Kind, events []Event, accepted map[string]int, canceled map[string]bool) {
+	tokens := make(map[string]int)
+	ended := make(map[string]bool)
+	var last time.Duration
+	for _, event := range events {
+		if event.At < last {
+			t.Fatalf("time falls at %+v", event)
+		}
+		last = event.At
+		if ended[event.Job] {
+			t.Fatalf("event after the end: %+v", event)
+		}
+		if event.Kind == EventToken {
+			tokens[event.Job]++
+			if event.Index != tokens[event.Job] {
+				t.Fatalf("token out of order: %+v after %d", event, tokens[event.Job]-1)
+			}
+			continue
+		}
+		ended[event.Job] = true
+		whole := event.Index == accepted[event.Job] && (kind == KindWeb || tokens[event.Job] == event.Index)
+		if !whole {
+			t.Fatalf("ended short: %+v of %d", event, accepted[event.Job])
+		}
+	}
+	for job := range accepted {
+		if !ended[job] && !canceled[job] {
+			t.Fatalf("job %s was accepted and never ended", job)
+		}
+	}
+}
+
+// checkCache compares the used tokens of an idle replica with its tree.
+func checkCache(t *rapid.T, model *modelReplica) {
+	total := 0
+	for node := model.cache.list.older; node != &model.cache.list; node = node.older {
+		if node.pins != 0 || !node.ready {
+			t.Fatalf("idle replica keeps %s: %d pins, ready %v", node.id, node.pins, node.ready)
+		}
+		total += node.tokens
+	}
+	if total != model.cache.used || total > model.cache.capacity {
+		t.Fatalf("cache counts %d tokens, holds %d of %d", model.cache.used, total, model.cache.capacity)
+	}
+}
--- /dev/null
+++ b/internal/emulator/parameters.go
@@ -0,0 +1,155 @@
+package emulator
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Kind says which service a replica emulates.
+type Kind string
+
+const (
+	// KindModel is a language model that prefills prompts and decodes tokens.
+	KindModel Kind = "model"
+	// KindWeb is a small web service with short answers.
+	KindWeb Kind = "web"
+)
+
+// Parameters describe one replica. They come from a YAML or JSON file; a field
+// that the file leaves out keeps the default of its kind.
+type Parameters struct {
+	Kind Kind `yaml:"kind"`
+	// Slots is the number of requests worked on side by side.
+	Slots int `yaml:"slots"`
+	// QueueLength bounds the requests that wait for a slot.
+	QueueLength int `yaml:"queue_length"`
+	// PrefillTokensPerSecond is the prefill speed of a warm replica.
+	PrefillTokensPerSecond float64 `yaml:"prefill_tokens_per_second"`
+	// PrefillChunkTokens bounds the prefill work of one step, in tokens.
+	PrefillChunkTokens int `yaml:"prefill_chunk_tokens"`
+	// DecodeStepMS is the time of a decode step with one sequence, in milliseconds.
+	DecodeStepMS float64 `yaml:"decode_step_ms"`
+	// DecodeSequenceMS is added to a step for each further sequence, in milliseconds.
+	DecodeSequenceMS float64 `yaml:"decode_sequence_ms"`
+	// CacheTokens is the capacity of the KV cache in tokens.
+	CacheTokens int `yaml:"cache_tokens"`
+	// ColdFactor multiplies every duration while the replica is cold.
+	ColdFactor float64 `yaml:"cold_factor"`
+	// WarmRequests is the number of answers after which a cold replica is warm.
+	WarmRequests int `yaml:"warm_requests"`
+	// WarmSeconds is the time after which a cold replica is warm in any case.
+	WarmSeconds float64 `yaml:"warm_seconds"`
+	// WeightVersion names the model weights.
+	WeightVersion string `yaml:"weight_version"`
+	// Jitter is the largest relative deviation of a step's duration, 0 to below 1.
+	Jitter float64 `yaml:"jitter"`
+	// WebMinimumMS and WebMaximumMS bound the answer time of KindWeb, in milliseconds.
+	WebMinimumMS float64 `yaml:"web_minimum_ms"`
+	WebMaximumMS float64 `yaml:"web_maximum_ms"`
+}
+
+// DefaultParameters are those of the documented replica of a kind.
+func DefaultParameters(kind Kind) Parameters {
+	parameters := Parameters{
+		Kind:                   kind,
+		Slots:                  16,
+		QueueLength:            48,
+		PrefillTokensPerSecond: 20_000,
+		PrefillChunkTokens:     512,
+		DecodeStepMS:           12,
+		DecodeSequenceMS:       0.5,
+		CacheTokens:            160_000,
+		ColdFactor:             5,
+		WarmRequests:           24,
+		WarmSeconds:            20,
+		WeightVersion:          "weights-1",
+		Jitter:                 0.1,
+		WebMinimumMS:           5,
+		WebMaximumMS:           15,
+	}
+	if kind == KindWeb {
+		parameters.Slots = 32
+		parameters.QueueLength = 256
+		parameters.WeightVersion = ""
+	}
+	return parameters
+}
+
+// LoadParameters reads a file over the defaults of the kind that the file names,
+// or of kind if it names none. An unknown field is an error.
+func LoadParameters(path string, kind Kind) (Parameters, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Parameters{}, fmt.Errorf("reading replica parameters: %w", err)
+	}
+	var named struct {
+		Kind Kind `yaml:"kind"`
+	}
+	if err := yaml.Unmarshal(content, &named); err != nil {
+		return Parameters{}, fmt.Errorf("parsing %s: %w", path, err)
+	}
+	if named.Kind != "" {
+		kind = named.Kind
+	}
+	parameters := DefaultParameters(kind)
+	decoder := yaml.NewDecoder(bytes.NewReader(content))
+	decoder.KnownFields(true)
+	if err := decoder.Decode(&parameters); err != nil && !errors.Is(err, io.EOF) {
+		return Parameters{}, fmt.Errorf("parsing %s: %w", path, err)
+	}
+	if err := parameters.Validate(); err != nil {
+		return Parameters{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return parameters, nil
+}
+
+// Validate reports the first field that is out of range.
+func (p Parameters) Validate() error {
+	if p.Kind != KindModel && p.Kind != KindWeb {
+		return fmt.Errorf("kind: %q is neither %q nor %q", p.Kind, KindModel, KindWeb)
+	}
+	positive := []struct {
+		field string
+		value float64
+	}{
+		{"slots", float64(p.Slots)},
+		{"prefill_tokens_per_second", p.PrefillTokensPerSecond},
+		{"prefill_chunk_tokens", float64(p.PrefillChunkTokens)},
+		{"decode_step_ms", p.DecodeStepMS},
+		{"cache_tokens", float64(p.CacheTokens)},
+		{"web_minimum_ms", p.WebMinimumMS},
+	}
+	for _, check := range positive {
+		if check.value <= 0 {
+			return fmt.Errorf("%s: must be above 0", check.field)
+		}
+	}
+	switch {
+	case p.QueueLength < 0:
+		return errors.New("queue_length: must not be negative")
+	case p.DecodeSequenceMS < 0:
+		return errors.New("decode_sequence_ms: must not be negative")
+	case p.ColdFactor < 1:
+		return errors.New("cold_factor: must be 1 or more")
+	case p.WarmRequests < 0:
+		return errors.New("warm_requests: must not be negative")
+	case p.WarmSeconds < 0:
+		return errors.New("warm_seconds: must not be negative")
+	case p.Jitter < 0 || p.Jitter >= 1:
+		return errors.New("jitter: must be from 0 to below 1")
+	case p.WebMaximumMS < p.WebMinimumMS:
+		return errors.New("web_maximum_ms: must not be below web_minimum_ms")
+	}
+	return nil
+}
+
+// milliseconds converts a parameter to a duration.
+func milliseconds(value float64) time.Duration {
+	return time.Duration(value * float64(time.Millisecond))
+}
