--- a/internal/emulator/parameters.go
+++ b/internal/emulator/parameters.go
@@ -64,7 +64,7 @@
 		PrefillChunkTokens:     512,
 		DecodeStepMS:           12,
 		DecodeSequenceMS:       0.5,
-		CacheTokens:            160_000,
+		CacheTokens:            100_000,
 		ColdFactor:             5,
 		WarmRequests:           24,
 		WarmSeconds:            20,
--- a/internal/workload/profile.go
+++ b/internal/workload/profile.go
@@ -127,15 +127,15 @@
 // repository explanations, inline lookups and snippet fetches.
 func Kodovka() *Profile {
 	repositories := &Population{
-		Tenants:        numbered("team-", 12),
-		Documents:      8,
+		Tenants:        numbered("team-", 10),
+		Documents:      6,
 		Skew:           0.9,
 		SystemTokens:   400,
-		DocumentTokens: Range{2000, 5000},
+		DocumentTokens: Range{2000, 4000},
 		SectionTokens:  Range{300, 900},
-		Sections:       6,
+		Sections:       4,
 	}
-	snippets := &Population{Tenants: numbered("team-", 12)}
+	snippets := &Population{Tenants: numbered("team-", 10)}
 	return &Profile{
 		Name: "kodovka",
 		Regions: []Region{
@@ -173,21 +173,21 @@
 func Georgia() *Profile {
 	dossiers := &Population{
 		Tenants:        numbered("unit-", 6),
-		Documents:      12,
+		Documents:      6,
 		Skew:           0.8,
 		SystemTokens:   600,
-		DocumentTokens: Range{3000, 6000},
+		DocumentTokens: Range{2500, 4500},
 		SectionTokens:  Range{300, 900},
-		Sections:       4,
+		Sections:       3,
 	}
 	tariffs := &Population{
 		Tenants:        numbered("contractor-", 4),
-		Documents:      6,
+		Documents:      4,
 		Skew:           0.9,
 		SystemTokens:   600,
-		DocumentTokens: Range{1500, 3000},
+		DocumentTokens: Range{1200, 2400},
 		SectionTokens:  Range{200, 600},
-		Sections:       8,
+		Sections:       5,
 	}
 	sheets := &Population{Tenants: []string{"portal"}}
 	return &Profile{
