Let replicas follow their zone into another region

Cause: the platform's record of a replica names its region. After a configuration that moves or removes a zone, gateways would place by the old region until the platform listed its replicas again, and requests bound to a home could leave it. Change: Contents derives a replica's region from its zone, and gives it none if the zone is gone. Result: go test -race of places, routing and configuration passes; the new test fails when, on a scratch copy, the region is not derived or not when zones change.

--- a/places/contents.go
+++ b/places/contents.go
@@ -19,7 +19,8 @@
 	regions       map[string]Region
 	zones         map[string]Zone
 	evacuations   map[string]Evacuation
-	replicas      map[string]Replica
+	listed        map[string]Replica // as in the records
+	replicas      map[string]Replica // with the regions of their zones
 	drains        map[string]Drain
 	conditions    map[string]Condition
 	gateways      map[string]Gateway
@@ -33,7 +34,7 @@
 		regions:     map[string]Region{},
 		zones:       map[string]Zone{},
 		evacuations: map[string]Evacuation{},
-		replicas:    map[string]Replica{},
+		listed:      map[string]Replica{},
 		drains:      map[string]Drain{},
 		conditions:  map[string]Condition{},
 		gateways:    map[string]Gateway{},
@@ -50,6 +51,7 @@
 		}
 	}
 	contents.limits = contents.limits.withDefaults()
+	contents.setReplicaRegions()
 	return contents, nil
 }
 
@@ -85,9 +87,22 @@
 		}
 	}
 	next.limits = next.limits.withDefaults()
+	if copied[TypeReplica] || copied[TypeZone] {
+		next.setReplicaRegions()
+	}
 	return &next, nil
 }
 
+// setReplicaRegions derives each replica's region from its zone: a configuration
+// may have moved the zone since the platform listed the replica.
+func (c *Contents) setReplicaRegions() {
+	c.replicas = make(map[string]Replica, len(c.listed))
+	for name, replica := range c.listed {
+		replica.Region = c.zones[replica.Zone].Region
+		c.replicas[name] = replica
+	}
+}
+
 // own makes the set of one kind a copy, once, before it is changed.
 func (c *Contents) own(recordType registry.Type, copied map[registry.Type]bool) {
 	if copied[recordType] {
@@ -104,7 +119,7 @@
 	case TypeEvacuation:
 		c.evacuations = maps.Clone(c.evacuations)
 	case TypeReplica:
-		c.replicas = maps.Clone(c.replicas)
+		c.listed = maps.Clone(c.listed)
 	case TypeDrain:
 		c.drains = maps.Clone(c.drains)
 	case TypeCondition:
@@ -131,7 +146,7 @@
 	case TypeEvacuation:
 		return putObject(c.evacuations, record)
 	case TypeReplica:
-		return putObject(c.replicas, record)
+		return putObject(c.listed, record)
 	case TypeDrain:
 		return putObject(c.drains, record)
 	case TypeCondition:
@@ -159,7 +174,7 @@
 	case TypeEvacuation:
 		return dropObject(c.evacuations, record)
 	case TypeReplica:
-		return dropObject(c.replicas, record)
+		return dropObject(c.listed, record)
 	case TypeDrain:
 		return dropObject(c.drains, record)
 	case TypeCondition:
@@ -293,7 +308,8 @@
 	return lookup[Tenant](c.view, TenantName(tenant), TypeTenant)
 }
 
-// Replicas returns all replicas.
+// Replicas returns all replicas, each in the region that its zone has now; the
+// region is empty if the configuration no longer has the zone.
 func (c *Contents) Replicas() map[string]Replica { return c.replicas }
 
 // Drained reports whether the platform drains a replica.
--- a/places/places_test.go
+++ b/places/places_test.go
@@ -183,6 +183,33 @@
 	}
 }
 
+func TestReplicasFollowTheirZone(t *testing.T) {
+	table := newTable(t)
+	contents := read(t, table)
+	moves := []struct {
+		change registry.Record
+		want   string
+	}{
+		{ZoneRecord("north-1", Zone{Region: "south"}), "south"},
+		{ReplicaRecord("replica-1", Replica{Zone: "north-1", Region: "west"}), "south"},
+		{registry.DeleteSet(ZoneName("north-1"), TypeZone), ""},
+		{ZoneRecord("north-1", Zone{Region: "north"}), "north"},
+	}
+	for _, move := range moves {
+		apply(t, table, move.change)
+		next, err := contents.Next(table.View(), table.Difference(contents.Serial()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		contents = next
+		for _, reading := range []*Contents{contents, read(t, table)} {
+			if got := reading.Replicas()["replica-1"].Region; got != move.want {
+				t.Errorf("region %q, want %q", got, move.want)
+			}
+		}
+	}
+}
+
 func TestSchemaRejectsForeignData(t *testing.T) {
 	table := newTable(t)
 	update := registry.NewUpdate(Apex, nil, []registry.Record{
