Show the way of a document into the table as a package example

Cause: configuration and places are meant to be embedded, and had no example. Change: one example that rejects, loads, applies and reads back a document. Result: go test -run Example ./configuration passes.

--- /dev/null
+++ b/configuration/example_test.go
@@ -0,0 +1,55 @@
+package configuration_test
+
+import (
+	"fmt"
+
+	"github.com/deckpulley/deckpulley/configuration"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/registry"
+)
+
+const document = `
+regions:
+  north: {zones: [north-1], capacity: 5}
+services:
+  explain: {kind: model, max_concurrency: 8}
+routes:
+  explain-long: {service: %s, class: long}
+`
+
+func Example() {
+	_, err := configuration.Load(fmt.Sprintf(document, "explian"))
+	fmt.Println(err)
+
+	text := fmt.Sprintf(document, "explain")
+	loaded, err := configuration.Load(text)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	table, err := registry.New(places.Apex, places.Schema(), registry.Head{Serial: 1}, []string{"control-1"})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	changes, err := configuration.Changes(table.View(), loaded, 1, "anna", text)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	update := registry.NewUpdate(places.Apex, []registry.Record{configuration.BasePrerequisite(table.View())}, changes)
+	fmt.Println(table.Apply(&update, nil).Code)
+
+	contents, err := places.Read(table.View())
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	route, _ := contents.Route("explain-long")
+	fmt.Println(contents.Version(), route.Service, route.Class)
+	// Output:
+	// invalid configuration
+	// 	line 7: routes.explain-long.service: no service "explian" (nearest: "explain")
+	// NOERROR
+	// 1 explain long
+}
