--- a/consensus/node.go
+++ b/consensus/node.go
@@ -290,3 +290,9 @@
 	}
 	return status
 }
+
+// Office returns the present term, and whether the node leads in it. It is
+// cheaper than Status.
+func (n *Node) Office() (term uint64, leading bool) {
+	return n.term, n.role == Leader
+}
--- /dev/null
+++ b/internal/simulation/event.go
@@ -0,0 +1,80 @@
+package simulation
+
+import (
+	"container/heap"
+	"time"
+)
+
+// event is something that happens at one moment of virtual time.
+type event struct {
+	at       time.Duration
+	sequence uint64
+	run      func()
+}
+
+// eventHeap orders events by time, then by the order of their making.
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].sequence < h[j].sequence
+}
+
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+func (h *eventHeap) Push(value any) { *h = append(*h, value.(event)) }
+
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+type eventQueue struct {
+	events   eventHeap
+	sequence uint64
+}
+
+// after plans something.
+func (w *world) after(delay time.Duration, run func()) {
+	w.queue.sequence++
+	heap.Push(&w.queue.events, event{at: w.now + delay, sequence: w.queue.sequence, run: run})
+}
+
+// runUntil plays events up to a moment, or to the first violation.
+func (w *world) runUntil(end time.Duration) {
+	for len(w.queue.events) > 0 && !w.broken() {
+		if w.queue.events[0].at > end {
+			break
+		}
+		w.step()
+	}
+	w.now = max(w.now, end)
+}
+
+// runUntilRecovered plays events until everything works again.
+func (w *world) runUntilRecovered(limit time.Duration) {
+	for !w.broken() && w.now < limit {
+		if w.recovered() {
+			return
+		}
+		w.runUntil(w.now + recoveryPoll)
+	}
+	if !w.broken() {
+		w.violate(RuleProgress, "%s", w.stuck())
+	}
+}
+
+const recoveryPoll = 100 * time.Millisecond
+
+func (w *world) step() {
+	next := heap.Pop(&w.queue.events).(event)
+	w.now = next.at
+	w.result.Steps++
+	next.run()
+}
--- /dev/null
+++ b/internal/simulation/network.go
@@ -0,0 +1,69 @@
+package simulation
+
+import "time"
+
+// network carries messages between places, which are machines, operators and
+// gateways by name.
+type network struct {
+	world *world
+	// cuts holds the directed pairs that lose everything.
+	cuts map[direction]bool
+	loss float64
+	// doubling is the probability that a message arrives twice.
+	doubling float64
+	// tail is the longest extra delay; it reorders messages.
+	tail time.Duration
+}
+
+type direction struct {
+	from, to string
+}
+
+const (
+	leastDelay  = 200 * time.Microsecond
+	mostDelay   = 3 * time.Millisecond
+	calmTail    = 5 * time.Millisecond
+	calmDouble  = 0.01
+	calmTailUse = 0.2
+)
+
+func newNetwork(w *world) network {
+	n := network{world: w, cuts: make(map[direction]bool)}
+	n.calm()
+	return n
+}
+
+// calm ends the bad weather, but not the cuts.
+func (n *network) calm() {
+	n.loss = 0
+	n.doubling = calmDouble
+	n.tail = calmTail
+}
+
+func (n *network) cut(from, to string) {
+	n.cuts[direction{from, to}] = true
+}
+
+func (n *network) mend(from, to string) {
+	delete(n.cuts, direction{from, to})
+}
+
+// send plans the arrival of a message, or of two, or of none. A cut that begins
+// while the message is under way does not hold it up.
+func (n *network) send(from, to string, arrive func()) {
+	if n.cuts[direction{from, to}] || n.world.chance(n.loss) {
+		return
+	}
+	n.world.after(n.delay(), arrive)
+	if n.world.chance(n.doubling) {
+		n.world.after(n.delay(), arrive)
+	}
+}
+
+func (n *network) delay() time.Duration {
+	delay := n.world.between(leastDelay, mostDelay)
+	if n.world.chance(calmTailUse) {
+		delay += n.world.between(0, n.tail)
+	}
+	return delay
+}
