--- a/lease/grantor.go
+++ b/lease/grantor.go
@@ -49,13 +49,44 @@
 	Active      uint32
 }
 
+// lease is what the grantor knows of one holder.
 type lease struct {
 	expires time.Duration
 	held    uint32
-	active  uint32
+	active  uint32 // newest reported
+	// proven is the newest active serial that was reported before the proof of
+	// office; the later reports wait for a newer proof.
+	proven  uint32
+	waiting []report
 	told    bool // Expired has reported it
 }
 
+// report is an active serial and when it was reported.
+type report struct {
+	at     time.Duration
+	active uint32
+}
+
+// reportActive notes a holder's active serial.
+func (l *lease) reportActive(now time.Duration, active uint32) {
+	if !serialLess(l.active, active) {
+		return
+	}
+	l.active = active
+	l.waiting = append(l.waiting, report{at: now, active: active})
+}
+
+// prove moves the reports up to the proof of office.
+func (l *lease) prove(contact time.Duration) {
+	for len(l.waiting) > 0 && l.waiting[0].at <= contact {
+		l.proven = l.waiting[0].active
+		l.waiting = l.waiting[1:]
+	}
+	if len(l.waiting) == 0 {
+		l.waiting = nil
+	}
+}
+
 // Grantor is the primary's side for one term of office. It is not safe for
 // concurrent use. Discard it when the office is lost.
 type Grantor struct {
@@ -139,12 +170,12 @@
 	if request.Active == 0 {
 		return false
 	}
-	if !g.windowOver() {
-		continued := request.Valid && request.Term == g.term
-		return continued || !serialLess(request.Active, g.floor)
+	bound := g.floor
+	if serial, known := g.InForce(g.contact); known {
+		bound = serial
 	}
-	g.InForce(g.contact)
-	return !serialLess(request.Active, g.reported)
+	continued := !g.windowOver() && request.Valid && request.Term == g.term
+	return continued || !serialLess(request.Active, bound)
 }
 
 func (g *Grantor) grant(now time.Duration, id HolderID, request Request) {
@@ -155,12 +186,17 @@
 	}
 	entry.expires = now + g.terms.Length + g.terms.Margin
 	entry.held = newerSerial(entry.held, request.Held)
-	entry.active = newerSerial(entry.active, request.Active)
+	entry.reportActive(now, request.Active)
 	entry.told = false
 }
 
+// leave ends the lease now, as seen once there is a proof of office from after
+// now: until then another primary may have let others in.
 func (g *Grantor) leave(now time.Duration, id HolderID) {
-	delete(g.leases, id)
+	if entry, known := g.leases[id]; known {
+		entry.expires = min(entry.expires, now)
+		entry.told = true
+	}
 	for other, until := range g.left {
 		if until <= now {
 			delete(g.left, other)
@@ -209,8 +245,10 @@
 }
 
 // InForce returns the newest serial that every live lease holder reports as
-// active. It is unknown (false) until the leases of earlier primaries have run
-// out, or while a live lease has reported no active serial.
+// active, as of the newest proof of office: call SetContact first. It is unknown
+// (false) until the leases of earlier primaries have run out, or while a live
+// lease has no active serial as of that proof and nothing was known before. What
+// it returns never falls.
 func (g *Grantor) InForce(time.Duration) (uint32, bool) {
 	if !g.windowOver() {
 		return 0, false
@@ -220,13 +258,14 @@
 		if !g.live(entry) {
 			continue
 		}
-		if entry.active == 0 {
-			return 0, false
-		}
-		if serialLess(entry.active, oldest) {
-			oldest = entry.active
+		entry.prove(g.contact)
+		if serialLess(entry.proven, oldest) {
+			oldest = entry.proven
 		}
 	}
+	if oldest == 0 {
+		return g.reported, g.reported != 0
+	}
 	g.reported = newerSerial(g.reported, oldest)
 	return g.reported, true
 }
@@ -244,7 +283,7 @@
 			expired = append(expired, id)
 		}
 		if !g.live(entry) {
-			delete(g.leases, id)
+			delete(g.leases, id) // also of those that left, see leave
 		}
 	}
 	sort.Slice(expired, func(i, j int) bool { return less(expired[i], expired[j]) })
