Spread unprefixed requests, judge whole answers by their usual time

Change: rendezvous among nearly equal times, keyed by the request's id without prefixes; whole answers compared with prefill plus usual time per token asked; no latency verdict on cold replicas; Request.Placed keeps the ticket's region first; load age follows the rate of messages. Result: go test -race ./routing ./placement passes.

--- a/placement/replica.go
+++ b/placement/replica.go
@@ -1,5 +1,7 @@
 package placement
 
+import "math"
+
 const (
 	// BoundedLoad is the factor over the mean load up to which a replica keeps
 	// the prefixes that belong to it.
@@ -9,8 +11,10 @@
 	// affinityPrice is the part of a prefix's prefill time that a request waits
 	// longer to place a new prefix on the replica it belongs to.
 	affinityPrice = 0.25
-	// tieWidth is the relative difference of expected times that counts as equal.
+	// tieWidth and tieFloor (seconds) are the relative and the absolute
+	// difference of expected times that count as nearly equal.
 	tieWidth = 0.05
+	tieFloor = 0.004
 	// crowding is the seconds added for a replica with all slots busy, in
 	// proportion below: a larger batch decodes more slowly.
 	crowding = 0.02
@@ -40,7 +44,8 @@
 type Work struct {
 	// Tokens is the whole prompt.
 	Tokens float64
-	// Key is the hash of the affinity link and Bulk its tokens; 0 without prefixes.
+	// Key is the hash of the affinity link and Bulk its tokens. Without prefixes
+	// Bulk is 0 and Key any hash that spreads requests.
 	Key  uint64
 	Bulk float64
 }
@@ -61,30 +66,27 @@
 // Choose returns the position of the best candidate, -1 if there is none, and
 // its expected time to the first token in seconds.
 //
-// The earliest expected first token decides. Times that are equal within a
-// twentieth are decided by rendezvous over the affinity link, so gateways that
-// know nothing of each other choose alike. A chain that no candidate holds goes
-// to its rendezvous owner if that costs at most a quarter of the prefill that
-// later requests then save. A replica beyond the bounded load is passed over
-// while another is below it.
+// The earliest expected first token decides. A chain that no candidate holds
+// goes to its rendezvous owner if that costs at most a quarter of the prefill
+// that later requests then save. Among times that are nearly equal, rendezvous
+// decides, so gateways that know nothing of each other choose alike for one
+// chain and spread different ones. A replica beyond the bounded load is passed
+// over while another is below it.
 func Choose(candidates []Candidate, work Work) (position int, expected float64) {
 	if len(candidates) == 0 {
 		return -1, 0
 	}
 	bound := loadBound(candidates)
-	best, earliest := earliestOf(candidates, work, bound)
-	owner, ownerTime := ownerOf(candidates, work, bound)
-	if owner < 0 || owner == best {
-		return best, earliest
-	}
-	allowance := tieWidth * earliest
-	if !held(candidates, work) {
-		allowance += affinityPrice * prefill(&candidates[owner], work.Bulk)
-	}
-	if ownerTime <= earliest+allowance {
-		return owner, ownerTime
+	earliest, someHold := survey(candidates, work, bound)
+	nearly := earliest*(1+tieWidth) + tieFloor
+	if !someHold && work.Bulk > 0 {
+		owner := ownerOf(candidates, work.Key, bound)
+		allowance := affinityPrice * prefill(&candidates[owner], work.Bulk)
+		if at := candidates[owner].FirstToken(work.Tokens); at <= nearly+allowance {
+			return owner, at
+		}
 	}
-	return best, earliest
+	return nearlyEarliest(candidates, work, bound, nearly)
 }
 
 // loadBound is the largest load per slot at which a replica keeps its prefixes.
@@ -101,59 +103,50 @@
 	return c.Busy <= bound*max(c.Slots, 1)+boundedSlack
 }
 
-func earliestOf(candidates []Candidate, work Work, bound float64) (best int, earliest float64) {
-	best = -1
-	bestWithin := false
-	var bestScore uint64
+// survey finds the earliest expected first token among the candidates within
+// the load bound, and whether any of them holds the affinity link.
+func survey(candidates []Candidate, work Work, bound float64) (earliest float64, someHold bool) {
+	earliest = math.Inf(1)
 	for index := range candidates {
 		c := &candidates[index]
-		within := withinBound(c, bound)
-		if bestWithin && !within {
-			continue
-		}
-		expected := c.FirstToken(work.Tokens)
-		score := Score(work.Key, c.Hash)
-		better := best < 0 || (within && !bestWithin) || expected < earliest ||
-			(expected == earliest && score > bestScore)
-		if better {
-			best, earliest, bestWithin, bestScore = index, expected, within, score
+		someHold = someHold || (c.Cached > 0 && c.Cached >= work.Bulk)
+		if withinBound(c, bound) {
+			earliest = min(earliest, c.FirstToken(work.Tokens))
 		}
 	}
-	return best, earliest
+	return earliest, someHold
 }
 
-// ownerOf is the rendezvous owner of the affinity link within the load bound.
-// If some candidates hold the link, only those are asked.
-func ownerOf(candidates []Candidate, work Work, bound float64) (owner int, expected float64) {
-	owner = -1
-	if work.Key == 0 {
-		return owner, 0
-	}
-	someHold := held(candidates, work)
+// ownerOf is the rendezvous owner among the candidates within the load bound.
+func ownerOf(candidates []Candidate, key uint64, bound float64) int {
+	owner := -1
 	var highest uint64
 	for index := range candidates {
 		c := &candidates[index]
-		if someHold && c.Cached < work.Bulk {
-			continue
-		}
-		score := Score(work.Key, c.Hash)
+		score := Score(key, c.Hash)
 		if (owner < 0 || score > highest) && withinBound(c, bound) {
 			owner, highest = index, score
 		}
 	}
-	if owner < 0 {
-		return owner, 0
-	}
-	return owner, candidates[owner].FirstToken(work.Tokens)
+	return owner
 }
 
-func held(candidates []Candidate, work Work) bool {
+// nearlyEarliest is the rendezvous owner among the candidates whose first token
+// is expected nearly as early as the earliest.
+func nearlyEarliest(candidates []Candidate, work Work, bound, nearly float64) (best int, expected float64) {
+	best = -1
+	var highest uint64
 	for index := range candidates {
-		if candidates[index].Cached > 0 && candidates[index].Cached >= work.Bulk {
-			return true
+		c := &candidates[index]
+		at := c.FirstToken(work.Tokens)
+		if at > nearly || !withinBound(c, bound) {
+			continue
+		}
+		if score := Score(work.Key, c.Hash); best < 0 || score > highest {
+			best, highest, expected = index, score, at
 		}
 	}
-	return false
+	return best, expected
 }
 
 func prefill(c *Candidate, tokens float64) float64 {
--- a/routing/acquire.go
+++ b/routing/acquire.go
@@ -26,6 +26,7 @@
 func newWaiter(request Request) *waiter {
 	w := &waiter{request: request, chain: placement.Chain(request.Prefixes)}
 	w.work.Tokens = promptTokens(&request)
+	w.work.Key = placement.Hash(request.ID)
 	if link, ok := placement.Affinity(w.chain); ok {
 		w.work.Key = link.Hash
 		w.work.Bulk = float64(link.Tokens)
--- a/routing/conditions.go
+++ b/routing/conditions.go
@@ -15,12 +15,12 @@
 	// after another state: two reports at the default interval.
 	upHold = 750 * time.Millisecond
 	// downHold is how long it must be dead before it is written down.
-	downHold = 500 * time.Millisecond
+	downHold = 2 * time.Second
 	// startGrace is how long a replica may stay unheard after this gateway
 	// learnt of it.
 	startGrace = 3 * time.Second
 	// emissionInterval is the time between two offers of the same change.
-	emissionInterval = time.Second
+	emissionInterval = 400 * time.Millisecond
 	// pauseGap between two calls of Conditions means that the process stood
 	// still, and pauseRest is how long it then says nothing.
 	pauseGap  = 3 * time.Second
@@ -43,7 +43,8 @@
 
 // Conditions lists the slow facts that this gateway, as the one watcher of a
 // replica, sees differently from the active plan. A change is offered again
-// every second until the plan shows it.
+// until the plan shows it. It must be called about as often as replicas are
+// polled: a longer gap counts as a pause of this process.
 func (r *Router) Conditions(now time.Time) []ConditionChange {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/routing/regions.go
+++ b/routing/regions.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	// loadAge is how long a region's load counts as known.
-	loadAge = 3 * time.Second
+	// loadAge is how long a region's load counts as known at the least;
+	// loadIntervals messages may be missing where they are rarer.
+	loadAge       = 3 * time.Second
+	loadIntervals = 4
 	// loadSmoothing is the weight of one message about a region's load.
 	loadSmoothing = 0.5
 	// recoveryTime is how long a region that returns takes to its full traffic.
@@ -22,10 +24,29 @@
 // remote is what another region's gateways tell of it.
 type remote struct {
 	heard      time.Time
-	recovering time.Time // when it was heard again after a silence
+	interval   time.Duration // between messages, smoothed
+	recovering time.Time     // when it was heard again after a silence
 	loads      map[string]float64
 }
 
+// silent reports whether messages have stopped.
+func (k *remote) silent(now time.Time) bool {
+	return !k.heard.IsZero() && now.Sub(k.heard) >= max(loadAge, loadIntervals*k.interval)
+}
+
+// hear records a message at a time.
+func (k *remote) hear(at time.Time) {
+	if k.silent(at) {
+		k.recovering = at
+		clear(k.loads)
+	}
+	if elapsed := at.Sub(k.heard); !k.heard.IsZero() && elapsed > 0 {
+		sample := min(elapsed, loadAge)
+		k.interval += time.Duration(holdSmoothing * float64(sample-k.interval))
+	}
+	k.heard = later(k.heard, at)
+}
+
 // Regions lists the regions to try for a request, best first. A region outside
 // the request's home is never listed. The list is empty if no region is left;
 // Refusal then says why. A request that came from another region's gateway must
@@ -46,14 +67,18 @@
 	if !ok {
 		return nil
 	}
-	preferred := r.preferredRegion(&request)
+	served := r.servingRegion(&request)
 	work := placement.RegionWork{
 		Key:       placement.Hash(request.ID) ^ r.config.Seed,
-		Preferred: preferred,
-		Spill:     r.plan.Regions()[preferred].Spill,
+		Preferred: served,
+		Spill:     r.plan.Regions()[served].Spill,
 		Home:      home,
 	}
-	if preferred == r.config.Region {
+	if request.Placed && served != r.config.Region {
+		work.Preferred = r.config.Region
+		work.Spill = append([]string{served}, work.Spill...)
+	}
+	if served == r.config.Region && !request.Placed {
 		work.Fraction = service.spill.Output()
 	}
 	return placement.Order(work, service.regions)
@@ -85,7 +110,7 @@
 	load := make(map[string]float64, len(r.services))
 	for name, service := range r.services {
 		if len(service.replicas) > 0 {
-			load[name] = service.utilization
+			load[name] = service.regionLoad()
 		}
 	}
 	return load
@@ -103,12 +128,7 @@
 		known = &remote{loads: make(map[string]float64)}
 		r.remotes[region] = known
 	}
-	silent := !known.heard.IsZero() && at.Sub(known.heard) >= loadAge
-	if silent {
-		known.recovering = at
-		clear(known.loads)
-	}
-	known.heard = later(known.heard, at)
+	known.hear(at)
 	for name, value := range load {
 		before, had := known.loads[name]
 		if had {
@@ -139,8 +159,8 @@
 	return home, len(home) > 0
 }
 
-// preferredRegion is the region that serves the request's client, else the own.
-func (r *Router) preferredRegion(request *Request) string {
+// servingRegion is the region that serves the request's client, else the own.
+func (r *Router) servingRegion(request *Request) string {
 	if request.Client == "" {
 		return r.config.Region
 	}
@@ -223,7 +243,7 @@
 		}
 		load, reported := known.loads[s.name]
 		switch {
-		case now.Sub(known.heard) >= loadAge:
+		case known.silent(now):
 			region.Knowledge = placement.Stale
 		case !reported:
 			region.Knowledge = placement.Unheard
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -263,13 +263,17 @@
 }
 
 func (t *replica) candidate(position int, cached float64) placement.Candidate {
+	slots := t.report.Slots
+	if slots <= 0 {
+		slots = t.bound()
+	}
 	return placement.Candidate{
 		Number:  position,
 		Hash:    t.hash,
 		Pending: float64(t.report.PendingPrefillTokens) + t.sentTokens,
 		Speed:   t.report.PrefillTokensPerSecond,
 		Busy:    float64(t.busy()),
-		Slots:   float64(max(1, t.report.Slots)),
+		Slots:   float64(slots),
 		Hold:    t.hold,
 		Cached:  cached * t.trust,
 	}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -25,7 +25,11 @@
 	Prefixes     []api.Prefix
 	PromptTokens int // after the prefixes
 	MaxTokens    int
+	Stream       bool
 	Client       string
+	// Placed is set when a ticket has chosen the own region already: it comes
+	// first then, so that a request is spilled once at the most.
+	Placed bool
 	// Home lists the only regions that may run it; empty is any.
 	Home []string
 	// HomeRule is the home rule that the request itself named, if any.
--- a/routing/service.go
+++ b/routing/service.go
@@ -21,6 +21,11 @@
 	enoughCompletions = 5
 	// unservable is the utilization told of a service without a usable replica.
 	unservable = 100
+	// fedElsewhere is the utilization told of a service whose only replicas are
+	// cold ones that other gateways feed: it serves, and has nothing to spare.
+	fedElsewhere = 1
+	// expectedSmoothing is the weight of one answer in the expected durations.
+	expectedSmoothing = 0.05
 )
 
 // Gains of the spill controller, argued in docs/design/routing.md.
@@ -49,6 +54,7 @@
 	completions admission.Rate
 	completed   int
 	hold        float64 // seconds a request takes, smoothed
+	perToken    float64 // of it, seconds per token asked for, smoothed
 	delay       float64 // seconds to the first token without own prefill, smoothed
 
 	spill       *setpoint.Controller
@@ -357,3 +363,16 @@
 	}
 	return busy / ceilings
 }
+
+// regionLoad is the utilization to be told to other regions.
+func (s *service) regionLoad() float64 {
+	if s.utilization < unservable {
+		return s.utilization
+	}
+	for _, target := range s.replicas {
+		if target.allowed && target.reported && !target.unknown && target.condition.State == places.ConditionCold {
+			return fedElsewhere
+		}
+	}
+	return unservable
+}
--- a/routing/slot.go
+++ b/routing/slot.go
@@ -78,12 +78,12 @@
 	return l.router.planError(&l.request) == nil && l.request.Service == l.target.service.name
 }
 
-// FirstToken records when the first event of a stream, or the first byte of an
-// answer that is sent as it is made, arrived.
+// FirstToken records when the first event of a stream arrived. A whole answer
+// shows no first token, and the call does nothing for one.
 func (l *Slot) FirstToken(at time.Time) {
 	l.router.mutex.Lock()
 	defer l.router.mutex.Unlock()
-	if l.firstToken || l.finished {
+	if l.firstToken || l.finished || !l.request.Stream {
 		return
 	}
 	l.firstToken = true
@@ -168,10 +168,8 @@
 	target := l.target
 	service := target.service
 	duration := at.Sub(l.granted).Seconds()
-	if !l.firstToken {
-		// A whole answer shows no first token: what it took beyond the usual
-		// time stands in for the delay.
-		l.recordDelay(at, duration-max(service.hold, l.prefill))
+	if !l.request.Stream && !target.cold() {
+		l.recordDelay(at, l.wholeDelay(duration))
 	}
 	target.hold = smoothed(target.hold, duration, holdSmoothing)
 	service.hold = smoothed(service.hold, duration, holdSmoothing)
@@ -183,19 +181,30 @@
 	}
 }
 
+// wholeDelay stands in for the delay to the first token of a whole answer: at
+// twice the usual duration it is the set point.
+func (l *Slot) wholeDelay(duration float64) float64 {
+	service := l.target.service
+	tokens := float64(max(1, l.request.MaxTokens))
+	usual := l.prefill + service.perToken*tokens
+	service.perToken = smoothed(service.perToken, max(0, duration-l.prefill)/tokens, expectedSmoothing)
+	if usual <= l.prefill {
+		return 0
+	}
+	return (duration/usual - 1) * service.firstToken.Seconds()
+}
+
 // recordDelay feeds the controllers with the delay to the first token that is
 // not the request's own prefill.
 func (l *Slot) recordDelay(at time.Time, seconds float64) {
 	target := l.target
 	service := target.service
-	if !l.current() {
-		return
+	if !l.current() || target.cold() {
+		return // a cold replica is slow: its ramp holds it, not its delay
 	}
 	delay := time.Duration(max(seconds, 0.001) * float64(time.Second))
 	service.delay = smoothed(service.delay, delay.Seconds(), holdSmoothing)
-	if !target.cold() {
-		target.limit.Observe(at, delay, l.inFlight)
-	}
+	target.limit.Observe(at, delay, l.inFlight)
 	if service.group.Latency(at, target.name, delay) {
 		target.ejected("latency")
 	}
