Simulate spill between three regions, and measure a placement

Cause: the spill controller and its gates must hold the set point without regions trading load; the cost of a placement must be known. Change: spill step, all-full and feeder hand-over simulations; BenchmarkReserve.

--- /dev/null
+++ b/routing/spill_test.go
@@ -0,0 +1,283 @@
+package routing
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/places"
+)
+
+// spillRegion is one region with one gateway in the spill simulation.
+type spillRegion struct {
+	router   *Router
+	replicas map[string]*simulated
+	arrivals float64 // a second
+	credit   float64
+	sent     map[string]int // first choices by region
+	refused  int
+	measured []float64
+}
+
+const spillHold = 400 * time.Millisecond
+
+// spillFleet makes three regions of five, four and three replicas of four slots
+// each, which carry 50, 40 and 30 requests a second at the most.
+func spillFleet(t *testing.T) (map[string]*spillRegion, []string) {
+	f := newFleet(t)
+	sizes := map[string]int{"east": 5, "west": 4, "south": 3}
+	names := []string{"east", "south", "west"}
+	for _, name := range names {
+		others := slices.DeleteFunc(slices.Clone(names), func(other string) bool { return other == name })
+		f.set(places.RegionRecord(name, places.Region{Spill: others, Capacity: sizes[name]}))
+		f.set(places.ZoneRecord(name+"-a", places.Zone{Region: name}))
+		f.gateway("g-"+name, name+"-a", name, true)
+		for index := range sizes[name] {
+			f.replica(fmt.Sprint(name, index), name+"-a", name)
+		}
+	}
+	f.remove(places.GatewayName("g1"), places.TypeGateway)
+	f.remove(places.GatewayName("g2"), places.TypeGateway)
+	plan := f.plan()
+	regions := map[string]*spillRegion{}
+	for _, name := range names {
+		region := &spillRegion{
+			router: newRouter(name, "g-"+name), replicas: map[string]*simulated{},
+			sent: map[string]int{},
+		}
+		region.router.SetPlan(plan)
+		for index := range sizes[name] {
+			replica := &simulated{name: fmt.Sprint(name, index), completed: warmAfter}
+			region.replicas[replica.name] = replica
+		}
+		regions[name] = region
+	}
+	return regions, names
+}
+
+// runSpill plays arrivals for some seconds in rounds of 20 ms.
+func runSpill(s *simulation, regions map[string]*spillRegion, names []string, seconds int) {
+	for round := range seconds * 50 {
+		for _, name := range names {
+			region := regions[name]
+			if round%25 == 0 {
+				gossip(regions, names, name)
+			}
+			region.credit += region.arrivals / 50
+			for ; region.credit >= 1; region.credit-- {
+				s.arrive(regions, name)
+			}
+			region.measured = append(region.measured, region.router.Load()["large"])
+		}
+		s.elapse(20 * time.Millisecond)
+	}
+}
+
+// gossip polls a region's replicas and tells its load to the others.
+func gossip(regions map[string]*spillRegion, names []string, name string) {
+	region := regions[name]
+	for _, replica := range region.replicas {
+		told := replica.report()
+		told.Slots = 4
+		region.router.Observe(replica.name, told, time.Now())
+	}
+	for _, other := range names {
+		regions[other].router.SetRemoteLoad(name, region.router.Load(), time.Now())
+	}
+}
+
+// arrive sends one request as a gateway does: to the listed regions in turn.
+func (s *simulation) arrive(regions map[string]*spillRegion, name string) {
+	region := regions[name]
+	asked := request(fmt.Sprint(name, s.random.Uint64()))
+	asked.Class = api.ClassQuick
+	for position, target := range region.router.Regions(asked) {
+		if position == 0 {
+			region.sent[target]++
+		}
+		slot, failure := regions[target].router.Reserve(asked)
+		if failure != nil {
+			continue
+		}
+		replica := regions[target].replicas[slot.Replica]
+		replica.running++
+		s.after(spillHold, func() {
+			replica.running--
+			slot.Finish(ResultSuccess, nil, time.Now())
+		})
+		return
+	}
+	region.refused++
+}
+
+func (r *spillRegion) forget() {
+	r.sent, r.refused, r.measured = map[string]int{}, 0, nil
+}
+
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, value := range values {
+		sum += value
+	}
+	return sum / float64(max(1, len(values)))
+}
+
+// TestSpillStep triples one region's load beyond what it can serve. Its load
+// must settle near the set point with the rest spilled by capacity, nothing
+// refused; the others, busy themselves but with room, must not send back.
+func TestSpillStep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		regions, names := spillFleet(t)
+		s := newSimulation(t, 1, 0)
+		regions["east"].arrivals = 20
+		regions["west"].arrivals = 12
+		regions["south"].arrivals = 9
+		runSpill(s, regions, names, 10)
+		for _, name := range names {
+			if away := len(regions[name].sent); away != 1 {
+				t.Errorf("%s spills at low load: %v", name, regions[name].sent)
+			}
+			regions[name].forget()
+		}
+		regions["east"].arrivals = 60
+		runSpill(s, regions, names, 10)
+		settling := regions["east"]
+		t.Logf("first 10 s: load %.2f, first choices %v, refused %d", mean(settling.measured), settling.sent, settling.refused)
+		for _, name := range names {
+			regions[name].forget()
+		}
+		runSpill(s, regions, names, 30)
+		east := regions["east"]
+		t.Logf("next 30 s: loads east %.2f west %.2f south %.2f, first choices %v",
+			mean(east.measured), mean(regions["west"].measured), mean(regions["south"].measured), east.sent)
+		if load := mean(east.measured); load < 0.7 || load > 0.9 {
+			t.Errorf("east settles at %.2f, want 0.8 within a tenth", load)
+		}
+		if east.refused > 0 {
+			t.Errorf("%d refused while others had room", east.refused)
+		}
+		for _, name := range []string{"west", "south"} {
+			if back := regions[name].sent["east"]; back > 0 {
+				t.Errorf("%s sent %d requests back to the overloaded region", name, back)
+			}
+		}
+		if east.sent["west"] <= east.sent["south"] {
+			t.Errorf("spill %v does not follow capacity", east.sent)
+		}
+		east.arrivals = 20
+		runSpill(s, regions, names, 8)
+		east.forget()
+		runSpill(s, regions, names, 5)
+		if east.sent["west"]+east.sent["south"] > 0 {
+			t.Errorf("still spills %v after the load fell", east.sent)
+		}
+	})
+}
+
+// TestTwoFullRegionsDoNotTrade loads every region beyond its set point: none
+// may send its requests elsewhere as a first choice for long.
+func TestTwoFullRegionsDoNotTrade(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		regions, names := spillFleet(t)
+		s := newSimulation(t, 2, 0)
+		regions["east"].arrivals = 47
+		regions["west"].arrivals = 38
+		regions["south"].arrivals = 28
+		runSpill(s, regions, names, 10)
+		for _, name := range names {
+			regions[name].forget()
+		}
+		runSpill(s, regions, names, 30)
+		for _, name := range names {
+			total := 0
+			for _, count := range regions[name].sent {
+				total += count
+			}
+			away := total - regions[name].sent[name]
+			t.Logf("%s: load %.2f, %d of %d first choices elsewhere, refused %d", name, mean(regions[name].measured), away, total, regions[name].refused)
+			if away*50 > total {
+				t.Errorf("%s sends %d of %d elsewhere while all are full", name, away, total)
+			}
+		}
+	})
+}
+
+// TestFeederChange hands a cold replica from one feeder to the next: the new
+// one waits until it must have seen what the old one had under way.
+func TestFeederChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.replica("r1", "east-a", "east")
+		f.condition("r1", places.ConditionCold, "g9")
+		router := newRouter("east", "g1")
+		cold := report("r1")
+		cold.Cold = true
+		router.SetPlan(f.plan())
+		router.Observe("r1", cold, time.Now())
+		wantRefused(t, router, request("another feeds"), api.CodeNoCapacity)
+		if feeders := router.Feeders("large"); len(feeders) != 1 || feeders[0] != "g9" {
+			t.Fatalf("feeders %v", feeders)
+		}
+		f.condition("r1", places.ConditionCold, "g1")
+		router.SetPlan(f.plan())
+		wantRefused(t, router, request("too early"), api.CodeNoCapacity)
+		time.Sleep(feederChange)
+		cold.Sequence, cold.Running = 2, 1
+		router.Observe("r1", cold, time.Now())
+		wantRefused(t, router, request("the old feeder's is still running"), api.CodeOverloaded)
+		cold.Sequence, cold.Running = 3, 0
+		router.Observe("r1", cold, time.Now())
+		mustReserve(t, router, request("first"))
+		wantRefused(t, router, request("second"), api.CodeOverloaded)
+	})
+}
+
+// BenchmarkReserve places requests on 240 replicas with prefixes: one call is
+// one request from Acquire's fast path to Finish.
+func BenchmarkReserve(b *testing.B) {
+	f := newFleet(b)
+	f.set(places.ServiceRecord("large", places.Service{Kind: "model", MaxConcurrency: 64}))
+	for index := range 240 {
+		f.replica(fmt.Sprint("r", index), "east-a", "east")
+	}
+	router := newRouter("east", "g1")
+	router.SetPlan(f.plan())
+	refresh := func(sequence uint64) {
+		for index := range 240 {
+			name := fmt.Sprint("r", index)
+			told := report(name)
+			told.Slots, told.Sequence = 64, sequence
+			router.Observe(name, told, time.Now())
+		}
+	}
+	refresh(1)
+	prefixes := make([][]api.Prefix, 500)
+	for index := range prefixes {
+		prefixes[index] = []api.Prefix{{ID: "system", Tokens: 200}, {ID: fmt.Sprint(index), Tokens: 4000}}
+	}
+	slots := make([]*Slot, 0, 1000)
+	b.ReportAllocs()
+	index := 0
+	for b.Loop() {
+		index++
+		if index%5000 == 0 {
+			refresh(uint64(index))
+		}
+		asked := request("request")
+		asked.Prefixes = prefixes[index%len(prefixes)]
+		slot, failure := router.Reserve(asked)
+		if failure != nil {
+			b.Fatal(failure)
+		}
+		slots = append(slots, slot)
+		if len(slots) == cap(slots) { // a thousand in flight
+			for _, slot := range slots {
+				slot.Finish(ResultSuccess, nil, time.Now())
+			}
+			slots = slots[:0]
+		}
+	}
+}
