Refuse exhausted retries at once, keep room from long requests fleet-wide

Cause: a retry that had tried every usable replica waited until its deadline; an idle service's measured rate refused the head of a crowd; three gateways could together fill a replica with long requests; a returning region could divert to regions nothing is known of. Change: such retries are refused at once; a young queue is judged by Little's law as well; long requests borrow only within their part of the ceiling; diversion needs a region that is known to take spill.

--- a/placement/region.go
+++ b/placement/region.go
@@ -146,15 +146,12 @@
 		}
 		return place
 	}
-	first := overflow[0]
-	if rank(first) != 0 {
+	if first := overflow[0]; first.Knowledge != Fresh || !first.TakesSpill {
 		return 0
 	}
-	if Uniform(Score(work.Key, recoverySalt)) >= preferred.Recovery {
-		return 1
-	}
+	held := Uniform(Score(work.Key, recoverySalt)) >= preferred.Recovery
 	spilled := Uniform(Score(work.Key, spillSalt)) < work.Fraction
-	if spilled && first.Knowledge == Fresh {
+	if held || spilled {
 		return 1
 	}
 	return 0
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -38,6 +38,8 @@
 	Hold float64
 	// Cached is the part of the prompt expected in its KV cache, in tokens.
 	Cached float64
+
+	expected float64 // seconds to the first token, set by survey
 }
 
 // Work is what placement must know of a request.
@@ -82,11 +84,11 @@
 	if !someHold && work.Bulk > 0 {
 		owner := ownerOf(candidates, work.Key, bound)
 		allowance := affinityPrice * prefill(&candidates[owner], work.Bulk)
-		if at := candidates[owner].FirstToken(work.Tokens); at <= nearly+allowance {
+		if at := candidates[owner].expected; at <= nearly+allowance {
 			return owner, at
 		}
 	}
-	return nearlyEarliest(candidates, work, bound, nearly)
+	return nearlyEarliest(candidates, work.Key, bound, nearly)
 }
 
 // loadBound is the largest load per slot at which a replica keeps its prefixes.
@@ -111,7 +113,8 @@
 		c := &candidates[index]
 		someHold = someHold || (c.Cached > 0 && c.Cached >= work.Bulk)
 		if withinBound(c, bound) {
-			earliest = min(earliest, c.FirstToken(work.Tokens))
+			c.expected = c.FirstToken(work.Tokens)
+			earliest = min(earliest, c.expected)
 		}
 	}
 	return earliest, someHold
@@ -133,17 +136,16 @@
 
 // nearlyEarliest is the rendezvous owner among the candidates whose first token
 // is expected nearly as early as the earliest.
-func nearlyEarliest(candidates []Candidate, work Work, bound, nearly float64) (best int, expected float64) {
+func nearlyEarliest(candidates []Candidate, key uint64, bound, nearly float64) (best int, expected float64) {
 	best = -1
 	var highest uint64
 	for index := range candidates {
 		c := &candidates[index]
-		at := c.FirstToken(work.Tokens)
-		if at > nearly || !withinBound(c, bound) {
+		if !withinBound(c, bound) || c.expected > nearly {
 			continue
 		}
-		if score := Score(work.Key, c.Hash); best < 0 || score > highest {
-			best, highest, expected = index, score, at
+		if score := Score(key, c.Hash); best < 0 || score > highest {
+			best, highest, expected = index, score, c.expected
 		}
 	}
 	return best, expected
--- a/routing/acquire.go
+++ b/routing/acquire.go
@@ -160,7 +160,7 @@
 		return nil, refusal(request, api.CodeDeadline, 0, "the caller's time has run out")
 	}
 	target := r.services[request.Service]
-	if !target.possible() || target.unusableFor(now) >= unusableWait {
+	if !target.possible() || target.exhausted(now, request) || target.unusableFor(now) >= unusableWait {
 		return nil, target.unusableError(request)
 	}
 	return target, nil
@@ -227,6 +227,9 @@
 		Needs:    s.needs(w),
 		Payload:  w,
 	}
+	if s.queue.Len() == 0 {
+		s.queuedSince = now
+	}
 	rate := s.rate(now)
 	pushedOut, refused := s.queue.Offer(now, w.item, rate)
 	if pushedOut != nil {
--- a/routing/regions.go
+++ b/routing/regions.go
@@ -263,6 +263,7 @@
 	region.Load = s.utilization
 	region.Knowledge = placement.Fresh
 	region.Recovery = recovered(now, s.recovering)
+	region.TakesSpill = s.gates[region.Name].Update(s.utilization, unservable, s.spill.Status().SetPoint)
 	if s.unusableFor(now) >= unusableWait {
 		region.Knowledge = placement.Stale
 	}
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -242,7 +242,9 @@
 
 // room reports whether one more request of a class fits. A gateway may always
 // use its even part of the ceiling, and the rest as far as the last report
-// showed it free. A cold replica has no such part: its ceiling binds all.
+// showed it free. Long requests have the same within their part of the ceiling,
+// and the others' requests all count as long. A cold replica has no such part:
+// its ceiling binds all.
 func (t *replica) room(class api.Class) bool {
 	ceiling := t.ceiling()
 	if t.cold() {
@@ -250,11 +252,14 @@
 	}
 	gateways := max(1, len(t.service.router.gateways))
 	part := (ceiling + gateways - 1) / gateways
-	own := max(part, ceiling-t.others)
-	if t.inFlight >= own {
+	if t.inFlight >= max(part, ceiling-t.others) {
 		return false
 	}
-	return class != api.ClassLong || t.inFlightLong < admission.ClassLimit(own, class)
+	if class != api.ClassLong {
+		return true
+	}
+	long := admission.ClassLimit(ceiling, class)
+	return t.inFlightLong < max(1, long/gateways) || t.busy() < long
 }
 
 // busy counts the requests on the replica, as far as known.
--- a/routing/service.go
+++ b/routing/service.go
@@ -17,8 +17,10 @@
 	feedInterval = 200 * time.Millisecond
 	// feedPart of a request's remaining time may be spent to feed a cold replica.
 	feedPart = 0.25
-	// enoughCompletions is when the measured rate replaces the estimated one.
-	enoughCompletions = 5
+	// youngQueue is the age up to which a queue is judged by what it should do.
+	youngQueue = 4 * time.Second
+	// leastRate bounds the completions per second assumed, above zero.
+	leastRate = 0.01
 	// unservable is the utilization told of a service without a usable replica.
 	unservable = 100
 	// fedElsewhere is the utilization told of a service whose only replicas are
@@ -53,9 +55,10 @@
 	queue       *admission.Queue[*waiter]
 	completions admission.Rate
 	completed   int
-	hold        float64 // seconds a request takes, smoothed
-	perToken    float64 // of it, seconds per token asked for, smoothed
-	delay       float64 // seconds to the first token without own prefill, smoothed
+	queuedSince time.Time // when the queue began to stand; zero if it is empty
+	hold        float64   // seconds a request takes, smoothed
+	perToken    float64   // of it, seconds per token asked for, smoothed
+	delay       float64   // seconds to the first token without own prefill, smoothed
 
 	spill       *setpoint.Controller
 	utilization float64
@@ -198,6 +201,7 @@
 // dispatch grants slots to waiting requests in fair order while there is room.
 func (s *service) dispatch(now time.Time) {
 	if s.queue.Len() == 0 {
+		s.queuedSince = time.Time{}
 		return
 	}
 	full := make(map[api.Class]bool)
@@ -231,6 +235,24 @@
 			item.Payload.refuse(s.unusableError(&item.Payload.request))
 		}
 	}
+	for _, item := range s.queue.Items() {
+		if s.exhausted(now, &item.Payload.request) && s.queue.Remove(item) {
+			item.Payload.refuse(s.unusableError(&item.Payload.request))
+		}
+	}
+}
+
+// exhausted reports whether a request has tried every usable replica.
+func (s *service) exhausted(now time.Time, request *Request) bool {
+	if len(request.Exclude) == 0 {
+		return false
+	}
+	for _, target := range s.replicas {
+		if target.usable(now) && !request.Exclude[target.name] {
+			return false
+		}
+	}
+	return true
 }
 
 // judgeQueue refuses waiting requests that the present plan no longer admits.
@@ -301,19 +323,31 @@
 	return now.Sub(s.closedSince)
 }
 
-// rate is the completions per second that the queue can count on, 0 if unknown:
-// measured, and by Little's law while too few were seen.
+// rate is the completions per second that the queue can count on, 0 if unknown.
+// A queue that has stood for a while is judged by what was measured meanwhile;
+// a young one also by Little's law, since what was measured before it was the
+// demand and not the capacity.
 func (s *service) rate(now time.Time) float64 {
-	if s.completed >= enoughCompletions {
-		return max(s.completions.PerSecond(now), 0.01)
+	measured := s.completions.PerSecond(now)
+	if s.queuedSince.IsZero() || now.Sub(s.queuedSince) < youngQueue {
+		measured = max(measured, s.expectedRate())
 	}
-	inFlight := 0
-	for _, target := range s.replicas {
-		inFlight += target.inFlight
+	if s.completed == 0 {
+		return 0
 	}
+	return max(measured, leastRate)
+}
+
+// expectedRate is what the requests in flight complete per second if each takes
+// the usual time.
+func (s *service) expectedRate() float64 {
 	if s.hold <= 0 {
 		return 0
 	}
+	inFlight := 0
+	for _, target := range s.replicas {
+		inFlight += target.inFlight
+	}
 	return float64(inFlight) / s.hold
 }
 
--- a/routing/spill_test.go
+++ b/routing/spill_test.go
@@ -235,6 +235,61 @@
 	})
 }
 
+// TestLongLeavesRoom fills a replica with long requests: a quick one still finds
+// room, also when another gateway has most of the slots.
+func TestLongLeavesRoom(t *testing.T) {
+	for others := range 4 {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t)
+			f.replica("r1", "east-a", "east")
+			router := newRouter("east", "g1")
+			router.SetPlan(f.plan())
+			for sequence := range uint64(4) { // passes the ramp
+				told := report("r1")
+				told.Sequence = sequence + 1
+				router.Observe("r1", told, time.Now())
+				mustReserve(t, router, request("warms")).Finish(ResultSuccess, nil, time.Now())
+			}
+			told := report("r1")
+			told.Sequence, told.Running = 9, others
+			router.Observe("r1", told, time.Now())
+			granted := 0
+			for range 8 {
+				long := request("long")
+				long.Class = api.ClassLong
+				if _, failure := router.Reserve(long); failure == nil {
+					granted++
+				}
+			}
+			if granted != 3 && others == 0 || granted >= 4 || granted == 0 {
+				t.Fatalf("%d long requests beside %d others on four slots", granted, others)
+			}
+			mustReserve(t, router, request("quick"))
+		})
+	}
+}
+
+// TestExcludedEverywhere asks for another attempt when every usable replica was
+// tried: the refusal comes at once.
+func TestExcludedEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.replica("r1", "east-a", "east")
+		router := newRouter("east", "g1")
+		router.SetPlan(f.plan())
+		router.Observe("r1", report("r1"), time.Now())
+		again := request("again")
+		again.Exclude = map[string]bool{"r1": true}
+		start := time.Now()
+		if _, failure := router.Acquire(t.Context(), again); failure == nil || failure.Code != api.CodeNoCapacity {
+			t.Fatalf("got %v", failure)
+		}
+		if waited := time.Since(start); waited > 0 {
+			t.Fatalf("refused after %v", waited)
+		}
+	})
+}
+
 // BenchmarkReserve places requests on 240 replicas with prefixes: one call is
 // one request from Acquire's fast path to Finish.
 func BenchmarkReserve(b *testing.B) {
