--- a/routing/router.go
+++ b/routing/router.go
@@ -8,6 +8,7 @@
 
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/detector"
+	"github.com/deckpulley/deckpulley/places"
 	"github.com/deckpulley/deckpulley/retry"
 )
 
@@ -215,11 +216,9 @@
 			delete(r.replicas, name)
 		}
 	}
-	for name, entry := range listed {
+	for _, name := range r.ownReplicas(listed) {
+		entry := listed[name]
 		service := r.services[entry.Service]
-		if entry.Region != r.config.Region || service == nil {
-			continue
-		}
 		if r.replicas[name] == nil {
 			r.replicas[name] = service.add(name, entry, now)
 		}
@@ -230,6 +229,19 @@
 	}
 }
 
+// ownReplicas names the listed replicas of the own region that belong to a
+// known service, sorted, so that equal plans are taken in alike.
+func (r *Router) ownReplicas(listed map[string]places.Replica) []string {
+	var names []string
+	for name, entry := range listed {
+		if entry.Region == r.config.Region && r.services[entry.Service] != nil {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // tick updates what moves with time alone.
 func (r *Router) tick(now time.Time) {
 	if now.Sub(r.lastTick) < tickInterval || r.plan == nil {
--- a/routing/spill_test.go
+++ b/routing/spill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -79,7 +80,8 @@
 // gossip polls a region's replicas and tells its load to the others.
 func gossip(regions map[string]*spillRegion, names []string, name string) {
 	region := regions[name]
-	for _, replica := range region.replicas {
+	for _, id := range slices.Sorted(maps.Keys(region.replicas)) {
+		replica := region.replicas[id]
 		told := replica.report()
 		told.Slots = 4
 		region.router.Observe(replica.name, told, time.Now())
