Hold a standing queue at the set point, eject replicas that only refuse

Cause: under lasting overload the queue made everybody wait 1.6 s and served nobody sooner; a replica that refuses everything was never passed over; the own queue alone understated a region's load. Change: a queue that has not drained for 4 s is bounded by rate times set point; refusals lower the limit and count as failures after ten in a row; utilization counts the other gateways' queues as the own.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -55,8 +55,9 @@
 
 // Queue is the bounded queue of one service: one fair queue per latency class.
 type Queue[T any] struct {
-	length  int
-	classes [3]classQueue[T]
+	length   int
+	standing int // 0 is no bound of its own
+	classes  [3]classQueue[T]
 }
 
 // classQueue orders its items by virtual start time (start-time fair queueing).
@@ -87,6 +88,19 @@
 	q.length = max(1, length)
 }
 
+// SetStanding bounds what may wait in each class but the long one, below the
+// whole length; 0 lifts the bound. It is meant for a queue that does not drain:
+// a longer one then makes everybody wait and nobody be served sooner. Items
+// beyond it stay until they leave.
+func (q *Queue[T]) SetStanding(length int) {
+	q.standing = max(0, length)
+}
+
+// Standing is the bound of SetStanding.
+func (q *Queue[T]) Standing() int {
+	return q.standing
+}
+
 // Len counts the waiting items.
 func (q *Queue[T]) Len() int {
 	total := 0
@@ -219,8 +233,10 @@
 	if q.Len() >= q.length {
 		return true
 	}
-	longest := max(1, int(longPart*float64(q.length)))
-	return class == api.ClassLong && q.ClassLen(class) >= longest
+	if class == api.ClassLong {
+		return q.ClassLen(class) >= max(1, int(longPart*float64(q.length)))
+	}
+	return q.standing > 0 && q.ClassLen(class) >= q.standing
 }
 
 // order lists the classes that have items by their virtual time.
--- a/routing/acquire.go
+++ b/routing/acquire.go
@@ -18,6 +18,7 @@
 	chain   []placement.Link
 	work    placement.Work
 	item    *admission.Item[*waiter]
+	since   time.Time     // when it was queued
 	done    chan struct{} // closed once slot or failure is set
 	slot    *Slot
 	failure *api.Error
@@ -56,7 +57,7 @@
 			return slot, failure
 		}
 		// The plan or the replica changed between the grant and now.
-		slot.Finish(ResultNotStarted, nil, time.Now())
+		slot.Finish(ResultCanceled, nil, time.Now())
 	}
 }
 
@@ -145,7 +146,7 @@
 	slot := w.slot
 	r.mutex.Unlock()
 	if slot != nil {
-		slot.Finish(ResultNotStarted, nil, time.Now())
+		slot.Finish(ResultCanceled, nil, time.Now())
 	}
 	return refusal(&w.request, api.CodeCanceled, 0, "the caller went away before a replica was found")
 }
@@ -213,11 +214,13 @@
 	if choice.target == nil {
 		return nil
 	}
+	s.waited -= holdSmoothing * s.waited
 	return s.newSlot(now, w, choice)
 }
 
 // enqueue gives the waiter a place in the queue, or says why not.
 func (s *service) enqueue(now time.Time, w *waiter) *api.Error {
+	w.since = now
 	w.item = &admission.Item[*waiter]{
 		Tenant:   w.request.Tenant,
 		Class:    w.request.Class,
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -58,6 +58,7 @@
 
 	inFlight     int
 	inFlightLong int
+	refusals     int     // in a row
 	others       int     // requests of other gateways, by the last report
 	sentTokens   float64 // prefill sent since the last report
 	epoch        uint64  // counts reports
@@ -138,7 +139,7 @@
 	t.fact.Reset()
 	t.watch = detector.New(t.service.router.watching, at)
 	t.limit = admission.NewLimit(t.bound(), t.service.firstToken)
-	t.hold, t.trust = 0, 1
+	t.hold, t.trust, t.refusals = 0, 1, 0
 }
 
 // evictions drops this gateway's part of what the replica evicted.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -50,7 +50,7 @@
 
 const (
 	ResultSuccess    Result = iota
-	ResultNotStarted        // the replica said refused: it never ran
+	ResultNotStarted        // the replica itself said refused: it never ran
 	ResultFailed            // the replica failed or broke
-	ResultCanceled          // the caller went away
+	ResultCanceled          // the caller went away, or the slot was not used
 )
--- a/routing/service.go
+++ b/routing/service.go
@@ -19,6 +19,8 @@
 	feedPart = 0.25
 	// youngQueue is the age up to which a queue is judged by what it should do.
 	youngQueue = 4 * time.Second
+	// leastStanding is the part of the queue's length that may always wait.
+	leastStanding = 0.125
 	// leastRate bounds the completions per second assumed, above zero.
 	leastRate = 0.01
 	// unservable is the utilization told of a service without a usable replica.
@@ -49,6 +51,7 @@
 
 	firstToken      time.Duration
 	coldConcurrency int
+	queueLength     int
 
 	group       *outlier.Group
 	index       *placement.Index
@@ -58,6 +61,7 @@
 	queuedSince time.Time // when the queue began to stand; zero if it is empty
 	hold        float64   // seconds a request takes, smoothed
 	perToken    float64   // of it, seconds per token asked for, smoothed
+	waited      float64   // seconds granted requests waited in the queue, smoothed
 	delay       float64   // seconds to the first token without own prefill, smoothed
 
 	spill       *setpoint.Controller
@@ -95,6 +99,7 @@
 	s.settings = settings
 	s.firstToken = time.Duration(limits.FirstTokenMS) * time.Millisecond
 	s.coldConcurrency = limits.ColdConcurrency
+	s.queueLength = limits.QueueLength
 	s.queue.SetLength(limits.QueueLength)
 	s.spill.SetSetPoint(limits.TargetUtilization)
 }
@@ -215,6 +220,7 @@
 			full[w.request.Class] = full[w.request.Class] || len(w.request.Exclude) == 0
 			return false
 		}
+		s.waited = smoothed(s.waited, now.Sub(w.since).Seconds(), holdSmoothing)
 		w.grant(s.newSlot(now, w, choice))
 		return true
 	}
@@ -377,13 +383,27 @@
 	s.utilization = s.measureUtilization(now)
 	s.spill.Update(now, s.utilization)
 	s.refreshRegions(now)
+	s.boundStanding(now)
 	s.sweep(now)
 }
 
-// measureUtilization is the work on the usable replicas and in the queue over
-// their ceilings. A cold replica that another gateway feeds is left out.
+// boundStanding keeps a queue that does not drain at the length that waits as
+// long as the set point of the first token. A young queue may use all of it.
+func (s *service) boundStanding(now time.Time) {
+	if s.queuedSince.IsZero() || now.Sub(s.queuedSince) < youngQueue {
+		s.queue.SetStanding(0)
+		return
+	}
+	length := s.rate(now) * s.firstToken.Seconds()
+	least := leastStanding * float64(s.queueLength)
+	s.queue.SetStanding(int(max(length, least, 1)))
+}
+
+// measureUtilization is the work on the usable replicas and in the queues over
+// their ceilings; the other gateways of the region are taken to queue as much
+// as this one. A cold replica that another gateway feeds is left out.
 func (s *service) measureUtilization(now time.Time) float64 {
-	busy := float64(s.queue.Len())
+	busy := float64(s.queue.Len() * max(1, len(s.router.gateways)))
 	ceilings := 0.0
 	for _, target := range s.replicas {
 		if !target.usable(now) {
--- a/routing/slot.go
+++ b/routing/slot.go
@@ -8,6 +8,10 @@
 	"github.com/deckpulley/deckpulley/ramp"
 )
 
+// toleratedRefusals is the number of refusals in a row by a replica that say
+// nothing against it.
+const toleratedRefusals = 10
+
 // Slot is the permission to send one request to one replica. Version and
 // Serial are those of the plan that decided it, for the stamp.
 type Slot struct {
@@ -64,7 +68,7 @@
 
 // Usable reports whether the slot may still be used for a first byte: the plan,
 // the replica and the home are judged as they are now. A slot that is not must
-// be finished with ResultNotStarted.
+// be finished with ResultCanceled.
 func (l *Slot) Usable(now time.Time) bool {
 	l.router.mutex.Lock()
 	defer l.router.mutex.Unlock()
@@ -149,7 +153,7 @@
 	case ResultSuccess:
 		l.succeeded(at)
 	case ResultNotStarted:
-		service.index.Unsent(target.number, l.chain)
+		l.refused(at)
 	case ResultFailed:
 		service.index.Unsent(target.number, l.chain)
 		target.limit.Failure(at)
@@ -164,6 +168,20 @@
 	}
 }
 
+// refused takes a replica's own refusal as a sign that its limit is too high. A
+// few are usual when it drains or a configuration spreads; many without a
+// success between them are failures.
+func (l *Slot) refused(at time.Time) {
+	target := l.target
+	service := target.service
+	service.index.Unsent(target.number, l.chain)
+	target.limit.Failure(at)
+	target.refusals++
+	if target.refusals > toleratedRefusals && service.group.Failure(at, target.name) {
+		target.ejected("refusals")
+	}
+}
+
 func (l *Slot) succeeded(at time.Time) {
 	target := l.target
 	service := target.service
@@ -174,6 +192,7 @@
 	target.hold = smoothed(target.hold, duration, holdSmoothing)
 	service.hold = smoothed(service.hold, duration, holdSmoothing)
 	service.group.Success(target.name)
+	target.refusals = 0
 	service.completions.Note(at)
 	service.completed++
 	if target.ramp != nil {
--- a/routing/status.go
+++ b/routing/status.go
@@ -107,6 +107,12 @@
 			Measured: s.delay,
 			Output:   float64(status.Limit),
 		},
+		{
+			Name:     "queue_wait_seconds",
+			SetPoint: s.firstToken.Seconds(),
+			Measured: s.waited,
+			Output:   float64(s.queue.Standing()),
+		},
 	}
 	return status
 }
