--- a/routing/acquire.go
+++ b/routing/acquire.go
@@ -18,6 +18,7 @@
 	chain   []placement.Link
 	work    placement.Work
 	item    *admission.Item[*waiter]
+	since   time.Time     // when it was queued
 	done    chan struct{} // closed once slot or failure is set
 	slot    *Slot
 	failure *api.Error
@@ -26,6 +27,7 @@
 func newWaiter(request Request) *waiter {
 	w := &waiter{request: request, chain: placement.Chain(request.Prefixes)}
 	w.work.Tokens = promptTokens(&request)
+	w.work.Key = placement.Hash(request.ID)
 	if link, ok := placement.Affinity(w.chain); ok {
 		w.work.Key = link.Hash
 		w.work.Bulk = float64(link.Tokens)
@@ -55,7 +57,7 @@
 			return slot, failure
 		}
 		// The plan or the replica changed between the grant and now.
-		slot.Finish(ResultNotStarted, nil, time.Now())
+		slot.Finish(ResultCanceled, nil, time.Now())
 	}
 }
 
@@ -144,7 +146,7 @@
 	slot := w.slot
 	r.mutex.Unlock()
 	if slot != nil {
-		slot.Finish(ResultNotStarted, nil, time.Now())
+		slot.Finish(ResultCanceled, nil, time.Now())
 	}
 	return refusal(&w.request, api.CodeCanceled, 0, "the caller went away before a replica was found")
 }
@@ -159,7 +161,7 @@
 		return nil, refusal(request, api.CodeDeadline, 0, "the caller's time has run out")
 	}
 	target := r.services[request.Service]
-	if !target.possible() || target.unusableFor(now) >= unusableWait {
+	if !target.possible() || target.exhausted(now, request) || target.unusableFor(now) >= unusableWait {
 		return nil, target.unusableError(request)
 	}
 	return target, nil
@@ -212,11 +214,13 @@
 	if choice.target == nil {
 		return nil
 	}
+	s.waited -= holdSmoothing * s.waited
 	return s.newSlot(now, w, choice)
 }
 
 // enqueue gives the waiter a place in the queue, or says why not.
 func (s *service) enqueue(now time.Time, w *waiter) *api.Error {
+	w.since = now
 	w.item = &admission.Item[*waiter]{
 		Tenant:   w.request.Tenant,
 		Class:    w.request.Class,
@@ -226,6 +230,9 @@
 		Needs:    s.needs(w),
 		Payload:  w,
 	}
+	if s.queue.Len() == 0 {
+		s.queuedSince = now
+	}
 	rate := s.rate(now)
 	pushedOut, refused := s.queue.Offer(now, w.item, rate)
 	if pushedOut != nil {
