--- a/api/caller.go
+++ b/api/caller.go
@@ -136,5 +136,9 @@
 	Sequence     int            `json:"sequence"`
 	Tokens       int            `json:"tokens"`
 	CachedTokens int            `json:"cached_tokens"`
-	Report       *ReplicaReport `json:"report,omitempty"`
+	// Replica, Region and ConfigurationVersion are filled in by the gateway.
+	Replica              string         `json:"replica,omitempty"`
+	Region               string         `json:"region,omitempty"`
+	ConfigurationVersion uint64         `json:"configuration_version,omitempty"`
+	Report               *ReplicaReport `json:"report,omitempty"`
 }
--- /dev/null
+++ b/gateway/agent/contacts.go
@@ -0,0 +1,88 @@
+package agent
+
+import (
+	"slices"
+	"time"
+)
+
+// contacts chooses which control node to ask. It starts from the seeds and goes
+// on with what control nodes tell of themselves, so that it survives the
+// replacement of every seed.
+type contacts struct {
+	seeds   []string
+	members []string // as last told by a control node
+	primary string   // empty if unknown
+	cursor  int
+	// suspect did not answer; hints at it are not followed until suspectUntil.
+	suspect      string
+	suspectUntil time.Duration
+}
+
+func newContacts(seeds []string) *contacts {
+	return &contacts{seeds: slices.Clone(seeds)}
+}
+
+// learn takes the addresses that a control node told.
+func (c *contacts) learn(members []string) {
+	if len(members) > 0 {
+		c.members = slices.Clone(members)
+	}
+}
+
+// control lists what is known of the control nodes, best first.
+func (c *contacts) control() []string {
+	list := make([]string, 0, len(c.members)+len(c.seeds)+1)
+	add := func(address string) {
+		if address != "" && !slices.Contains(list, address) {
+			list = append(list, address)
+		}
+	}
+	add(c.primary)
+	for _, address := range c.members {
+		add(address)
+	}
+	for _, address := range c.seeds {
+		add(address)
+	}
+	return list
+}
+
+// next is the address to ask: the primary if it is known, otherwise each in
+// turn; empty if there is none.
+func (c *contacts) next() string {
+	if c.primary != "" {
+		return c.primary
+	}
+	list := c.control()
+	if len(list) == 0 {
+		return ""
+	}
+	c.cursor++
+	return list[c.cursor%len(list)]
+}
+
+// answered notes what the asked node said about the primary. It reports whether
+// there is a hint to follow at once.
+func (c *contacts) answered(now time.Duration, asked string, granted bool, hint string) bool {
+	if granted {
+		c.primary = asked
+		return false
+	}
+	suspected := hint == c.suspect && now < c.suspectUntil
+	if hint != "" && hint != asked && !suspected {
+		c.primary = hint
+		return true
+	}
+	c.primary = ""
+	return false
+}
+
+// failed notes that the asked node did not answer. Others may go on naming it
+// as primary for as long as an election takes.
+func (c *contacts) failed(asked string, until time.Duration) {
+	c.suspect = asked
+	c.suspectUntil = until
+	if c.primary == asked {
+		c.primary = ""
+	}
+}
--- /dev/null
+++ b/gateway/agent/renew.go
@@ -0,0 +1,224 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/deckpulley/deckpulley/peer"
+)
+
+// Pauses of the renewal loop.
+const (
+	// searchPause is the wait between two nodes while no primary is known.
+	searchPause = 50 * time.Millisecond
+	// maxHints bounds how often hints are followed without a pause.
+	maxHints = 4
+	// firstTimeout bounds a renewal that brings a whole table.
+	firstTimeout = 3 * time.Second
+	// leaveTimeout bounds giving the lease up.
+	leaveTimeout = time.Second
+	// callShare is the part of a lease that one renewal may take.
+	callShare = 3
+)
+
+// Run renews the lease until the context ends.
+func (a *Agent) Run(ctx context.Context) {
+	hints := 0
+	for ctx.Err() == nil {
+		wait, hinted := a.renew(ctx)
+		if hinted && hints < maxHints {
+			hints++
+			continue
+		}
+		hints = 0
+		if wait == 0 {
+			continue
+		}
+		a.pause(ctx, wait)
+	}
+}
+
+func (a *Agent) pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-a.wake:
+	case <-timer.C:
+	}
+}
+
+// renew asks one node. It returns the wait before the next renewal, or that
+// there is a hint to follow at once.
+func (a *Agent) renew(ctx context.Context) (wait time.Duration, hinted bool) {
+	address, request, timeout := a.nextRenewal()
+	if address == "" {
+		return searchPause, false
+	}
+	var grant peer.Grant
+	sent := a.options.Clock()
+	callContext, cancel := context.WithTimeout(ctx, timeout)
+	a.setAsking(address, cancel)
+	err := a.options.Network.Call(callContext, address, peer.KindRenew, &request, &grant)
+	a.setAsking("", nil)
+	cancel()
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	now := a.options.Clock()
+	if err != nil {
+		a.refusals.Add(1)
+		a.contacts.failed(address, now+a.options.Terms.Length/callShare)
+		a.log.Debug("renewal failed", "address", address, "error", err)
+		return searchPause, false
+	}
+	a.contacts.learn(grant.Control)
+	hinted = a.contacts.answered(now, address, grant.Granted, grant.Primary)
+	if !grant.Granted {
+		a.refusals.Add(1)
+		return searchPause, hinted
+	}
+	return a.granted(sent, &grant), false
+}
+
+// setAsking notes which node is being asked, so that the news of another
+// primary can end the wait for its answer.
+func (a *Agent) setAsking(address string, cancel context.CancelFunc) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.asking = address
+	a.stopAsking = cancel
+}
+
+// nextRenewal chooses whom to ask and what to say.
+func (a *Agent) nextRenewal() (string, peer.Renew, time.Duration) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	request := peer.Renew{
+		Cluster: a.holder.Cluster(),
+		Gateway: a.options.Gateway,
+		Term:    a.holder.Term(),
+		Held:    a.heldLocked(),
+		Valid:   a.Valid(),
+	}
+	if active := a.active.Load(); active != nil {
+		request.Active = active.Serial()
+		request.ActiveVersion = active.Version()
+	}
+	timeout := a.options.Terms.Length / callShare
+	if request.Held == 0 {
+		timeout = firstTimeout
+	}
+	return a.contacts.next(), request, timeout
+}
+
+// granted takes a grant and returns the wait before the next renewal.
+func (a *Agent) granted(sent time.Duration, grant *peer.Grant) time.Duration {
+	length := time.Duration(grant.LeaseMS) * time.Millisecond
+	now := a.options.Clock()
+	if err := a.holder.Granted(now, sent, grant.Term, grant.Cluster, length); err != nil {
+		a.refusals.Add(1)
+		a.log.Warn("grant dropped", "term", grant.Term, "error", err)
+		a.contacts.primary = ""
+		return searchPause
+	}
+	a.renewals.Add(1)
+	if length > 0 {
+		a.leaseTerm = grant.Term
+		a.extend(now)
+	}
+	took, err := a.takeGrant(grant)
+	if err != nil {
+		a.log.Error("copy discarded", "error", err)
+		return searchPause
+	}
+	activated := a.activate(grant.Activate)
+	if took || activated {
+		return 0 // the primary waits for the news
+	}
+	return a.options.Terms.Renewal
+}
+
+func (a *Agent) takeGrant(grant *peer.Grant) (bool, error) {
+	if grant.Transfer == nil {
+		return false, nil
+	}
+	return a.take(*grant.Transfer)
+}
+
+// extend publishes the end of the lease.
+func (a *Agent) extend(now time.Duration) {
+	if remaining := a.holder.Remaining(now); remaining > 0 {
+		a.validUntil.Store(int64(now + remaining))
+	}
+}
+
+// Leave gives the lease up: from the call on the gateway may not act. The
+// primary is told if it can be reached.
+func (a *Agent) Leave(ctx context.Context) {
+	a.mutex.Lock()
+	a.holder.Leave()
+	a.validUntil.Store(0)
+	a.options.Gateway.Leaving = true
+	a.mutex.Unlock()
+	address, request, _ := a.nextRenewal()
+	if address == "" {
+		return
+	}
+	leaveContext, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	var grant peer.Grant
+	if err := a.options.Network.Call(leaveContext, address, peer.KindRenew, &request, &grant); err != nil {
+		a.log.Warn("the primary was not told of leaving", "address", address, "error", err)
+	}
+}
+
+// serveNotify renews at once, and activates at once if the notifying primary is
+// the one that granted the valid lease.
+func (a *Agent) serveNotify(_ context.Context, _ string, decode func(any) error) (any, error) {
+	var notify peer.Notify
+	if err := decode(&notify); err != nil {
+		return nil, err
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.holder.Cluster() == "" || notify.Cluster == "" {
+		a.renewSoon()
+		return nil, nil
+	}
+	if err := a.holder.Observe(notify.Term, notify.Cluster); err != nil {
+		return nil, nil
+	}
+	if notify.Primary != "" {
+		a.contacts.primary = notify.Primary
+		if a.asking != "" && a.asking != notify.Primary {
+			a.stopAsking()
+		}
+	}
+	if notify.Activate != 0 && a.Valid() && a.leaseTerm == notify.Term {
+		a.activate(notify.Activate)
+	}
+	a.renewSoon()
+	return nil, nil
+}
+
+var errNoControl = errors.New("agent: no control node is known")
+
+// serveRenew tells a gateway that has this one as a seed where to go.
+func (a *Agent) serveRenew(_ context.Context, _ string, decode func(any) error) (any, error) {
+	var renew peer.Renew
+	if err := decode(&renew); err != nil {
+		return nil, err
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.holder.Cluster() == "" {
+		return nil, errNoControl
+	}
+	return &peer.Grant{
+		Cluster: a.holder.Cluster(),
+		Term:    a.holder.Term(),
+		Primary: a.contacts.primary,
+		Control: a.contacts.members,
+	}, nil
+}
--- /dev/null
+++ b/gateway/check.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"fmt"
+	"unicode/utf8"
+
+	"github.com/deckpulley/deckpulley/api"
+)
+
+func invalid(field, format string, arguments ...any) *api.Error {
+	failure := failed(api.CodeInvalid, api.OutcomeRefused, format, arguments...)
+	failure.Field = field
+	return failure
+}
+
+// checkName checks an id or name of a request.
+func checkName(field, value string, required bool) *api.Error {
+	switch {
+	case value == "" && required:
+		return invalid(field, "is missing")
+	case len(value) > api.MaxNameBytes:
+		return invalid(field, "has %d bytes, %d at the most", len(value), api.MaxNameBytes)
+	case !utf8.ValidString(value):
+		return invalid(field, "is not valid UTF-8")
+	}
+	return nil
+}
+
+func checkWait(waitMS int64) *api.Error {
+	if waitMS < 0 || waitMS > api.MaxWaitMS {
+		return invalid("wait_ms", "must be from 0 to %d", int64(api.MaxWaitMS))
+	}
+	return nil
+}
+
+func checkPrefixes(prefixes []api.Prefix) (int, *api.Error) {
+	if len(prefixes) > api.MaxPrefixes {
+		return 0, invalid("prefixes", "has %d entries, %d at the most", len(prefixes), api.MaxPrefixes)
+	}
+	total := 0
+	for i, prefix := range prefixes {
+		if failure := checkName(fmt.Sprintf("prefixes[%d].id", i), prefix.ID, true); failure != nil {
+			return 0, failure
+		}
+		if prefix.Tokens < 0 || prefix.Tokens > api.MaxPromptTokens {
+			return 0, invalid(fmt.Sprintf("prefixes[%d].tokens", i), "must be from 0 to %d", api.MaxPromptTokens)
+		}
+		total += prefix.Tokens
+	}
+	return total, nil
+}
+
+// firstFailure returns the first one that is not nil.
+func firstFailure(failures ...*api.Error) *api.Error {
+	for _, failure := range failures {
+		if failure != nil {
+			return failure
+		}
+	}
+	return nil
+}
+
+// checkWhere checks the limits of a question where to go.
+func checkWhere(request *api.WhereRequest) *api.Error {
+	_, prefixes := checkPrefixes(request.Prefixes)
+	return firstFailure(
+		checkName("request_id", request.RequestID, true),
+		checkName("model", request.Model, true),
+		checkName("tenant", request.Tenant, false),
+		checkName("home", request.Home, false),
+		checkName("client", request.Client, false),
+		checkWait(request.WaitMS),
+		prefixes,
+	)
+}
+
+// checkGenerate checks the limits of a request.
+func checkGenerate(request *api.GenerateRequest) *api.Error {
+	prefixTokens, prefixes := checkPrefixes(request.Prefixes)
+	return firstFailure(
+		checkName("request_id", request.RequestID, true),
+		checkName("model", request.Model, true),
+		checkName("tenant", request.Tenant, false),
+		checkName("home", request.Home, false),
+		checkName("client", request.Client, false),
+		checkWait(request.WaitMS),
+		prefixes,
+		checkClass(request.Class),
+		checkTokens(request, prefixTokens),
+	)
+}
+
+func checkClass(class api.Class) *api.Error {
+	switch class {
+	case "", api.ClassQuick, api.ClassLong, api.ClassFetch:
+		return nil
+	default:
+		return invalid("class", "must be %q, %q or %q", api.ClassQuick, api.ClassLong, api.ClassFetch)
+	}
+}
+
+func checkTokens(request *api.GenerateRequest, prefixTokens int) *api.Error {
+	if request.PromptTokens < 0 || request.PromptTokens > api.MaxPromptTokens {
+		return invalid("prompt_tokens", "must be from 0 to %d", api.MaxPromptTokens)
+	}
+	if prefixTokens+request.PromptTokens > api.MaxPromptTokens {
+		return invalid("prompt_tokens", "the prompt has %d tokens with its prefixes, %d at the most", prefixTokens+request.PromptTokens, api.MaxPromptTokens)
+	}
+	if request.MaxTokens < 1 || request.MaxTokens > api.MaxOutputTokens {
+		return invalid("max_tokens", "must be from 1 to %d", api.MaxOutputTokens)
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,386 @@
+// Package gateway carries callers' requests to replicas. A gateway acts only
+// under a lease from the primary and by the active copy of the registry that
+// its agent keeps; it places requests on replicas of its own region, hands
+// overflow to gateways of other regions, remembers the tickets it issued, and
+// watches the replicas that are its to watch.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/gateway/agent"
+	"github.com/deckpulley/deckpulley/lease"
+	"github.com/deckpulley/deckpulley/peer"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/routing"
+	"github.com/deckpulley/deckpulley/ticket"
+	"github.com/deckpulley/deckpulley/transport"
+)
+
+// Router decides where requests run; *routing.Router is the real one.
+type Router interface {
+	SetPlan(*routing.Plan)
+	Observe(replica string, report api.ReplicaReport, at time.Time)
+	PollFailed(replica string, at time.Time)
+	Resolve(api.GenerateRequest, time.Time) (routing.Request, *api.Error)
+	Regions(routing.Request) []string
+	Refusal(routing.Request) *api.Error
+	Acquire(context.Context, routing.Request) (*routing.Slot, *api.Error)
+	Reserve(routing.Request) (*routing.Slot, *api.Error)
+	AllowRetry() bool
+	NoteAttempt()
+	Conditions(time.Time) []routing.ConditionChange
+	Watched() []string
+	Load() map[string]float64
+	SetRemoteLoad(region string, load map[string]float64, at time.Time)
+}
+
+// Authenticator judges the Authorization header of an operator or the platform.
+type Authenticator interface {
+	Authenticate(header string) (name string, ok bool)
+}
+
+// Options sets up a Gateway. Zero values of what is marked optional are replaced
+// by defaults.
+type Options struct {
+	// Info is the gateway's name, incarnation, place and addresses.
+	Info peer.GatewayInfo
+	// Seeds are the peers' addresses of the first contact.
+	Seeds []string
+	// Keys are the fleet's keys, newest first.
+	Keys [][]byte
+	// Terms are the fleet's lease terms.
+	Terms lease.Terms
+	// Network carries the messages to our own processes. The gateway starts it.
+	Network transport.Network
+	// Router decides where requests run. Optional.
+	Router Router
+	// Dial opens connections to replicas. Optional.
+	Dial DialFunc
+	// DialOverrides maps a replica's address to the one to dial in its place.
+	DialOverrides map[string]string
+	// Tokens authenticates operators and the platform; nil lets everyone pass.
+	Tokens func() Authenticator
+	// Clock is monotonic and starts anywhere. Optional.
+	Clock func() time.Duration
+	// Seed makes the choices that are left to chance repeatable.
+	Seed uint64
+	// PollInterval and PollTimeout set how replicas are watched. Optional.
+	PollInterval time.Duration
+	PollTimeout  time.Duration
+	// MaxConnections bounds the callers' connections. Optional.
+	MaxConnections int
+	// StopTimeout bounds how long a stopping gateway lets requests finish. Optional.
+	StopTimeout time.Duration
+	Logger      *slog.Logger
+}
+
+// Defaults of Options.
+const (
+	defaultPollInterval   = 500 * time.Millisecond
+	defaultPollTimeout    = time.Second
+	defaultMaxConnections = 4096
+	defaultStopTimeout    = 20 * time.Second
+)
+
+func (o *Options) withDefaults() {
+	if o.Clock == nil {
+		started := time.Now()
+		o.Clock = func() time.Duration { return time.Since(started) }
+	}
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
+	if o.Router == nil {
+		o.Router = routing.New(routing.Config{Region: o.Info.Region, Gateway: o.Info.Name, Seed: o.Seed, Logger: o.Logger})
+	}
+	if o.Dial == nil {
+		o.Dial = new(net.Dialer).DialContext
+	}
+	if o.PollInterval == 0 {
+		o.PollInterval = defaultPollInterval
+	}
+	if o.PollTimeout == 0 {
+		o.PollTimeout = defaultPollTimeout
+	}
+	if o.MaxConnections == 0 {
+		o.MaxConnections = defaultMaxConnections
+	}
+	if o.StopTimeout == 0 {
+		o.StopTimeout = defaultStopTimeout
+	}
+}
+
+// Gateway is one gateway process. It is safe for concurrent use.
+type Gateway struct {
+	options  Options
+	log      *slog.Logger
+	agent    *agent.Agent
+	router   Router
+	replicas *replicaClient
+	sealer   atomic.Pointer[ticket.Sealer]
+	owner    *owner
+	offers   *offerBook
+	bodies   *byteBudget
+	registry *prometheus.Registry
+	metrics  *metrics
+	counter  atomic.Uint64 // makes offer ids unique
+	draining atomic.Bool
+	// work ends when the process stops waiting for requests.
+	work     context.Context
+	stopWork context.CancelCauseFunc
+	running  *activity
+	loops    sync.WaitGroup
+
+	mutex    sync.Mutex
+	random   *rand.Rand
+	seen     map[string]uint64 // newest configuration version that replicas of a service saw
+	reported map[string]time.Time
+}
+
+// New returns a gateway that does nothing yet and registers its message handlers.
+func New(options Options) (*Gateway, error) {
+	options.withDefaults()
+	g := &Gateway{
+		options:  options,
+		log:      options.Logger.With("node", options.Info.Name, "region", options.Info.Region),
+		router:   options.Router,
+		owner:    newOwner(),
+		offers:   newOfferBook(),
+		bodies:   newByteBudget(maxBodyBytesInFlight),
+		running:  newActivity(),
+		random:   rand.New(rand.NewPCG(options.Seed, 0x6761746577617921)),
+		seen:     make(map[string]uint64),
+		reported: make(map[string]time.Time),
+	}
+	if err := g.SetKeys(options.Keys); err != nil {
+		return nil, err
+	}
+	g.work, g.stopWork = context.WithCancelCause(context.Background())
+	g.replicas = newReplicaClient(g.dial)
+	g.agent = agent.New(agent.Options{
+		Gateway:   options.Info,
+		Seeds:     options.Seeds,
+		Terms:     options.Terms,
+		Network:   options.Network,
+		Clock:     options.Clock,
+		Activated: g.activated,
+		Logger:    g.log,
+	})
+	g.newMetrics()
+	options.Network.Handle(peer.KindMintTicket, g.serveMint)
+	options.Network.Handle(peer.KindOffer, g.serveOffer)
+	options.Network.Handle(peer.KindWithdraw, g.serveWithdraw)
+	options.Network.Handle(peer.KindLoad, g.serveLoad)
+	options.Network.HandleStream(peer.KindRun, g.serveRun)
+	options.Network.HandleStream(peer.KindOwner, g.serveOwner)
+	return g, nil
+}
+
+// SetKeys replaces the fleet's keys for tickets, newest first.
+func (g *Gateway) SetKeys(keys [][]byte) error {
+	sealer, err := ticket.NewSealer(keys)
+	if err != nil {
+		return err
+	}
+	g.sealer.Store(sealer)
+	return nil
+}
+
+// Agent is the control side.
+func (g *Gateway) Agent() *agent.Agent { return g.agent }
+
+// Start begins to renew the lease, to watch and to answer peers.
+func (g *Gateway) Start() error {
+	if err := g.options.Network.Start(); err != nil {
+		return err
+	}
+	g.loop(g.agent.Run)
+	g.loop(g.watch)
+	g.loop(g.gossip)
+	g.loop(g.housekeep)
+	return nil
+}
+
+func (g *Gateway) loop(run func(context.Context)) {
+	g.loops.Add(1)
+	go func() {
+		defer g.loops.Done()
+		run(g.work)
+	}()
+}
+
+// Drain takes nothing new from now on.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+// Stop drains, lets what runs finish for a bounded time, gives the lease up and
+// ends everything. The context ends the waiting early.
+func (g *Gateway) Stop(ctx context.Context) {
+	g.Drain()
+	waiting, cancel := context.WithTimeout(ctx, g.options.StopTimeout)
+	defer cancel()
+	if !g.running.idle(waiting) {
+		g.log.Warn("requests are cut off", "requests", g.running.count())
+	}
+	g.agent.Leave(context.WithoutCancel(ctx))
+	g.stopWork(errStopping)
+	g.loops.Wait()
+	g.running.idle(context.WithoutCancel(ctx))
+	g.replicas.close()
+}
+
+func (g *Gateway) region() string { return g.options.Info.Region }
+
+func (g *Gateway) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if override, ok := g.options.DialOverrides[address]; ok {
+		address = override
+	}
+	return g.options.Dial(ctx, network, address)
+}
+
+func (g *Gateway) activated(contents *places.Contents) {
+	g.router.SetPlan(contents)
+	g.log.Info("configuration copy active", "serial", contents.Serial(), "version", contents.Version())
+}
+
+// mayPlace is why the gateway may not place a request now; nil if it may.
+func (g *Gateway) mayPlace() *api.Error {
+	if g.draining.Load() {
+		return refusedLater(api.CodeNotReady, comeBack, "the gateway is leaving")
+	}
+	if !g.agent.Valid() {
+		return refusedLater(api.CodeNoLease, comeBack, "the gateway has no lease from the primary")
+	}
+	if g.agent.Active() == nil {
+		return refusedLater(api.CodeNotReady, comeBack, "the gateway has no copy of the registry yet")
+	}
+	return nil
+}
+
+// Reasons to hold back the first byte to a replica.
+var (
+	errLeaseLost   = errors.New("the lease ran out before the request was sent")
+	errPlanChanged = errors.New("the placement was decided by a copy that is no longer active")
+)
+
+// maySend is asked immediately before the first byte goes to a replica.
+func (g *Gateway) maySend(slot *routing.Slot) error {
+	if !g.agent.Valid() {
+		return errLeaseLost
+	}
+	active := g.agent.Active()
+	if active == nil {
+		return errPlanChanged
+	}
+	if active.Serial() == slot.Serial || g.stillAllowed(active, slot) {
+		return nil
+	}
+	return errPlanChanged
+}
+
+// stillAllowed tells whether a newer active copy with the same configuration
+// leaves a placement as it was.
+func (g *Gateway) stillAllowed(active *places.Contents, slot *routing.Slot) bool {
+	if active.Version() != slot.Version {
+		return false
+	}
+	replica, listed := active.Replicas()[slot.Replica]
+	if !listed || replica.Address != slot.Address {
+		return false
+	}
+	if active.Drained(slot.Replica) || active.Evacuated(replica.Zone) {
+		return false
+	}
+	condition, known := active.Condition(slot.Replica)
+	if !known {
+		return true
+	}
+	switch condition.State {
+	case places.ConditionUp:
+		return true
+	case places.ConditionCold:
+		return condition.Feeder == g.options.Info.Name
+	default:
+		return false
+	}
+}
+
+// seenVersion is the newest configuration that replicas of a service have seen.
+func (g *Gateway) seenVersion(service string) uint64 {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.seen[service]
+}
+
+func (g *Gateway) noteVersion(service string, version uint64) {
+	g.mutex.Lock()
+	newer := version > g.seen[service]
+	if newer {
+		g.seen[service] = version
+	}
+	g.mutex.Unlock()
+	if newer {
+		g.agent.Proven(version)
+	}
+}
+
+func (g *Gateway) noteReport(slot *routing.Slot, report *api.ReplicaReport) {
+	if report == nil {
+		return
+	}
+	g.noteVersion(report.Service, report.ConfigurationVersion)
+}
+
+// learnVersion asks a replica that refused a stale configuration which one it
+// has seen. It reports false if the time is over.
+func (g *Gateway) learnVersion(ctx context.Context, service string, slot *routing.Slot) bool {
+	changed := g.agent.Changed()
+	asking, cancel := context.WithTimeout(ctx, staleWait)
+	defer cancel()
+	report, err := g.replicas.report(asking, slot.Address)
+	if err == nil {
+		g.noteVersion(service, report.ConfigurationVersion)
+		return ctx.Err() == nil
+	}
+	select {
+	case <-changed:
+	case <-asking.Done():
+	}
+	return ctx.Err() == nil
+}
+
+func (g *Gateway) streamGap() time.Duration {
+	active := g.agent.Active()
+	if active == nil {
+		return 0
+	}
+	return time.Duration(active.Limits().StreamGapMS) * time.Millisecond
+}
+
+// jitter is a random time up to the longest.
+func (g *Gateway) jitter(longest time.Duration) time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return time.Duration(g.random.Int64N(int64(longest) + 1))
+}
+
+// isolate runs a deadline-bound request apart from its caller's connection; it
+// ends with the last reader, the deadline or the process.
+func (g *Gateway) isolate(deadline time.Time) (context.Context, context.CancelCauseFunc) {
+	withDeadline, release := context.WithDeadline(g.work, deadline)
+	ctx, cancel := context.WithCancelCause(withDeadline)
+	return ctx, func(cause error) {
+		cancel(cause)
+		release()
+	}
+}
--- /dev/null
+++ b/gateway/hop.go
@@ -0,0 +1,533 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/peer"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/routing"
+	"github.com/deckpulley/deckpulley/stream"
+)
+
+// Bounds of a hop to another region.
+const (
+	// maxPeersTried bounds the gateways of one region that are asked.
+	maxPeersTried = 2
+	// offerTimeout bounds the wait for the answer to an offer.
+	offerTimeout = 500 * time.Millisecond
+	// grantLife is how long a granted reservation waits for its Run.
+	grantLife = time.Second
+	// withdrawTimeout bounds the wait for a withdrawal to be confirmed.
+	withdrawTimeout = time.Second
+	// maxOffers bounds the offers remembered.
+	maxOffers = 8 << 10
+	// offerMemory is how long an offer is remembered after its request's time.
+	offerMemory = 30 * time.Second
+)
+
+// streamReader is the receiving end of a transport stream.
+type streamReader interface {
+	Next(into any) error
+	Close() error
+}
+
+// errNotAnswer means that a peer sent events that make no answer.
+var errNotAnswer = errors.New("gateway: peer's events do not belong together")
+
+// consume copies a peer's events into an execution, checking that they belong
+// together, and returns the result that ends them.
+func consume(ctx context.Context, events streamReader, run *execution) (*result, error) {
+	order := stream.Order{RequestID: run.requestID}
+	for {
+		var event peer.RunEvent
+		if err := events.Next(&event); err != nil {
+			return nil, fmt.Errorf("gateway: peer's events: %w", err)
+		}
+		switch {
+		case event.Piece != nil:
+			if err := order.Piece(event.Piece); err != nil {
+				return nil, err
+			}
+			data, err := json.Marshal(event.Piece)
+			if err != nil {
+				return nil, fmt.Errorf("gateway: encoding a piece: %w", err)
+			}
+			if err := run.piece(ctx, data); err != nil {
+				return nil, err
+			}
+		case event.End != nil:
+			return &result{end: event.End}, order.End(event.End)
+		case event.Answer != nil && event.Answer.RequestID == run.requestID && order.Pieces() == 0:
+			return &result{answer: event.Answer}, nil
+		case event.Error != nil:
+			return &result{failure: event.Error}, nil
+		default:
+			return nil, errNotAnswer
+		}
+	}
+}
+
+// sendEvents copies an execution's output to a peer.
+func sendEvents(ctx context.Context, reader *follower, send func(any) error) error {
+	for {
+		frames, ended, err := reader.next(ctx)
+		if err != nil {
+			return err
+		}
+		if ended != nil {
+			return send(&peer.RunEvent{Answer: ended.answer, End: ended.end, Error: ended.failure})
+		}
+		err = eachPiece(frames, func(data []byte) error {
+			piece := new(api.StreamPiece)
+			if err := json.Unmarshal(data, piece); err != nil {
+				return fmt.Errorf("gateway: decoding a piece: %w", err)
+			}
+			return send(&peer.RunEvent{Piece: piece})
+		})
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// peersIn returns up to limit gateways of a region that can be asked, in an
+// order left to chance.
+func (g *Gateway) peersIn(region string, limit int) []places.Gateway {
+	active := g.agent.Active()
+	if active == nil {
+		return nil
+	}
+	var members []places.Gateway
+	for name, member := range active.Gateways() {
+		if member.Region == region && name != g.options.Info.Name && usable(active, member) {
+			members = append(members, member)
+		}
+	}
+	g.mutex.Lock()
+	g.random.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	g.mutex.Unlock()
+	return members[:min(len(members), limit)]
+}
+
+// spill hands the request to a gateway of another region: an offer first, then
+// the run.
+func (r *runner) spill(ctx context.Context, region string) verdict {
+	last := verdict{
+		standing: stoodNotStarted,
+		failure:  refusedLater(api.CodeNoCapacity, comeBack, "no gateway of region %s can be reached", region),
+	}
+	for _, member := range r.gateway.peersIn(region, maxPeersTried) {
+		outcome := r.offer(ctx, member)
+		if outcome.standing != stoodNotStarted || ctx.Err() != nil {
+			return outcome
+		}
+		last = outcome
+		if !outcome.unsent {
+			break // the region has answered
+		}
+	}
+	return last
+}
+
+// offer asks one gateway and, if it grants, runs the request there. Nothing runs
+// for an offer alone, so that one without an answer can be left to die.
+func (r *runner) offer(ctx context.Context, member places.Gateway) verdict {
+	g := r.gateway
+	offer := r.newOffer()
+	asking, cancel := context.WithTimeout(ctx, offerTimeout)
+	var reply peer.OfferReply
+	err := g.options.Network.Call(asking, member.PeerAddress, peer.KindOffer, offer, &reply)
+	cancel()
+	if err != nil {
+		g.metrics.spills.WithLabelValues("unanswered").Inc()
+		return verdict{
+			standing: stoodNotStarted,
+			failure:  refusedLater(api.CodeNoCapacity, comeBack, "the other region does not answer"),
+			unsent:   true,
+		}
+	}
+	if !reply.Granted {
+		g.metrics.spills.WithLabelValues("declined").Inc()
+		return verdict{standing: stoodNotStarted, failure: declined(reply.Error)}
+	}
+	if failure := g.mayPlace(); failure != nil {
+		g.abandonOffer(member.PeerAddress, offer.OfferID, reply.Incarnation)
+		return verdict{standing: stoodNotStarted, failure: failure, unsent: true}
+	}
+	return r.runAt(ctx, member.PeerAddress, offer.OfferID, reply.Incarnation)
+}
+
+func declined(failure *api.Error) *api.Error {
+	if failure == nil {
+		return refusedLater(api.CodeNoCapacity, comeBack, "the other region takes nothing")
+	}
+	copied := *failure
+	copied.Outcome = api.OutcomeRefused // an offer runs nothing
+	return &copied
+}
+
+func (r *runner) newOffer() *peer.Offer {
+	g := r.gateway
+	info := g.options.Info
+	request := r.request
+	left := max(1, time.Until(r.route.Deadline).Milliseconds())
+	request.WaitMS = min(left, api.MaxWaitMS)
+	offer := &peer.Offer{
+		OfferID:   fmt.Sprintf("%s/%s/%d", info.Name, info.Incarnation, g.counter.Add(1)),
+		From:      info.Name,
+		Request:   request,
+		HomeOnly:  r.route.Home,
+		TimeLeft:  left,
+		Attempt:   r.before + r.sent + r.hops + 1,
+		Incarnate: info.Incarnation,
+	}
+	if active := g.agent.Active(); active != nil {
+		offer.Version = active.Version()
+	}
+	return offer
+}
+
+// abandonOffer tells a peer that a grant will not be used. Nobody waits for it.
+func (g *Gateway) abandonOffer(address, offerID, incarnation string) {
+	g.running.begin()
+	go func() {
+		defer g.running.end()
+		g.withdraw(g.work, address, offerID, incarnation)
+	}()
+}
+
+// withdraw reports whether the peer confirmed that the offer never ran and
+// never will.
+func (g *Gateway) withdraw(ctx context.Context, address, offerID, incarnation string) bool {
+	asking, cancel := context.WithTimeout(ctx, withdrawTimeout)
+	defer cancel()
+	var reply peer.WithdrawReply
+	request := &peer.Withdraw{OfferID: offerID, Incarnation: incarnation}
+	err := g.options.Network.Call(asking, address, peer.KindWithdraw, request, &reply)
+	return err == nil && reply.NeverRan
+}
+
+// runAt runs a granted offer and copies its output.
+func (r *runner) runAt(ctx context.Context, address, offerID, incarnation string) verdict {
+	g := r.gateway
+	running, cancel := context.WithCancel(ctx)
+	defer cancel()
+	events, err := g.options.Network.OpenStream(running, address, peer.KindRun, &peer.Run{OfferID: offerID, Incarnation: incarnation})
+	if err != nil {
+		g.abandonOffer(address, offerID, incarnation)
+		g.metrics.spills.WithLabelValues("unanswered").Inc()
+		return verdict{
+			standing: stoodNotStarted,
+			failure:  refusedLater(api.CodeNoCapacity, comeBack, "the other region cannot be reached"),
+			unsent:   true,
+		}
+	}
+	defer events.Close()
+	final, err := consume(running, events, r.execution)
+	if err != nil {
+		return r.hopBroke(ctx, address, offerID, incarnation)
+	}
+	return r.hopEnded(final)
+}
+
+func (r *runner) hopEnded(final *result) verdict {
+	failure := final.failure
+	if failure == nil {
+		r.gateway.metrics.spills.WithLabelValues("answered").Inc()
+		r.deliver(final)
+		return verdict{standing: stoodDone}
+	}
+	r.gateway.metrics.spills.WithLabelValues("failed").Inc()
+	if r.execution.pieces() {
+		copied := *failure
+		copied.Outcome = api.OutcomeFailed
+		r.deliver(&result{failure: &copied})
+		return verdict{standing: stoodDone}
+	}
+	if failure.Outcome == api.OutcomeRefused {
+		return verdict{standing: stoodNotStarted, failure: failure}
+	}
+	r.ran = true
+	r.hops++
+	return broken(failure)
+}
+
+// hopBroke judges a run whose events broke off. Only a confirmed withdrawal
+// makes it one that never ran.
+func (r *runner) hopBroke(ctx context.Context, address, offerID, incarnation string) verdict {
+	g := r.gateway
+	g.metrics.spills.WithLabelValues("broken").Inc()
+	if r.execution.pieces() {
+		failure := failed(api.CodeReplicaBroken, api.OutcomeFailed, "the connection to the other region broke")
+		r.ran = true
+		r.deliver(&result{failure: failure})
+		return verdict{standing: stoodDone}
+	}
+	if ctx.Err() == nil && g.withdraw(ctx, address, offerID, incarnation) {
+		return verdict{
+			standing: stoodNotStarted,
+			failure:  refusedLater(api.CodeNoCapacity, comeBack, "the connection to the other region broke before the run"),
+		}
+	}
+	r.ran = true
+	r.hops++
+	return broken(failed(api.CodeReplicaBroken, api.OutcomeUnknown, "the connection to the other region broke"))
+}
+
+// offerState is how far an offer has come.
+type offerState uint8
+
+const (
+	offerGranted offerState = iota + 1
+	offerDead               // never ran and never will
+	offerRun                // was run, or is running
+)
+
+type offer struct {
+	state    offerState
+	request  api.GenerateRequest
+	route    routing.Request
+	slot     *routing.Slot
+	before   int
+	reply    peer.OfferReply
+	deadline time.Time
+	expires  time.Duration // of the grant
+	forget   time.Duration
+}
+
+// offerBook remembers the offers of other regions.
+type offerBook struct {
+	mutex  sync.Mutex
+	offers map[string]*offer
+}
+
+func newOfferBook() *offerBook { return &offerBook{offers: make(map[string]*offer)} }
+
+// add remembers a granted offer; false if there is no room.
+func (b *offerBook) add(id string, o *offer) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if len(b.offers) >= maxOffers {
+		return false
+	}
+	b.offers[id] = o
+	return true
+}
+
+// known returns the answer that an offer was given before.
+func (b *offerBook) known(id string) (peer.OfferReply, bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	o, ok := b.offers[id]
+	if !ok {
+		return peer.OfferReply{}, false
+	}
+	return o.reply, true
+}
+
+// take starts a granted offer, once. Otherwise it says what is known of it.
+func (b *offerBook) take(id string, now time.Duration) (*offer, *api.Error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	o, ok := b.offers[id]
+	switch {
+	case !ok:
+		return nil, refusedLater(api.CodeNoCapacity, comeBack, "the reservation is gone")
+	case o.state == offerRun:
+		return nil, failed(api.CodeDuplicate, api.OutcomeUnknown, "the offer was run before")
+	case o.state == offerDead || now >= o.expires:
+		b.kill(o)
+		return nil, refusedLater(api.CodeNoCapacity, comeBack, "the reservation ran out")
+	}
+	o.state = offerRun
+	return o, nil
+}
+
+// kill lets the reservation of an offer go. The caller holds the lock.
+func (b *offerBook) kill(o *offer) {
+	if o.state != offerGranted {
+		return
+	}
+	o.state = offerDead
+	o.slot.Finish(routing.ResultCanceled, nil, time.Now())
+	o.slot = nil
+}
+
+// withdraw ends an offer that was not run; true if it never ran and never will.
+// One that is not remembered may have run long ago.
+func (b *offerBook) withdraw(id string) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	o, ok := b.offers[id]
+	if !ok {
+		return false
+	}
+	b.kill(o)
+	return o.state == offerDead
+}
+
+// neverRan notes that a run ended without having reached any replica.
+func (b *offerBook) neverRan(id string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if o, ok := b.offers[id]; ok {
+		o.state = offerDead
+	}
+}
+
+// expire kills grants that were not used and forgets old offers.
+func (b *offerBook) expire(now time.Duration) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for id, o := range b.offers {
+		if now >= o.expires {
+			b.kill(o)
+		}
+		if now >= o.forget {
+			delete(b.offers, id)
+		}
+	}
+}
+
+// serveOffer reserves a place for another region's request, without waiting.
+func (g *Gateway) serveOffer(_ context.Context, _ string, decode func(any) error) (any, error) {
+	var asked peer.Offer
+	if err := decode(&asked); err != nil {
+		return nil, err
+	}
+	if reply, ok := g.offers.known(asked.OfferID); ok {
+		return &reply, nil
+	}
+	reply, failure := g.grant(&asked)
+	if failure != nil {
+		return &peer.OfferReply{Error: failure, Incarnation: g.options.Info.Incarnation}, nil
+	}
+	return reply, nil
+}
+
+func (g *Gateway) grant(asked *peer.Offer) (*peer.OfferReply, *api.Error) {
+	if failure := g.mayPlace(); failure != nil {
+		return nil, failure
+	}
+	asked.Request.WaitMS = asked.TimeLeft
+	if failure := checkGenerate(&asked.Request); failure != nil {
+		return nil, failure
+	}
+	if len(asked.HomeOnly) > 0 && !slices.Contains(asked.HomeOnly, g.region()) {
+		return nil, failed(api.CodeHomeUnavailable, api.OutcomeRefused, "region %s is not a home of the request", g.region())
+	}
+	active := g.agent.Active()
+	if active.Version() < asked.Version && !g.agent.Proven(asked.Version) {
+		return nil, refusedLater(api.CodeNoLease, comeBack, "configuration %d is not active here yet", asked.Version)
+	}
+	route, failure := g.router.Resolve(asked.Request, time.Now())
+	if failure != nil {
+		return nil, failure
+	}
+	slot, failure := g.router.Reserve(route)
+	if failure != nil {
+		return nil, failure
+	}
+	return g.remember(asked, route, slot)
+}
+
+func (g *Gateway) remember(asked *peer.Offer, route routing.Request, slot *routing.Slot) (*peer.OfferReply, *api.Error) {
+	now := g.options.Clock()
+	left := time.Duration(asked.TimeLeft) * time.Millisecond
+	life := min(grantLife, left)
+	reply := peer.OfferReply{Granted: true, GrantMS: life.Milliseconds(), Incarnation: g.options.Info.Incarnation}
+	reserved := &offer{
+		state:    offerGranted,
+		request:  asked.Request,
+		route:    route,
+		slot:     slot,
+		before:   max(0, asked.Attempt-1),
+		reply:    reply,
+		deadline: route.Deadline,
+		expires:  now + life,
+		forget:   now + left + offerMemory,
+	}
+	if !g.offers.add(asked.OfferID, reserved) {
+		slot.Finish(routing.ResultCanceled, nil, time.Now())
+		return nil, refusedLater(api.CodeOverloaded, comeBack, "the gateway remembers as many offers as it can")
+	}
+	return &reply, nil
+}
+
+func (g *Gateway) serveWithdraw(_ context.Context, _ string, decode func(any) error) (any, error) {
+	var asked peer.Withdraw
+	if err := decode(&asked); err != nil {
+		return nil, err
+	}
+	if asked.Incarnation != g.options.Info.Incarnation {
+		return &peer.WithdrawReply{}, nil
+	}
+	return &peer.WithdrawReply{NeverRan: g.offers.withdraw(asked.OfferID)}, nil
+}
+
+// serveRun runs a granted offer on replicas of this region.
+func (g *Gateway) serveRun(ctx context.Context, _ string, decode func(any) error, send func(any) error) error {
+	var asked peer.Run
+	if err := decode(&asked); err != nil {
+		return err
+	}
+	if asked.Incarnation != g.options.Info.Incarnation {
+		return send(&peer.RunEvent{Error: refusedLater(api.CodeNoCapacity, comeBack, "the gateway that granted was restarted")})
+	}
+	granted, failure := g.offers.take(asked.OfferID, g.options.Clock())
+	if failure != nil {
+		return send(&peer.RunEvent{Error: failure})
+	}
+	reader, failure := g.beginOffer(asked.OfferID, granted)
+	if failure != nil {
+		return send(&peer.RunEvent{Error: failure})
+	}
+	defer reader.leave()
+	err := sendEvents(ctx, reader, send)
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
+func (g *Gateway) beginOffer(id string, granted *offer) (*follower, *api.Error) {
+	ctx, cancel := g.isolate(granted.deadline)
+	run := newExecution(granted.request.RequestID, granted.request.Stream, cancel)
+	reader, failure := run.follow(granted.request.Stream)
+	work := &runner{
+		gateway:   g,
+		request:   granted.request,
+		route:     granted.route,
+		execution: run,
+		slot:      granted.slot,
+		spilled:   true,
+		before:    granted.before,
+	}
+	g.running.begin()
+	go func() {
+		defer g.running.end()
+		defer cancel(nil)
+		work.run(ctx)
+		work.release()
+		if run.result.failure != nil && run.result.failure.Outcome == api.OutcomeRefused {
+			g.offers.neverRan(id)
+		}
+	}()
+	return reader, failure
+}
+
+// release gives a reservation back that was not used.
+func (r *runner) release() {
+	if r.slot != nil {
+		r.slot.Finish(routing.ResultCanceled, nil, time.Now())
+		r.slot = nil
+	}
+}
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"log"
+	"log/slog"
+	"strings"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/ticket"
+)
+
+// metricsNamespace begins every metric's name.
+const metricsNamespace = "deckpulley_gateway"
+
+// outcomeSuccess and codeNone label what has no error.
+const codeNone = "none"
+
+// latencyBuckets reach from a cached answer to the longest review, in seconds.
+var latencyBuckets = []float64{.005, .01, .02, .05, .1, .2, .35, .5, .7, .92, 1.5, 2.5, 5, 10, 20, 40, 80}
+
+type metrics struct {
+	requests   *prometheus.CounterVec
+	where      *prometheus.CounterVec
+	latency    *prometheus.HistogramVec
+	firstEvent *prometheus.HistogramVec
+	attempts   prometheus.Counter
+	failures   *prometheus.CounterVec
+	retries    *prometheus.CounterVec
+	spills     *prometheus.CounterVec
+	tickets    *prometheus.CounterVec
+	polls      *prometheus.CounterVec
+	updates    *prometheus.CounterVec
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: metricsNamespace, Name: name, Help: help}, labels)
+}
+
+func histogram(name, help string, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: metricsNamespace, Name: name, Help: help, Buckets: latencyBuckets}, labels)
+}
+
+// newMetrics registers the gateway's metrics in a registry of its own.
+func (g *Gateway) newMetrics() {
+	m := &metrics{
+		requests:   counter("requests_total", "Requests by class, outcome and error code.", "class", "outcome", "code"),
+		where:      counter("where_total", "Questions where to go, by error code.", "code"),
+		latency:    histogram("request_seconds", "Time to the whole answer.", "class"),
+		firstEvent: histogram("first_event_seconds", "Time to the first event of a stream.", "class"),
+		attempts: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "attempts_total", Help: "Requests sent to replicas, retries included.",
+		}),
+		failures: counter("attempt_failures_total", "Attempts without an answer, by error code and outcome.", "code", "outcome"),
+		retries:  counter("retries_total", "Retries that the budget allowed or denied.", "decision"),
+		spills:   counter("spills_total", "Offers to other regions, by how they ended.", "end"),
+		tickets:  counter("tickets_total", "Tickets issued and presented, by what became of them.", "event"),
+		polls:    counter("polls_total", "Polls of replicas' reports.", "result"),
+		updates:  counter("condition_updates_total", "Conditional updates about replicas, by response code.", "code"),
+	}
+	g.metrics = m
+	g.registry = prometheus.NewRegistry()
+	g.registry.MustRegister(
+		m.requests, m.where, m.latency, m.firstEvent, m.attempts, m.failures, m.retries, m.spills, m.tickets, m.polls, m.updates,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	g.registerGauges()
+}
+
+func (g *Gateway) registerGauges() {
+	gauges := []struct {
+		name, help string
+		value      func() float64
+	}{
+		{"lease_seconds", "Time left of the lease; 0 is none.", func() float64 { return g.agent.Remaining().Seconds() }},
+		{"held_serial", "Newest registry serial held.", func() float64 { return float64(g.agent.Status().Held) }},
+		{"active_serial", "Registry serial that decides.", func() float64 { return float64(g.agent.Status().Active) }},
+		{"active_version", "Configuration version that decides.", func() float64 { return float64(g.agent.Status().ActiveVersion) }},
+		{"primary_term", "Newest term seen of a primary.", func() float64 { return float64(g.agent.Status().Term) }},
+		{"renewals_granted", "Renewals granted since the start.", func() float64 { return float64(g.agent.Status().Renewals) }},
+		{"renewals_refused", "Renewals without a grant since the start.", func() float64 { return float64(g.agent.Status().Refusals) }},
+		{"running_requests", "Requests in progress.", func() float64 { return float64(g.running.count()) }},
+		{"ledger_tickets", "Tickets remembered.", func() float64 { return float64(g.ledgerSize()) }},
+	}
+	for _, gauge := range gauges {
+		options := prometheus.GaugeOpts{Namespace: metricsNamespace, Name: gauge.name, Help: gauge.help}
+		g.registry.MustRegister(prometheus.NewGaugeFunc(options, gauge.value))
+	}
+}
+
+func (g *Gateway) ledgerSize() int {
+	g.owner.mutex.Lock()
+	defer g.owner.mutex.Unlock()
+	return g.owner.ledger.Len()
+}
+
+func classLabel(class api.Class) string {
+	if class == "" {
+		return "default"
+	}
+	return string(class)
+}
+
+func (m *metrics) noteRequest(request *api.GenerateRequest, failure *api.Error, started time.Time) {
+	class := classLabel(request.Class)
+	if checkClass(request.Class) != nil {
+		class = "invalid"
+	}
+	if failure != nil {
+		m.requests.WithLabelValues(class, string(failure.Outcome), string(failure.Code)).Inc()
+		return
+	}
+	m.requests.WithLabelValues(class, string(api.OutcomeSuccess), codeNone).Inc()
+	m.latency.WithLabelValues(class).Observe(time.Since(started).Seconds())
+}
+
+func (m *metrics) noteFirstEvent(request *api.GenerateRequest, started time.Time) {
+	m.firstEvent.WithLabelValues(classLabel(request.Class)).Observe(time.Since(started).Seconds())
+}
+
+func (m *metrics) noteWhere(failure *api.Error) {
+	if failure == nil {
+		m.where.WithLabelValues(codeNone).Inc()
+		return
+	}
+	m.where.WithLabelValues(string(failure.Code)).Inc()
+}
+
+// noteAttempt counts the failure of an attempt. A replica's own code is counted
+// by its outcome alone, so that replicas cannot make up labels.
+func (m *metrics) noteAttempt(failure *api.Error) {
+	code := string(failure.Code)
+	if failure.Outcome == api.OutcomeRefused {
+		code = "replica_refused"
+	}
+	m.failures.WithLabelValues(code, string(failure.Outcome)).Inc()
+}
+
+func (m *metrics) noteStanding(standing ticket.Standing) {
+	events := map[ticket.Standing]string{
+		ticket.StandingRun:       "run",
+		ticket.StandingJoin:      "joined",
+		ticket.StandingExpired:   "expired",
+		ticket.StandingForgotten: "forgotten",
+		ticket.StandingConflict:  "conflict",
+	}
+	m.tickets.WithLabelValues(events[standing]).Inc()
+}
+
+// quietLog sends what net/http complains about to the debug level: most of it
+// is callers that went away.
+func quietLog(logger *slog.Logger) *log.Logger {
+	return log.New(debugWriter{logger}, "", 0)
+}
+
+type debugWriter struct{ logger *slog.Logger }
+
+// Write implements io.Writer.
+func (w debugWriter) Write(line []byte) (int, error) {
+	w.logger.Debug("http server", "message", strings.TrimSpace(string(line)))
+	return len(line), nil
+}
--- /dev/null
+++ b/gateway/watch.go
@@ -0,0 +1,222 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/deckpulley/deckpulley/peer"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/registry"
+	"github.com/deckpulley/deckpulley/routing"
+)
+
+// Bounds of watching and gossip.
+const (
+	// maxPolls bounds the polls in progress at once.
+	maxPolls = 64
+	// conditionPause is the least time between two updates about one replica.
+	conditionPause   = time.Second
+	conditionTimeout = 5 * time.Second
+	gossipInterval   = time.Second
+	// gossipPeers bounds the gateways that hear a digest each time.
+	gossipPeers = 8
+	// requestorGateway begins the requestor of a gateway's updates.
+	requestorGateway = "gateway:"
+)
+
+// watch polls the replicas of the region and reports slow changes of those that
+// are this gateway's to watch.
+func (g *Gateway) watch(ctx context.Context) {
+	ticker := time.NewTicker(g.options.PollInterval)
+	defer ticker.Stop()
+	slots := make(chan struct{}, maxPolls)
+	var polls sync.WaitGroup
+	defer polls.Wait()
+	polling := newInProgress()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		active := g.agent.Active()
+		if active == nil {
+			continue
+		}
+		for _, replica := range g.router.Watched() {
+			g.startPoll(ctx, active, replica, slots, polling, &polls)
+		}
+		g.reportConditions(ctx, time.Now(), &polls)
+	}
+}
+
+// inProgress keeps the polls of one replica from overtaking each other.
+type inProgress struct {
+	mutex sync.Mutex
+	names map[string]bool
+}
+
+func newInProgress() *inProgress { return &inProgress{names: make(map[string]bool)} }
+
+func (p *inProgress) enter(name string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.names[name] {
+		return false
+	}
+	p.names[name] = true
+	return true
+}
+
+func (p *inProgress) leave(name string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	delete(p.names, name)
+}
+
+func (g *Gateway) startPoll(ctx context.Context, active *places.Contents, replica string, slots chan struct{}, polling *inProgress, polls *sync.WaitGroup) {
+	record, listed := active.Replicas()[replica]
+	if !listed || !polling.enter(replica) {
+		return
+	}
+	select {
+	case slots <- struct{}{}:
+	default:
+		polling.leave(replica)
+		return
+	}
+	polls.Go(func() {
+		g.poll(ctx, replica, record)
+		polling.leave(replica)
+		<-slots
+	})
+}
+
+// poll asks one replica for its report. An answer in the name of another replica
+// is a failure: the address has changed hands.
+func (g *Gateway) poll(ctx context.Context, replica string, record places.Replica) {
+	asking, cancel := context.WithTimeout(ctx, g.options.PollTimeout)
+	defer cancel()
+	report, err := g.replicas.report(asking, record.Address)
+	if ctx.Err() != nil {
+		return
+	}
+	now := time.Now()
+	if err != nil || report.Replica != replica {
+		g.metrics.polls.WithLabelValues("failed").Inc()
+		g.router.PollFailed(replica, now)
+		return
+	}
+	g.metrics.polls.WithLabelValues("answered").Inc()
+	g.router.Observe(replica, *report, now)
+	g.noteVersion(record.Service, report.ConfigurationVersion)
+}
+
+// reportConditions sends the slow changes toward the primary as conditional
+// updates. A lost one is derived again from what is seen.
+func (g *Gateway) reportConditions(ctx context.Context, now time.Time, updates *sync.WaitGroup) {
+	if !g.agent.Valid() {
+		return
+	}
+	for _, change := range g.router.Conditions(now) {
+		if !g.mayReport(change.Replica, now) {
+			continue
+		}
+		updates.Go(func() { g.sendCondition(ctx, change) })
+	}
+}
+
+func (g *Gateway) mayReport(replica string, now time.Time) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if now.Sub(g.reported[replica]) < conditionPause {
+		return false
+	}
+	for name, at := range g.reported {
+		if now.Sub(at) >= conditionPause {
+			delete(g.reported, name)
+		}
+	}
+	g.reported[replica] = now
+	return true
+}
+
+func (g *Gateway) sendCondition(ctx context.Context, change routing.ConditionChange) {
+	sending, cancel := context.WithTimeout(ctx, conditionTimeout)
+	defer cancel()
+	reply, err := g.agent.Update(sending, g.conditionUpdate(change))
+	if err != nil {
+		g.metrics.updates.WithLabelValues("lost").Inc()
+		g.log.Warn("condition not reported", "replica", change.Replica, "error", err)
+		return
+	}
+	g.metrics.updates.WithLabelValues(reply.Code.String()).Inc()
+	g.log.Info("condition reported", "replica", change.Replica, "state", change.New.State, "code", reply.Code.String(), "serial", reply.Serial)
+}
+
+// conditionUpdate replaces the condition that the change was derived from, if it
+// still holds and the replica is still listed.
+func (g *Gateway) conditionUpdate(change routing.ConditionChange) registry.Update {
+	name := places.ReplicaName(change.Replica)
+	prerequisites := []registry.Record{registry.Exists(name, places.TypeReplica)}
+	if change.Old == nil {
+		prerequisites = append(prerequisites, registry.Absent(name, places.TypeCondition))
+	} else {
+		prerequisites = append(prerequisites, registry.Equals(places.ConditionRecord(change.Replica, *change.Old)))
+	}
+	changes := []registry.Record{registry.Add(places.ConditionRecord(change.Replica, change.New))}
+	update := registry.NewUpdate(places.Apex, prerequisites, changes)
+	update.Requestor = requestorGateway + g.options.Info.Name
+	return update
+}
+
+// gossip tells gateways of other regions how loaded this one is. Each time a
+// bounded number of them, chosen by chance, hears it.
+func (g *Gateway) gossip(ctx context.Context) {
+	ticker := time.NewTicker(gossipInterval)
+	defer ticker.Stop()
+	digest := peer.RegionLoad{Region: g.region(), Gateway: g.options.Info.Name}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !g.agent.Valid() || g.draining.Load() {
+			continue
+		}
+		digest.Sequence++
+		digest.Services = g.router.Load()
+		for _, address := range g.otherRegions(gossipPeers) {
+			g.options.Network.Send(address, peer.KindLoad, &digest)
+		}
+	}
+}
+
+// otherRegions returns peers' addresses of gateways of other regions.
+func (g *Gateway) otherRegions(limit int) []string {
+	active := g.agent.Active()
+	if active == nil {
+		return nil
+	}
+	var addresses []string
+	for _, member := range active.Gateways() {
+		if member.Region != g.region() && member.Up {
+			addresses = append(addresses, member.PeerAddress)
+		}
+	}
+	g.shuffle(addresses)
+	return addresses[:min(len(addresses), limit)]
+}
+
+func (g *Gateway) serveLoad(_ context.Context, _ string, decode func(any) error) (any, error) {
+	var digest peer.RegionLoad
+	if err := decode(&digest); err != nil {
+		return nil, err
+	}
+	if digest.Region != g.region() {
+		g.router.SetRemoteLoad(digest.Region, digest.Services, time.Now())
+	}
+	return nil, nil
+}
