Use the router's slots, feeders and single retry

Cause: the router lets a slot be judged again at the first byte, names the feeders of cold replicas, and forbids a retry of a retry. Change: the send guard asks Slot.Usable and compares the stamped version; a region with nothing but cold replicas offers to their feeders; one retry a request.

--- a/cmd/deckpulley-gateway/daemon.go
+++ b/cmd/deckpulley-gateway/daemon.go
@@ -50,7 +50,8 @@
 		return nil, fmt.Errorf("%w: %w", errSettings, err)
 	}
 	d := &daemon{level: new(slog.LevelVar)}
-	d.log = loaded.LoggerTo(os.Stderr, d.level)
+	d.level.Set(loaded.LogLevel())
+	d.log = loaded.LoggerTo(os.Stderr, d.level).With("region", loaded.Region)
 	d.tokens.Store(&tokens)
 	for _, warning := range loaded.Warnings() {
 		d.log.Warn(warning)
@@ -169,6 +170,7 @@
 	if err := d.gateway.SetKeys(keys); err != nil {
 		return err
 	}
+	d.network.SetKeys(keys)
 	d.tokens.Store(&tokens)
 	d.level.Set(loaded.LogLevel())
 	return nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,8 @@
 	NoteAttempt()
 	Conditions(time.Time) []routing.ConditionChange
 	Watched() []string
+	Feeders(service string) []string
+	Status() routing.Status
 	Load() map[string]float64
 	SetRemoteLoad(region string, load map[string]float64, at time.Time)
 }
@@ -101,15 +103,21 @@
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
-	if o.Router == nil {
-		o.Router = routing.New(routing.Config{Region: o.Info.Region, Gateway: o.Info.Name, Seed: o.Seed, Logger: o.Logger})
-	}
 	if o.Dial == nil {
 		o.Dial = new(net.Dialer).DialContext
 	}
 	if o.PollInterval == 0 {
 		o.PollInterval = defaultPollInterval
 	}
+	if o.Router == nil {
+		o.Router = routing.New(routing.Config{
+			Region:       o.Info.Region,
+			Gateway:      o.Info.Name,
+			Seed:         o.Seed,
+			Logger:       o.Logger,
+			PollInterval: o.PollInterval,
+		})
+	}
 	if o.PollTimeout == 0 {
 		o.PollTimeout = defaultPollTimeout
 	}
@@ -153,7 +161,7 @@
 	options.withDefaults()
 	g := &Gateway{
 		options:  options,
-		log:      options.Logger.With("node", options.Info.Name, "region", options.Info.Region),
+		log:      options.Logger,
 		router:   options.Router,
 		owner:    newOwner(),
 		offers:   newOfferBook(),
@@ -273,46 +281,20 @@
 	errPlanChanged = errors.New("the placement was decided by a copy that is no longer active")
 )
 
-// maySend is asked immediately before the first byte goes to a replica.
-func (g *Gateway) maySend(slot *routing.Slot) error {
-	if !g.agent.Valid() {
-		return errLeaseLost
+// maySend is asked immediately before the first byte goes to a replica, whose
+// stamp names the version.
+func (g *Gateway) maySend(slot *routing.Slot, version uint64) error {
+	if !slot.Usable(time.Now()) || slot.Version != version {
+		return errPlanChanged
 	}
 	active := g.agent.Active()
-	if active == nil {
+	if active == nil || active.Version() != version {
 		return errPlanChanged
 	}
-	if active.Serial() == slot.Serial || g.stillAllowed(active, slot) {
-		return nil
-	}
-	return errPlanChanged
-}
-
-// stillAllowed tells whether a newer active copy with the same configuration
-// leaves a placement as it was.
-func (g *Gateway) stillAllowed(active *places.Contents, slot *routing.Slot) bool {
-	if active.Version() != slot.Version {
-		return false
-	}
-	replica, listed := active.Replicas()[slot.Replica]
-	if !listed || replica.Address != slot.Address {
-		return false
-	}
-	if active.Drained(slot.Replica) || active.Evacuated(replica.Zone) {
-		return false
-	}
-	condition, known := active.Condition(slot.Replica)
-	if !known {
-		return true
-	}
-	switch condition.State {
-	case places.ConditionUp:
-		return true
-	case places.ConditionCold:
-		return condition.Feeder == g.options.Info.Name
-	default:
-		return false
+	if !g.agent.Valid() {
+		return errLeaseLost
 	}
+	return nil
 }
 
 // seenVersion is the newest configuration that replicas of a service have seen.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -14,8 +14,6 @@
 
 // Bounds of one request's attempts.
 const (
-	// maxAttempts bounds what is sent to replicas for one request in one region.
-	maxAttempts = 4
 	// maxUnsent bounds attempts of which nothing left for a replica.
 	maxUnsent = 8
 	// maxStale bounds catching up with replicas that saw a newer configuration.
@@ -51,6 +49,8 @@
 	hops   int // runs in other regions that may have reached a replica
 	unsent int
 	stale  int
+	// retried means that the one retry of the request is used up.
+	retried bool
 	// ran means that an earlier attempt may have run, so that nothing is a
 	// refusal any more.
 	ran bool
@@ -135,9 +135,10 @@
 	return last
 }
 
-// mayRetry spends the retry budget.
+// mayRetry spends the retry budget. A retry is never retried.
 func (r *runner) mayRetry() bool {
-	allowed := r.gateway.router.AllowRetry()
+	allowed := !r.retried && r.gateway.router.AllowRetry()
+	r.retried = true
 	label := "denied"
 	if allowed {
 		label = "allowed"
@@ -162,10 +163,13 @@
 		if failure := r.catchUp(ctx); failure != nil {
 			return verdict{standing: stoodNotStarted, failure: failure}
 		}
-		slot, failure := r.acquire(ctx)
+		slot, elsewhere, failure := r.acquire(ctx)
 		if failure != nil {
 			return verdict{standing: stoodNotStarted, failure: failure}
 		}
+		if slot == nil {
+			return elsewhere
+		}
 		outcome := r.attempt(ctx, slot)
 		if outcome.standing == stoodDone || !r.again(ctx, slot, &outcome) {
 			return outcome
@@ -173,12 +177,57 @@
 	}
 }
 
-func (r *runner) acquire(ctx context.Context) (*routing.Slot, *api.Error) {
+// acquire waits for a replica of the own region. Without a slot and a failure,
+// the request was run by another gateway of the region.
+func (r *runner) acquire(ctx context.Context) (*routing.Slot, verdict, *api.Error) {
 	if slot := r.slot; slot != nil {
 		r.slot = nil
-		return slot, nil
+		return slot, verdict{}, nil
+	}
+	feeders := r.feeders()
+	if len(feeders) > 0 {
+		slot, failure := r.gateway.router.Reserve(r.route)
+		if failure == nil {
+			return slot, verdict{}, nil
+		}
+		if unusable(failure) {
+			if outcome, taken := r.feed(ctx, feeders); taken {
+				return nil, outcome, nil
+			}
+		}
+	}
+	slot, failure := r.gateway.router.Acquire(ctx, r.route)
+	return slot, verdict{}, failure
+}
+
+// feeders are the other gateways of the region that feed cold replicas.
+func (r *runner) feeders() []string {
+	if r.spilled {
+		return nil
 	}
-	return r.gateway.router.Acquire(ctx, r.route)
+	return r.gateway.router.Feeders(r.route.Service)
+}
+
+// unusable tells that this gateway may place on no replica of the region.
+func unusable(failure *api.Error) bool {
+	return failure.Code == api.CodeNoCapacity || failure.Code == api.CodeHomeUnavailable
+}
+
+// feed offers the request to the gateways that feed cold replicas. It reports
+// whether one of them took it.
+func (r *runner) feed(ctx context.Context, feeders []string) (verdict, bool) {
+	members := r.gateway.agent.Active().Gateways()
+	for _, feeder := range feeders {
+		member, known := members[feeder]
+		if !known || !member.Up {
+			continue
+		}
+		outcome := r.offer(ctx, member)
+		if outcome.standing != stoodNotStarted || ctx.Err() != nil {
+			return outcome, true
+		}
+	}
+	return verdict{}, false
 }
 
 // again decides whether another attempt in this region follows an outcome, and
@@ -205,7 +254,7 @@
 		r.unsent++
 		return r.unsent < maxUnsent
 	}
-	return r.sent < maxAttempts && r.mayRetry() && r.backoff(ctx)
+	return r.mayRetry() && r.backoff(ctx)
 }
 
 // pointless tells that another replica would refuse alike.
@@ -261,7 +310,8 @@
 		slot.Finish(routing.ResultCanceled, nil, time.Now())
 		return broken(failed(api.CodeInternal, api.OutcomeRefused, "encoding the request: %v", err))
 	}
-	guard := &sendGuard{gate: func() error { return r.gateway.maySend(slot) }}
+	version := slot.Version
+	guard := &sendGuard{gate: func() error { return r.gateway.maySend(slot, version) }}
 	response, err := r.gateway.replicas.generate(attemptContext, slot.Address, body, !r.request.Repeatable, guard)
 	if err != nil {
 		return r.sendFailed(ctx, slot, guard)
@@ -304,7 +354,7 @@
 func (r *runner) sendFailed(ctx context.Context, slot *routing.Slot, guard *sendGuard) verdict {
 	sent, denied := guard.settle()
 	if denied != nil {
-		slot.Finish(routing.ResultCanceled, nil, time.Now())
+		slot.Finish(routing.ResultNotStarted, nil, time.Now())
 		failure := refusedLater(api.CodeNoLease, comeBack, "%v", denied)
 		return verdict{standing: stoodNotStarted, failure: failure, local: true, unsent: true}
 	}
@@ -375,7 +425,7 @@
 	now := time.Now()
 	report := answer.Report
 	answer.Report = nil
-	slot.FirstToken(now)
+	slot.CachedTokens(answer.CachedTokens)
 	slot.Finish(routing.ResultSuccess, report, now)
 	r.gateway.noteReport(slot, report)
 	answer.Replica = slot.Replica
@@ -432,6 +482,7 @@
 func (r *runner) streamEnded(slot *routing.Slot, end *api.StreamEnd) {
 	report := end.Report
 	end.Report = nil
+	slot.CachedTokens(end.CachedTokens)
 	slot.Finish(routing.ResultSuccess, report, time.Now())
 	r.gateway.noteReport(slot, report)
 	end.Replica = slot.Replica
--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -25,8 +25,9 @@
 	macBytes        = sha256.Size
 	// MinKeyBytes is the shortest key accepted.
 	MinKeyBytes = 16
-	// MaxKeys is the number of keys that may be valid at once.
-	MaxKeys = 2
+	// MaxKeys is the number of keys that may be valid at once. Two suffice for a
+	// change of keys; the bound is that of the fleet's key file.
+	MaxKeys = 8
 )
 
 // macDomain keeps ticket codes apart from every other use of the fleet's keys.
--- a/ticket/ticket_test.go
+++ b/ticket/ticket_test.go
@@ -56,7 +56,7 @@
 	if _, err := older.Seal(long); !errors.Is(err, ErrMalformed) {
 		t.Fatalf("long id: got %v", err)
 	}
-	for _, keys := range [][][]byte{nil, {testKey(1)[:8]}, {testKey(1), testKey(2), testKey(3)}} {
+	for _, keys := range [][][]byte{nil, {testKey(1)[:8]}, make([][]byte, MaxKeys+1)} {
 		if _, err := NewSealer(keys); !errors.Is(err, ErrKeys) {
 			t.Fatalf("keys %d: got %v", len(keys), err)
 		}
