--- /dev/null
+++ b/gateway/fixture_test.go
@@ -0,0 +1,390 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/lease"
+	"github.com/deckpulley/deckpulley/peer"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/registry"
+	"github.com/deckpulley/deckpulley/stream"
+	"github.com/deckpulley/deckpulley/transport"
+)
+
+// patience bounds waiting for something that must happen; a passing test never
+// waits that long.
+const patience = 15 * time.Second
+
+func waitFor(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(2 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("waited in vain for %s", what)
+}
+
+// primary grants leases to everyone and holds the table.
+type primary struct {
+	mutex    sync.Mutex
+	table    *registry.Table
+	silent   bool   // grants nothing
+	activate uint32 // limit of activation; 0 is the newest serial
+}
+
+func newPrimary(t testing.TB, network transport.Network) *primary {
+	table, err := registry.New(places.Apex, places.Schema(), registry.Head{Primary: "control", Serial: 1}, []string{"control"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &primary{table: table}
+	network.Handle(peer.KindRenew, p.renew)
+	network.Handle(peer.KindUpdate, p.update)
+	if err := network.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { network.Close() })
+	return p
+}
+
+func (p *primary) renew(_ context.Context, _ string, decode func(any) error) (any, error) {
+	var renew peer.Renew
+	if err := decode(&renew); err != nil {
+		return nil, err
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.silent {
+		return &peer.Grant{Cluster: "cluster", Term: 1}, nil
+	}
+	info := renew.Gateway
+	p.apply(registry.Add(places.GatewayRecord(info.Name, places.Gateway{
+		Incarnation: info.Incarnation, Zone: info.Zone, Region: info.Region,
+		PeerAddress: info.PeerAddress, HTTPAddress: info.HTTPAddress, Up: !info.Leaving,
+	})))
+	grant := &peer.Grant{Granted: true, Cluster: "cluster", Term: 1, Activate: p.table.Serial(), Control: []string{"control"}}
+	if p.activate != 0 {
+		grant.Activate = p.activate
+	}
+	if renew.Active != 0 {
+		grant.LeaseMS = lease.DefaultTerms().Length.Milliseconds()
+	}
+	if renew.Held != p.table.Serial() {
+		transfer := p.table.Difference(renew.Held)
+		grant.Transfer = &transfer
+	}
+	return grant, nil
+}
+
+func (p *primary) update(_ context.Context, _ string, decode func(any) error) (any, error) {
+	var request peer.UpdateRequest
+	if err := decode(&request); err != nil {
+		return nil, err
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	result := p.table.Apply(&request.Update, nil)
+	return &peer.UpdateReply{Code: result.Code, Serial: result.Serial}, nil
+}
+
+func (p *primary) apply(changes ...registry.Record) {
+	update := registry.NewUpdate(places.Apex, nil, changes)
+	if result := p.table.Apply(&update, nil); result.Code != registry.NoError {
+		panic(fmt.Sprintf("update: %v at %s %d", result.Code, result.Section, result.Failed))
+	}
+}
+
+func (p *primary) set(change func(*primary)) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	change(p)
+}
+
+// answerFunc answers one request as a replica.
+type answerFunc func(w http.ResponseWriter, r *http.Request, request *api.ReplicaRequest)
+
+// fakeReplica answers as it is told and counts what reaches it.
+type fakeReplica struct {
+	name    string
+	server  *httptest.Server
+	answer  atomic.Pointer[answerFunc]
+	version atomic.Uint64 // reported
+
+	mutex    sync.Mutex
+	received []api.ReplicaRequest
+}
+
+func newFakeReplica(t testing.TB, name string) *fakeReplica {
+	f := &fakeReplica{name: name}
+	f.behave(answerWhole)
+	f.server = httptest.NewServer(f)
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+func (f *fakeReplica) behave(answer answerFunc) { f.answer.Store(&answer) }
+
+func (f *fakeReplica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == api.PathReplicaReport {
+		writeJSON(w, http.StatusOK, api.ReplicaReport{
+			Replica: f.name, Incarnation: "1", Service: "explain", Slots: 64, PrefillTokensPerSecond: 1e6,
+			ConfigurationVersion: f.version.Load(), Sequence: uint64(time.Now().UnixNano()),
+		})
+		return
+	}
+	var request api.ReplicaRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	f.mutex.Lock()
+	f.received = append(f.received, request)
+	f.mutex.Unlock()
+	(*f.answer.Load())(w, r, &request)
+}
+
+func (f *fakeReplica) requests() []api.ReplicaRequest {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return append([]api.ReplicaRequest(nil), f.received...)
+}
+
+func answerWhole(w http.ResponseWriter, _ *http.Request, request *api.ReplicaRequest) {
+	if request.Stream {
+		answerStream(w, request, 5)
+		return
+	}
+	writeJSON(w, http.StatusOK, api.GenerateAnswer{RequestID: request.RequestID, RunID: "run-1", Tokens: 3, Text: "abc"})
+}
+
+func pieceFrame(request *api.ReplicaRequest, sequence int) []byte {
+	data, _ := json.Marshal(api.StreamPiece{RequestID: request.RequestID, RunID: "run-1", Sequence: sequence, Text: "word ", Tokens: 1})
+	return stream.AppendFrame(nil, api.EventPiece, data)
+}
+
+func answerStream(w http.ResponseWriter, request *api.ReplicaRequest, pieces int) {
+	w.Header().Set("Content-Type", stream.ContentType)
+	for i := range pieces {
+		w.Write(pieceFrame(request, i+1))
+	}
+	data, _ := json.Marshal(api.StreamEnd{RequestID: request.RequestID, RunID: "run-1", Sequence: pieces + 1, Tokens: pieces})
+	w.Write(stream.AppendFrame(nil, api.EventEnd, data))
+}
+
+// fleet is a primary, gateways and replicas in one process.
+type fleet struct {
+	t       testing.TB
+	memory  *transport.Memory
+	primary *primary
+	skew    atomic.Int64 // added to every gateway's clock
+}
+
+// node is one gateway of a fleet.
+type node struct {
+	*Gateway
+	url     string
+	network transport.Network
+	stop    func()
+}
+
+func newFleet(t testing.TB) *fleet {
+	memory := transport.NewMemory()
+	f := &fleet{t: t, memory: memory, primary: newPrimary(t, memory.Node("control", "control"))}
+	f.primary.set(func(p *primary) {
+		p.apply(
+			registry.Add(places.ConfigurationRecord(places.Configuration{Version: 1})),
+			registry.Add(places.ServiceRecord("explain", places.Service{Kind: "model", MaxConcurrency: 64})),
+			registry.Add(places.RouteRecord("m", places.Route{Service: "explain"})),
+			registry.Add(places.RegionRecord("north", places.Region{Capacity: 1, Spill: []string{"south"}})),
+			registry.Add(places.RegionRecord("south", places.Region{Capacity: 1, Spill: []string{"north"}})),
+			registry.Add(places.ZoneRecord("north-1", places.Zone{Region: "north"})),
+			registry.Add(places.ZoneRecord("south-1", places.Zone{Region: "south"})),
+			registry.Add(places.LimitsRecord(places.Limits{StreamGapMS: 300})),
+		)
+	})
+	return f
+}
+
+func (f *fleet) replica(name, region string) *fakeReplica {
+	replica := newFakeReplica(f.t, name)
+	f.primary.set(func(p *primary) {
+		p.apply(registry.Add(places.ReplicaRecord(name, places.Replica{
+			Service: "explain", Zone: region + "-1", Region: region, Address: replica.server.Listener.Addr().String(),
+		})))
+	})
+	return replica
+}
+
+func (f *fleet) gateway(name, region, incarnation string, change func(*Options)) *node {
+	f.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	network := f.memory.Node(name, name)
+	started := time.Now()
+	options := Options{
+		Info: peer.GatewayInfo{
+			Name: name, Incarnation: incarnation, Zone: region + "-1", Region: region,
+			PeerAddress: name, HTTPAddress: listener.Addr().String(),
+		},
+		Seeds:        []string{"control"},
+		Keys:         [][]byte{bytes.Repeat([]byte{7}, 32)},
+		Terms:        lease.DefaultTerms(),
+		Network:      network,
+		Clock:        func() time.Duration { return time.Since(started) + time.Duration(f.skew.Load()) },
+		PollInterval: 20 * time.Millisecond,
+		StopTimeout:  10 * time.Millisecond,
+		Seed:         1,
+	}
+	if change != nil {
+		change(&options)
+	}
+	g, err := New(options)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	server := g.CallersServer()
+	go server.Serve(listener)
+	if err := g.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	stop := sync.OnceFunc(func() {
+		server.Close()
+		g.Stop(context.Background())
+		network.Close()
+	})
+	f.t.Cleanup(stop)
+	return &node{Gateway: g, url: "http://" + listener.Addr().String(), network: network, stop: stop}
+}
+
+// ready waits until the gateways serve and know each other and their replicas.
+func (f *fleet) ready(nodes ...*node) {
+	f.t.Helper()
+	waitFor(f.t, "ready gateways", func() bool {
+		for _, n := range nodes {
+			if n.mayPlace() != nil || len(n.agent.Active().Gateways()) < len(nodes) {
+				return false
+			}
+			watched := n.router.Watched()
+			services := n.router.Status().Services
+			if len(watched) > 0 && (len(services) == 0 || services[0].Usable < len(watched)) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// reply is what a caller got.
+type reply struct {
+	status  int
+	answer  api.GenerateAnswer
+	failure *api.Error
+	pieces  int
+	ended   *api.StreamEnd
+	broken  error // of reading the body
+	header  http.Header
+}
+
+// outcome is the outcome a caller sees.
+func (r *reply) outcome() string {
+	switch {
+	case r.failure != nil:
+		return fmt.Sprintf("%s/%s", r.failure.Code, r.failure.Outcome)
+	case r.broken != nil:
+		return "broken"
+	case r.ended != nil || r.answer.RunID != "":
+		return "success"
+	default:
+		return "nothing"
+	}
+}
+
+func post(ctx context.Context, url string, body any) (*http.Response, error) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(encoded))
+	if err != nil {
+		return nil, err
+	}
+	request.Close = true
+	return http.DefaultClient.Do(request)
+}
+
+// send sends one request to a gateway and reads all of its answer.
+func (n *node) send(t testing.TB, request api.GenerateRequest) *reply {
+	t.Helper()
+	response, err := post(context.Background(), n.url+api.PathRequests, request)
+	if err != nil {
+		return &reply{broken: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	got := &reply{status: response.StatusCode, broken: err, header: response.Header}
+	if !isStream(response) {
+		var wrapped struct {
+			api.GenerateAnswer
+			Error *api.Error `json:"error"`
+		}
+		if err := json.Unmarshal(body, &wrapped); err != nil {
+			t.Fatalf("answer %q: %v", body, err)
+		}
+		got.answer, got.failure = wrapped.GenerateAnswer, wrapped.Error
+		return got
+	}
+	for _, event := range strings.Split(string(body), "\n\n") {
+		kind, data, _ := strings.Cut(strings.TrimPrefix(event, "event: "), "\ndata: ")
+		switch kind {
+		case api.EventPiece:
+			got.pieces++
+		case api.EventEnd:
+			got.ended = new(api.StreamEnd)
+			err = json.Unmarshal([]byte(data), got.ended)
+		case api.EventError:
+			got.failure = new(api.Error)
+			err = json.Unmarshal([]byte(data), got.failure)
+		}
+	}
+	if err != nil && got.broken == nil {
+		t.Fatalf("event: %v", err)
+	}
+	return got
+}
+
+// where asks a gateway where to go and returns the request with its ticket.
+func (n *node) where(t testing.TB, request api.GenerateRequest) (api.GenerateRequest, *api.WhereAnswer) {
+	t.Helper()
+	question := api.WhereRequest{RequestID: request.RequestID, Model: request.Model, WaitMS: request.WaitMS, Repeatable: request.Repeatable, Home: request.Home}
+	response, err := post(context.Background(), n.url+api.PathWhere, question)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var answer api.WhereAnswer
+	body, _ := io.ReadAll(response.Body)
+	if err := json.Unmarshal(body, &answer); err != nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("where: status %d: %s", response.StatusCode, body)
+	}
+	request.Ticket = answer.Ticket
+	return request, &answer
+}
+
+func question(id string) api.GenerateRequest {
+	return api.GenerateRequest{RequestID: id, Model: "m", PromptTokens: 10, MaxTokens: 5, WaitMS: 10_000}
+}
--- a/ticket/ticket_test.go
+++ b/ticket/ticket_test.go
@@ -56,7 +56,11 @@
 	if _, err := older.Seal(long); !errors.Is(err, ErrMalformed) {
 		t.Fatalf("long id: got %v", err)
 	}
-	for _, keys := range [][][]byte{nil, {testKey(1)[:8]}, make([][]byte, MaxKeys+1)} {
+	var many [][]byte
+	for i := range MaxKeys + 1 {
+		many = append(many, testKey(byte(i)))
+	}
+	for _, keys := range [][][]byte{nil, {testKey(1)[:8]}, many} {
 		if _, err := NewSealer(keys); !errors.Is(err, ErrKeys) {
 			t.Fatalf("keys %d: got %v", len(keys), err)
 		}
