Follow only control nodes that are up to date

Cause: a control node that lags named the members of the past, and an agent that believed it lost the address of the present primary. Change: hints and member lists of an older term are ignored; the operators' port bounds each answer by itself; request bodies are charged as they arrive; the router's controllers are metrics.

--- a/gateway/agent/renew.go
+++ b/gateway/agent/renew.go
@@ -72,6 +72,9 @@
 		a.log.Debug("renewal failed", "address", address, "error", err)
 		return searchPause, false
 	}
+	if grant.Term < a.holder.Term() {
+		grant.Primary, grant.Control = "", nil // a node that lags names the primary of the past
+	}
 	a.contacts.learn(grant.Control)
 	hinted = a.contacts.answered(now, address, grant.Granted, grant.Primary)
 	if !grant.Granted {
--- /dev/null
+++ b/gateway/bench_test.go
@@ -0,0 +1,139 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/stream"
+)
+
+// nullWriter is a caller's connection that takes everything at once.
+type nullWriter struct {
+	header http.Header
+	bytes  int
+}
+
+func (w *nullWriter) Header() http.Header              { return w.header }
+func (w *nullWriter) WriteHeader(int)                  {}
+func (w *nullWriter) Flush()                           {}
+func (w *nullWriter) SetWriteDeadline(time.Time) error { return nil }
+func (w *nullWriter) Write(data []byte) (int, error) {
+	w.bytes += len(data)
+	return len(data), nil
+}
+
+// BenchmarkRelay copies a stream of 1,000 events from a replica's bytes through
+// an execution to a caller's writer.
+func BenchmarkRelay(b *testing.B) {
+	const pieces = 1000
+	request := &api.ReplicaRequest{RequestID: "request-1"}
+	var source bytes.Buffer
+	for i := range pieces {
+		source.Write(pieceFrame(request, i+1))
+	}
+	data, _ := json.Marshal(api.StreamEnd{RequestID: "request-1", RunID: "run-1", Sequence: pieces + 1, Tokens: pieces})
+	source.Write(stream.AppendFrame(nil, api.EventEnd, data))
+	ctx := context.Background()
+	b.ReportAllocs()
+	b.SetBytes(int64(source.Len()))
+	for b.Loop() {
+		run := newExecution("request-1", true, func(error) {})
+		reader, _ := run.follow(true)
+		go produce(ctx, run, source.Bytes())
+		response := &nullWriter{header: http.Header{}}
+		writer := stream.NewWriter(response, time.Second)
+		for {
+			frames, ended, err := reader.next(ctx)
+			if err != nil || (ended != nil && ended.end == nil) {
+				b.Fatal(err, ended)
+			}
+			if ended != nil {
+				break
+			}
+			if err := writer.Frames(frames); err != nil {
+				b.Fatal(err)
+			}
+		}
+		reader.leave()
+	}
+	b.ReportMetric(float64(b.N)*pieces/b.Elapsed().Seconds(), "events/s")
+}
+
+func produce(ctx context.Context, run *execution, source []byte) {
+	events := stream.NewReader(bytes.NewReader(source), stream.Options{RequestID: "request-1", Gap: time.Minute, Interrupt: func() {}})
+	defer events.Close()
+	for {
+		event, err := events.Next()
+		if err != nil {
+			run.finish(&result{failure: streamFailure(err, 0)})
+			return
+		}
+		if event.End != nil {
+			run.finish(&result{end: event.End})
+			return
+		}
+		if err := run.piece(ctx, event.Piece); err != nil {
+			return
+		}
+	}
+}
+
+// BenchmarkRequests sends short whole requests through a gateway and, for
+// comparison, to the replica itself.
+func BenchmarkRequests(b *testing.B) {
+	f := newFleet(b)
+	replica := f.replica("r1", "north")
+	g := f.gateway("g1", "north", "a", nil)
+	f.ready(g)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+	send := func(b *testing.B, url string, body any) {
+		encoded, _ := json.Marshal(body)
+		response, err := client.Post(url, "application/json", bytes.NewReader(encoded))
+		if err != nil {
+			b.Error(err)
+			return
+		}
+		defer response.Body.Close()
+		if answer, _ := io.ReadAll(response.Body); response.StatusCode != http.StatusOK {
+			b.Errorf("status %d: %s", response.StatusCode, answer)
+		}
+	}
+	request := question("bench")
+	request.Repeatable = true
+	b.Run("direct", func(b *testing.B) {
+		url := replica.server.URL + api.PathReplicaGenerate
+		for b.Loop() {
+			send(b, url, api.ReplicaRequest{RequestID: "bench", Model: "m", MaxTokens: 1, TimeLeftMS: 1000})
+		}
+	})
+	b.Run("gateway", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			send(b, g.url+api.PathRequests, request)
+		}
+	})
+	b.Run("gateway-parallel", func(b *testing.B) {
+		b.SetParallelism(2)
+		b.RunParallel(func(loop *testing.PB) {
+			for loop.Next() {
+				send(b, g.url+api.PathRequests, request)
+			}
+		})
+		b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+	})
+	b.Run("ticketed", func(b *testing.B) {
+		count := 0
+		for b.Loop() {
+			count++
+			ticketed, _ := g.where(b, question(fmt.Sprintf("bench-%d", count)))
+			send(b, g.url+api.PathRequests, ticketed)
+		}
+	})
+}
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -159,24 +159,17 @@
 
 // readRequest reads one strict JSON document within the limits.
 func (g *Gateway) readRequest(w http.ResponseWriter, r *http.Request, into any) *api.Error {
-	size := int64(api.MaxBodyBytes)
-	if r.ContentLength > size {
+	if r.ContentLength > api.MaxBodyBytes {
 		w.Header().Set("Connection", "close")
-		return failed(api.CodeTooLarge, api.OutcomeRefused, "the body has %d bytes, %d at the most", r.ContentLength, size)
+		return failed(api.CodeTooLarge, api.OutcomeRefused, "the body has %d bytes, %d at the most", r.ContentLength, api.MaxBodyBytes)
 	}
-	if r.ContentLength >= 0 {
-		size = r.ContentLength
-	}
-	if !g.bodies.take(size) {
-		w.Header().Set("Connection", "close")
-		return refusedLater(api.CodeOverloaded, comeBack, "too many request bodies at once")
-	}
-	defer g.bodies.give(size)
 	controller := http.NewResponseController(w)
 	if err := controller.SetReadDeadline(time.Now().Add(readBodyTimeout)); err != nil {
 		return failed(api.CodeInternal, api.OutcomeRefused, "setting the read deadline: %v", err)
 	}
-	failure := decodeStrict(http.MaxBytesReader(w, r.Body, api.MaxBodyBytes), into)
+	body := &budgetReader{source: http.MaxBytesReader(w, r.Body, api.MaxBodyBytes), budget: g.bodies}
+	defer body.release()
+	failure := decodeStrict(body, into)
 	if failure != nil {
 		w.Header().Set("Connection", "close")
 		return failure
@@ -201,6 +194,9 @@
 			err = errors.New("more than one JSON document")
 		}
 	}
+	if errors.Is(err, errBudget) {
+		return refusedLater(api.CodeOverloaded, comeBack, "too many request bodies at once")
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return failed(api.CodeTooLarge, api.OutcomeRefused, "the body has more than %d bytes", tooLarge.Limit)
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -11,6 +13,9 @@
 // maxBodyBytesInFlight bounds the request bodies held at once over all callers.
 const maxBodyBytesInFlight = 64 << 20
 
+// errBudget means that the bodies of all callers together are too large.
+var errBudget = errors.New("gateway: too many bytes of request bodies at once")
+
 // byteBudget bounds a sum of bytes.
 type byteBudget struct {
 	mutex sync.Mutex
@@ -36,6 +41,26 @@
 	b.free += size
 }
 
+// budgetReader charges what has arrived, so that a body that is announced and
+// not sent costs nothing. The charge lasts until release.
+type budgetReader struct {
+	source io.Reader
+	budget *byteBudget
+	taken  int64
+}
+
+// Read implements io.Reader.
+func (r *budgetReader) Read(into []byte) (int, error) {
+	n, err := r.source.Read(into)
+	if n > 0 && !r.budget.take(int64(n)) {
+		return 0, errBudget
+	}
+	r.taken += int64(n)
+	return n, err
+}
+
+func (r *budgetReader) release() { r.budget.give(r.taken) }
+
 // activity counts what runs, so that stopping can wait for it. Unlike a
 // sync.WaitGroup it may be entered while it is being waited for.
 type activity struct {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -16,7 +16,7 @@
 // metricsNamespace begins every metric's name.
 const metricsNamespace = "deckpulley_gateway"
 
-// outcomeSuccess and codeNone label what has no error.
+// codeNone labels what has no error.
 const codeNone = "none"
 
 // latencyBuckets reach from a cached answer to the longest review, in seconds.
@@ -67,6 +67,7 @@
 		m.requests, m.where, m.latency, m.firstEvent, m.attempts, m.failures, m.retries, m.spills, m.tickets, m.polls, m.updates,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
+	g.registry.MustRegister(newRouterCollector(g.router))
 	g.registerGauges()
 }
 
--- a/gateway/operator.go
+++ b/gateway/operator.go
@@ -18,6 +18,8 @@
 const (
 	// orderWait bounds the wait for the answer to a forwarded order.
 	orderWait = 10 * time.Second
+	// operatorWriteTimeout leaves time for a profile of 30 s.
+	operatorWriteTimeout = time.Minute
 	// maxOperatorConnections bounds the connections of the operators' port.
 	maxOperatorConnections = 256
 )
@@ -35,7 +37,7 @@
 	mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
 	g.addHealth(mux)
 	return &http.Server{
-		Handler:           mux,
+		Handler:           bounded(mux),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    api.MaxHeaderBytes,
@@ -44,20 +46,30 @@
 	}
 }
 
+// bounded gives each answer a time of its own. Writing a document sets a shorter
+// one, which would otherwise last into the connection's next request.
+func bounded(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		deadline := time.Now().Add(operatorWriteTimeout)
+		if err := http.NewResponseController(w).SetWriteDeadline(deadline); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // serveStatus answers what this gateway knows of the control plane and itself.
 func (g *Gateway) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	status := g.agent.Status()
 	info := g.options.Info
 	answer := api.StatusAnswer{
-		Node:           info.Name,
-		Primary:        status.Primary, // known by its peers' address here
-		Term:           status.Term,
-		Serial:         status.Held,
-		InForceSerial:  status.Active,
-		Version:        status.ActiveVersion,
-		Members:        []api.MemberStatus{g.ownStatus()},
-		Degraded:       g.degraded(),
-		PrimaryAddress: "",
+		Node:     info.Name,
+		Primary:  status.Primary, // known by its peers' address here
+		Term:     status.Term,
+		Serial:   status.Held,
+		Version:  status.ActiveVersion,
+		Members:  []api.MemberStatus{g.ownStatus()},
+		Degraded: g.degraded(),
 	}
 	if status.Lease > 0 {
 		answer.Leases = 1
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -71,12 +71,22 @@
 		}
 		failure = cause
 	}
-	if r.ran && failure.Outcome == api.OutcomeRefused {
-		copied := *failure
+	copied := *failure
+	if r.ran && copied.Outcome == api.OutcomeRefused {
 		copied.Outcome = api.OutcomeUnknown
-		failure = &copied
 	}
-	r.deliver(&result{failure: failure})
+	r.adviseRetry(&copied)
+	r.deliver(&result{failure: &copied})
+}
+
+// adviseRetry tells the caller when to come back, if that may help.
+func (r *runner) adviseRetry(failure *api.Error) {
+	if r.request.Repeatable && failure.Outcome != api.OutcomeRefused {
+		failure.Retry = true
+	}
+	if failure.Retry && failure.RetryAfterMS == 0 {
+		failure.RetryAfterMS = comeBack.Milliseconds()
+	}
 }
 
 func (r *runner) deliver(final *result) {
