Draw the traffic of the example configurations

The generators used names of their own, so a fleet with the example documents would have answered not_found, and tenants with a home in the document would have been counted as free to go anywhere.

--- a/internal/workload/generator.go
+++ b/internal/workload/generator.go
@@ -49,14 +49,10 @@
 	count    uint64
 	// peak bounds the rate at any time, for thinning.
 	peak float64
-	// documents and tenants are the cumulative popularities per population.
-	documents map[*Population][]float64
-	tenants   map[*Population][]float64
+	// documents are the cumulative popularities of each tenant's documents.
+	documents map[*Tenant][]float64
 }
 
-// tenantSkew is the exponent of the Zipf law over tenants.
-const tenantSkew = 0.6
-
 // New makes a generator. The prefix begins every request id, so that several
 // generators of one run stay apart.
 func New(profile *Profile, scenario Scenario, seed uint64, prefix string) *Generator {
@@ -65,12 +61,13 @@
 		scenario:  scenario,
 		prefix:    fmt.Sprintf("%s-%x", prefix, seed),
 		random:    rand.New(rand.NewPCG(seed, 0x776f726b6c6f6164)),
-		documents: make(map[*Population][]float64),
-		tenants:   make(map[*Population][]float64),
+		documents: make(map[*Tenant][]float64),
 	}
 	for _, mix := range profile.Mixes {
-		g.documents[mix.Population] = zipf(mix.Population.Documents, mix.Population.Skew)
-		g.tenants[mix.Population] = zipf(len(mix.Population.Tenants), tenantSkew)
+		for index := range mix.Population.Tenants {
+			tenant := &mix.Population.Tenants[index]
+			g.documents[tenant] = zipf(tenant.Documents, mix.Population.Skew)
+		}
 	}
 	g.peak = g.peakRate()
 	return g
@@ -158,18 +155,17 @@
 func (g *Generator) draw(mix *Mix, effect Phase) Request {
 	g.count++
 	region := g.drawRegion(effect)
-	population := mix.Population
-	tenant := population.Tenants[g.rank(g.tenants[population])]
+	tenant := g.drawTenant(mix.Population)
 	request := Request{
 		At:      g.now,
 		Region:  region,
 		Service: mix.Service,
 		Generate: api.GenerateRequest{
 			RequestID:    fmt.Sprintf("%s-%d", g.prefix, g.count),
-			Tenant:       tenant,
+			Tenant:       tenant.Name,
 			Model:        mix.Model,
 			Class:        mix.Class,
-			Prefixes:     g.drawPrefixes(population, mix.Service, tenant),
+			Prefixes:     g.drawPrefixes(mix.Population, mix.Service, tenant),
 			PromptTokens: scaled(g.between(mix.PromptTokens), effect.PromptFactor),
 			MaxTokens:    scaled(g.between(mix.AnswerTokens), effect.AnswerFactor),
 			Stream:       mix.Stream,
@@ -178,14 +174,28 @@
 			Repeatable:   g.random.Float64() >= mix.NonRepeatableShare,
 		},
 	}
-	if g.random.Float64() < mix.HomeShare {
-		home := g.profile.Homes[g.random.IntN(len(g.profile.Homes))]
-		request.Generate.Home = home.Name
-		request.HomeRegions = home.Regions
+	named := g.random.Float64() < mix.HomeShare
+	switch {
+	case tenant.Home != "":
+		request.HomeRegions = g.profile.home(tenant.Home)
+	case named:
+		request.Generate.Home = mix.Home
+		request.HomeRegions = g.profile.home(mix.Home)
 	}
 	return request
 }
 
+func (g *Generator) drawTenant(population *Population) *Tenant {
+	pick := g.random.Float64()
+	for index := range population.Tenants {
+		pick -= population.Tenants[index].Share
+		if pick < 0 {
+			return &population.Tenants[index]
+		}
+	}
+	return &population.Tenants[0]
+}
+
 func (g *Generator) drawRegion(effect Phase) string {
 	total := 0.0
 	for _, region := range g.profile.Regions {
@@ -210,11 +220,11 @@
 
 // drawPrefixes draws a document of the tenant and one of its sections. Lengths
 // follow from the names, so that equal ids always mean equal lengths.
-func (g *Generator) drawPrefixes(population *Population, service, tenant string) []api.Prefix {
-	if population.Documents == 0 {
+func (g *Generator) drawPrefixes(population *Population, service string, tenant *Tenant) []api.Prefix {
+	if tenant.Documents == 0 {
 		return nil
 	}
-	document := fmt.Sprintf("%s/%s/document-%d", service, tenant, g.rank(g.documents[population]))
+	document := fmt.Sprintf("%s/%s/document-%d", service, tenant.Name, g.rank(g.documents[tenant]))
 	section := fmt.Sprintf("%s/section-%d", document, g.random.IntN(population.Sections))
 	return []api.Prefix{
 		{ID: service + "/system", Tokens: population.SystemTokens},
--- a/internal/workload/profile.go
+++ b/internal/workload/profile.go
@@ -33,13 +33,21 @@
 	Regions []string
 }
 
+// Tenant is one tenant of a population.
+type Tenant struct {
+	Name string
+	// Share is the part of the population's requests; shares add up to 1.
+	Share float64
+	// Home is the home rule that the configuration binds the tenant to, if any.
+	Home string
+	// Documents is the number of its documents (repositories, dossiers).
+	Documents int
+}
+
 // Population describes tenants and the documents that their requests share.
 type Population struct {
-	// Tenants are the tenants' names, the most active first.
-	Tenants []string
-	// Documents is the number of documents (repositories, dossiers) per tenant.
-	Documents int
-	// Skew is the exponent of the Zipf law over tenants' documents; 0 is even.
+	Tenants []Tenant
+	// Skew is the exponent of the Zipf law over a tenant's documents; 0 is even.
 	Skew float64
 	// SystemTokens is the length of the prefix that all requests of a model share.
 	SystemTokens int
@@ -68,7 +76,9 @@
 	WaitMS Range
 	// NonRepeatableShare is the share of requests that must run at most once.
 	NonRepeatableShare float64
-	// HomeShare is the share of requests bound to a home rule.
+	// Home is the home rule that a HomeShare of the requests names by itself,
+	// beside those whose tenant has one.
+	Home      string
 	HomeShare float64
 }
 
@@ -91,6 +101,16 @@
 	return total
 }
 
+// home lists the regions of a home rule; nil if there is no such rule.
+func (p *Profile) home(name string) []string {
+	for _, home := range p.Homes {
+		if home.Name == name {
+			return home.Regions
+		}
+	}
+	return nil
+}
+
 // Scale multiplies the arrival rate of every kind.
 func (p *Profile) Scale(factor float64) *Profile {
 	scaled := *p
@@ -114,108 +134,106 @@
 	return nil, fmt.Errorf("workload: unknown deployment %q", name)
 }
 
-// numbered makes names with a running number from 1.
-func numbered(prefix string, count int) []string {
-	names := make([]string, count)
-	for index := range names {
-		names[index] = fmt.Sprintf("%s%02d", prefix, index+1)
-	}
-	return names
-}
-
 // Kodovka is the traffic of a banking integrator's developers: long streamed
-// repository explanations, inline lookups and snippet fetches.
+// repository explanations, inline lookups and snippet fetches. Names are those of
+// examples/kodovka.yaml.
 func Kodovka() *Profile {
 	repositories := &Population{
-		Tenants:        numbered("team-", 10),
-		Documents:      6,
-		Skew:           0.9,
+		Tenants: []Tenant{
+			{Name: "integrator", Share: 0.92, Documents: 50},
+			{Name: "bank", Share: 0.08, Home: "bank-home", Documents: 10},
+		},
+		Skew:           0.7,
 		SystemTokens:   400,
 		DocumentTokens: Range{2000, 4000},
 		SectionTokens:  Range{300, 900},
 		Sections:       4,
 	}
-	snippets := &Population{Tenants: numbered("team-", 10)}
+	snippets := &Population{Tenants: []Tenant{
+		{Name: "integrator", Share: 0.92},
+		{Name: "bank", Share: 0.08, Home: "bank-home"},
+	}}
 	return &Profile{
-		Name: "kodovka",
-		Regions: []Region{
-			{Name: "north", Zone: "north-a", ModelReplicas: 5, WebReplicas: 1, ClientShare: 1},
-			{Name: "center", Zone: "center-a", ModelReplicas: 4, WebReplicas: 1, ClientShare: 1},
-			{Name: "south", Zone: "south-a", ModelReplicas: 3, WebReplicas: 1, ClientShare: 1},
-		},
-		Homes: []Home{
-			{Name: "bank-north", Regions: []string{"north"}},
-			{Name: "bank-inland", Regions: []string{"center", "south"}},
-		},
+		Name:    "kodovka",
+		Regions: regions(5, 4, 3),
+		Homes:   []Home{{Name: "bank-home", Regions: []string{"north"}}},
 		Clients: "developers-",
 		Mixes: []Mix{
 			{
-				Class: api.ClassQuick, Model: "lookup", Service: "coder", Rate: 52.0 * 2 / 3, Population: repositories,
-				PromptTokens: Range{60, 240}, AnswerTokens: Range{8, 32}, WaitMS: Range{8000, 12000},
-				NonRepeatableShare: 0.1, HomeShare: 0.1,
+				Class: api.ClassQuick, Model: "explain-quick", Service: "explain", Rate: 52.0 * 2 / 3,
+				Population: repositories, PromptTokens: Range{60, 240}, AnswerTokens: Range{8, 32},
+				WaitMS: Range{8000, 12000}, NonRepeatableShare: 0.1, Home: "bank-home", HomeShare: 0.02,
 			},
 			{
-				Class: api.ClassLong, Model: "explain", Service: "coder", Rate: 52.0 / 3, Population: repositories,
-				PromptTokens: Range{200, 800}, AnswerTokens: Range{60, 200}, Stream: true, WaitMS: Range{25000, 40000},
-				NonRepeatableShare: 0.3, HomeShare: 0.1,
+				Class: api.ClassLong, Model: "explain-long", Service: "explain", Rate: 52.0 / 3, Stream: true,
+				Population: repositories, PromptTokens: Range{200, 800}, AnswerTokens: Range{60, 200},
+				WaitMS: Range{25000, 40000}, NonRepeatableShare: 0.3, Home: "bank-home", HomeShare: 0.02,
 			},
 			{
-				Class: api.ClassFetch, Model: "snippet", Service: "snippets", Rate: 13, Population: snippets,
-				PromptTokens: Range{1, 4}, AnswerTokens: Range{4, 16}, WaitMS: Range{4000, 6000},
-				HomeShare: 0.1,
+				Class: api.ClassFetch, Model: "snippet", Service: "snippets", Rate: 13,
+				Population: snippets, PromptTokens: Range{1, 4}, AnswerTokens: Range{4, 16},
+				WaitMS: Range{4000, 6000},
 			},
 		},
 	}
 }
 
+// regions are the three regions of a deployment with their model replicas.
+func regions(north, central, south int) []Region {
+	return []Region{
+		{Name: "north", Zone: "north-1", ModelReplicas: north, WebReplicas: 1, ClientShare: 1},
+		{Name: "central", Zone: "central-1", ModelReplicas: central, WebReplicas: 1, ClientShare: 1},
+		{Name: "south", Zone: "south-1", ModelReplicas: south, WebReplicas: 1, ClientShare: 1},
+	}
+}
+
 // Georgia is the traffic of a tariff authority: rebate reviews over household
-// dossiers, contractors' tariff-code questions and a portal's sheet fetches.
+// dossiers, contractors' tariff questions and a portal's sheet fetches. Names are
+// those of examples/georgia.yaml.
 func Georgia() *Profile {
 	dossiers := &Population{
-		Tenants:        numbered("unit-", 6),
-		Documents:      6,
-		Skew:           0.8,
+		Tenants: []Tenant{
+			{Name: "caseworkers", Share: 0.35, Home: "dossier-home", Documents: 14},
+			{Name: "reviewers", Share: 0.65, Documents: 22},
+		},
+		Skew:           0.7,
 		SystemTokens:   600,
 		DocumentTokens: Range{2500, 4500},
 		SectionTokens:  Range{300, 900},
 		Sections:       3,
 	}
 	tariffs := &Population{
-		Tenants:        numbered("contractor-", 4),
-		Documents:      4,
-		Skew:           0.9,
+		Tenants:        []Tenant{{Name: "contractors", Share: 1, Documents: 16}},
+		Skew:           0.7,
 		SystemTokens:   600,
 		DocumentTokens: Range{1200, 2400},
 		SectionTokens:  Range{200, 600},
 		Sections:       5,
 	}
-	sheets := &Population{Tenants: []string{"portal"}}
+	sheets := &Population{Tenants: []Tenant{{Name: "public-portal", Share: 1}}}
 	return &Profile{
-		Name: "georgia",
-		Regions: []Region{
-			{Name: "coast", Zone: "coast-a", ModelReplicas: 4, WebReplicas: 1, ClientShare: 1},
-			{Name: "valley", Zone: "valley-a", ModelReplicas: 3, WebReplicas: 1, ClientShare: 1},
-			{Name: "highland", Zone: "highland-a", ModelReplicas: 2, WebReplicas: 1, ClientShare: 1},
-		},
+		Name:    "georgia",
+		Regions: regions(4, 3, 2),
 		Homes: []Home{
-			{Name: "households-coast", Regions: []string{"coast"}},
-			{Name: "households-inland", Regions: []string{"valley", "highland"}},
+			{Name: "dossier-home", Regions: []string{"north", "central"}},
+			{Name: "field-home", Regions: []string{"south"}},
 		},
 		Clients: "offices-",
 		Mixes: []Mix{
 			{
-				Class: api.ClassQuick, Model: "tariff-code", Service: "reviewer", Rate: 38.0 * 2 / 3, Population: tariffs,
-				PromptTokens: Range{60, 240}, AnswerTokens: Range{8, 32}, WaitMS: Range{8000, 12000},
-				NonRepeatableShare: 0.1, HomeShare: 0.05,
+				Class: api.ClassQuick, Model: "tariff-question", Service: "tariff-model", Rate: 38.0 * 2 / 3,
+				Population: tariffs, PromptTokens: Range{60, 240}, AnswerTokens: Range{8, 32},
+				WaitMS: Range{8000, 12000}, NonRepeatableShare: 0.1, Home: "field-home", HomeShare: 0.02,
 			},
 			{
-				Class: api.ClassLong, Model: "rebate-review", Service: "reviewer", Rate: 38.0 / 3, Population: dossiers,
-				PromptTokens: Range{200, 800}, AnswerTokens: Range{60, 200}, Stream: true, WaitMS: Range{25000, 40000},
-				NonRepeatableShare: 0.4, HomeShare: 0.2,
+				Class: api.ClassLong, Model: "rebate-review", Service: "tariff-model", Rate: 38.0 / 3, Stream: true,
+				Population: dossiers, PromptTokens: Range{200, 800}, AnswerTokens: Range{60, 200},
+				WaitMS: Range{25000, 40000}, NonRepeatableShare: 0.4, Home: "dossier-home", HomeShare: 0.05,
 			},
 			{
-				Class: api.ClassFetch, Model: "sheet", Service: "portal", Rate: 10, Population: sheets,
-				PromptTokens: Range{1, 4}, AnswerTokens: Range{4, 16}, WaitMS: Range{4000, 6000},
+				Class: api.ClassFetch, Model: "tariff-sheet", Service: "portal", Rate: 10,
+				Population: sheets, PromptTokens: Range{1, 4}, AnswerTokens: Range{4, 16},
+				WaitMS: Range{4000, 6000},
 			},
 		},
 	}
@@ -227,7 +245,7 @@
 	profile := Kodovka()
 	profile.Name = "skewed"
 	hot := *profile.Mixes[0].Population
-	hot.Skew = 1.6
+	hot.Skew = 1.4
 	for index := range profile.Mixes {
 		if profile.Mixes[index].Class != api.ClassFetch {
 			profile.Mixes[index].Population = &hot
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/configuration"
+	"github.com/deckpulley/deckpulley/examples"
 )
 
 // collect draws the requests of a time.
@@ -67,7 +69,7 @@
 		if ratio := classes[api.ClassQuick] / classes[api.ClassLong]; !near(ratio, 2, 0.05) {
 			t.Errorf("%s: quick to long %.2f, want 2", name, ratio)
 		}
-		if share := homes / float64(len(requests)); share < 0.05 || share > 0.12 {
+		if share := homes / float64(len(requests)); share < 0.08 || share > 0.12 {
 			t.Errorf("%s: %.3f bound to a home, want about a tenth", name, share)
 		}
 		if len(ids) != len(requests) {
@@ -85,6 +87,50 @@
 	}
 }
 
+// TestNamesAreThoseOfTheExamples keeps the traffic and the example documents of
+// the deployments in step.
+func TestNamesAreThoseOfTheExamples(t *testing.T) {
+	for _, name := range examples.Deployments() {
+		text, err := examples.Configuration(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		document, err := configuration.Parse(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		profile, err := ByName(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, region := range profile.Regions {
+			listed := document.Regions[region.Name]
+			if !reflect.DeepEqual(listed.Zones, []string{region.Zone}) || listed.Capacity != region.ModelReplicas {
+				t.Errorf("%s: region %+v, the document has %+v", name, region, listed)
+			}
+			if client := profile.Clients + region.Name; document.Clients[client] != region.Name {
+				t.Errorf("%s: client %s is mapped to %q", name, client, document.Clients[client])
+			}
+		}
+		for _, home := range profile.Homes {
+			if !reflect.DeepEqual(document.Homes[home.Name], home.Regions) {
+				t.Errorf("%s: home %+v, the document has %v", name, home, document.Homes[home.Name])
+			}
+		}
+		for _, mix := range profile.Mixes {
+			route := document.Routes[mix.Model]
+			if route.Service != mix.Service || route.Class != string(mix.Class) || route.Home != "" {
+				t.Errorf("%s: model %s of class %s, the document has %+v", name, mix.Model, mix.Class, route)
+			}
+			for _, tenant := range mix.Population.Tenants {
+				if document.Tenants[tenant.Name].Home != tenant.Home {
+					t.Errorf("%s: tenant %+v, the document has %+v", name, tenant, document.Tenants[tenant.Name])
+				}
+			}
+		}
+	}
+}
+
 func TestScenariosChangeTheTraffic(t *testing.T) {
 	profile := Kodovka()
 	const second = time.Second
