Compare placement policies in virtual time

Nothing showed whether placement by expected first token beats simple baselines. deckpulley-experiment placement runs round robin, least loaded, affinity only and package placement on the same seeded loads, and prints a table, a comparison and a figure.

--- /dev/null
+++ b/internal/experiment/experiment_test.go
@@ -0,0 +1,128 @@
+package experiment
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/internal/emulator"
+	"github.com/deckpulley/deckpulley/internal/workload"
+)
+
+// shortConfig is a run that tests can afford.
+func shortConfig(profile *workload.Profile, policy NamedPolicy) FleetConfig {
+	return FleetConfig{
+		Profile:    profile,
+		Parameters: emulator.DefaultParameters(emulator.KindModel),
+		Seed:       1,
+		Policy:     policy.New,
+		WarmUp:     20 * time.Second,
+		Length:     50 * time.Second,
+	}
+}
+
+// TestEveryRequestIsCountedOnce compares each policy's counts with the traffic,
+// and a run with its repetition.
+func TestEveryRequestIsCountedOnce(t *testing.T) {
+	profile := workload.Kodovka().Scale(1.6)
+	for _, policy := range Policies() {
+		config := shortConfig(profile, policy)
+		config.WarmUp = 0
+		result := Run(config)
+		sent := 0
+		generator := workload.New(profile, nil, config.Seed, "experiment")
+		for request := generator.Next(); request.At < config.Length; request = generator.Next() {
+			if request.Generate.Class != api.ClassFetch {
+				sent++
+			}
+		}
+		if counted := result.Answered + result.Refused + result.Unfinished; counted != sent {
+			t.Errorf("%s: %d of %d requests counted", policy.Name, counted, sent)
+		}
+		if result.HitRate <= 0 || result.HitRate > 1 {
+			t.Errorf("%s: hit rate %f", policy.Name, result.HitRate)
+		}
+		if difference := cmp.Diff(result, Run(config), cmpopts.EquateComparable(), cmp.AllowUnexported(Result{})); difference != "" {
+			t.Errorf("%s: equal runs differ:\n%s", policy.Name, difference)
+		}
+	}
+}
+
+// TestTodaysLoadFits checks the sizes of replicas and requests against each
+// other: placed by prefix, today's load is served well; placed blindly, what the
+// replicas prefill again costs at least 40% more time to the first token.
+func TestTodaysLoadFits(t *testing.T) {
+	const firstTokenBound = 920 * time.Millisecond
+	policies := Policies()
+	for _, name := range []string{"kodovka", "georgia"} {
+		profile, err := workload.ByName(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if need := Utilization(profile, emulator.DefaultParameters(emulator.KindModel)); need < 0.3 || need > 0.5 {
+			t.Errorf("%s: today's load needs %.2f of the capacity, want 0.3 to 0.5", name, need)
+		}
+		byPrefix := Run(shortConfig(profile, policies[2]))
+		if byPrefix.Refused > 0 || byPrefix.FirstTokenP95 > firstTokenBound {
+			t.Errorf("%s by prefix: %d refused, first token p95 %v", name, byPrefix.Refused, byPrefix.FirstTokenP95)
+		}
+		blind := Run(shortConfig(profile, policies[0]))
+		if blind.HitRate > byPrefix.HitRate-0.1 || blind.FirstTokenP95 < byPrefix.FirstTokenP95*7/5 {
+			t.Errorf("%s: placing blindly makes no difference: hits %.2f and %.2f, first token p95 %v and %v",
+				name, blind.HitRate, byPrefix.HitRate, blind.FirstTokenP95, byPrefix.FirstTokenP95)
+		}
+	}
+}
+
+func TestPlacementReport(t *testing.T) {
+	config := DefaultPlacementConfig()
+	config.Deployments = []string{"georgia"}
+	config.Loads = []float64{0.3, 0.5}
+	config.Seeds = 2
+	config.WarmUp = 5 * time.Second
+	config.Length = 10 * time.Second
+	points, err := Placement(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := len(config.Loads) * len(Policies()); len(points) != want {
+		t.Fatalf("%d points, want %d", len(points), want)
+	}
+	for _, comparison := range Compare(points) {
+		for _, point := range points {
+			baseline := point.Load == comparison.Load && point.Policy != CacheAwareName
+			if baseline && point.Result.FirstTokenP95 < comparison.BestP95 {
+				t.Errorf("%s is better than the best baseline %s", point.Policy, comparison.Best)
+			}
+		}
+	}
+	var table bytes.Buffer
+	if err := WritePlacementTable(&table, points); err != nil {
+		t.Fatal(err)
+	}
+	if lines := bytes.Count(table.Bytes(), []byte("\n")); lines != len(points)+1 {
+		t.Errorf("%d lines for %d points", lines, len(points))
+	}
+	path := filepath.Join(t.TempDir(), "placement.svg")
+	if err := PlotPlacement(path, points); err != nil {
+		t.Fatal(err)
+	}
+	drawn, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, policy := range Policies() {
+		if !bytes.Contains(drawn, []byte(policy.Name)) {
+			t.Errorf("the figure does not name %s", policy.Name)
+		}
+	}
+	if _, err := Placement(PlacementConfig{Deployments: []string{"nowhere"}}); err == nil {
+		t.Error("an unknown deployment was accepted")
+	}
+}
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -4,6 +4,7 @@
 package experiment
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -125,7 +126,9 @@
 		fleet.place(&request)
 	}
 	fleet.advance(config.Length)
-	fleet.result.finish(config.Length-config.WarmUp, len(fleet.attempts))
+	fleet.result.Unfinished = len(fleet.attempts)
+	fleet.result.length = config.Length - config.WarmUp
+	fleet.result.finish()
 	return fleet.result
 }
 
@@ -144,7 +147,8 @@
 		}
 		var names []string
 		for index := range region.ModelReplicas {
-			name := region.Name + "-" + string(rune('a'+index))
+			// The seed is part of the name, so that no single draw of hashes decides.
+			name := fmt.Sprintf("%s-%d-%d", region.Name, config.Seed, index)
 			seed := config.Seed*100 + uint64(number*20+index)
 			built.replicas = append(built.replicas, &replica{name: name, model: emulator.New(config.Parameters, seed, false)})
 			names = append(names, name)
@@ -161,7 +165,7 @@
 func newGateway(policy Policy, replicas []string, number int) *gateway {
 	g := &gateway{policy: policy, nextPoll: time.Duration(number) * pollInterval / 16}
 	for _, name := range replicas {
-		g.views = append(g.views, &View{Name: name})
+		g.views = append(g.views, &View{Name: name, Report: emulator.State{Slots: 1}})
 	}
 	return g
 }
--- /dev/null
+++ b/internal/experiment/placement.go
@@ -0,0 +1,183 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/deckpulley/deckpulley/internal/emulator"
+	"github.com/deckpulley/deckpulley/internal/workload"
+)
+
+// NamedPolicy is one contender of the placement experiment.
+type NamedPolicy struct {
+	Name string
+	// New makes the policy of one gateway for its region's replicas.
+	New func(gatewayNumber int, replicas []string) Policy
+}
+
+// CacheAwareName names our own policy in tables and plots.
+const CacheAwareName = "cache aware"
+
+// Policies lists the baselines and, last, our own.
+func Policies() []NamedPolicy {
+	return []NamedPolicy{
+		{"round robin", func(number int, _ []string) Policy { return &RoundRobin{next: number} }},
+		{"least loaded", func(number int, _ []string) Policy { return &LeastLoaded{next: number} }},
+		{"affinity only", func(int, []string) Policy { return AffinityOnly{} }},
+		{CacheAwareName, func(_ int, replicas []string) Policy { return NewCacheAware(replicas) }},
+	}
+}
+
+// PlacementConfig describes the placement experiment.
+type PlacementConfig struct {
+	// Deployments are names of package workload.
+	Deployments []string
+	// Loads are parts of the capacity, as Utilization counts it.
+	Loads []float64
+	// Seeds is the number of runs per point, with seeds from 1.
+	Seeds int
+	// WarmUp is left out of the results; Length is the whole of one run.
+	WarmUp, Length time.Duration
+	// Parallel bounds the runs at a time.
+	Parallel int
+}
+
+// DefaultPlacementConfig is the experiment as documented.
+func DefaultPlacementConfig() PlacementConfig {
+	return PlacementConfig{
+		Deployments: []string{"kodovka", "georgia", "skewed"},
+		Loads:       []float64{0.4, 0.5, 0.6, 0.7, 0.8},
+		Seeds:       4,
+		WarmUp:      20 * time.Second,
+		Length:      80 * time.Second,
+		Parallel:    4,
+	}
+}
+
+// PlacementPoint is the result of one policy at one load, over all seeds.
+type PlacementPoint struct {
+	Deployment string
+	Load       float64
+	// Scale is the load over today's.
+	Scale  float64
+	Policy string
+	Result *Result
+}
+
+// Placement runs every policy on the same seeded loads.
+func Placement(config PlacementConfig) ([]PlacementPoint, error) {
+	parameters := emulator.DefaultParameters(emulator.KindModel)
+	var points []PlacementPoint
+	for _, deployment := range config.Deployments {
+		profile, err := workload.ByName(deployment)
+		if err != nil {
+			return nil, err
+		}
+		today := Utilization(profile, parameters)
+		for _, load := range config.Loads {
+			for _, policy := range Policies() {
+				points = append(points, PlacementPoint{
+					Deployment: deployment, Load: load, Scale: load / today, Policy: policy.Name,
+					Result: placementRuns(config, profile.Scale(load/today), parameters, policy),
+				})
+			}
+		}
+	}
+	return points, nil
+}
+
+// placementRuns merges one run per seed.
+func placementRuns(config PlacementConfig, profile *workload.Profile, parameters emulator.Parameters, policy NamedPolicy) *Result {
+	results := make([]*Result, config.Seeds)
+	var group errgroup.Group
+	group.SetLimit(config.Parallel)
+	for index := range results {
+		group.Go(func() error {
+			results[index] = Run(FleetConfig{
+				Profile:    profile,
+				Parameters: parameters,
+				Seed:       uint64(index + 1),
+				Policy:     policy.New,
+				WarmUp:     config.WarmUp,
+				Length:     config.Length,
+			})
+			return nil
+		})
+	}
+	// No run can fail.
+	_ = group.Wait()
+	merged := results[0]
+	for _, other := range results[1:] {
+		merged.merge(other)
+	}
+	return merged
+}
+
+// WritePlacementTable writes one row per point.
+func WritePlacementTable(w io.Writer, points []PlacementPoint) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "deployment\tload\tof today\tpolicy\tprefix hits\tfirst token p50\tp95\tp99\tgap p95\tanswered\trefused\t")
+	for _, point := range points {
+		result := point.Result
+		fmt.Fprintf(table, "%s\t%.0f%%\t%.2f\t%s\t%.1f%%\t%d ms\t%d ms\t%d ms\t%.1f ms\t%d\t%d\t\n",
+			point.Deployment, 100*point.Load, point.Scale, point.Policy, 100*result.HitRate,
+			result.FirstTokenP50.Milliseconds(), result.FirstTokenP95.Milliseconds(), result.FirstTokenP99.Milliseconds(),
+			1000*result.GapP95.Seconds(), result.Answered, result.Refused)
+	}
+	return table.Flush()
+}
+
+// Comparison sets our own policy against the best baseline at one load.
+type Comparison struct {
+	Deployment string
+	Load       float64
+	// Best is the baseline with the lowest p95 of the first token.
+	Best    string
+	BestP95 time.Duration
+	OwnP95  time.Duration
+	// BestRefused and OwnRefused count requests.
+	BestRefused int
+	OwnRefused  int
+}
+
+// Gain is the part of the best baseline's p95 that our own saves.
+func (c Comparison) Gain() float64 {
+	return 1 - c.OwnP95.Seconds()/c.BestP95.Seconds()
+}
+
+// Compare lists a comparison per deployment and load.
+func Compare(points []PlacementPoint) []Comparison {
+	var comparisons []Comparison
+	for start := 0; start < len(points); start += len(Policies()) {
+		group := points[start : start+len(Policies())]
+		own := group[len(group)-1]
+		best := group[0]
+		for _, candidate := range group[1 : len(group)-1] {
+			if candidate.Result.FirstTokenP95 < best.Result.FirstTokenP95 {
+				best = candidate
+			}
+		}
+		comparisons = append(comparisons, Comparison{
+			Deployment: own.Deployment, Load: own.Load, Best: best.Policy,
+			BestP95: best.Result.FirstTokenP95, OwnP95: own.Result.FirstTokenP95,
+			BestRefused: best.Result.Refused, OwnRefused: own.Result.Refused,
+		})
+	}
+	return comparisons
+}
+
+// WriteComparisons writes one row per comparison.
+func WriteComparisons(w io.Writer, comparisons []Comparison) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "deployment\tload\tbest baseline\tits p95\tits refusals\tour p95\tour refusals\tgain\t")
+	for _, c := range comparisons {
+		fmt.Fprintf(table, "%s\t%.0f%%\t%s\t%d ms\t%d\t%d ms\t%d\t%.0f%%\t\n",
+			c.Deployment, 100*c.Load, c.Best, c.BestP95.Milliseconds(), c.BestRefused,
+			c.OwnP95.Milliseconds(), c.OwnRefused, 100*c.Gain())
+	}
+	return table.Flush()
+}
