Tell load first to the regions that may spill here

Cause: eight digests a second chosen from all regions would leave most of them unheard in a large fleet. Change: gateways of regions that list this one in spill are told first. Measured: go test -race ./gateway/... passes.

--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -194,19 +195,27 @@
 	}
 }
 
-// otherRegions returns peers' addresses of gateways of other regions.
+// otherRegions returns peers' addresses of gateways of other regions, those of
+// regions that may spill into this one first.
 func (g *Gateway) otherRegions(limit int) []string {
 	active := g.agent.Active()
 	if active == nil {
 		return nil
 	}
-	var addresses []string
+	regions := active.Regions()
+	var first, rest []string
 	for _, member := range active.Gateways() {
-		if member.Region != g.region() && member.Up {
-			addresses = append(addresses, member.PeerAddress)
+		switch {
+		case member.Region == g.region() || !member.Up:
+		case slices.Contains(regions[member.Region].Spill, g.region()):
+			first = append(first, member.PeerAddress)
+		default:
+			rest = append(rest, member.PeerAddress)
 		}
 	}
-	g.shuffle(addresses)
+	g.shuffle(first)
+	g.shuffle(rest)
+	addresses := append(first, rest...)
 	return addresses[:min(len(addresses), limit)]
 }
 
