Keep an allowed retry until it is made

Cause: the one retry was spent by looking for a replica in a region that had none left, and the caller was then told of the missing replica in place of the fault. Change: an allowed retry is good until something is sent for it; a request that may have run is answered with what went wrong.

--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -231,6 +231,7 @@
 		}
 	}
 	defer events.Close()
+	r.spare = false
 	final, err := consume(running, events, r.execution)
 	if err != nil {
 		return r.hopBroke(ctx, address, offerID, incarnation)
@@ -255,9 +256,8 @@
 	if failure.Outcome == api.OutcomeRefused {
 		return verdict{standing: stoodNotStarted, failure: failure}
 	}
-	r.ran = true
 	r.hops++
-	return broken(failure)
+	return r.broken(failure)
 }
 
 // hopBroke judges a run whose events broke off. Only a confirmed withdrawal
@@ -277,9 +277,8 @@
 			failure:  refusedLater(api.CodeNoCapacity, comeBack, "the connection to the other region broke before the run"),
 		}
 	}
-	r.ran = true
 	r.hops++
-	return broken(failed(api.CodeReplicaBroken, api.OutcomeUnknown, "the connection to the other region broke"))
+	return r.broken(failed(api.CodeReplicaBroken, api.OutcomeUnknown, "the connection to the other region broke"))
 }
 
 // offerState is how far an offer has come.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -49,11 +49,14 @@
 	hops   int // runs in other regions that may have reached a replica
 	unsent int
 	stale  int
-	// retried means that the one retry of the request is used up.
+	// retried means that the request's one retry was asked for; spare that it
+	// was allowed and nothing has been sent for it yet.
 	retried bool
+	spare   bool
 	// ran means that an earlier attempt may have run, so that nothing is a
-	// refusal any more.
-	ran bool
+	// refusal any more. broke is how it went wrong, if it went wrong here.
+	ran   bool
+	broke *api.Error
 }
 
 // run returns when the execution has its result.
@@ -74,6 +77,9 @@
 	copied := *failure
 	if r.ran && copied.Outcome == api.OutcomeRefused {
 		copied.Outcome = api.OutcomeUnknown
+		if r.broke != nil && ctx.Err() == nil {
+			copied = *r.broke // what went wrong, not why there was no second try
+		}
 	}
 	r.adviseRetry(&copied)
 	r.deliver(&result{failure: &copied})
@@ -147,8 +153,12 @@
 
 // mayRetry spends the retry budget. A retry is never retried.
 func (r *runner) mayRetry() bool {
+	if r.spare {
+		return true
+	}
 	allowed := !r.retried && r.gateway.router.AllowRetry()
 	r.retried = true
+	r.spare = allowed
 	label := "denied"
 	if allowed {
 		label = "allowed"
@@ -353,6 +363,7 @@
 
 func (r *runner) noteSent() {
 	r.sent++
+	r.spare = false
 	r.route.Attempt = r.before + r.sent + 1
 	if r.before+r.sent == 1 {
 		r.gateway.router.NoteAttempt()
@@ -383,13 +394,19 @@
 
 // unanswered judges an attempt whose request left, at least in part.
 func (r *runner) unanswered(ctx context.Context, slot *routing.Slot) verdict {
-	r.ran = true
 	if ctx.Err() != nil {
 		slot.Finish(routing.ResultCanceled, nil, time.Now())
-		return broken(failed(api.CodeDeadline, api.OutcomeUnknown, "the replica did not answer in time"))
+		return r.broken(failed(api.CodeDeadline, api.OutcomeUnknown, "the replica did not answer in time"))
 	}
 	slot.Finish(routing.ResultFailed, nil, time.Now())
-	return broken(failed(api.CodeReplicaBroken, api.OutcomeUnknown, "the connection to the replica broke before its answer"))
+	return r.broken(failed(api.CodeReplicaBroken, api.OutcomeUnknown, "the connection to the replica broke before its answer"))
+}
+
+// broken notes that an attempt may have run.
+func (r *runner) broken(failure *api.Error) verdict {
+	r.ran = true
+	r.broke = failure
+	return broken(failure)
 }
 
 // receive judges an answer and delivers it if it is whole and this request's.
@@ -420,7 +437,7 @@
 		accounted = routing.ResultCanceled
 	}
 	if outcome.standing == stoodBroken {
-		r.ran = true
+		outcome = r.broken(outcome.failure)
 	}
 	slot.Finish(accounted, nil, time.Now())
 	r.gateway.metrics.noteAttempt(outcome.failure)
