Let slow senders make room for callers that are served

Cause: a thousand connections that never end their body counted as busy and kept everyone else out for 15 s at a time. Change: only a connection whose request was read whole keeps its place; 1,024 connections by default.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -28,14 +28,19 @@
 	mux.HandleFunc(api.PathWhere, g.only(http.MethodPost, g.serveWhere))
 	mux.HandleFunc(api.PathRequests, g.only(http.MethodPost, g.serveRequest))
 	g.addHealth(mux)
-	return &http.Server{
-		Handler:           mux,
+	return g.newServer(mux, g.options.MaxConnections)
+}
+
+func (g *Gateway) newServer(handler http.Handler, limit int) *http.Server {
+	server := &http.Server{
+		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    api.MaxHeaderBytes,
-		ConnState:         newConnections(g.options.MaxConnections).track,
 		ErrorLog:          quietLog(g.log),
 	}
+	newConnections(limit).attach(server)
+	return server
 }
 
 // addHealth adds the paths that every port of a gateway has.
@@ -177,6 +182,7 @@
 	if err := controller.SetReadDeadline(time.Time{}); err != nil {
 		return failed(api.CodeInternal, api.OutcomeRefused, "clearing the read deadline: %v", err)
 	}
+	markServed(r.Context())
 	return nil
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,7 +91,7 @@
 const (
 	defaultPollInterval   = 500 * time.Millisecond
 	defaultPollTimeout    = time.Second
-	defaultMaxConnections = 4096
+	defaultMaxConnections = 1024
 	defaultStopTimeout    = 20 * time.Second
 )
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -547,28 +547,31 @@
 	}
 }
 
-// TestIdleConnectionsGiveWay opens more connections than are allowed.
-func TestIdleConnectionsGiveWay(t *testing.T) {
+// TestConnectionsGiveWay opens more connections than are allowed: silent ones,
+// ones that never end their header and ones that never end their body.
+func TestConnectionsGiveWay(t *testing.T) {
 	f := newFleet(t)
 	f.replica("r1", "north")
 	g := f.gateway("g1", "north", "a", func(options *Options) { options.MaxConnections = 4 })
 	f.ready(g)
-	var idle []net.Conn
-	for range 20 {
+	var hostile []net.Conn
+	for i := range 30 {
 		conn, err := net.Dial("tcp", strings.TrimPrefix(g.url, "http://"))
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer conn.Close()
-		idle = append(idle, conn)
+		beginnings := []string{"", "POST /v1/requests HTTP/1.1\r\nX-Slow: ", "POST /v1/requests HTTP/1.1\r\nHost: g\r\nContent-Length: 1000\r\n\r\n{"}
+		fmt.Fprint(conn, beginnings[i%len(beginnings)])
+		hostile = append(hostile, conn)
 	}
 	request := question("served")
 	request.Repeatable = true
 	if got := g.send(t, request); got.outcome() != "success" {
 		t.Fatalf("got %s", got.outcome())
 	}
-	idle[0].SetReadDeadline(time.Now().Add(patience))
-	if n, err := idle[0].Read(make([]byte, 1)); err == nil || n != 0 {
-		t.Fatalf("the oldest idle connection is still open: %d %v", n, err)
+	hostile[0].SetReadDeadline(time.Now().Add(patience))
+	if n, err := hostile[0].Read(make([]byte, 1)); err == nil || n != 0 {
+		t.Fatalf("the oldest silent connection is still open: %d %v", n, err)
 	}
 }
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -110,8 +110,8 @@
 }
 
 // connections bounds the open connections of one server. A new one beyond the
-// bound takes the place of the one that has been idle, or silent since it was
-// opened, for the longest time; if all are busy it is closed itself.
+// bound takes the place of the one that has been silent, idle or sending its
+// request for the longest time; if all are being served it is closed itself.
 type connections struct {
 	limit int
 
@@ -120,14 +120,45 @@
 }
 
 type connection struct {
-	busy  bool
-	since time.Time
+	// served means that the request was read whole and has no answer yet.
+	served bool
+	since  time.Time
 }
 
 func newConnections(limit int) *connections {
 	return &connections{limit: limit, open: make(map[net.Conn]*connection)}
 }
 
+// connectionKey is the context key of a request's connection.
+type connectionKey struct{}
+
+// connectionOf is one open connection and the set that bounds it.
+type connectionOf struct {
+	set  *connections
+	conn net.Conn
+}
+
+// attach makes a server use the bound.
+func (c *connections) attach(server *http.Server) {
+	server.ConnState = c.track
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, connectionOf{set: c, conn: conn})
+	}
+}
+
+// markServed notes that a request was read whole.
+func markServed(ctx context.Context) {
+	of, ok := ctx.Value(connectionKey{}).(connectionOf)
+	if !ok {
+		return
+	}
+	of.set.mutex.Lock()
+	defer of.set.mutex.Unlock()
+	if entry, open := of.set.open[of.conn]; open {
+		entry.served = true
+	}
+}
+
 // track is the server's ConnState hook.
 func (c *connections) track(conn net.Conn, state http.ConnState) {
 	if victim := c.note(conn, state); victim != nil {
@@ -147,7 +178,7 @@
 		}
 	case http.StateActive, http.StateIdle:
 		if entry, ok := c.open[conn]; ok {
-			entry.busy = state == http.StateActive
+			entry.served = false
 			entry.since = now
 		}
 	case http.StateClosed, http.StateHijacked:
@@ -160,7 +191,7 @@
 	victim := newest
 	var oldest time.Time
 	for conn, entry := range c.open {
-		if conn == newest || entry.busy {
+		if conn == newest || entry.served {
 			continue
 		}
 		if victim == newest || entry.since.Before(oldest) {
--- a/gateway/operator.go
+++ b/gateway/operator.go
@@ -36,14 +36,7 @@
 	mux.HandleFunc("/debug/pprof/symbol", pprof.Symbol)
 	mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
 	g.addHealth(mux)
-	return &http.Server{
-		Handler:           bounded(mux),
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    api.MaxHeaderBytes,
-		ConnState:         newConnections(maxOperatorConnections).track,
-		ErrorLog:          quietLog(g.log),
-	}
+	return g.newServer(bounded(mux), maxOperatorConnections)
 }
 
 // bounded gives each answer a time of its own. Writing a document sets a shorter
