Test retries with budget and replicas to spare

Cause: planted defects (a retry after the first byte, a stream joined from two runs, a retry of a retry) went unseen where no budget or replica was left for the second attempt. Change: three replicas, earned budget, four cases.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -29,8 +29,11 @@
 			f.ready(first, second)
 			release := make(chan struct{})
 			replica.behave(func(w http.ResponseWriter, r *http.Request, request *api.ReplicaRequest) {
-				<-release
-				answerWhole(w, r, request)
+				select {
+				case <-release:
+					answerWhole(w, r, request)
+				case <-r.Context().Done():
+				}
 			})
 			request := question("once")
 			request.Stream = streamed
@@ -237,13 +240,13 @@
 	}
 }
 
-// TestRepeatableIsRetriedOnce lets the first of two replicas break.
-func TestRepeatableIsRetriedOnce(t *testing.T) {
+// TestRetries breaks attempts on three replicas, with budget for retries left.
+func TestRetries(t *testing.T) {
 	f := newFleet(t)
-	replicas := []*fakeReplica{f.replica("r1", "north"), f.replica("r2", "north")}
+	replicas := []*fakeReplica{f.replica("r1", "north"), f.replica("r2", "north"), f.replica("r3", "north")}
 	g := f.gateway("g1", "north", "a", nil)
 	f.ready(g)
-	for range 30 { // earns budget
+	for range 60 { // earns budget
 		request := question("warm")
 		request.Repeatable = true
 		if got := g.send(t, request); got.outcome() != "success" {
@@ -252,29 +255,47 @@
 	}
 	var mutex sync.Mutex
 	attempts := map[string]int{}
-	breakFirst := func(w http.ResponseWriter, r *http.Request, request *api.ReplicaRequest) {
+	misbehave := func(w http.ResponseWriter, r *http.Request, request *api.ReplicaRequest) {
 		mutex.Lock()
 		attempts[request.RequestID]++
 		attempt := attempts[request.RequestID]
 		mutex.Unlock()
-		if attempt == 1 || strings.HasPrefix(request.RequestID, "always") {
+		if request.RequestID == "after a piece" {
+			w.Header().Set("Content-Type", stream.ContentType)
+			w.Write(pieceFrame(request, 1))
+			http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		if attempt == 1 || request.RequestID == "always" {
 			panic(http.ErrAbortHandler)
 		}
 		answerWhole(w, r, request)
 	}
 	for _, replica := range replicas {
-		replica.behave(breakFirst)
+		replica.behave(misbehave)
 	}
-	for id, want := range map[string]string{"first": "success", "always": "replica_broken/unknown"} {
-		request := question(id)
-		request.Repeatable = true
-		request.Stream = id == "first"
+	tests := []struct {
+		id         string
+		repeatable bool
+		stream     bool
+		attempts   int
+		want       string
+	}{
+		{"not repeatable", false, false, 1, "replica_broken/unknown"},
+		{"after a piece", true, true, 1, "replica_incomplete/failed"},
+		{"first", true, true, 2, "success"},
+		{"always", true, false, 2, "replica_broken/unknown"},
+	}
+	for _, test := range tests {
+		request := question(test.id)
+		request.Repeatable, request.Stream = test.repeatable, test.stream
+		request, _ = g.where(t, request)
 		got := g.send(t, request)
 		mutex.Lock()
-		made := attempts[id]
+		made := attempts[test.id]
 		mutex.Unlock()
-		if got.outcome() != want || made != 2 {
-			t.Errorf("%s: %s after %d attempts", id, got.outcome(), made)
+		if got.outcome() != test.want || made != test.attempts {
+			t.Errorf("%s: %s after %d attempts", test.id, got.outcome(), made)
 		}
 	}
 }
