Show how the controllers respond, with real routers

The step response of admission, spill and ramps was not visible anywhere. deckpulley-experiment step|swing|cold|lost-region runs a deployment's routers over emulated replicas in one process and in real time, samples each measured value beside its set point, and prints overshoot and settling time.

--- a/cmd/deckpulley-experiment/main.go
+++ b/cmd/deckpulley-experiment/main.go
@@ -3,8 +3,10 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 
 	"github.com/spf13/cobra"
@@ -23,7 +25,12 @@
 	command.PersistentFlags().StringVar(&out.folder, "out", "out", "folder for figures")
 	command.PersistentFlags().StringVar(&out.format, "format", "svg", "form of figures: svg or png")
 	command.AddCommand(placementCommand(&out))
-	if err := command.Execute(); err != nil {
+	for _, disturbance := range experiment.Disturbances() {
+		command.AddCommand(responseCommand(&out, disturbance))
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	if err := command.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "deckpulley-experiment:", err)
 		os.Exit(1)
 	}
@@ -63,6 +70,34 @@
 	return command
 }
 
+func responseCommand(out *output, disturbance experiment.Disturbance) *cobra.Command {
+	var deployment string
+	var seed uint64
+	command := &cobra.Command{
+		Use:   string(disturbance),
+		Short: "Show how the controllers respond, with real routers in real time",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			response, err := experiment.Respond(command.Context(), deployment, disturbance, seed)
+			if err != nil {
+				return err
+			}
+			if err := experiment.WriteResponse(command.OutOrStdout(), response); err != nil {
+				return err
+			}
+			path, err := out.path(string(disturbance) + "-" + deployment)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintln(command.OutOrStdout(), "figure:", path)
+			return experiment.PlotResponse(path, response)
+		},
+	}
+	command.Flags().StringVar(&deployment, "deployment", "kodovka", "kodovka or georgia")
+	command.Flags().Uint64Var(&seed, "seed", 1, "seed of the traffic")
+	return command
+}
+
 // output says where figures go.
 type output struct {
 	folder string
--- a/internal/experiment/plot.go
+++ b/internal/experiment/plot.go
@@ -28,6 +28,9 @@
 	mostLatency  = 20_000
 )
 
+// legendRoom stretches the value axis so that the legend hides no line.
+const legendRoom = 1.4
+
 // palette are colors that stay apart for people who see few (Okabe and Ito).
 var palette = []color.Color{
 	color.RGBA{R: 0x99, G: 0x99, B: 0x99, A: 0xff},
@@ -173,3 +176,65 @@
 	}
 	return lines
 }
+
+// PlotResponse draws utilization, first token, outcomes and cold replicas over
+// the time, each beside its set point.
+func PlotResponse(path string, r *Response) error {
+	utilization := make([]series, 0, len(r.Regions)+1)
+	for number, region := range r.Regions {
+		utilization = append(utilization, r.line(region, number, func(s Sample) float64 { return s.Utilization[region] }))
+	}
+	utilization = append(utilization, r.setPoint(r.Limits.TargetUtilization))
+	firstToken := []series{
+		r.line("p95", 0, func(s Sample) float64 { return 1000 * s.FirstTokenP95.Seconds() }),
+		r.setPoint(float64(r.Limits.FirstTokenMS)),
+	}
+	outcomes := []series{
+		r.line("answers", 4, func(s Sample) float64 { return s.Answers }),
+		r.line("refusals", 3, func(s Sample) float64 { return s.Refusals }),
+		r.line("failures", 5, func(s Sample) float64 { return s.Failures }),
+		r.line("spilled", 2, func(s Sample) float64 { return s.Spills }),
+	}
+	cold := []series{
+		r.line("cold replicas", 2, func(s Sample) float64 { return float64(s.Cold) }),
+		r.line("most in flight on one", 3, func(s Sample) float64 { return float64(s.ColdInFlight) }),
+		r.line("its ramp", 0, func(s Sample) float64 { return float64(s.ColdLimit) }),
+	}
+	title := fmt.Sprintf("%s, %s", r.Deployment, r.Disturbance)
+	definitions := []struct {
+		title, y string
+		lines    []series
+	}{
+		{title, "utilization", utilization},
+		{"", "first token (ms)", firstToken},
+		{"", "requests per second", outcomes},
+		{"", "cold replicas and requests", cold},
+	}
+	rows := make([][]*plot.Plot, 2)
+	for index, definition := range definitions {
+		drawn, err := panel(definition.title, "time (s)", definition.y, definition.lines, true)
+		if err != nil {
+			return err
+		}
+		drawn.Y.Min = 0
+		drawn.Y.Max = max(1, legendRoom*drawn.Y.Max)
+		rows[index/2] = append(rows[index/2], drawn)
+	}
+	return writeFigure(path, rows)
+}
+
+// line is a smoothed value over the time.
+func (r *Response) line(name string, number int, value func(Sample) float64) series {
+	one := series{name: name, number: number}
+	for index, smoothed := range r.values(value) {
+		one.points = append(one.points, plotter.XY{X: r.Samples[index].At.Seconds(), Y: smoothed})
+	}
+	return one
+}
+
+func (r *Response) setPoint(value float64) series {
+	return series{
+		name: "set point", number: 3, dashed: true,
+		points: plotter.XYs{{X: 0, Y: value}, {X: responseLength.Seconds(), Y: value}},
+	}
+}
