--- a/transport/conn.go
+++ b/transport/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -19,7 +18,8 @@
 	counters *counters
 	maxFrame int
 
-	writing sync.Mutex
+	// writing holds a token while a frame is being written.
+	writing chan struct{}
 	// heard and progress are when bytes last came and last left, in nanoseconds
 	// since the node's epoch.
 	heard    atomic.Int64
@@ -29,6 +29,7 @@
 
 func newConn(raw net.Conn, peer string, node *Node) *conn {
 	c := &conn{raw: raw, peer: peer, counters: &node.counters, maxFrame: node.config.MaxFrame, epoch: node.epoch}
+	c.writing = make(chan struct{}, 1)
 	c.reader = bufio.NewReaderSize(hearing{c}, readBufferBytes)
 	c.heard.Store(c.now())
 	return c
@@ -65,8 +66,8 @@
 
 // write sends a whole frame. stall bounds each chunk's time, 0 is unbounded.
 func (c *conn) write(kind Kind, frame []byte, stall time.Duration) error {
-	c.writing.Lock()
-	defer c.writing.Unlock()
+	c.writing <- struct{}{}
+	defer func() { <-c.writing }()
 	return c.writeLocked(kind, frame, stall)
 }
 
@@ -111,9 +112,11 @@
 // pong answers a ping. When another frame is being written, that one shows life
 // as well and the pong is left out.
 func (c *conn) pong(stall time.Duration) error {
-	if !c.writing.TryLock() {
+	select {
+	case c.writing <- struct{}{}:
+	default:
 		return nil
 	}
-	defer c.writing.Unlock()
+	defer func() { <-c.writing }()
 	return c.writeLocked(0, pongFrame, stall)
 }
--- a/transport/frame.go
+++ b/transport/frame.go
@@ -73,6 +73,7 @@
 		MaxMapPairs:      maxMapPairs,
 		MaxNestedLevels:  maxNesting,
 		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
 	}.DecMode()
 	if err != nil {
 		panic(fmt.Sprintf("transport: decoding options: %v", err))
--- a/transport/memory.go
+++ b/transport/memory.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"sync"
-	"sync/atomic"
 )
 
 // Memory connects nodes within one process, with the frames, handshakes, queues
@@ -112,10 +111,10 @@
 	if !found {
 		return nil, fmt.Errorf("nobody listens on %s", address)
 	}
-	near, far := net.Pipe()
+	near, far := f.connect(there, back)
 	select {
-	case listener.incoming <- &memoryConn{Conn: far, memory: f.memory, path: back}:
-		return &memoryConn{Conn: near, memory: f.memory, path: there}, nil
+	case listener.incoming <- far:
+		return near, nil
 	case <-listener.closed:
 		return nil, fmt.Errorf("nobody listens on %s", address)
 	case <-ctx.Done():
@@ -123,6 +122,13 @@
 	}
 }
 
+func (f *memoryFabric) connect(there, back direction) (near, far *memoryConn) {
+	outward, inward := newHalfPipe(), newHalfPipe()
+	near = &memoryConn{memory: f.memory, path: there, in: inward, out: outward, hole: make(chan []byte, pipeChunks)}
+	far = &memoryConn{memory: f.memory, path: back, in: outward, out: inward, hole: make(chan []byte, pipeChunks)}
+	return near, far
+}
+
 func (f *memoryFabric) reusable(net.Conn) bool { return false }
 
 // memoryListener hands over the far ends of dialled pipes.
@@ -159,20 +165,3 @@
 
 func (memoryAddress) Network() string  { return "memory" }
 func (a memoryAddress) String() string { return string(a) }
-
-// memoryConn is one end of a pipe that swallows what is written during a cut,
-// and everything after that, as a connection with a hole cannot go on.
-type memoryConn struct {
-	net.Conn
-	memory *Memory
-	path   direction
-	holed  atomic.Bool
-}
-
-func (c *memoryConn) Write(content []byte) (int, error) {
-	if c.holed.Load() || c.memory.isCut(c.path) {
-		c.holed.Store(true)
-		return len(content), nil
-	}
-	return c.Conn.Write(content)
-}
