--- a/routing/replica.go
+++ b/routing/replica.go
@@ -52,13 +52,13 @@
 	emitted  emission
 
 	open        bool // everything but time admits new work
-	everOpen    bool
 	suspectedAt time.Time
 	closedUntil time.Time // ejection or change of feeder
 	closedAt    time.Time
 
 	inFlight     int
 	inFlightLong int
+	refusals     int     // in a row
 	others       int     // requests of other gateways, by the last report
 	sentTokens   float64 // prefill sent since the last report
 	epoch        uint64  // counts reports
@@ -139,7 +139,7 @@
 	t.fact.Reset()
 	t.watch = detector.New(t.service.router.watching, at)
 	t.limit = admission.NewLimit(t.bound(), t.service.firstToken)
-	t.hold, t.trust = 0, 1
+	t.hold, t.trust, t.refusals = 0, 1, 0
 }
 
 // evictions drops this gateway's part of what the replica evicted.
@@ -242,7 +242,9 @@
 
 // room reports whether one more request of a class fits. A gateway may always
 // use its even part of the ceiling, and the rest as far as the last report
-// showed it free. A cold replica has no such part: its ceiling binds all.
+// showed it free. Long requests have the same within their part of the ceiling,
+// and the others' requests all count as long. A cold replica has no such part:
+// its ceiling binds all.
 func (t *replica) room(class api.Class) bool {
 	ceiling := t.ceiling()
 	if t.cold() {
@@ -250,11 +252,14 @@
 	}
 	gateways := max(1, len(t.service.router.gateways))
 	part := (ceiling + gateways - 1) / gateways
-	own := max(part, ceiling-t.others)
-	if t.inFlight >= own {
+	if t.inFlight >= max(part, ceiling-t.others) {
 		return false
 	}
-	return class != api.ClassLong || t.inFlightLong < admission.ClassLimit(own, class)
+	if class != api.ClassLong {
+		return true
+	}
+	long := admission.ClassLimit(ceiling, class)
+	return t.inFlightLong < max(1, long/gateways) || t.busy() < long
 }
 
 // busy counts the requests on the replica, as far as known.
@@ -263,13 +268,17 @@
 }
 
 func (t *replica) candidate(position int, cached float64) placement.Candidate {
+	slots := t.report.Slots
+	if slots <= 0 {
+		slots = t.bound()
+	}
 	return placement.Candidate{
 		Number:  position,
 		Hash:    t.hash,
 		Pending: float64(t.report.PendingPrefillTokens) + t.sentTokens,
 		Speed:   t.report.PrefillTokensPerSecond,
 		Busy:    float64(t.busy()),
-		Slots:   float64(max(1, t.report.Slots)),
+		Slots:   float64(slots),
 		Hold:    t.hold,
 		Cached:  cached * t.trust,
 	}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -25,7 +25,11 @@
 	Prefixes     []api.Prefix
 	PromptTokens int // after the prefixes
 	MaxTokens    int
+	Stream       bool
 	Client       string
+	// Placed is set when a ticket has chosen the own region already: it comes
+	// first then, so that a request is spilled once at the most.
+	Placed bool
 	// Home lists the only regions that may run it; empty is any.
 	Home []string
 	// HomeRule is the home rule that the request itself named, if any.
@@ -46,7 +50,7 @@
 
 const (
 	ResultSuccess    Result = iota
-	ResultNotStarted        // the replica said refused: it never ran
+	ResultNotStarted        // the replica itself said refused: it never ran
 	ResultFailed            // the replica failed or broke
-	ResultCanceled          // the caller went away
+	ResultCanceled          // the caller went away, or the slot was not used
 )
