--- a/places/places_test.go
+++ b/places/places_test.go
@@ -169,6 +169,11 @@
 	if difference := cmp.Diff(whole, next, options...); difference != "" {
 		t.Errorf("Next differs from Read (-read +next):\n%s", difference)
 	}
+	apply(t, table, DrainRecord("replica-2", Drain{}))
+	last := table.Difference(next.Serial())
+	if skipped, err := before.Next(table.View(), last); err != nil || len(skipped.Replicas()) != 2 || !skipped.Drained("replica-2") {
+		t.Errorf("a transfer that starts elsewhere: %v", err)
+	}
 	if !before.Evacuated("north-1") || before.Limits().QueueLength != 9 || len(before.Replicas()) != 1 {
 		t.Error("Next has changed the contents it started from")
 	}
@@ -178,6 +183,33 @@
 	}
 }
 
+func TestReplicasFollowTheirZone(t *testing.T) {
+	table := newTable(t)
+	contents := read(t, table)
+	moves := []struct {
+		change registry.Record
+		want   string
+	}{
+		{ZoneRecord("north-1", Zone{Region: "south"}), "south"},
+		{ReplicaRecord("replica-1", Replica{Zone: "north-1", Region: "west"}), "south"},
+		{registry.DeleteSet(ZoneName("north-1"), TypeZone), ""},
+		{ZoneRecord("north-1", Zone{Region: "north"}), "north"},
+	}
+	for _, move := range moves {
+		apply(t, table, move.change)
+		next, err := contents.Next(table.View(), table.Difference(contents.Serial()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		contents = next
+		for _, reading := range []*Contents{contents, read(t, table)} {
+			if got := reading.Replicas()["replica-1"].Region; got != move.want {
+				t.Errorf("region %q, want %q", got, move.want)
+			}
+		}
+	}
+}
+
 func TestSchemaRejectsForeignData(t *testing.T) {
 	table := newTable(t)
 	update := registry.NewUpdate(Apex, nil, []registry.Record{
