--- /dev/null
+++ b/client/operator.go
@@ -0,0 +1,87 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"github.com/deckpulley/deckpulley/api"
+)
+
+// Apply hands over a whole configuration and waits until it is in force. An
+// empty order id is filled in with a new one, and every resend carries the same.
+// After an error with outcome unknown, call again with the same order.
+func (c *Client) Apply(ctx context.Context, order *api.ConfigurationOrder) (*api.OrderAnswer, error) {
+	fillOrderID(&order.OrderID)
+	return c.order(ctx, http.MethodPut, api.PathConfiguration, order)
+}
+
+// Evacuate empties a zone, or withdraws that, and waits until it is in force.
+// Order ids are kept as in Apply.
+func (c *Client) Evacuate(ctx context.Context, order *api.EvacuationOrder) (*api.OrderAnswer, error) {
+	fillOrderID(&order.OrderID)
+	return c.order(ctx, http.MethodPost, api.PathEvacuations, order)
+}
+
+// ReplaceReplicas hands over the platform's whole list of replicas.
+func (c *Client) ReplaceReplicas(ctx context.Context, list api.ReplicaList) (*api.OrderAnswer, error) {
+	return c.order(ctx, http.MethodPut, api.PathReplicas, list)
+}
+
+func fillOrderID(id *string) {
+	if *id == "" {
+		*id = NewOrderID()
+	}
+}
+
+func (c *Client) order(ctx context.Context, method, path string, order any) (*api.OrderAnswer, error) {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return nil, &api.Error{Code: api.CodeInvalid, Outcome: api.OutcomeRefused, Message: fmt.Sprintf("encoding the order: %v", err)}
+	}
+	var answer api.OrderAnswer
+	if err := c.do(ctx, call{method: method, path: path, body: body, waits: true}, &answer); err != nil {
+		return nil, err
+	}
+	return &answer, nil
+}
+
+// Configuration reads the configuration back. linearizable asks for one that no
+// earlier acknowledged order is missing from.
+func (c *Client) Configuration(ctx context.Context, linearizable bool) (*api.ConfigurationAnswer, error) {
+	query := url.Values{}
+	if linearizable {
+		query.Set("linearizable", "true")
+	}
+	return read[api.ConfigurationAnswer](ctx, c, api.PathConfiguration, query)
+}
+
+// Zones lists the zones and whether they are evacuated.
+func (c *Client) Zones(ctx context.Context) (*api.ZonesAnswer, error) {
+	return read[api.ZonesAnswer](ctx, c, api.PathZones, nil)
+}
+
+// Status describes the control plane as the answering node sees it.
+func (c *Client) Status(ctx context.Context) (*api.StatusAnswer, error) {
+	return read[api.StatusAnswer](ctx, c, api.PathStatus, nil)
+}
+
+// Members lists the fleet's own nodes.
+func (c *Client) Members(ctx context.Context) (*api.MembersAnswer, error) {
+	return read[api.MembersAnswer](ctx, c, api.PathMembers, nil)
+}
+
+// Replicas lists the replicas with what the registry holds of them.
+func (c *Client) Replicas(ctx context.Context) (*api.ReplicasAnswer, error) {
+	return read[api.ReplicasAnswer](ctx, c, api.PathReplicas, nil)
+}
+
+func read[T any](ctx context.Context, c *Client, path string, query url.Values) (*T, error) {
+	var answer T
+	if err := c.do(ctx, call{method: http.MethodGet, path: path, query: query}, &answer); err != nil {
+		return nil, err
+	}
+	return &answer, nil
+}
