Take the newest disk at an address for the one that is there

A learner's silence was counted from the election, so a primary long in office removed each newcomer at once; and a late request of a disk wiped a second time ousted the disk that had replaced it.

Change: silence counts from the member's adding; a request replaces a voter at its address only if that voter has not answered since; older requests from an address are dropped.

--- a/control/formation.go
+++ b/control/formation.go
@@ -301,7 +301,7 @@
 // mayForm is true if every other node of InitialControl has just said that it
 // belongs to no group and awaits this node's Form.
 func (n *Node) mayForm(observed *observation, replies []greeting) bool {
-	if len(n.options.InitialControl) == 0 {
+	if _, listed := n.options.InitialControl[n.options.Name]; !listed {
 		return false
 	}
 	for name, address := range n.options.InitialControl {
--- a/control/leases.go
+++ b/control/leases.go
@@ -23,6 +23,8 @@
 	grantor  *lease.Grantor
 	gateways map[string]*gatewayState
 	joins    map[consensus.ID]joinRequest
+	// noticed is when each member was first seen in the membership.
+	noticed map[consensus.ID]time.Duration
 
 	notifiedSerial   uint32
 	notifiedActivate uint32
@@ -58,6 +60,7 @@
 			elected:  now,
 			gateways: make(map[string]*gatewayState),
 			joins:    make(map[consensus.ID]joinRequest),
+			noticed:  make(map[consensus.ID]time.Duration),
 		}
 	}
 }
--- a/control/node.go
+++ b/control/node.go
@@ -72,7 +72,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		options:     options,
-		log:         options.Logger.With("node", options.Name, "region", options.Region),
+		log:         options.Logger.With("region", options.Region),
 		incarnation: incarnation,
 		started:     time.Now(),
 		network:     options.Network,
@@ -141,7 +141,7 @@
 
 // Leave hands leadership over if this node has it, and stops.
 func (n *Node) Leave(ctx context.Context) error {
-	n.handOver(ctx)
+	n.HandOver(ctx)
 	return n.Stop()
 }
 
@@ -151,8 +151,9 @@
 	return n.Err()
 }
 
-// handOver waits until another member leads, or transferWait.
-func (n *Node) handOver(ctx context.Context) {
+// HandOver gives leadership to another member if this node has it, and waits for
+// that, at the most two seconds.
+func (n *Node) HandOver(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, transferWait)
 	defer cancel()
 	asked := false
--- a/control/options.go
+++ b/control/options.go
@@ -37,14 +37,14 @@
 	// Seeds are peers' addresses of other processes, a first contact only.
 	Seeds []string
 	// InitialControl maps the names of the control nodes that form a new group
-	// to their peers' addresses. It includes this node, or is empty.
+	// to their peers' addresses. A node that it does not list only joins.
 	InitialControl map[string]string
 
 	// Network carries messages; Node starts it, and closes it when it ends.
 	Network transport.Network
 	// Store is this member's disk; Node closes it when it ends.
 	Store storage.Store
-	// Logger defaults to slog.Default.
+	// Logger defaults to slog.Default. It should name the node.
 	Logger *slog.Logger
 	// Tokens returns the operators' tokens as they are now; nil permits orders
 	// without one.
@@ -93,9 +93,6 @@
 	case o.Store == nil:
 		return errors.New("control: options: no store")
 	}
-	if _, listed := o.InitialControl[o.Name]; len(o.InitialControl) > 0 && !listed {
-		return errors.New("control: options: initial control does not list this node")
-	}
 	return nil
 }
 
--- a/control/repair.go
+++ b/control/repair.go
@@ -23,7 +23,7 @@
 	// learnerPatience is how long a learner may be silent before it is removed.
 	learnerPatience = 10 * time.Second
 	// joinPatience is how long a request to join counts without being repeated.
-	joinPatience = 3 * time.Second
+	joinPatience = time.Second
 )
 
 // joinRequest is a node that asks to become a voter.
@@ -47,13 +47,25 @@
 		return reply
 	}
 	member.Learner = false
-	office.joins[member.ID] = joinRequest{member: member, asked: now}
+	request := joinRequest{member: member, asked: now}
+	office.noteJoin(request)
 	_, known := findMember(status.Membership, member.ID)
 	repair := m.repairOf(now, status)
-	reply.Accepted = known || repair.hasPlaceFor(member)
+	reply.Accepted = known || repair.hasPlaceFor(request)
 	return reply
 }
 
+// noteJoin keeps the newest request from an address: an older one came from a
+// disk that is no longer there.
+func (o *office) noteJoin(request joinRequest) {
+	for id, other := range o.joins {
+		if other.member.Address == request.member.Address {
+			delete(o.joins, id)
+		}
+	}
+	o.joins[request.member.ID] = request
+}
+
 // maintain is what a primary does at intervals.
 func (m *machine) maintain(now time.Duration) {
 	office, serving := m.serving()
@@ -122,6 +134,7 @@
 		}
 	}
 	status := m.group.Status()
+	office.notice(now, status.Membership)
 	self := consensus.Member{ID: m.identity, Name: m.options.Name, Address: m.options.PeerAddress, Zone: m.options.Zone}
 	if known, found := findMember(status.Membership, m.identity); found && known != self {
 		office.joins[m.identity] = joinRequest{member: self, asked: now}
@@ -141,6 +154,20 @@
 	}
 }
 
+// notice remembers since when each member is known.
+func (o *office) notice(now time.Duration, membership consensus.Membership) {
+	for id := range o.noticed {
+		if _, found := findMember(membership, id); !found {
+			delete(o.noticed, id)
+		}
+	}
+	for _, member := range membership.Members {
+		if _, known := o.noticed[member.ID]; !known {
+			o.noticed[member.ID] = now
+		}
+	}
+}
+
 func (m *machine) repairOf(now time.Duration, status consensus.Status) repair {
 	joins := make([]joinRequest, 0, len(m.office.joins))
 	for _, request := range m.office.joins {
@@ -152,6 +179,7 @@
 		elected:      m.office.elected,
 		status:       status,
 		joins:        joins,
+		noticed:      m.office.noticed,
 		voters:       m.options.Voters,
 		replaceAfter: m.options.ReplaceAfter,
 	}
@@ -163,17 +191,20 @@
 	elected time.Duration
 	status  consensus.Status // of the leader
 	joins   []joinRequest
+	// noticed is when this leader first saw each member in the membership.
+	noticed map[consensus.ID]time.Duration
 	// voters is the number of voters of a whole group.
 	voters       int
 	replaceAfter time.Duration
 }
 
-// silence is how long a member has not answered this leader.
+// silence is how long a member has not answered this leader, counted from the
+// election, or from the member's adding, if it never did.
 func (r *repair) silence(id consensus.ID) time.Duration {
 	if id == r.status.ID {
 		return 0
 	}
-	return r.now - max(r.status.Contact[id], r.elected)
+	return r.now - max(r.status.Contact[id], r.noticed[id], r.elected)
 }
 
 // answeredLately is true only on evidence: an answer in this term.
@@ -215,7 +246,7 @@
 			}
 			continue
 		}
-		if r.hasPlaceFor(request.member) {
+		if r.hasPlaceFor(request) {
 			learner := request.member
 			learner.Learner = true
 			return r.with(learner), "learner " + learner.Name + " added"
@@ -234,7 +265,7 @@
 	if !caughtUp {
 		return consensus.Membership{}, ""
 	}
-	if victim, found := r.victim(learner); found {
+	if victim, found := r.victim(r.requestOf(learner)); found {
 		return r.without(victim.ID), "voter " + victim.Name + " replaced"
 	}
 	if r.countVoters() >= r.voters {
@@ -255,22 +286,36 @@
 	return false
 }
 
+// requestOf is the request of a learner. One that has stopped asking counts as
+// having asked before every answer of the others.
+func (r *repair) requestOf(learner consensus.Member) joinRequest {
+	for _, request := range r.joins {
+		if request.member.ID == learner.ID {
+			return request
+		}
+	}
+	return joinRequest{member: learner}
+}
+
 // hasPlaceFor is true if the group lacks a voter, or has one that the node replaces.
-func (r *repair) hasPlaceFor(member consensus.Member) bool {
+func (r *repair) hasPlaceFor(request joinRequest) bool {
 	if r.countVoters() < r.voters {
 		return true
 	}
-	_, found := r.victim(member)
+	_, found := r.victim(request)
 	return found
 }
 
-// victim is the voter that a node replaces: one at its own address, where the old
-// disk can't be any more; else one of its name, else one of its zone, that has
-// been unreachable for long enough.
-func (r *repair) victim(member consensus.Member) (consensus.Member, bool) {
+// victim is the voter that a node replaces: one at its own address that has not
+// answered since the node asked, so its disk is gone from there; else one of its
+// name, else one of its zone, that has been unreachable for long enough.
+func (r *repair) victim(request joinRequest) (consensus.Member, bool) {
+	member := request.member
 	whole := r.countVoters() >= r.voters
 	matches := []func(voter consensus.Member) bool{
-		func(voter consensus.Member) bool { return voter.Address == member.Address },
+		func(voter consensus.Member) bool {
+			return voter.Address == member.Address && r.status.Contact[voter.ID] < request.asked
+		},
 		func(voter consensus.Member) bool { return whole && voter.Name == member.Name && r.unreachable(voter) },
 		func(voter consensus.Member) bool { return whole && voter.Zone == member.Zone && r.unreachable(voter) },
 	}
