Add the checker of promises over event logs

Cause: a run's verdict must come from what callers, replicas and operators recorded, not from the daemons' own word. Result: hand-made logs keep every promise once and break each once; the break is reported as that promise alone (go test ./internal/checker).

--- /dev/null
+++ b/internal/checker/checker_test.go
@@ -0,0 +1,344 @@
+package checker
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/deckpulley/deckpulley/internal/eventlog"
+)
+
+// Times of the hand-made run, in milliseconds.
+const (
+	secondOrderAt  = 10_000
+	refusedOrderAt = 12_000
+	lossAt         = 15_000
+	readAt         = 19_000
+	freezeAt       = 20_000
+	drainAt        = 30_000
+	evacuateAt     = 30_000
+	withdrawAt     = 40_000
+	thawAt         = 42_000
+	lastOrderAt    = 43_000
+	startAt        = 45_000
+	crowdAt        = 62_000
+	endAt          = 100_000
+	refusedSecond  = 5_000
+)
+
+type run struct{ events []eventlog.Event }
+
+func (r *run) add(at int64, event eventlog.Event) {
+	event.At = (at + 1_000_000) * int64(time.Millisecond)
+	r.events = append(r.events, event)
+}
+
+// change rewrites the events that match and returns their number.
+func (r *run) change(match func(eventlog.Event) bool, rewrite func(*eventlog.Event)) int {
+	count := 0
+	for i := range r.events {
+		if match(r.events[i]) {
+			rewrite(&r.events[i])
+			count++
+		}
+	}
+	return count
+}
+
+func (r *run) remove(match func(eventlog.Event) bool) {
+	kept := r.events[:0:0]
+	for _, event := range r.events {
+		if !match(event) {
+			kept = append(kept, event)
+		}
+	}
+	r.events = kept
+}
+
+func milliseconds(event eventlog.Event) int64 {
+	return event.At/int64(time.Millisecond) - 1_000_000
+}
+
+func between(from, to int64) func(eventlog.Event) bool {
+	return func(event eventlog.Event) bool {
+		at := milliseconds(event)
+		return event.Request != "" && at >= from && at < to
+	}
+}
+
+// versionAt is the version and serial in force at a time.
+func versionAt(at int64) (uint64, uint32) {
+	switch {
+	case at >= lastOrderAt+200:
+		return 3, 30
+	case at >= secondOrderAt+200:
+		return 2, 20
+	default:
+		return 1, 10
+	}
+}
+
+// addRequest adds one request of three kinds in turn: a non-repeatable stream,
+// a repeatable one bound to its home and a plain one.
+func (r *run) addRequest(number int, at int64) {
+	id := fmt.Sprintf("request-%d", number)
+	replica := "replica-north-1"
+	if number%3 == 2 && (at < evacuateAt-1000 || at > withdrawAt+1000) {
+		replica = "replica-south-1"
+	}
+	version, serial := versionAt(at)
+	base := eventlog.Event{Request: id, Run: "run-" + id, Attempt: 1, Gateway: "gateway-1"}
+	caller := base
+	caller.Stream = number%3 == 0
+	caller.Repeatable = !caller.Stream
+	if number%3 == 1 {
+		caller.HomeRegions = []string{"north"}
+	}
+	placed := base
+	placed.Replica, placed.Version, placed.Serial = replica, version, serial
+	r.add(at, with(caller, eventlog.CallerSent))
+	r.add(at+1, with(placed, eventlog.ReplicaReceived))
+	r.add(at+1, with(placed, eventlog.ReplicaExecuted))
+	if caller.Stream {
+		for sequence := 1; sequence <= 2; sequence++ {
+			piece := with(caller, eventlog.CallerPiece)
+			piece.Sequence = sequence
+			r.add(at+2+int64(sequence), piece)
+		}
+	}
+	ended := with(placed, eventlog.ReplicaEnded)
+	ended.Detail, ended.Tokens = DetailWhole, 7
+	r.add(at+50, ended)
+	answer := with(caller, eventlog.CallerAnswered)
+	answer.Outcome, answer.Tokens, answer.Sequence = "success", 7, 3
+	r.add(at+51, answer)
+}
+
+func with(event eventlog.Event, kind eventlog.Kind) eventlog.Event {
+	event.Kind = kind
+	return event
+}
+
+func (r *run) addOrder(at int64, id, detail string, base, version uint64, serial uint32, outcome string) {
+	sent := eventlog.Event{Kind: eventlog.OrderSent, Order: id, Detail: detail, Base: base, Zone: "south-1", Target: "digest-" + id}
+	r.add(at, sent)
+	r.add(at+100, eventlog.Event{Kind: eventlog.OrderAnswered, Order: id, Outcome: outcome, Version: version, Serial: serial})
+}
+
+func (r *run) addFault(at int64, detail, class, target string) {
+	r.add(at, eventlog.Event{Kind: eventlog.FaultInjected, Detail: detail, Class: class, Target: target})
+}
+
+// healthy is a run that exercises and keeps every promise.
+func healthy() *run {
+	r := &run{}
+	for _, region := range []string{"north", "south"} {
+		for number := 1; number <= 3; number++ {
+			r.add(-10, eventlog.Event{Kind: eventlog.Inventory, Replica: fmt.Sprintf("replica-%s-%d", region, number), Region: region, Zone: region + "-1"})
+		}
+	}
+	r.addOrder(-200, "first", DetailConfiguration, 0, 1, 10, OrderAccepted)
+	for number := 0; number*100 < endAt; number++ {
+		r.addRequest(number, int64(number)*100)
+	}
+	r.add(refusedSecond, eventlog.Event{Kind: eventlog.CallerAnswered, Request: "refused", Repeatable: true, Outcome: "refused", Code: "overloaded"})
+	r.addOrder(secondOrderAt, "second", DetailConfiguration, 1, 2, 20, OrderAccepted)
+	r.addOrder(secondOrderAt+500, "second", DetailConfiguration, 1, 2, 20, OrderAccepted)
+	r.addOrder(refusedOrderAt, "outraced", DetailConfiguration, 1, 0, 0, OrderRefused)
+	r.addFault(lossAt, FaultKill, TargetControl, "control-north")
+	r.add(readAt, eventlog.Event{Kind: eventlog.ConfigurationRead, Version: 2, Target: "digest-second"})
+	r.addFault(freezeAt, FaultFreeze, TargetControl, "control-south")
+	r.add(drainAt, eventlog.Event{Kind: eventlog.ReplicaDraining, Replica: "replica-north-3"})
+	r.addOrder(evacuateAt-100, "evacuation", DetailEvacuate, 0, 2, 21, OrderAccepted)
+	r.addOrder(withdrawAt, "withdrawal", DetailWithdraw, 0, 2, 22, OrderAccepted)
+	r.addFault(thawAt, FaultThaw, TargetControl, "control-south")
+	r.addOrder(lastOrderAt, "last", DetailConfiguration, 2, 3, 30, OrderAccepted)
+	r.addFault(startAt, FaultStart, TargetFleet, "all")
+	r.add(startAt, eventlog.Event{Kind: eventlog.ReplicaStarted, Replica: "replica-north-2"})
+	r.add(startAt+10, eventlog.Event{Kind: eventlog.ReplicaReceived, Replica: "replica-north-2", Cold: true, InFlight: 1, Version: 3, Serial: 30, Attempt: 1})
+	r.add(startAt+20, eventlog.Event{Kind: eventlog.ReplicaReceived, Replica: "replica-north-1", Version: 3, Serial: 30, Attempt: 2})
+	r.addFault(crowdAt, FaultCrowd, TargetLoad, "load")
+	r.add(endAt, eventlog.Event{Kind: eventlog.Note})
+	return r
+}
+
+func (r *run) check() Report {
+	sort.SliceStable(r.events, func(i, j int) bool { return r.events[i].At < r.events[j].At })
+	return Check(r.events, Options{ColdRamp: 1, Gateways: 8})
+}
+
+// breaks holds for each promise one change of the healthy run that breaks it.
+var breaks = map[Promise]func(*run){
+	"P1": func(r *run) {
+		r.add(200, eventlog.Event{Kind: eventlog.ReplicaExecuted, Request: "request-0", Run: "again", Replica: "replica-south-1", Version: 1, Serial: 10})
+	},
+	"P2": func(r *run) {
+		r.add(refusedSecond+900, eventlog.Event{Kind: eventlog.ReplicaExecuted, Request: "refused", Run: "late", Replica: "replica-south-1", Version: 1, Serial: 10})
+	},
+	"P3": func(r *run) {
+		r.change(func(e eventlog.Event) bool { return e.Kind == eventlog.ReplicaEnded && e.Request == "request-1" },
+			func(e *eventlog.Event) { e.Detail = "broken" })
+	},
+	"P4": func(r *run) {
+		r.change(func(e eventlog.Event) bool {
+			return e.Kind == eventlog.CallerPiece && e.Request == "request-3" && e.Sequence == 2
+		}, func(e *eventlog.Event) { e.Run = "another" })
+	},
+	"P5": func(r *run) {
+		r.add(secondOrderAt+2700, eventlog.Event{Kind: eventlog.ReplicaReceived, Replica: "replica-south-1", Gateway: "gateway-2", Version: 1, Serial: 10, Attempt: 1})
+	},
+	"P6": func(r *run) {
+		r.add(secondOrderAt+900, eventlog.Event{Kind: eventlog.ReplicaExecuted, Run: "old", Replica: "replica-north-1", Version: 1, Serial: 10})
+	},
+	"P7": func(r *run) {
+		r.change(func(e eventlog.Event) bool { return e.Kind == eventlog.ConfigurationRead },
+			func(e *eventlog.Event) { e.Version, e.Target = 1, "digest-first" })
+	},
+	"P8": func(r *run) {
+		r.add(lastOrderAt+500, eventlog.Event{Kind: eventlog.ConfigurationRead, Version: 4, Target: "digest-outraced"})
+	},
+	"P9": func(r *run) {
+		r.add(secondOrderAt+700, eventlog.Event{Kind: eventlog.OrderAnswered, Order: "second", Outcome: OrderRefused, Code: "version_conflict"})
+	},
+	"P10": func(r *run) {
+		r.change(func(e eventlog.Event) bool { return e.Kind == eventlog.OrderAnswered && e.Order == "last" },
+			func(e *eventlog.Event) { e.Serial = 21 })
+	},
+	"P11": func(r *run) {
+		r.add(drainAt+4500, eventlog.Event{Kind: eventlog.ReplicaReceived, Replica: "replica-north-3", Version: 2, Serial: 20, Attempt: 1})
+	},
+	"P12": func(r *run) {
+		r.add(evacuateAt+5500, eventlog.Event{Kind: eventlog.ReplicaReceived, Replica: "replica-south-3", Version: 2, Serial: 20, Attempt: 1})
+	},
+	"P13": func(r *run) {
+		r.change(func(e eventlog.Event) bool { return e.Kind == eventlog.ReplicaExecuted && e.Request == "request-1" },
+			func(e *eventlog.Event) { e.Replica = "replica-south-1" })
+	},
+	"P14": func(r *run) {
+		r.change(func(e eventlog.Event) bool { return e.Cold }, func(e *eventlog.Event) { e.InFlight = 20 })
+	},
+	"P15": func(r *run) {
+		for i := int64(0); i < 50; i++ {
+			r.add(55_000+i*100, eventlog.Event{Kind: eventlog.ReplicaReceived, Replica: "replica-north-1", Version: 3, Serial: 30, Attempt: 2})
+		}
+	},
+	"P16": func(r *run) { r.remove(between(startAt-100, startAt+13_500)) },
+	"P17": func(r *run) { r.remove(between(lossAt-100, lossAt+13_500)) },
+	"P18": func(r *run) {
+		for i := 0; i < 20; i++ {
+			name := fmt.Sprintf("surge-%d", i)
+			r.add(crowdAt+33_000, eventlog.Event{Kind: eventlog.ReplicaExecuted, Request: name, Run: name, Replica: "replica-north-1", Version: 3, Serial: 30})
+			r.add(crowdAt+34_000, eventlog.Event{Kind: eventlog.ReplicaEnded, Request: name, Run: name, Replica: "replica-north-1", Detail: DetailWhole})
+		}
+	},
+}
+
+func TestHealthyRunKeepsEveryPromise(t *testing.T) {
+	for _, verdict := range healthy().check().Verdicts {
+		if verdict.Status() != StatusKept {
+			t.Errorf("%s: %s, examined %d, violations %+v", verdict.Promise, verdict.Status(), verdict.Examined, verdict.Violations)
+		}
+	}
+}
+
+func TestEachBreakIsReportedAlone(t *testing.T) {
+	for _, check := range checks() {
+		breakIt, ok := breaks[check.promise]
+		if !ok {
+			t.Errorf("%s: no run that breaks it", check.promise)
+			continue
+		}
+		r := healthy()
+		breakIt(r)
+		for _, verdict := range r.check().Verdicts {
+			broken := verdict.Status() == StatusBroken
+			if broken != (verdict.Promise == check.promise) {
+				t.Errorf("run that breaks %s: %s is %s: %+v", check.promise, verdict.Promise, verdict.Status(), verdict.Violations)
+			}
+			for _, violation := range verdict.Violations {
+				if len(violation.Evidence) == 0 {
+					t.Errorf("%s: violation %q without evidence", verdict.Promise, violation.Summary)
+				}
+			}
+		}
+	}
+}
+
+func TestEmptyRunExercisesNothing(t *testing.T) {
+	for _, verdict := range Check(nil, Options{}).Verdicts {
+		if verdict.Status() != StatusNotExercised {
+			t.Errorf("%s: %s of nothing", verdict.Promise, verdict.Status())
+		}
+	}
+}
+
+// Further ways to break a promise, each found as that promise.
+func TestOtherBreaks(t *testing.T) {
+	tests := []struct {
+		name    string
+		promise Promise
+		change  func(*run)
+	}{
+		{"a step back of one gateway over two replicas", "P6", func(r *run) {
+			r.add(secondOrderAt+900, eventlog.Event{Kind: eventlog.ReplicaReceived, Replica: "replica-south-3", Gateway: "gateway-1", Version: 1, Serial: 10, Attempt: 1})
+		}},
+		{"two winners on one base", "P8", func(r *run) {
+			r.addOrder(secondOrderAt+3000, "rival", DetailConfiguration, 1, 2, 0, OrderAccepted)
+		}},
+		{"a stamp that no order made", "P8", func(r *run) {
+			r.add(refusedOrderAt+100, eventlog.Event{Kind: eventlog.ReplicaReceived, Replica: "replica-south-3", Gateway: "gateway-7", Version: 9, Serial: 99, Attempt: 1})
+		}},
+		{"one serial with two versions", "P10", func(r *run) {
+			r.add(freezeAt+9000, eventlog.Event{Kind: eventlog.ReplicaReceived, Replica: "replica-north-3", Gateway: "gateway-7", Version: 1, Serial: 20, Attempt: 1})
+		}},
+		{"a success of a run that never began", "P3", func(r *run) {
+			r.change(func(e eventlog.Event) bool { return e.Kind == eventlog.CallerAnswered && e.Request == "request-1" },
+				func(e *eventlog.Event) { e.Run = "invented" })
+		}},
+		{"an answer of another request", "P3", func(r *run) {
+			r.change(func(e eventlog.Event) bool { return e.Kind == eventlog.CallerAnswered && e.Request == "request-1" },
+				func(e *eventlog.Event) { e.Run = "run-request-4" })
+		}},
+		{"an end after a gap", "P4", func(r *run) {
+			r.change(func(e eventlog.Event) bool { return e.Kind == eventlog.CallerAnswered && e.Request == "request-3" },
+				func(e *eventlog.Event) { e.Sequence = 9 })
+		}},
+		{"an end that the replica did not send", "P4", func(r *run) {
+			r.change(func(e eventlog.Event) bool { return e.Kind == eventlog.ReplicaEnded && e.Request == "request-3" },
+				func(e *eventlog.Event) { e.Detail = "broken" })
+		}},
+		{"an evacuation gone after a loss", "P7", func(r *run) {
+			r.addFault(evacuateAt+1000, FaultWipe, TargetControl, "control-north")
+			r.add(evacuateAt+5000, eventlog.Event{Kind: eventlog.ZonesRead, Zone: "south-1", Detail: "open"})
+		}},
+		{"a resent order refused though it is in effect", "P9", func(r *run) {
+			r.addOrder(lastOrderAt+3000, "lost", DetailConfiguration, 3, 0, 0, OrderUnknown)
+			r.addOrder(lastOrderAt+4000, "lost", DetailConfiguration, 3, 0, 0, OrderRefused)
+			r.add(lastOrderAt+5000, eventlog.Event{Kind: eventlog.ConfigurationRead, Version: 4, Target: "digest-lost"})
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := healthy()
+			test.change(r)
+			verdict, _ := r.check().Verdict(test.promise)
+			if verdict.Status() != StatusBroken {
+				t.Errorf("%s is %s", test.promise, verdict.Status())
+			}
+		})
+	}
+}
+
+func TestMergeAddsUp(t *testing.T) {
+	kept, broken := healthy().check(), healthy()
+	breaks["P12"](broken)
+	merged := Merge(kept, broken.check())
+	verdict, _ := merged.Verdict("P12")
+	if verdict.Status() != StatusBroken || verdict.Bound.Worst < 5.4 || verdict.Examined <= kept.Verdicts[11].Examined {
+		t.Errorf("merged P12: %+v", verdict)
+	}
+	if merged.Events != kept.Events+len(broken.events) {
+		t.Errorf("merged %d events", merged.Events)
+	}
+}
--- /dev/null
+++ b/internal/checker/recovery.go
@@ -0,0 +1,195 @@
+package checker
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/deckpulley/deckpulley/internal/eventlog"
+)
+
+// bucket is the length of the seconds in which service is judged.
+const bucket = time.Second
+
+// firstCleanSecond is the time from at to the first second, counted from at, in
+// which requests began and none was refused or lost. Requests whose home is in
+// the lost region alone are left out.
+func (l *log) firstCleanSecond(at int64, lostRegion string) (time.Duration, bool) {
+	for from := at; from+int64(bucket) <= l.end; from += int64(bucket) {
+		if cleanSecond(l.requestsBetween(from, from+int64(bucket)), lostRegion) {
+			return time.Duration(from - at), true
+		}
+	}
+	return 0, false
+}
+
+func cleanSecond(requests []*request, lostRegion string) bool {
+	counted := 0
+	for _, of := range requests {
+		if boundTo(of, lostRegion) {
+			continue
+		}
+		counted++
+		if of.disturbed() {
+			return false
+		}
+	}
+	return counted > 0
+}
+
+func boundTo(of *request, region string) bool {
+	return region != "" && len(of.homeRegions) == 1 && of.homeRegions[0] == region
+}
+
+// checkReturn measures how long after the start of machines service returned.
+func checkReturn(l *log, _ Options, verdict *Verdict) {
+	verdict.Bound = &Bound{Allowed: returnBound.Seconds(), Unit: "s"}
+	for _, fault := range l.faults {
+		if fault.Detail != FaultStart || (fault.Class != TargetFleet && fault.Class != TargetControls) {
+			continue
+		}
+		l.checkServing(fault, "", verdict)
+	}
+}
+
+// checkLosses measures how long after the loss of one machine, zone or region
+// the others served without a refusal.
+func checkLosses(l *log, _ Options, verdict *Verdict) {
+	verdict.Bound = &Bound{Allowed: returnBound.Seconds(), Unit: "s"}
+	for _, fault := range l.faults {
+		if !isLoss(fault) {
+			continue
+		}
+		l.checkServing(fault, fault.Region, verdict)
+	}
+}
+
+func isLoss(fault eventlog.Event) bool {
+	switch fault.Detail {
+	case FaultKill, FaultFreeze, FaultWipe, FaultCut:
+	default:
+		return false
+	}
+	switch fault.Class {
+	case TargetControl, TargetZone, TargetRegion, TargetGateway:
+		return true
+	}
+	return false
+}
+
+// checkServing judges one fault. A run that ends before the bound with no clean
+// second says nothing.
+func (l *log) checkServing(fault eventlog.Event, lostRegion string, verdict *Verdict) {
+	took, ok := l.firstCleanSecond(fault.At, lostRegion)
+	if !ok && l.end-fault.At < int64(returnBound+bucket) {
+		return
+	}
+	verdict.Examined++
+	if ok {
+		verdict.worst(took.Seconds())
+	}
+	if !ok || took > returnBound {
+		evidence := append([]eventlog.Event{fault}, l.firstDisturbed(fault.At+int64(returnBound), lostRegion)...)
+		verdict.violate(fmt.Sprintf("no second without a refusal within %v of %s %s", returnBound, fault.Detail, fault.Target), evidence...)
+	}
+}
+
+// firstDisturbed is the answer of the first request from at on that was not
+// served.
+func (l *log) firstDisturbed(at int64, lostRegion string) []eventlog.Event {
+	for _, of := range l.requestsBetween(at, l.end) {
+		if of.disturbed() && !boundTo(of, lostRegion) {
+			return firstOf(of.answers, 1)
+		}
+	}
+	return nil
+}
+
+// Settling of the work in flight after a step of the load.
+const (
+	settlingBound = 30 * time.Second
+	// settledBand is the part of the final level within which load is settled.
+	settledBand = 0.5
+	// settlingTail is the part of the step at its end that gives the final level.
+	settlingTail = 0.25
+	// settlingMinimum is the shortest step that is judged.
+	settlingMinimum = 10 * time.Second
+)
+
+// checkSettling measures the overshoot and the settling time of the fleet's work
+// in flight after each step of the load.
+func checkSettling(l *log, _ Options, verdict *Verdict) {
+	verdict.Bound = &Bound{Allowed: settlingBound.Seconds(), Unit: "s to settle"}
+	for i, fault := range l.faults {
+		if fault.Detail != FaultCrowd {
+			continue
+		}
+		end := l.end
+		for _, later := range l.faults[i+1:] {
+			if later.Detail == FaultCalm || later.Detail == FaultCrowd {
+				end = later.At
+				break
+			}
+		}
+		if end-fault.At < int64(settlingMinimum) {
+			continue
+		}
+		l.checkStep(fault, end, verdict)
+	}
+}
+
+func (l *log) checkStep(fault eventlog.Event, end int64, verdict *Verdict) {
+	levels := l.levels(fault.At, end)
+	if len(levels) == 0 {
+		return
+	}
+	verdict.Examined += len(levels)
+	final := mean(levels[len(levels)-max(1, int(float64(len(levels))*settlingTail)):])
+	peak, settled := 0.0, 0
+	for i, level := range levels {
+		peak = math.Max(peak, level)
+		if math.Abs(level-final) > settledBand*math.Max(final, 1) {
+			settled = i + 1
+		}
+	}
+	took := time.Duration(settled) * bucket
+	verdict.worst(took.Seconds())
+	verdict.Remark = fmt.Sprintf("overshoot %.0f%%, settled after %v", 100*(peak/math.Max(final, 1)-1), took)
+	if took > settlingBound || (settled == len(levels) && took >= settlingBound) {
+		verdict.violate(fmt.Sprintf("work in flight had not settled %v after %s %s", took, fault.Detail, fault.Target), fault)
+	}
+}
+
+// levels is the mean work in flight on all replicas in each second.
+func (l *log) levels(from, to int64) []float64 {
+	count := int((to - from) / int64(bucket))
+	levels := make([]float64, count)
+	for _, executed := range l.executed {
+		ended, ok := l.ended[executed.Run]
+		if !ok {
+			continue
+		}
+		addOverlap(levels, executed.At-from, ended.At-from)
+	}
+	return levels
+}
+
+// addOverlap adds to each second the part of it that [start, end) covers.
+func addOverlap(levels []float64, start, end int64) {
+	width := int64(bucket)
+	for i := max(0, start/width); i < int64(len(levels)); i++ {
+		low, high := max(start, i*width), min(end, (i+1)*width)
+		if high <= low {
+			return
+		}
+		levels[i] += float64(high-low) / float64(width)
+	}
+}
+
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, value := range values {
+		sum += value
+	}
+	return sum / float64(len(values))
+}
