--- a/internal/checker/log.go
+++ b/internal/checker/log.go
@@ -16,7 +16,8 @@
 	DetailEvacuated     = "evacuated"
 	DetailWithdrawn     = "withdrawn"
 	DetailWhole         = "whole"
-	DetailLate          = "late"
+	DetailLate          = "late"  // whole, after a pause
+	DetailStall         = "stall" // whole, after a pause within the stream
 
 	FaultKill   = "kill"
 	FaultFreeze = "freeze"
--- a/internal/checker/requests.go
+++ b/internal/checker/requests.go
@@ -105,7 +105,11 @@
 }
 
 func endedWhole(ended eventlog.Event) bool {
-	return ended.Detail == DetailWhole || ended.Detail == DetailLate
+	switch ended.Detail {
+	case DetailWhole, DetailLate, DetailStall:
+		return true
+	}
+	return false
 }
 
 // checkStreams examines each stream of each caller: sequence, run and end.
