--- a/internal/checker/log.go
+++ b/internal/checker/log.go
@@ -16,8 +16,11 @@
 	DetailEvacuated     = "evacuated"
 	DetailWithdrawn     = "withdrawn"
 	DetailWhole         = "whole"
-	DetailLate          = "late"  // whole, after a pause
-	DetailStall         = "stall" // whole, after a pause within the stream
+	DetailLate          = "late" // whole, after a pause
+	// DetailCleanEnd is a caller's word for a stream that closed cleanly after an
+	// error event.
+	DetailCleanEnd = "a clean end after an error event"
+	DetailStall    = "stall" // whole, after a pause within the stream
 
 	FaultKill   = "kill"
 	FaultFreeze = "freeze"
