Parse, validate and apply whole configuration documents

Cause: operators hand over one declarative file, applied whole or not at all. Change: strict YAML and JSON by a typed walk over nodes, so that every problem has line, field, reason and nearest name; validation of names, references, ranges and sizes; minimal changes against a view; JSON schema; example documents of both deployments.

--- /dev/null
+++ b/configuration/changes.go
@@ -0,0 +1,170 @@
+package configuration
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/registry"
+)
+
+// ErrVersion means that the version of a configuration is not above the one in
+// the table.
+var ErrVersion = errors.New("configuration: version is not newer")
+
+// BasePrerequisite requires that the configuration is still the one in the view:
+// of two updates built on the same view, the second fails.
+func BasePrerequisite(current registry.View) registry.Record {
+	for _, record := range current.Lookup(places.ConfigurationName, places.TypeConfiguration) {
+		return registry.Equals(record)
+	}
+	return registry.Absent(places.ConfigurationName, places.TypeConfiguration)
+}
+
+// Changes returns what turns the configuration in the view into the document.
+// Records that already are as the document wants them are left alone, so the
+// result grows with the difference. Evacuations stay with the zones that stay.
+// The error is a *Problems, ErrVersion, or about a table that cannot be read.
+func Changes(current registry.View, document *Document, version uint64, author, text string) ([]registry.Record, error) {
+	if err := document.Validate(); err != nil {
+		return nil, err
+	}
+	marker, err := currentMarker(current)
+	if err != nil {
+		return nil, err
+	}
+	if version <= marker.Version {
+		return nil, fmt.Errorf("%w: %d, the table has %d", ErrVersion, version, marker.Version)
+	}
+	work := &difference{current: current, wanted: map[setName]bool{}, dropped: map[setName]bool{}}
+	work.wantDocument(document)
+	digests := work.wantText(text)
+	work.want(places.ConfigurationRecord(places.Configuration{Version: version, Author: author, Chunks: digests}))
+	work.dropUnwanted()
+	work.dropText(marker.Chunks)
+	return work.changes, nil
+}
+
+func currentMarker(current registry.View) (places.Configuration, error) {
+	contents, err := places.ReadMarker(current)
+	if err != nil {
+		return places.Configuration{}, fmt.Errorf("configuration: reading the current version: %w", err)
+	}
+	return contents, nil
+}
+
+// setName names one set of the table.
+type setName struct {
+	name registry.Name
+	kind registry.Type
+}
+
+// difference collects the changes from a view to the records wanted.
+type difference struct {
+	current registry.View
+	wanted  map[setName]bool
+	dropped map[setName]bool
+	changes []registry.Record
+}
+
+// want requires a record as the only one of its set.
+func (d *difference) want(record registry.Record) {
+	d.wanted[setName{record.Name, record.Type}] = true
+	held := d.current.Lookup(record.Name, record.Type)
+	if len(held) == 1 && bytes.Equal(held[0].Data, record.Data) {
+		return
+	}
+	d.changes = append(d.changes, registry.Add(record))
+}
+
+// wantDocument requires the records of every object, in a fixed order.
+func (d *difference) wantDocument(document *Document) {
+	for _, name := range slices.Sorted(maps.Keys(document.Regions)) {
+		region := document.Regions[name]
+		d.want(places.RegionRecord(name, places.Region{Spill: region.Spill, Capacity: region.Capacity}))
+		for _, zone := range region.Zones {
+			d.want(places.ZoneRecord(zone, places.Zone{Region: name}))
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(document.Services)) {
+		service := document.Services[name]
+		d.want(places.ServiceRecord(name, places.Service{Kind: service.Kind, MaxConcurrency: service.MaxConcurrency}))
+	}
+	for _, name := range slices.Sorted(maps.Keys(document.Routes)) {
+		route := document.Routes[name]
+		d.want(places.RouteRecord(name, places.Route{
+			Service: route.Service, Class: route.Class, Home: route.Home, Weight: weightOrDefault(route.Weight),
+		}))
+	}
+	for _, name := range slices.Sorted(maps.Keys(document.Clients)) {
+		d.want(places.ClientRecord(name, places.Client{Region: document.Clients[name]}))
+	}
+	for _, name := range slices.Sorted(maps.Keys(document.Homes)) {
+		d.want(places.HomeRecord(name, places.Home{Regions: document.Homes[name]}))
+	}
+	for _, name := range slices.Sorted(maps.Keys(document.Tenants)) {
+		tenant := document.Tenants[name]
+		d.want(places.TenantRecord(name, places.Tenant{Home: tenant.Home, Weight: weightOrDefault(tenant.Weight)}))
+	}
+	d.want(places.LimitsRecord(places.Limits(document.Limits)))
+}
+
+// defaultWeight is the share of a route or tenant that names none.
+const defaultWeight = 1
+
+func weightOrDefault(weight int) int {
+	if weight == 0 {
+		return defaultWeight
+	}
+	return weight
+}
+
+// wantText requires the chunks of the text and returns their digests.
+func (d *difference) wantText(text string) [][]byte {
+	records, digests := places.DocumentRecords(text)
+	for _, record := range records {
+		d.want(record)
+	}
+	return digests
+}
+
+// dropText removes the chunks of the former text that the new one does not use.
+func (d *difference) dropText(former [][]byte) {
+	for _, name := range places.DocumentNames(former) {
+		d.drop(name, places.TypeDocument)
+	}
+}
+
+// dropUnwanted removes the objects that the document no longer has, and the
+// evacuations of zones that go.
+func (d *difference) dropUnwanted() {
+	kinds := []registry.Type{
+		places.TypeRegion, places.TypeZone, places.TypeService, places.TypeRoute,
+		places.TypeClient, places.TypeHome, places.TypeTenant,
+	}
+	for _, kind := range kinds {
+		d.current.Walk(places.Under(kind), kind, func(record registry.Record) bool {
+			d.drop(record.Name, kind)
+			return true
+		})
+	}
+	d.current.Walk(places.Under(places.TypeZone), places.TypeEvacuation, func(record registry.Record) bool {
+		if !d.wanted[setName{record.Name, places.TypeZone}] {
+			d.drop(record.Name, places.TypeEvacuation)
+		}
+		return true
+	})
+}
+
+// drop removes one set, once, unless it is wanted.
+func (d *difference) drop(name registry.Name, kind registry.Type) {
+	key := setName{name, kind}
+	if d.wanted[key] || d.dropped[key] {
+		return
+	}
+	d.dropped[key] = true
+	d.changes = append(d.changes, registry.DeleteSet(name, kind))
+}
--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -18,41 +18,44 @@
 	Tenants map[string]Tenant `yaml:"tenants,omitempty" json:"tenants,omitempty"`
 	// Limits are the set points of the controllers.
 	Limits Limits `yaml:"limits,omitempty" json:"limits,omitempty"`
+
+	// lines holds the line of each path of a parsed document.
+	lines map[string]int
 }
 
 // Region is one region of the document.
 type Region struct {
-	Zones    []string `yaml:"zones" json:"zones"`
+	Zones    []string `yaml:"zones" json:"zones" jsonschema:"minItems=1"`
 	Spill    []string `yaml:"spill,omitempty" json:"spill,omitempty"`
-	Capacity int      `yaml:"capacity" json:"capacity"`
+	Capacity int      `yaml:"capacity" json:"capacity" jsonschema:"minimum=1,maximum=1000000"`
 }
 
 // Service is one set of interchangeable replicas.
 type Service struct {
-	Kind           string `yaml:"kind" json:"kind"` // "model" or "web"
-	MaxConcurrency int    `yaml:"max_concurrency" json:"max_concurrency"`
+	Kind           string `yaml:"kind" json:"kind" jsonschema:"enum=model,enum=web"` // "model" or "web"
+	MaxConcurrency int    `yaml:"max_concurrency" json:"max_concurrency" jsonschema:"minimum=1,maximum=10000"`
 }
 
 // Route points a model name to a service.
 type Route struct {
 	Service string `yaml:"service" json:"service"`
-	Class   string `yaml:"class,omitempty" json:"class,omitempty"` // "quick", "long" or "fetch"
+	Class   string `yaml:"class,omitempty" json:"class,omitempty" jsonschema:"enum=quick,enum=long,enum=fetch"` // "quick", "long" or "fetch"
 	Home    string `yaml:"home,omitempty" json:"home,omitempty"`
-	Weight  int    `yaml:"weight,omitempty" json:"weight,omitempty"`
+	Weight  int    `yaml:"weight,omitempty" json:"weight,omitempty" jsonschema:"minimum=0,maximum=1000"`
 }
 
 // Tenant binds a tenant to a home and a share.
 type Tenant struct {
 	Home   string `yaml:"home,omitempty" json:"home,omitempty"`
-	Weight int    `yaml:"weight,omitempty" json:"weight,omitempty"`
+	Weight int    `yaml:"weight,omitempty" json:"weight,omitempty" jsonschema:"minimum=0,maximum=1000"`
 }
 
 // Limits are the set points; a zero field means the default of places.Limits.
 type Limits struct {
-	RetryRatio        float64 `yaml:"retry_ratio,omitempty" json:"retry_ratio,omitempty"`
-	QueueLength       int     `yaml:"queue_length,omitempty" json:"queue_length,omitempty"`
-	TargetUtilization float64 `yaml:"target_utilization,omitempty" json:"target_utilization,omitempty"`
-	FirstTokenMS      int     `yaml:"first_token_ms,omitempty" json:"first_token_ms,omitempty"`
-	ColdConcurrency   int     `yaml:"cold_concurrency,omitempty" json:"cold_concurrency,omitempty"`
-	StreamGapMS       int     `yaml:"stream_gap_ms,omitempty" json:"stream_gap_ms,omitempty"`
+	RetryRatio        float64 `yaml:"retry_ratio,omitempty" json:"retry_ratio,omitempty" jsonschema:"minimum=0,maximum=0.2"`
+	QueueLength       int     `yaml:"queue_length,omitempty" json:"queue_length,omitempty" jsonschema:"minimum=0,maximum=10000"`
+	TargetUtilization float64 `yaml:"target_utilization,omitempty" json:"target_utilization,omitempty" jsonschema:"minimum=0,maximum=1"`
+	FirstTokenMS      int     `yaml:"first_token_ms,omitempty" json:"first_token_ms,omitempty" jsonschema:"minimum=0,maximum=60000"`
+	ColdConcurrency   int     `yaml:"cold_concurrency,omitempty" json:"cold_concurrency,omitempty" jsonschema:"minimum=0,maximum=64"`
+	StreamGapMS       int     `yaml:"stream_gap_ms,omitempty" json:"stream_gap_ms,omitempty" jsonschema:"minimum=0,maximum=600000"`
 }
--- /dev/null
+++ b/configuration/configuration_test.go
@@ -0,0 +1,233 @@
+package configuration
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/deckpulley/deckpulley/examples"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/registry"
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"go.yaml.in/yaml/v3"
+)
+
+func newTable(t *testing.T) *registry.Table {
+	t.Helper()
+	head := registry.Head{Primary: "control-1", Serial: 1}
+	table, err := registry.New(places.Apex, places.Schema(), head, []string{"control-1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+// configure applies a text as the next version and returns its changes.
+func configure(t *testing.T, table *registry.Table, text string) []registry.Record {
+	t.Helper()
+	document, err := Load(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	marker, err := places.ReadMarker(table.View())
+	if err != nil {
+		t.Fatal(err)
+	}
+	changes, err := Changes(table.View(), document, marker.Version+1, "anna", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	update := registry.NewUpdate(places.Apex, []registry.Record{BasePrerequisite(table.View())}, changes)
+	if result := table.Apply(&update, nil); result.Code != registry.NoError {
+		t.Fatalf("%s at record %d: %v", result.Code, result.Failed, result.Reason)
+	}
+	return changes
+}
+
+func read(t *testing.T, table *registry.Table) *places.Contents {
+	t.Helper()
+	contents, err := places.Read(table.View())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return contents
+}
+
+func TestExamplesAreValidAndReadBack(t *testing.T) {
+	capacities := map[string]map[string]int{
+		"kodovka": {"north": 5, "central": 4, "south": 3},
+		"georgia": {"north": 4, "central": 3, "south": 2},
+	}
+	for _, deployment := range examples.Deployments() {
+		text, err := Example(deployment)
+		if err != nil {
+			t.Fatal(err)
+		}
+		table := newTable(t)
+		configure(t, table, text)
+		contents := read(t, table)
+		for region, capacity := range capacities[deployment] {
+			if got := contents.Regions()[region].Capacity; got != capacity {
+				t.Errorf("%s: capacity of %s is %d, want %d", deployment, region, got, capacity)
+			}
+			if got := contents.Zones()[region+"-1"].Region; got != region {
+				t.Errorf("%s: zone %s-1 is in region %q", deployment, region, got)
+			}
+		}
+		configuration, found := contents.ConfigurationRecord()
+		if !found || configuration.Document != text || configuration.Author != "anna" || configuration.Version != 1 {
+			t.Errorf("%s: configuration reads back differently", deployment)
+		}
+	}
+	if _, err := Example("elsewhere"); err == nil {
+		t.Error("an unknown deployment has an example")
+	}
+}
+
+// TestJSONEqualsYAML writes the example as JSON, indented by tabs, and compares.
+func TestJSONEqualsYAML(t *testing.T) {
+	text, err := Example("kodovka")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var loose map[string]any
+	if err := yaml.Unmarshal([]byte(text), &loose); err != nil {
+		t.Fatal(err)
+	}
+	asJSON, err := json.MarshalIndent(loose, "", "\t")
+	if err != nil {
+		t.Fatal(err)
+	}
+	fromYAML, yamlErr := Load(text)
+	fromJSON, jsonErr := Load(string(asJSON))
+	if yamlErr != nil || jsonErr != nil {
+		t.Fatalf("YAML: %v, JSON: %v", yamlErr, jsonErr)
+	}
+	if difference := cmp.Diff(fromYAML, fromJSON, cmpopts.IgnoreUnexported(Document{})); difference != "" {
+		t.Errorf("JSON differs from YAML:\n%s", difference)
+	}
+}
+
+func TestChangesAreMinimal(t *testing.T) {
+	table := newTable(t)
+	configure(t, table, baseDocument)
+	again := configure(t, table, baseDocument)
+	if len(again) != 1 || again[0].Type != places.TypeConfiguration {
+		t.Errorf("the same document again changes %d records, want the version marker alone", len(again))
+	}
+	edited := strings.Replace(baseDocument, "capacity: 5", "capacity: 6", 1)
+	edited = strings.Replace(edited, "  snippet:\n    service: snippets\n", "", 1)
+	want := map[registry.Type]int{places.TypeRegion: 1, places.TypeRoute: 1, places.TypeConfiguration: 1}
+	got := map[registry.Type]int{}
+	for _, change := range configure(t, table, edited) {
+		if change.Type != places.TypeDocument {
+			got[change.Type]++
+		}
+	}
+	if difference := cmp.Diff(want, got); difference != "" {
+		t.Errorf("changes by kind (-want +got):\n%s", difference)
+	}
+	contents := read(t, table)
+	if _, found := contents.Route("snippet"); found || contents.Regions()["north"].Capacity != 6 {
+		t.Error("the edit is not in the table")
+	}
+}
+
+// TestGrowthCostsWhatChanged adds one route to many and counts octets.
+func TestGrowthCostsWhatChanged(t *testing.T) {
+	const routes = 5000
+	var text strings.Builder
+	text.WriteString(strings.Replace(baseDocument, "clients:\n  branch: north\n", "", 1))
+	grown := strings.SplitAfter(text.String(), "routes:\n")
+	var many strings.Builder
+	for i := range routes {
+		fmt.Fprintf(&many, "  grown-%d:\n    service: explain\n    class: quick\n", i)
+	}
+	table := newTable(t)
+	whole := grown[0] + many.String() + grown[1]
+	first := configure(t, table, whole)
+	if len(first) < routes {
+		t.Fatalf("%d changes for %d routes", len(first), routes)
+	}
+	held := table.Serial()
+	configure(t, table, grown[0]+many.String()+"  one-more:\n    service: explain\n"+grown[1])
+	difference := table.Difference(held)
+	data, err := registry.EncodeTransfer(difference)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const bound = 40 << 10
+	if difference.Full || len(data) > bound {
+		t.Errorf("one route more of %d (document of %d octets) transfers %d octets, want at most %d", routes, len(whole), len(data), bound)
+	}
+	t.Logf("document of %d octets; one more route: %d records, %d octets", len(whole), len(difference.Added)+len(difference.Removed), len(data))
+	configuration, _ := read(t, table).ConfigurationRecord()
+	if !strings.Contains(configuration.Document, "one-more") || len(configuration.Document) <= len(whole) {
+		t.Error("the grown document does not read back")
+	}
+}
+
+func TestEvacuationsStayWithTheirZones(t *testing.T) {
+	table := newTable(t)
+	configure(t, table, baseDocument)
+	evacuate := registry.NewUpdate(places.Apex, nil, []registry.Record{
+		places.EvacuationRecord("north-1", places.Evacuation{Order: "a"}),
+		places.EvacuationRecord("south-1", places.Evacuation{Order: "b"}),
+	})
+	if result := table.Apply(&evacuate, nil); result.Code != registry.NoError {
+		t.Fatal(result.Code)
+	}
+	configure(t, table, strings.Replace(baseDocument, "[south-1]", "[south-2]", 1))
+	contents := read(t, table)
+	if !contents.Evacuated("north-1") {
+		t.Error("the evacuation of a zone that stays is gone")
+	}
+	if contents.Evacuated("south-1") {
+		t.Error("the evacuation of a removed zone stays")
+	}
+	if _, found := contents.Zones()["south-1"]; found {
+		t.Error("a removed zone stays")
+	}
+}
+
+func TestOfTwoOnOneBaseTheSecondFails(t *testing.T) {
+	table := newTable(t)
+	view := table.View()
+	document, err := Load(baseDocument)
+	if err != nil {
+		t.Fatal(err)
+	}
+	codes := []registry.ResponseCode{}
+	for _, author := range []string{"anna", "boris"} {
+		changes, err := Changes(view, document, 1, author, baseDocument)
+		if err != nil {
+			t.Fatal(err)
+		}
+		update := registry.NewUpdate(places.Apex, []registry.Record{BasePrerequisite(view)}, changes)
+		codes = append(codes, table.Apply(&update, nil).Code)
+	}
+	if codes[0] != registry.NoError || codes[1] != registry.YXRRSet {
+		t.Errorf("codes %v, want NOERROR and YXRRSET", codes)
+	}
+	if _, err := Changes(table.View(), document, 1, "boris", baseDocument); !errors.Is(err, ErrVersion) {
+		t.Errorf("the same version again: %v, want ErrVersion", err)
+	}
+}
+
+func TestSchemaFileIsCurrent(t *testing.T) {
+	want, err := JSONSchema()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := os.ReadFile("../examples/configuration.schema.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(got) != string(want) {
+		t.Error("examples/configuration.schema.json is not what JSONSchema generates")
+	}
+}
--- a/places/contents.go
+++ b/places/contents.go
@@ -53,6 +53,15 @@
 	return contents, nil
 }
 
+// ReadMarker decodes only the version marker of a view, without the text. It is
+// the zero Configuration before the first configuration.
+func ReadMarker(view registry.View) (Configuration, error) {
+	for _, record := range view.Lookup(ConfigurationName, TypeConfiguration) {
+		return decodeAs[Configuration](record)
+	}
+	return Configuration{}, nil
+}
+
 // Next returns the reading of a newer view, given the transfer that led to it
 // from the view of c. It costs in proportion to the transfer and to the small
 // sets that the transfer touches; the others are shared with c.
--- a/places/names.go
+++ b/places/names.go
@@ -54,6 +54,36 @@
 	return nil
 }
 
+// Under returns the name below which records of a kind are, the apex if they are
+// at a fixed name.
+func Under(recordType registry.Type) registry.Name {
+	switch recordType {
+	case TypeService:
+		return servicesName
+	case TypeRoute:
+		return routesName
+	case TypeRegion:
+		return regionsName
+	case TypeZone, TypeEvacuation:
+		return zonesName
+	case TypeClient:
+		return clientsName
+	case TypeHome:
+		return homesName
+	case TypeTenant:
+		return tenantsName
+	case TypeReplica, TypeDrain, TypeCondition:
+		return replicasName
+	case TypeGateway:
+		return gatewaysName
+	case TypeOrder:
+		return ordersName
+	case TypeDocument:
+		return documentsName
+	}
+	return Apex
+}
+
 // ServiceName is the place of a service. Like the functions below, it returns
 // the empty name, which is in no table, if CheckObjectName rejects the object.
 func ServiceName(service string) registry.Name { return place(servicesName, service) }
