Add scenarios, their runner, the report and the fleet command

Cause: a whole run, ordinary or under faults, must be one command that ends by itself with a verdict. Not yet run against daemons.

--- a/internal/fleet/deployment.go
+++ b/internal/fleet/deployment.go
@@ -7,13 +7,12 @@
 import (
 	"errors"
 	"fmt"
-	"os"
-	"path/filepath"
 	"sort"
 
 	"go.yaml.in/yaml/v3"
 
 	"github.com/deckpulley/deckpulley/configuration"
+	"github.com/deckpulley/deckpulley/examples"
 )
 
 // Kinds of services.
@@ -64,24 +63,24 @@
 	return names
 }
 
-// LoadDeployment reads the configuration <name>.yaml of the folder.
-func LoadDeployment(folder, name string) (Deployment, error) {
+// LoadDeployment takes a deployment with its example configuration.
+func LoadDeployment(name string) (Deployment, error) {
 	counts, ok := modelCounts[name]
 	if !ok {
 		return Deployment{}, fmt.Errorf("unknown deployment %q: one of %v", name, Deployments())
 	}
-	text, err := os.ReadFile(filepath.Join(folder, name+".yaml"))
+	text, err := examples.Configuration(name)
 	if err != nil {
-		return Deployment{}, fmt.Errorf("reading the configuration: %w", err)
+		return Deployment{}, err
 	}
-	deployment := Deployment{Name: name, Document: string(text)}
+	deployment := Deployment{Name: name, Document: text}
 	for i, region := range regionNames {
 		deployment.Regions = append(deployment.Regions, RegionPlan{
 			Name: region, Zone: region + "-1", Gateways: gatewayCounts[i], Models: counts[i], Webs: 1,
 		})
 	}
 	var document configuration.Document
-	if err := yaml.Unmarshal(text, &document); err != nil {
+	if err := yaml.Unmarshal([]byte(text), &document); err != nil {
 		return Deployment{}, fmt.Errorf("parsing the configuration of %s: %w", name, err)
 	}
 	if deployment.ModelService, err = serviceOfKind(document, KindModel); err != nil {
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -72,3 +72,21 @@
 	}
 	return nil
 }
+
+// WaitNodeReady waits until one node may do its work.
+func (f *Fleet) WaitNodeReady(ctx context.Context, node *Node) error {
+	return f.waitNode(ctx, node, api.PathReady)
+}
+
+// CheckReady looks once whether every running node may do its work.
+func (f *Fleet) CheckReady(ctx context.Context) error {
+	for _, node := range append(f.Controls(), f.Gateways()...) {
+		if !node.Running() {
+			continue
+		}
+		if err := get(ctx, node.HealthAddress(), api.PathReady); err != nil {
+			return fmt.Errorf("%s: %w", node.Name, err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/scenario/scenario_test.go
@@ -0,0 +1,98 @@
+package scenario
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/deckpulley/deckpulley/internal/fleet"
+	"github.com/deckpulley/deckpulley/scenarios"
+)
+
+func TestShippedScenariosAreValid(t *testing.T) {
+	list, err := LoadAll(scenarios.Files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	short, exercised := 0, map[string]bool{}
+	for _, of := range list {
+		if of.Short {
+			short++
+		}
+		for _, promise := range of.Promises {
+			exercised[promise] = true
+		}
+	}
+	if short != 8 {
+		t.Errorf("%d scenarios in the short suite", short)
+	}
+	for number := 1; number <= 18; number++ {
+		promise := "P" + strconv.Itoa(number)
+		if !exercised[promise] {
+			t.Errorf("no scenario is for %s", promise)
+		}
+	}
+}
+
+func TestWrongScenariosAreNamed(t *testing.T) {
+	tests := []struct{ name, text, reason string }{
+		{"unknown field", "about: x\nstep: []", "field step not found"},
+		{"unknown action", "about: x\nsteps: [{do: explode}]", `unknown action "explode"`},
+		{"missing target", "about: x\nsteps: [{do: kill}]", "target: missing"},
+		{"missing factor", "about: x\nsteps: [{do: crowd}]", "factor: missing"},
+		{"time without unit", "about: x\nsteps: [{do: wait, at: 5}]", "not a duration"},
+		{"two times", "about: x\nsteps: [{do: wait, at: 5s, after: 1s}]", "exclude each other"},
+		{"cut without relays", "about: x\nsteps: [{do: cut, target: primary}]", "relays: true"},
+		{"unknown condition", "about: x\nsteps: [{do: wait, when: never}]", `unknown condition "never"`},
+		{"nothing to do", "about: x", "either steps or random"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := Parse("test", []byte(test.text))
+			if err == nil || !strings.Contains(err.Error(), test.reason) {
+				t.Errorf("error %v, want %q", err, test.reason)
+			}
+		})
+	}
+}
+
+func TestDrawnStepsAreValidAndSeeded(t *testing.T) {
+	deployment, err := fleet.LoadDeployment("georgia")
+	if err != nil {
+		t.Fatal(err)
+	}
+	of := &Scenario{Relays: true}
+	draw := Random{For: Duration(10 * time.Minute), Interval: Duration(time.Second)}
+	steps := drawSteps(draw, 7, deployment)
+	for i, step := range steps {
+		if err := step.validate(of); err != nil {
+			t.Errorf("steps[%d] (%s): %v", i, step.Do, err)
+		}
+	}
+	if difference := cmp.Diff(steps, drawSteps(draw, 7, deployment)); difference != "" {
+		t.Errorf("one seed gave two runs:\n%s", difference)
+	}
+}
+
+func TestDeploymentsHaveTheirTraffic(t *testing.T) {
+	for _, name := range fleet.Deployments() {
+		deployment, err := fleet.LoadDeployment(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		profile, err := deployment.Profile()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(profile.Homes) == 0 || len(profile.Regions) != 3 || profile.Clients == "" {
+			t.Errorf("%s: %+v", name, profile)
+		}
+		changed, err := deployment.WithRoute("extra")
+		if err != nil || !strings.Contains(changed, "extra") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scenario/target.go
@@ -0,0 +1,171 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/deckpulley/deckpulley/internal/checker"
+	"github.com/deckpulley/deckpulley/internal/fleet"
+	"github.com/deckpulley/deckpulley/settings"
+)
+
+// target is what a step works on.
+type target struct {
+	label    string
+	class    string
+	region   string // set for zones and regions
+	nodes    []*fleet.Node
+	replicas []*fleet.Replica
+}
+
+// Names of targets.
+const (
+	targetPrimary  = "primary"
+	targetFollower = "follower"
+	targetLast     = "last"
+	targetAll      = "all"
+	targetControls = "controls"
+	zonePrefix     = "zone:"
+	regionPrefix   = "region:"
+	modelsPrefix   = "models:" // the model replicas of a region, or models:all, models:half
+	modelsAll      = "all"
+	modelsHalf     = "half"
+)
+
+func (r *runner) resolve(ctx context.Context, name string) (target, error) {
+	switch name {
+	case targetLast:
+		last := r.lastTarget()
+		if last.label == "" {
+			return target{}, fmt.Errorf("target: no earlier step had one")
+		}
+		return last, nil
+	case targetPrimary:
+		return r.primary(ctx)
+	case targetFollower:
+		return r.follower(ctx)
+	case targetAll:
+		return target{label: name, class: checker.TargetFleet, nodes: append(r.fleet.Controls(), r.fleet.Gateways()...)}, nil
+	case targetControls:
+		return target{label: name, class: checker.TargetControls, nodes: r.fleet.Controls()}, nil
+	}
+	if zone, ok := strings.CutPrefix(name, zonePrefix); ok {
+		return r.place(name, checker.TargetZone, func(nodeZone, _ string) bool { return nodeZone == zone })
+	}
+	if region, ok := strings.CutPrefix(name, regionPrefix); ok {
+		return r.place(name, checker.TargetRegion, func(_, nodeRegion string) bool { return nodeRegion == region })
+	}
+	if models, ok := strings.CutPrefix(name, modelsPrefix); ok {
+		return r.models(name, models)
+	}
+	return r.named(name)
+}
+
+func (r *runner) named(name string) (target, error) {
+	if node, err := r.fleet.Node(name); err == nil {
+		class := checker.TargetGateway
+		if node.Role == settings.RoleControl {
+			class = checker.TargetControl
+		}
+		return target{label: name, class: class, nodes: []*fleet.Node{node}}, nil
+	}
+	replica, err := r.fleet.Replica(name)
+	if err != nil {
+		return target{}, fmt.Errorf("target: nothing is named %q", name)
+	}
+	return target{label: name, class: checker.TargetReplica, replicas: []*fleet.Replica{replica}}, nil
+}
+
+// place gathers what stands in a zone or region.
+func (r *runner) place(label, class string, within func(zone, region string) bool) (target, error) {
+	found := target{label: label, class: class}
+	for _, node := range append(r.fleet.Controls(), r.fleet.Gateways()...) {
+		if within(node.Zone, node.Region) {
+			found.nodes = append(found.nodes, node)
+			found.region = node.Region
+		}
+	}
+	for _, replica := range r.fleet.Replicas() {
+		if within(replica.Zone, replica.Region) {
+			found.replicas = append(found.replicas, replica)
+		}
+	}
+	if len(found.nodes) == 0 {
+		return target{}, fmt.Errorf("target: nothing stands in %q", label)
+	}
+	return found, nil
+}
+
+func (r *runner) models(label, which string) (target, error) {
+	found := target{label: label, class: checker.TargetReplica}
+	for _, replica := range r.fleet.Replicas() {
+		if replica.Kind != fleet.KindModel {
+			continue
+		}
+		if which == modelsAll || which == replica.Region || which == modelsHalf {
+			found.replicas = append(found.replicas, replica)
+		}
+	}
+	if which == modelsHalf {
+		found.replicas = everyOther(found.replicas)
+	}
+	if len(found.replicas) == 0 {
+		return target{}, fmt.Errorf("target: no model replicas in %q", which)
+	}
+	return found, nil
+}
+
+func everyOther(list []*fleet.Replica) []*fleet.Replica {
+	var half []*fleet.Replica
+	for i := 0; i < len(list); i += 2 {
+		half = append(half, list[i])
+	}
+	return half
+}
+
+// primary asks the running control nodes who leads.
+func (r *runner) primary(ctx context.Context) (target, error) {
+	ctx, cancel := context.WithTimeout(ctx, stepPatience)
+	defer cancel()
+	for {
+		if node, ok := r.knownPrimary(ctx); ok {
+			return target{label: node.Name, class: checker.TargetControl, nodes: []*fleet.Node{node}}, nil
+		}
+		if !sleep(ctx, conditionStep) {
+			return target{}, fmt.Errorf("target: no primary is known: %w", ctx.Err())
+		}
+	}
+}
+
+// knownPrimary is the primary of the newest term that any node names.
+func (r *runner) knownPrimary(ctx context.Context) (*fleet.Node, bool) {
+	var newest uint64
+	var primary *fleet.Node
+	for _, node := range r.fleet.Controls() {
+		if !node.Running() || r.isFrozen(node.Name) {
+			continue
+		}
+		status, err := r.operators[0].ReadStatus(ctx, node.OperatorAddress)
+		if err != nil || status.Primary == "" || status.Term < newest {
+			continue
+		}
+		if named, err := r.fleet.Node(status.Primary); err == nil {
+			newest, primary = status.Term, named
+		}
+	}
+	return primary, primary != nil
+}
+
+func (r *runner) follower(ctx context.Context) (target, error) {
+	leading, err := r.primary(ctx)
+	if err != nil {
+		return target{}, err
+	}
+	for _, node := range r.fleet.Controls() {
+		if node.Name != leading.label && node.Running() {
+			return target{label: node.Name, class: checker.TargetControl, nodes: []*fleet.Node{node}}, nil
+		}
+	}
+	return target{}, fmt.Errorf("target: no follower runs")
+}
