Add the control node

Cause: the registry, the replicated log and the leases had no process that ties them together.

Change: package control runs one event loop that owns the log, the table, the lease grantor and the disk. It forms or joins a group by disk identity, puts configuration, evacuation and platform orders through the log with their answers stored, acknowledges them once they are in force at every lease holder, repairs the group after a lost disk, forwards toward the primary, and serves the operators' port. The clock is read after each event is taken from the queue, so that a thawed primary steps down before it grants.

--- /dev/null
+++ b/control/fixture_test.go
@@ -0,0 +1,398 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/configuration"
+	"github.com/deckpulley/deckpulley/consensus"
+	"github.com/deckpulley/deckpulley/lease"
+	"github.com/deckpulley/deckpulley/peer"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/registry"
+	"github.com/deckpulley/deckpulley/storage"
+	"github.com/deckpulley/deckpulley/transport"
+)
+
+// fleet is a group of control nodes and gateways in one process. It lives in a
+// synctest bubble: time passes only while everything waits.
+type fleet struct {
+	t        *testing.T
+	network  *transport.Memory
+	options  map[string]Options
+	disks    map[string]*storage.Memory
+	nodes    map[string]*Node
+	gateways map[string]*testGateway
+	wipes    int
+}
+
+var controlNames = []string{"control-1", "control-2", "control-3"}
+
+// patience bounds every wait of these tests, in virtual time.
+const patience = 30 * time.Second
+
+func inFleet(t *testing.T, test func(*testing.T, *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		test(t, f)
+	})
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{
+		t:        t,
+		network:  transport.NewMemory(),
+		options:  make(map[string]Options),
+		disks:    make(map[string]*storage.Memory),
+		nodes:    make(map[string]*Node),
+		gateways: make(map[string]*testGateway),
+	}
+	initial := make(map[string]string)
+	for _, name := range controlNames {
+		initial[name] = name + ":1"
+	}
+	for i, name := range controlNames {
+		f.options[name] = Options{
+			Name:            name,
+			Zone:            fmt.Sprintf("zone-%d", i+1),
+			Region:          fmt.Sprintf("region-%d", i+1),
+			PeerAddress:     initial[name],
+			OperatorAddress: name + ":2",
+			InitialControl:  initial,
+			Seed:            uint64(i + 1),
+			Logger:          slog.New(slog.DiscardHandler),
+		}
+		f.disks[name] = storage.NewMemory(consensus.ID("disk-" + name))
+	}
+	return f
+}
+
+func (f *fleet) close() {
+	for name := range f.gateways {
+		f.stopGateway(name)
+	}
+	for name := range f.nodes {
+		f.stop(name)
+	}
+}
+
+func (f *fleet) start(names ...string) {
+	f.t.Helper()
+	for _, name := range names {
+		options := f.options[name]
+		options.Network = f.network.Node(name, options.PeerAddress)
+		options.Store = f.disks[name]
+		node, err := New(options)
+		if err != nil {
+			f.t.Fatalf("making %s: %v", name, err)
+		}
+		if err := node.Start(); err != nil {
+			f.t.Fatalf("starting %s: %v", name, err)
+		}
+		f.nodes[name] = node
+	}
+}
+
+// stop ends a node at once, without handing leadership over.
+func (f *fleet) stop(name string) {
+	f.t.Helper()
+	node := f.nodes[name]
+	delete(f.nodes, name)
+	if err := node.Stop(); err != nil {
+		f.t.Fatalf("stopping %s: %v", name, err)
+	}
+}
+
+// wipe gives a stopped node a new disk.
+func (f *fleet) wipe(name string) {
+	f.wipes++
+	f.disks[name] = storage.NewMemory(consensus.ID(fmt.Sprintf("disk-%s-%d", name, f.wipes)))
+}
+
+// await waits for a condition, in virtual time.
+func (f *fleet) await(what string, condition func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("waited %v in vain: %s", patience, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// primary waits for a primary among the running nodes, other than the excluded.
+func (f *fleet) primary(except ...string) *Node {
+	f.t.Helper()
+	var found *Node
+	f.await("a primary", func() bool {
+		found = nil
+		for name, node := range f.nodes {
+			if node.observe().primary && !contains(except, name) {
+				found = node
+			}
+		}
+		return found != nil
+	})
+	return found
+}
+
+func (f *fleet) follower() *Node {
+	f.t.Helper()
+	primary := f.primary()
+	for _, name := range controlNames {
+		if node := f.nodes[name]; node != nil && node != primary {
+			return node
+		}
+	}
+	f.t.Fatal("no follower")
+	return nil
+}
+
+func contains(names []string, name string) bool {
+	for _, candidate := range names {
+		if candidate == name {
+			return true
+		}
+	}
+	return false
+}
+
+// request sends an HTTP request to a node's operators' port.
+func (f *fleet) request(node *Node, method, path string, body any, answer any) int {
+	f.t.Helper()
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	recorder := httptest.NewRecorder()
+	node.Handler().ServeHTTP(recorder, httptest.NewRequest(method, path, bytes.NewReader(encoded)))
+	if answer != nil {
+		if err := json.Unmarshal(recorder.Body.Bytes(), answer); err != nil {
+			f.t.Fatalf("%s %s answered %q: %v", method, path, recorder.Body, err)
+		}
+	}
+	return recorder.Code
+}
+
+// send hands a configuration over and returns the status and the answer.
+func (f *fleet) send(node *Node, id string, base uint64, document string) (int, api.OrderAnswer) {
+	f.t.Helper()
+	var answer api.OrderAnswer
+	order := api.ConfigurationOrder{OrderID: id, BaseVersion: base, Author: "test", Document: document}
+	status := f.request(node, http.MethodPut, api.PathConfiguration, order, &answer)
+	return status, answer
+}
+
+// mustSend is send for an order that must be accepted.
+func (f *fleet) mustSend(node *Node, id string, base uint64) api.OrderAnswer {
+	f.t.Helper()
+	status, answer := f.send(node, id, base, document(f.t))
+	if status != http.StatusOK || !answer.Accepted {
+		f.t.Fatalf("order %s answered %d %+v", id, status, answer)
+	}
+	return answer
+}
+
+func (f *fleet) members(node *Node) api.MembersAnswer {
+	f.t.Helper()
+	var answer api.MembersAnswer
+	if status := f.request(node, http.MethodGet, api.PathMembers, nil, &answer); status != http.StatusOK {
+		f.t.Fatalf("members answered %d", status)
+	}
+	return answer
+}
+
+func document(t *testing.T) string {
+	t.Helper()
+	text, err := configuration.Example("kodovka")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// testGateway renews leases and follows the rules of a gateway.
+type testGateway struct {
+	name    string
+	address string
+	network transport.Network
+	control []string
+	started time.Time
+	cancel  context.CancelFunc
+	done    chan struct{}
+	notify  chan struct{}
+
+	mutex    sync.Mutex
+	holder   *lease.Holder
+	copy     *registry.Table
+	held     uint32
+	active   uint32
+	granted  map[uint64]int // leases granted, by term
+	unkind   error
+	activeAt []uint32 // every serial that became active, in order
+}
+
+func (f *fleet) startGateway(name string) *testGateway {
+	f.t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &testGateway{
+		name:    name,
+		address: name + ":1",
+		network: f.network.Node(name, name+":1"),
+		started: time.Now(),
+		cancel:  cancel,
+		done:    make(chan struct{}),
+		notify:  make(chan struct{}, 1),
+		holder:  lease.NewHolder(lease.DefaultTerms()),
+		copy:    registry.NewSecondary(places.Apex, places.Schema()),
+		granted: make(map[uint64]int),
+	}
+	for _, control := range controlNames {
+		g.control = append(g.control, f.options[control].PeerAddress)
+	}
+	g.network.Handle(peer.KindNotify, g.serveNotify)
+	if err := g.network.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.gateways[name] = g
+	go g.run(ctx)
+	return g
+}
+
+func (f *fleet) stopGateway(name string) {
+	f.t.Helper()
+	g := f.gateways[name]
+	delete(f.gateways, name)
+	g.cancel()
+	<-g.done
+	if g.unkind != nil {
+		f.t.Errorf("%s: %v", name, g.unkind)
+	}
+}
+
+func (g *testGateway) serveNotify(context.Context, string, func(any) error) (any, error) {
+	select {
+	case g.notify <- struct{}{}:
+	default:
+	}
+	return nil, nil
+}
+
+func (g *testGateway) run(ctx context.Context) {
+	defer close(g.done)
+	defer g.network.Close()
+	for ctx.Err() == nil {
+		for _, address := range g.control {
+			g.renew(ctx, address)
+		}
+		select {
+		case <-ctx.Done():
+		case <-g.notify:
+		case <-time.After(lease.DefaultTerms().Renewal):
+		}
+	}
+}
+
+func (g *testGateway) renew(ctx context.Context, address string) {
+	for range 3 {
+		if again := g.renewOnce(ctx, address); !again {
+			return
+		}
+	}
+}
+
+// renewOnce returns true if there is more to report at once.
+func (g *testGateway) renewOnce(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+	defer cancel()
+	g.mutex.Lock()
+	sent := time.Since(g.started)
+	renew := peer.Renew{
+		Cluster: g.holder.Cluster(),
+		Gateway: peer.GatewayInfo{Name: g.name, Incarnation: "1", Zone: "zone-1", Region: "region-1", PeerAddress: g.address, HTTPAddress: g.name + ":2"},
+		Term:    g.holder.Term(),
+		Held:    g.held,
+		Active:  g.active,
+		Valid:   g.holder.Valid(sent),
+	}
+	g.mutex.Unlock()
+	var grant peer.Grant
+	if err := g.network.Call(ctx, address, peer.KindRenew, &renew, &grant); err != nil || !grant.Granted {
+		return false
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.take(sent, grant)
+}
+
+func (g *testGateway) take(sent time.Duration, grant peer.Grant) bool {
+	length := time.Duration(grant.LeaseMS) * time.Millisecond
+	if err := g.holder.Granted(time.Since(g.started), sent, grant.Term, grant.Cluster, length); err != nil {
+		return false
+	}
+	if length > 0 {
+		g.granted[grant.Term]++
+	}
+	before := [2]uint32{g.held, g.active}
+	if grant.Transfer != nil {
+		if err := g.copy.ApplyTransfer(*grant.Transfer); err != nil {
+			g.unkind = err
+			return false
+		}
+		g.held = g.copy.Serial()
+	}
+	if grant.Activate != 0 && !registry.SerialLess(grant.Activate, g.held) && g.active != g.held {
+		g.active = g.held
+		g.activeAt = append(g.activeAt, g.active)
+	}
+	return length == 0 || before != [2]uint32{g.held, g.active}
+}
+
+func (g *testGateway) valid() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.holder.Valid(time.Since(g.started))
+}
+
+func (g *testGateway) activeSerial() uint32 {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.active
+}
+
+func (g *testGateway) leases(term uint64) int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.granted[term]
+}
+
+// cut separates one address from others, both ways.
+func (f *fleet) cut(address string, others ...string) { f.setCut(f.network.Cut, address, others) }
+
+func (f *fleet) heal(address string, others ...string) { f.setCut(f.network.Heal, address, others) }
+
+func (f *fleet) setCut(change func(from, to string), address string, others []string) {
+	for _, other := range others {
+		change(address, other)
+		change(other, address)
+	}
+}
+
+// freeze holds a node's event loop up, while what arrives queues before it.
+func (f *fleet) freeze(node *Node, length time.Duration) {
+	node.offer(func(time.Duration) { time.Sleep(length) })
+}
+
--- /dev/null
+++ b/control/group_test.go
@@ -0,0 +1,356 @@
+package control
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/consensus"
+	"github.com/deckpulley/deckpulley/lease"
+	"github.com/deckpulley/deckpulley/registry"
+)
+
+func TestThreeNodesFormElectAndApply(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		f.startGateway("gateway-1")
+		f.startGateway("gateway-2")
+		for _, gateway := range f.gateways {
+			f.await("a lease", gateway.valid)
+		}
+		answer := f.mustSend(f.follower(), "order-1", 0)
+		if answer.Version != 1 {
+			t.Errorf("version is %d, want 1", answer.Version)
+		}
+		for name, gateway := range f.gateways {
+			if active := gateway.activeSerial(); gateway.valid() && registry.SerialLess(active, answer.Serial) {
+				t.Errorf("%s has serial %d active at the acknowledgement of %d", name, active, answer.Serial)
+			}
+		}
+		for _, node := range f.nodes {
+			var read api.ConfigurationAnswer
+			status := f.request(node, http.MethodGet, api.PathConfiguration+"?linearizable=true", nil, &read)
+			if status != http.StatusOK || read.Version != 1 || read.Document != document(t) {
+				t.Errorf("%s reads version %d with status %d", node.options.Name, read.Version, status)
+			}
+		}
+		f.await("a whole group", func() bool { return f.members(f.follower()).RepairDone })
+		if members := f.members(f.primary()).Members; len(members) != 5 {
+			t.Errorf("%d members, want 3 control nodes and 2 gateways: %+v", len(members), members)
+		}
+	})
+}
+
+func TestReplicasAndEvacuations(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		f.startGateway("gateway-1")
+		f.mustSend(f.primary(), "order-1", 0)
+		list := api.ReplicaList{Replicas: []api.ReplicaEntry{
+			{ID: "replica-1", Service: "explain", Zone: "north-1", Address: "127.0.0.1:1"},
+			{ID: "replica-2", Service: "explain", Zone: "south-1", Address: "127.0.0.1:2", Draining: true},
+		}}
+		f.put(api.PathReplicas, http.MethodPut, list)
+		list.Replicas = list.Replicas[1:]
+		list.Replicas[0].Draining = false
+		f.put(api.PathReplicas, http.MethodPut, list)
+		var read api.ReplicasAnswer
+		f.request(f.primary(), http.MethodGet, api.PathReplicas, nil, &read)
+		want := []api.ReplicaStatus{{ReplicaEntry: list.Replicas[0], Region: "south", Condition: "down"}}
+		if difference := cmp.Diff(want, read.Replicas); difference != "" {
+			t.Errorf("replicas (-want +got):\n%s", difference)
+		}
+		f.put(api.PathEvacuations, http.MethodPost, api.EvacuationOrder{OrderID: "empty", Zone: "north-1"})
+		if !f.primary().observe().contents.Evacuated("north-1") {
+			t.Error("the zone is not evacuated after the acknowledgement")
+		}
+		f.put(api.PathEvacuations, http.MethodPost, api.EvacuationOrder{OrderID: "refill", Zone: "north-1", Withdraw: true})
+		if f.primary().observe().contents.Evacuated("north-1") {
+			t.Error("the zone is evacuated after the withdrawal's acknowledgement")
+		}
+		var refused api.OrderAnswer
+		status := f.request(f.follower(), http.MethodPost, api.PathEvacuations, api.EvacuationOrder{OrderID: "nowhere", Zone: "moon"}, &refused)
+		if status != http.StatusNotFound || refused.Accepted || refused.Error.Outcome != api.OutcomeRefused {
+			t.Errorf("evacuating an unknown zone answered %d %+v", status, refused)
+		}
+	})
+}
+
+func (f *fleet) put(path, method string, body any) {
+	f.t.Helper()
+	var answer api.OrderAnswer
+	if status := f.request(f.follower(), method, path, body, &answer); status != http.StatusOK || !answer.Accepted {
+		f.t.Fatalf("%s %s answered %d %+v", method, path, status, answer)
+	}
+}
+
+func TestResentOrderGetsTheFirstAnswer(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		f.startGateway("gateway-1")
+		first := f.mustSend(f.follower(), "order-1", 0)
+		_, refused := f.send(f.primary(), "order-2", 7, document(t))
+		if refused.Accepted || refused.Error.Code != api.CodeVersionConflict {
+			t.Fatalf("an order on version 7 answered %+v", refused)
+		}
+		f.mustSend(f.primary(), "order-3", 1)
+		check := func(when string) {
+			for name, node := range f.nodes {
+				_, again := f.send(node, "order-1", 0, document(t))
+				if difference := cmp.Diff(first, again); difference != "" {
+					t.Errorf("%s, %s repeats the acceptance otherwise:\n%s", when, name, difference)
+				}
+				_, again = f.send(node, "order-2", 7, document(t))
+				if difference := cmp.Diff(refused, again); difference != "" {
+					t.Errorf("%s, %s repeats the refusal otherwise:\n%s", when, name, difference)
+				}
+				status, _ := f.send(node, "order-1", 1, document(t))
+				if status != http.StatusConflict {
+					t.Errorf("%s, the id with another order answered %d", when, status)
+				}
+			}
+		}
+		check("at first")
+		old := f.primary().options.Name
+		f.stop(old)
+		f.primary()
+		check("after the loss of the primary")
+		f.start(old)
+		f.fillLog(snapshotInterval + 10)
+		for _, name := range controlNames {
+			f.stop(name)
+		}
+		f.start(controlNames...)
+		f.primary()
+		check("after a snapshot and a restart of all")
+	})
+}
+
+// fillLog puts so many updates through the log.
+func (f *fleet) fillLog(count int) {
+	f.t.Helper()
+	primary := f.primary()
+	var proposals sync.WaitGroup
+	for worker := range 16 {
+		proposals.Go(func() {
+			for range count / 16 {
+				update := registry.NewUpdate("places.", nil, nil)
+				update.Requestor = requestorControl + "test"
+				if _, err := primary.propose(f.t.Context(), update); err != nil {
+					f.t.Errorf("worker %d: %v", worker, err)
+					return
+				}
+			}
+		})
+	}
+	proposals.Wait()
+}
+
+func TestOfTwoWritersOnOneBaseOneWins(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		f.startGateway("gateway-1")
+		f.mustSend(f.primary(), "order-0", 0)
+		answers := make([]api.OrderAnswer, len(controlNames))
+		var writers sync.WaitGroup
+		for i, name := range controlNames {
+			writers.Go(func() {
+				_, answers[i] = f.send(f.nodes[name], "order-"+name, 1, document(t))
+			})
+		}
+		writers.Wait()
+		accepted := 0
+		for _, answer := range answers {
+			if answer.Accepted {
+				accepted++
+				continue
+			}
+			if answer.Error == nil || answer.Error.Code != api.CodeVersionConflict || answer.Error.Outcome != api.OutcomeRefused {
+				t.Errorf("the loser was told %+v", answer)
+			}
+		}
+		if version := f.primary().observe().contents.Version(); accepted != 1 || version != 2 {
+			t.Errorf("%d of 3 writers won, the version is %d", accepted, version)
+		}
+	})
+}
+
+func TestWipedDisksAreReplacedOneByOne(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		f.startGateway("gateway-1")
+		base := uint64(0)
+		cluster := f.primary().observe().cluster
+		for round, name := range append(controlNames, controlNames[0]) {
+			f.await("a whole group", func() bool { return f.members(f.primary()).RepairDone })
+			f.mustSend(f.primary(), "order-"+string(rune('a'+round)), base)
+			base++
+			f.stop(name)
+			if f.members(f.primary()).RepairDone {
+				t.Fatalf("round %d: repair is reported done with %s gone", round, name)
+			}
+			f.wipe(name)
+			if round%2 == 1 { // at another address, in the same zone
+				options := f.options[name]
+				options.PeerAddress += "0"
+				f.options[name] = options
+			}
+			f.start(name)
+			if f.members(f.primary()).RepairDone {
+				t.Fatalf("round %d: repair is reported done before %s can be a voter", round, name)
+			}
+			f.await("the repair", func() bool { return f.members(f.primary()).RepairDone })
+			f.checkWhole(cluster, base)
+		}
+	})
+}
+
+// checkWhole verifies that three voters, each with the disk that it has now, hold
+// the version.
+func (f *fleet) checkWhole(cluster string, version uint64) {
+	f.t.Helper()
+	membership := f.primary().observe().status.Membership
+	if len(membership.Members) != len(controlNames) {
+		f.t.Fatalf("members are %+v", membership.Members)
+	}
+	for name, node := range f.nodes {
+		member, found := findMember(membership, node.observe().identity)
+		if !found || member.Learner {
+			f.t.Errorf("%s with disk %s does not vote", name, node.observe().identity)
+		}
+		f.await(name+" to apply the configuration", func() bool {
+			o := node.observe()
+			return o.cluster == cluster && o.contents != nil && o.contents.Version() == version
+		})
+	}
+}
+
+func TestFreshNodeNeverFormsBesideAGroup(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		cluster := f.primary().observe().cluster
+		// The node with the lowest name comes back wiped and meets one survivor
+		// without a majority, and one node that is wiped too.
+		for _, name := range controlNames {
+			f.stop(name)
+		}
+		f.wipe(controlNames[0])
+		f.wipe(controlNames[2])
+		f.start(controlNames...)
+		time.Sleep(patience)
+		for _, name := range []string{controlNames[0], controlNames[2]} {
+			if got := f.nodes[name].observe().cluster; got != "" {
+				t.Errorf("%s formed or joined %s beside a group that has no majority", name, got)
+			}
+		}
+		if got := f.nodes[controlNames[1]].observe().cluster; got != cluster {
+			t.Errorf("the survivor belongs to %q, want %q", got, cluster)
+		}
+	})
+}
+
+func TestFormationWaitsForEveryNode(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames[0], controlNames[1])
+		time.Sleep(patience)
+		for name, node := range f.nodes {
+			if node.observe().cluster != "" {
+				t.Errorf("%s formed a group without %s", name, controlNames[2])
+			}
+		}
+		f.start(controlNames[2])
+		f.primary()
+	})
+}
+
+func TestNewPrimaryWaitsOutOlderLeases(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		gateway := f.startGateway("gateway-1")
+		f.mustSend(f.primary(), "order-1", 0)
+		f.stop(f.primary().options.Name)
+		primary := f.primary()
+		elected := primary.observe().at
+		f.await("the first serial in force", func() bool { return primary.observe().inForceKnown })
+		waited := primary.observe().at - elected
+		// elected is read up to one poll after the election.
+		if window := lease.DefaultTerms().Window(); waited < window-50*time.Millisecond {
+			t.Errorf("in force is known %v after the election, the leases of an earlier primary may last %v", waited, window)
+		}
+		if !gateway.valid() {
+			t.Error("the gateway lost its lease over an election")
+		}
+	})
+}
+
+func TestCutOffGatewayDelaysAnAcknowledgementOnce(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		gateway := f.startGateway("gateway-1")
+		f.startGateway("gateway-2")
+		f.mustSend(f.primary(), "order-1", 0)
+		f.cut(gateway.address, gateway.control...)
+		f.mustSend(f.primary(), "order-2", 1)
+		if gateway.valid() {
+			t.Error("acknowledged while a gateway with the older version may place requests")
+		}
+		started := time.Now()
+		f.mustSend(f.primary(), "order-3", 2)
+		if took := time.Since(started); took > time.Second {
+			t.Errorf("the second order waited %v for a gateway without a lease", took)
+		}
+		f.heal(gateway.address, gateway.control...)
+		f.await("the gateway to catch up", gateway.valid)
+	})
+}
+
+func TestThawedPrimaryGrantsNothing(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		f.startGateway("gateway-1")
+		f.mustSend(f.primary(), "order-1", 0)
+		old := f.primary()
+		term := old.observe().status.Term
+		// A gateway that hears the old primary alone.
+		lonely := f.startGateway("gateway-2")
+		f.await("a lease", lonely.valid)
+		for _, name := range controlNames {
+			if name != old.options.Name {
+				f.cut(lonely.address, f.options[name].PeerAddress)
+			}
+		}
+		f.freeze(old, 25*time.Second)
+		time.Sleep(10 * time.Second)
+		before := lonely.leases(term)
+		f.mustSend(f.primary(old.options.Name), "order-2", 1)
+		time.Sleep(20 * time.Second) // past the thaw
+		if after := lonely.leases(term); after != before {
+			t.Errorf("the thawed primary granted %d leases", after-before)
+		}
+		f.await("the thawed node to follow", func() bool {
+			o := old.observe()
+			return o.status.Role == consensus.Follower && o.contents.Version() == 2
+		})
+	})
+}
+
+func TestLeaveHandsLeadershipOver(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		old := f.primary()
+		started := time.Now()
+		delete(f.nodes, old.options.Name)
+		if err := old.Leave(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		f.primary()
+		if took := time.Since(started); took >= 600*time.Millisecond {
+			t.Errorf("a primary after %v, no sooner than by an election time-out", took)
+		}
+		f.start(old.options.Name)
+	})
+}
--- /dev/null
+++ b/control/options.go
@@ -0,0 +1,129 @@
+package control
+
+import (
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/deckpulley/deckpulley/lease"
+	"github.com/deckpulley/deckpulley/settings"
+	"github.com/deckpulley/deckpulley/storage"
+	"github.com/deckpulley/deckpulley/transport"
+)
+
+// Defaults of Options.
+const (
+	defaultTickInterval      = 20 * time.Millisecond
+	defaultDiscoveryInterval = 250 * time.Millisecond
+	defaultCallTimeout       = time.Second
+	defaultReplaceAfter      = 3 * time.Second
+	defaultGatewayGrace      = time.Second
+	defaultOrderWait         = 10 * time.Second
+	defaultVoters            = 3
+)
+
+// Options sets up a Node. Network, Store and the names are required; every
+// zero duration stands for its default.
+type Options struct {
+	// Name is unique in the fleet; Zone and Region say where the node stands.
+	Name   string
+	Zone   string
+	Region string
+	// PeerAddress is where other processes reach this node (host:port);
+	// OperatorAddress is told to operators and not bound by Node.
+	PeerAddress     string
+	OperatorAddress string
+	// Seeds are peers' addresses of other processes, a first contact only.
+	Seeds []string
+	// InitialControl maps the names of the control nodes that form a new group
+	// to their peers' addresses. It includes this node, or is empty.
+	InitialControl map[string]string
+
+	// Network carries messages; Node starts it, and closes it when it ends.
+	Network transport.Network
+	// Store is this member's disk; Node closes it when it ends.
+	Store storage.Store
+	// Logger defaults to slog.Default.
+	Logger *slog.Logger
+	// Tokens returns the operators' tokens as they are now; nil permits orders
+	// without one.
+	Tokens func() settings.Tokens
+
+	// Lease are the terms that gateways hold too.
+	Lease lease.Terms
+	// ElectionTimeout and HeartbeatInterval are passed to the replicated log.
+	ElectionTimeout   time.Duration
+	HeartbeatInterval time.Duration
+	// Seed drives the random election timeouts; 0 draws one.
+	Seed uint64
+
+	// TickInterval is the longest time between two looks at the clock.
+	TickInterval time.Duration
+	// DiscoveryInterval is the time between two rounds of asking other nodes for
+	// the group, while this node is not a voter with a leader.
+	DiscoveryInterval time.Duration
+	// CallTimeout bounds one call to another control node.
+	CallTimeout time.Duration
+	// ReplaceAfter is how long a voter must be unreachable before a node with
+	// another address may take its place.
+	ReplaceAfter time.Duration
+	// GatewayGrace is how long after the end of its lease a gateway is marked
+	// down, and how long a lease must hold before it is marked up again.
+	GatewayGrace time.Duration
+	// OrderWait is how long an order may wait to be in force when its sender
+	// does not say.
+	OrderWait time.Duration
+	// Voters is the number of voters of a group without loss. Default: the
+	// number of InitialControl, or 3.
+	Voters int
+}
+
+// validate checks what has no default.
+func (o *Options) validate() error {
+	switch {
+	case o.Name == "":
+		return errors.New("control: options: name is empty")
+	case o.PeerAddress == "":
+		return errors.New("control: options: peer address is empty")
+	case o.Network == nil:
+		return errors.New("control: options: no network")
+	case o.Store == nil:
+		return errors.New("control: options: no store")
+	}
+	if _, listed := o.InitialControl[o.Name]; len(o.InitialControl) > 0 && !listed {
+		return errors.New("control: options: initial control does not list this node")
+	}
+	return nil
+}
+
+// withDefaults fills in what is zero.
+func (o Options) withDefaults() Options {
+	if o.Logger == nil {
+		o.Logger = slog.Default()
+	}
+	if o.Lease == (lease.Terms{}) {
+		o.Lease = lease.DefaultTerms()
+	}
+	setDefault(&o.TickInterval, defaultTickInterval)
+	setDefault(&o.DiscoveryInterval, defaultDiscoveryInterval)
+	setDefault(&o.CallTimeout, defaultCallTimeout)
+	setDefault(&o.ReplaceAfter, defaultReplaceAfter)
+	setDefault(&o.GatewayGrace, defaultGatewayGrace)
+	setDefault(&o.OrderWait, defaultOrderWait)
+	if o.Voters == 0 {
+		o.Voters = len(o.InitialControl)
+	}
+	if o.Voters == 0 {
+		o.Voters = defaultVoters
+	}
+	if o.Seed == 0 {
+		o.Seed = randomSeed()
+	}
+	return o
+}
+
+func setDefault(field *time.Duration, value time.Duration) {
+	if *field == 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/control/repair.go
@@ -0,0 +1,325 @@
+package control
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/deckpulley/deckpulley/consensus"
+	"github.com/deckpulley/deckpulley/peer"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/registry"
+)
+
+const (
+	// maintenanceInterval is the time between two looks of a primary at members,
+	// gateways and its own records.
+	maintenanceInterval = 100 * time.Millisecond
+	// reachableWithin is how recent a member's last answer must be.
+	reachableWithin = time.Second
+	// catchUpDistance is the number of entries that a learner may lack to be let vote.
+	catchUpDistance = 64
+	// learnerPatience is how long a learner may be silent before it is removed.
+	learnerPatience = 10 * time.Second
+	// joinPatience is how long a request to join counts without being repeated.
+	joinPatience = 3 * time.Second
+)
+
+// joinRequest is a node that asks to become a voter.
+type joinRequest struct {
+	member consensus.Member
+	asked  time.Duration
+}
+
+// join notes the request of a node. It is accepted if the node is a member
+// already or there is a place for it.
+func (m *machine) join(now time.Duration, member consensus.Member) peer.JoinReply {
+	reply := peer.JoinReply{Cluster: m.cluster}
+	if m.group == nil {
+		return reply
+	}
+	status := m.group.Status()
+	reply.Members = status.Membership.Members
+	reply.Primary = m.addressOf(status.Membership, status.Leader)
+	office, serving := m.serving()
+	if !serving {
+		return reply
+	}
+	member.Learner = false
+	office.joins[member.ID] = joinRequest{member: member, asked: now}
+	_, known := findMember(status.Membership, member.ID)
+	repair := m.repairOf(now, status)
+	reply.Accepted = known || repair.hasPlaceFor(member)
+	return reply
+}
+
+// maintain is what a primary does at intervals.
+func (m *machine) maintain(now time.Duration) {
+	office, serving := m.serving()
+	if !serving || now < office.nextMaintenance {
+		return
+	}
+	office.nextMaintenance = now + maintenanceInterval
+	m.recordHead(now)
+	m.recordMembers(now)
+	m.markLapsedGateways(now)
+	m.repairGroup(now)
+}
+
+// recordHead puts this node into the head record as the primary.
+func (m *machine) recordHead(now time.Duration) {
+	head := m.table.Head()
+	if m.office.headPending || head.Primary == m.options.Name {
+		return
+	}
+	head.Primary = m.options.Name
+	head.Serial = registry.NextSerial(head.Serial)
+	m.office.headPending = true
+	office := m.office
+	update := m.ownUpdate(nil, []registry.Record{registry.Add(registry.HeadRecord(places.Apex, head))})
+	m.propose(now, update, func(registry.Result, error) { office.headPending = false })
+}
+
+// recordMembers brings the member (NS) records in line with the voters.
+func (m *machine) recordMembers(now time.Duration) {
+	if m.office.membersPending {
+		return
+	}
+	wanted := make(map[string]bool)
+	for _, member := range m.group.Status().Membership.Members {
+		if !member.Learner {
+			wanted[member.Name] = true
+		}
+	}
+	var changes []registry.Record
+	for _, record := range m.table.View().Lookup(places.Apex, registry.TypeNS) {
+		name := string(record.Data)
+		if !wanted[name] {
+			changes = append(changes, registry.DeleteRecord(record))
+		}
+		delete(wanted, name)
+	}
+	var added []registry.Record
+	for name := range wanted {
+		added = append(added, registry.Add(registry.MemberRecord(places.Apex, name)))
+	}
+	if len(changes)+len(added) == 0 {
+		return
+	}
+	m.office.membersPending = true
+	office := m.office
+	update := m.ownUpdate(nil, append(added, changes...)) // added first: the last member record stays
+	m.propose(now, update, func(registry.Result, error) { office.membersPending = false })
+}
+
+// repairGroup takes the next step toward a whole group, one change at a time.
+func (m *machine) repairGroup(now time.Duration) {
+	office := m.office
+	for id, request := range office.joins {
+		if now-request.asked > joinPatience {
+			delete(office.joins, id)
+		}
+	}
+	status := m.group.Status()
+	self := consensus.Member{ID: m.identity, Name: m.options.Name, Address: m.options.PeerAddress, Zone: m.options.Zone}
+	if known, found := findMember(status.Membership, m.identity); found && known != self {
+		office.joins[m.identity] = joinRequest{member: self, asked: now}
+	}
+	repair := m.repairOf(now, status)
+	next, reason := repair.next()
+	if reason == "" {
+		return
+	}
+	index, _, err := m.group.ProposeMembership(now, next)
+	switch {
+	case errors.Is(err, consensus.ErrMembershipPending):
+	case err != nil:
+		m.log.Warn("membership change refused", "change", reason, "term", status.Term, "error", err)
+	default:
+		m.log.Info("membership change proposed", "change", reason, "index", index, "term", status.Term)
+	}
+}
+
+func (m *machine) repairOf(now time.Duration, status consensus.Status) repair {
+	joins := make([]joinRequest, 0, len(m.office.joins))
+	for _, request := range m.office.joins {
+		joins = append(joins, request)
+	}
+	slices.SortFunc(joins, func(a, b joinRequest) int { return strings.Compare(string(a.member.ID), string(b.member.ID)) })
+	return repair{
+		now:          now,
+		elected:      m.office.elected,
+		status:       status,
+		joins:        joins,
+		voters:       m.options.Voters,
+		replaceAfter: m.options.ReplaceAfter,
+	}
+}
+
+// repair decides the next membership. It is a pure reading of its fields.
+type repair struct {
+	now     time.Duration
+	elected time.Duration
+	status  consensus.Status // of the leader
+	joins   []joinRequest
+	// voters is the number of voters of a whole group.
+	voters       int
+	replaceAfter time.Duration
+}
+
+// silence is how long a member has not answered this leader.
+func (r *repair) silence(id consensus.ID) time.Duration {
+	if id == r.status.ID {
+		return 0
+	}
+	return r.now - max(r.status.Contact[id], r.elected)
+}
+
+// answeredLately is true only on evidence: an answer in this term.
+func (r *repair) answeredLately(id consensus.ID) bool {
+	if id == r.status.ID {
+		return true
+	}
+	contact, heard := r.status.Contact[id]
+	return heard && r.now-contact <= reachableWithin
+}
+
+// done is true if the group is whole: enough voters, each reachable and holding
+// everything committed, and no learner left.
+func (r *repair) done() bool {
+	voters := 0
+	for _, member := range r.status.Membership.Members {
+		if member.Learner || !r.answeredLately(member.ID) {
+			return false
+		}
+		if r.status.Match[member.ID] < r.status.Commit {
+			return false
+		}
+		voters++
+	}
+	return voters >= r.voters
+}
+
+// next returns the next membership and what it changes, or an empty reason.
+func (r *repair) next() (consensus.Membership, string) {
+	for _, member := range r.status.Membership.Members {
+		if member.Learner {
+			return r.advance(member)
+		}
+	}
+	for _, request := range r.joins {
+		if known, found := findMember(r.status.Membership, request.member.ID); found {
+			if known != request.member {
+				return r.move(known, request.member), "member " + known.Name + " described anew"
+			}
+			continue
+		}
+		if r.hasPlaceFor(request.member) {
+			learner := request.member
+			learner.Learner = true
+			return r.with(learner), "learner " + learner.Name + " added"
+		}
+	}
+	return consensus.Membership{}, ""
+}
+
+// advance takes the one learner a step on: gone, it is removed; caught up, the
+// voter that it replaces is removed, and then it may vote.
+func (r *repair) advance(learner consensus.Member) (consensus.Membership, string) {
+	if r.superseded(learner) || r.silence(learner.ID) > learnerPatience {
+		return r.without(learner.ID), "learner " + learner.Name + " is gone"
+	}
+	caughtUp := r.answeredLately(learner.ID) && r.status.Match[learner.ID]+catchUpDistance >= r.status.Commit && r.status.Match[learner.ID] > 0
+	if !caughtUp {
+		return consensus.Membership{}, ""
+	}
+	if victim, found := r.victim(learner); found {
+		return r.without(victim.ID), "voter " + victim.Name + " replaced"
+	}
+	if r.countVoters() >= r.voters {
+		return consensus.Membership{}, ""
+	}
+	promoted := learner
+	promoted.Learner = false
+	return r.move(learner, promoted), "learner " + learner.Name + " promoted"
+}
+
+// superseded is true if another disk asks to join at the learner's address.
+func (r *repair) superseded(learner consensus.Member) bool {
+	for _, request := range r.joins {
+		if request.member.Address == learner.Address && request.member.ID != learner.ID {
+			return r.silence(learner.ID) > reachableWithin
+		}
+	}
+	return false
+}
+
+// hasPlaceFor is true if the group lacks a voter, or has one that the node replaces.
+func (r *repair) hasPlaceFor(member consensus.Member) bool {
+	if r.countVoters() < r.voters {
+		return true
+	}
+	_, found := r.victim(member)
+	return found
+}
+
+// victim is the voter that a node replaces: one at its own address, where the old
+// disk can't be any more; else one of its name, else one of its zone, that has
+// been unreachable for long enough.
+func (r *repair) victim(member consensus.Member) (consensus.Member, bool) {
+	whole := r.countVoters() >= r.voters
+	matches := []func(voter consensus.Member) bool{
+		func(voter consensus.Member) bool { return voter.Address == member.Address },
+		func(voter consensus.Member) bool { return whole && voter.Name == member.Name && r.unreachable(voter) },
+		func(voter consensus.Member) bool { return whole && voter.Zone == member.Zone && r.unreachable(voter) },
+	}
+	for _, match := range matches {
+		for _, voter := range r.status.Membership.Members {
+			if !voter.Learner && voter.ID != member.ID && voter.ID != r.status.ID && match(voter) {
+				return voter, true
+			}
+		}
+	}
+	return consensus.Member{}, false
+}
+
+func (r *repair) unreachable(member consensus.Member) bool {
+	return r.silence(member.ID) >= r.replaceAfter
+}
+
+func (r *repair) countVoters() int {
+	count := 0
+	for _, member := range r.status.Membership.Members {
+		if !member.Learner {
+			count++
+		}
+	}
+	return count
+}
+
+func (r *repair) with(member consensus.Member) consensus.Membership {
+	members := append([]consensus.Member(nil), r.status.Membership.Members...)
+	return consensus.Membership{Members: append(members, member)}
+}
+
+func (r *repair) without(id consensus.ID) consensus.Membership {
+	var members []consensus.Member
+	for _, member := range r.status.Membership.Members {
+		if member.ID != id {
+			members = append(members, member)
+		}
+	}
+	return consensus.Membership{Members: members}
+}
+
+// move replaces one member's description, keeping its place and its vote.
+func (r *repair) move(old, described consensus.Member) consensus.Membership {
+	members := append([]consensus.Member(nil), r.status.Membership.Members...)
+	for i := range members {
+		if members[i].ID == old.ID {
+			members[i] = described
+		}
+	}
+	return consensus.Membership{Members: members}
+}
