--- a/internal/checker/placement.go
+++ b/internal/checker/placement.go
@@ -69,9 +69,22 @@
 	completed int
 }
 
+// limit is the ramp of a cold replica: its first step, and one more each time it
+// completed as many requests as the present step.
+func (c *coldReplica) limit(first int) int {
+	limit, left := first, c.completed
+	for left >= limit {
+		left -= limit
+		limit++
+	}
+	return limit
+}
+
+// becameCold is a replica's word for a loss of its warmth without a restart.
+const becameCold = "cold"
+
 // checkColdReplicas compares the work in flight on a cold replica, fleet-wide,
-// with its ramp: the first step, one more for each request that it completed
-// since its start, and one for each gateway at the most.
+// with its ramp and one for each gateway at the most.
 func checkColdReplicas(l *log, options Options, verdict *Verdict) {
 	verdict.Bound = &Bound{Allowed: float64(options.Gateways), Unit: "requests beyond the ramp"}
 	cold := map[string]*coldReplica{}
@@ -80,6 +93,10 @@
 		switch event.Kind {
 		case eventlog.ReplicaStarted:
 			cold[name] = &coldReplica{}
+		case eventlog.ReplicaFault:
+			if event.Detail == becameCold {
+				cold[name] = &coldReplica{}
+			}
 		case eventlog.ReplicaEnded:
 			if state, ok := cold[name]; ok && endedWhole(event) {
 				state.completed++
@@ -95,10 +112,10 @@
 }
 
 func checkRamp(event eventlog.Event, state *coldReplica, options Options, verdict *Verdict) {
-	ramp := options.ColdRamp
-	if state != nil {
-		ramp += state.completed
+	if state == nil {
+		state = &coldReplica{}
 	}
+	ramp := state.limit(max(1, options.ColdRamp))
 	beyond := event.InFlight - ramp
 	verdict.worst(float64(beyond))
 	if beyond > options.Gateways {
