--- a/control/fixture_test.go
+++ b/control/fixture_test.go
@@ -38,6 +38,9 @@
 
 var controlNames = []string{"control-1", "control-2", "control-3"}
 
+// testSnapshotInterval makes snapshots frequent.
+const testSnapshotInterval = 256
+
 // patience bounds every wait of these tests, in virtual time.
 const patience = 30 * time.Second
 
@@ -73,6 +76,8 @@
 			InitialControl:  initial,
 			Seed:            uint64(i + 1),
 			Logger:          slog.New(slog.DiscardHandler),
+
+			SnapshotInterval: testSnapshotInterval,
 		}
 		f.disks[name] = storage.NewMemory(consensus.ID("disk-" + name))
 	}
@@ -395,4 +400,3 @@
 func (f *fleet) freeze(node *Node, length time.Duration) {
 	node.offer(func(time.Duration) { time.Sleep(length) })
 }
-
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -120,7 +120,7 @@
 		f.primary()
 		check("after the loss of the primary")
 		f.start(old)
-		f.fillLog(snapshotInterval + 10)
+		f.fillLog(testSnapshotInterval + 16)
 		for _, name := range controlNames {
 			f.stop(name)
 		}
@@ -272,6 +272,7 @@
 		f.start(controlNames...)
 		gateway := f.startGateway("gateway-1")
 		f.mustSend(f.primary(), "order-1", 0)
+		f.await("a lease", gateway.valid)
 		f.stop(f.primary().options.Name)
 		primary := f.primary()
 		elected := primary.observe().at
@@ -293,6 +294,7 @@
 		gateway := f.startGateway("gateway-1")
 		f.startGateway("gateway-2")
 		f.mustSend(f.primary(), "order-1", 0)
+		f.await("a lease", gateway.valid)
 		f.cut(gateway.address, gateway.control...)
 		f.mustSend(f.primary(), "order-2", 1)
 		if gateway.valid() {
--- a/control/options.go
+++ b/control/options.go
@@ -20,6 +20,7 @@
 	defaultGatewayGrace      = time.Second
 	defaultOrderWait         = 10 * time.Second
 	defaultVoters            = 3
+	defaultSnapshotInterval  = 4096
 )
 
 // Options sets up a Node. Network, Store and the names are required; every
@@ -76,6 +77,8 @@
 	// Voters is the number of voters of a group without loss. Default: the
 	// number of InitialControl, or 3.
 	Voters int
+	// SnapshotInterval is the number of entries applied between two snapshots.
+	SnapshotInterval uint64
 }
 
 // validate checks what has no default.
@@ -116,6 +119,9 @@
 	if o.Voters == 0 {
 		o.Voters = defaultVoters
 	}
+	if o.SnapshotInterval == 0 {
+		o.SnapshotInterval = defaultSnapshotInterval
+	}
 	if o.Seed == 0 {
 		o.Seed = randomSeed()
 	}
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -11,13 +11,9 @@
 	"github.com/deckpulley/deckpulley/registry"
 )
 
-const (
-	// snapshotInterval is the number of entries applied between two snapshots.
-	snapshotInterval = 4096
-	// snapshotKeep is the number of entries before a snapshot that stay in the
-	// log, so that a member a little behind is sent entries and no snapshot.
-	snapshotKeep = 1024
-)
+// snapshotKeep is the number of entries before a snapshot that stay in the
+// log, so that a member a little behind is sent entries and no snapshot.
+const snapshotKeep = 1024
 
 // snapshotContent is the data of a snapshot: the whole state machine.
 type snapshotContent struct {
@@ -78,7 +74,7 @@
 
 // compact stores a snapshot when enough was applied since the last one.
 func (m *machine) compact() error {
-	if m.table == nil || m.applied < m.snapshotIndex+snapshotInterval {
+	if m.table == nil || m.applied < m.snapshotIndex+m.options.SnapshotInterval {
 		return nil
 	}
 	data, err := m.snapshotData()
