Report first tokens of streams alone; end callers at once on an interrupt

Cause: a whole answer has no first token of its own, and an interrupted run waited for its callers. Change: first-token figures count streams; an interrupt ends the fleet first. Result: go test ./internal/report passes.

--- a/internal/report/summary.go
+++ b/internal/report/summary.go
@@ -30,6 +30,7 @@
 	At      int64 // nanoseconds of the log
 	Class   string
 	Region  string // of its caller
+	Stream  bool
 	Outcome string
 	Code    string
 	// FirstTokenMS and ElapsedMS are those of its first success.
@@ -162,7 +163,7 @@
 	of, ok := s.byID[event.Request]
 	if !ok {
 		of = &Request{
-			ID: event.Request, At: event.At, Class: event.Class, Region: event.Region,
+			ID: event.Request, At: event.At, Class: event.Class, Region: event.Region, Stream: event.Stream,
 			Outcome: OutcomeUnanswered, PromptTokens: event.PromptTokens,
 		}
 		s.byID[event.Request] = of
@@ -202,7 +203,9 @@
 		return
 	}
 	latency := s.latency(of.Class)
-	latency.FirstToken.RecordValue(micros(of.FirstTokenMS))
+	if of.Stream {
+		latency.FirstToken.RecordValue(micros(of.FirstTokenMS))
+	}
 	latency.Elapsed.RecordValue(micros(of.ElapsedMS))
 	s.CachedTokens += of.CachedTokens
 	s.PromptTokens += of.PromptTokens
--- a/internal/report/text.go
+++ b/internal/report/text.go
@@ -70,7 +70,9 @@
 	fmt.Fprintf(out, "latency in ms\tp50\tp90\tp99\tmax\tcount\n")
 	for _, class := range sortedKeys(s.Latency) {
 		of := s.Latency[class]
-		writeHistogram(out, class+" first token", of.FirstToken)
+		if of.FirstToken.TotalCount() > 0 {
+			writeHistogram(out, class+" first token", of.FirstToken)
+		}
 		writeHistogram(out, class+" whole", of.Elapsed)
 		if of.Between.TotalCount() > 0 {
 			writeHistogram(out, class+" between tokens", of.Between)
--- a/internal/scenario/runner.go
+++ b/internal/scenario/runner.go
@@ -93,10 +93,12 @@
 	r := &runner{session: opened, scenario: options.Scenario, begun: time.Now(), frozen: map[string]bool{}}
 	r.runSteps(ctx)
 	usage := r.usage()
-	r.endLoad()
 	if ctx.Err() != nil {
+		opened.fleet.Close() // so that the callers end at once
+		r.endLoad()
 		return nil, fmt.Errorf("scenario %s: %w", options.Scenario.Name, ctx.Err())
 	}
+	r.endLoad()
 	if err := r.read(ctx); err != nil {
 		r.problem(fmt.Errorf("reading back at the end: %w", err))
 	}
