Judge one loss at a time; name what was lost last

Cause: P17 speaks of one disk machine, zone or region lost; a scenario that loses a second one, or kills a gateway inside a region that is cut off, was held against it. Change: the checker pairs losses with their ends and judges one only while it is the only one; a target 'lost'; the selection is exact.

--- a/internal/checker/log.go
+++ b/internal/checker/log.go
@@ -31,6 +31,9 @@
 	FaultHeal   = "heal"
 	FaultCrowd  = "crowd"
 	FaultCalm   = "calm"
+	// FaultRepaired ends the loss of a disk: the control nodes report that a
+	// newcomer holds everything.
+	FaultRepaired = "repaired"
 )
 
 // Classes of targets of faults, in the Class field of a fault event.
@@ -96,6 +99,7 @@
 	orders   []*order
 	reads    []eventlog.Event
 	faults   []eventlog.Event
+	losses   []*loss
 	zone     map[string]string // by replica
 	region   map[string]string // by replica
 	end      int64
@@ -115,6 +119,7 @@
 		orders.add(event)
 	}
 	l.orders = orders.list
+	l.losses = findLosses(l.faults)
 	if len(events) > 0 {
 		l.end = events[len(events)-1].At
 	}
--- a/internal/scenario/actions.go
+++ b/internal/scenario/actions.go
@@ -52,6 +52,7 @@
 	case Thaw:
 		return r.thaw(on)
 	case Wipe:
+		r.setLost(on)
 		r.note(checker.FaultWipe, on)
 		return eachNode(on, r.fleet.WipeNode)
 	case Replace:
@@ -78,6 +79,7 @@
 }
 
 func (r *runner) kill(on target) error {
+	r.setLost(on)
 	r.note(checker.FaultKill, on)
 	err := eachNode(on, r.fleet.KillNode)
 	for _, replica := range on.replicas {
--- a/internal/scenario/random.go
+++ b/internal/scenario/random.go
@@ -55,7 +55,7 @@
 func killGateway(random *rand.Rand, deployment fleet.Deployment) []Step {
 	return []Step{
 		{Do: Kill, Target: pickGateway(random, deployment)},
-		{Do: Start, Target: targetLast, After: pause(random, time.Second, 5*time.Second)},
+		{Do: Start, Target: targetLost, After: pause(random, time.Second, 5*time.Second)},
 		{Do: Wait, When: WhenReady},
 	}
 }
@@ -71,7 +71,7 @@
 	return []Step{
 		{Do: Kill, Target: pickControl(random)},
 		{Do: Configure},
-		{Do: Start, Target: targetLast, After: pause(random, time.Second, 5*time.Second)},
+		{Do: Start, Target: targetLost, After: pause(random, time.Second, 5*time.Second)},
 		{Do: Wait, When: WhenRepaired},
 		{Do: Read},
 	}
@@ -90,7 +90,7 @@
 	return []Step{
 		{Do: Configure},
 		{Do: Wipe, Target: pickControl(random)},
-		{Do: Start, Target: targetLast, After: pause(random, 0, 2*time.Second)},
+		{Do: Start, Target: targetLost, After: pause(random, 0, 2*time.Second)},
 		{Do: Wait, When: WhenRepaired},
 		{Do: Read},
 	}
--- a/internal/scenario/runner.go
+++ b/internal/scenario/runner.go
@@ -74,6 +74,7 @@
 	background sync.WaitGroup
 	mutex      sync.Mutex
 	last       target
+	lost       target // that of the last kill, wipe or replacement
 	frozen     map[string]bool
 	problems   []error
 }
@@ -144,6 +145,18 @@
 	r.last = on
 }
 
+func (r *runner) setLost(on target) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.lost = on
+}
+
+func (r *runner) lostTarget() target {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.lost
+}
+
 func (r *runner) isFrozen(name string) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -199,6 +212,9 @@
 		err := r.holds(limited, step.When)
 		if err == nil {
 			r.progress("%s after %.1f s", step.When, time.Since(begun).Seconds())
+			if step.When == WhenRepaired {
+				r.fleet.NoteFault(checker.FaultRepaired, checker.TargetControls, targetControls, "")
+			}
 			return nil
 		}
 		if !sleep(limited, conditionStep) {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -72,8 +72,8 @@
 	Within Duration  `yaml:"within,omitempty"`
 
 	Do Action `yaml:"do"`
-	// Target names a node, a replica, "primary", "follower", "last", "all",
-	// "controls", "zone:NAME" or "region:NAME".
+	// Target names a node, a replica, "primary", "follower", "last", "lost",
+	// "all", "controls", "zone:NAME" or "region:NAME".
 	Target string `yaml:"target,omitempty"`
 	// To is the other end of a link, or the region that clients move to.
 	To string `yaml:"to,omitempty"`
