--- a/routing/service.go
+++ b/routing/service.go
@@ -17,10 +17,19 @@
 	feedInterval = 200 * time.Millisecond
 	// feedPart of a request's remaining time may be spent to feed a cold replica.
 	feedPart = 0.25
-	// enoughCompletions is when the measured rate replaces the estimated one.
-	enoughCompletions = 5
+	// youngQueue is the age up to which a queue is judged by what it should do.
+	youngQueue = 4 * time.Second
+	// leastStanding is the part of the queue's length that may always wait.
+	leastStanding = 0.125
+	// leastRate bounds the completions per second assumed, above zero.
+	leastRate = 0.01
 	// unservable is the utilization told of a service without a usable replica.
 	unservable = 100
+	// fedElsewhere is the utilization told of a service whose only replicas are
+	// cold ones that other gateways feed: it serves, and has nothing to spare.
+	fedElsewhere = 1
+	// expectedSmoothing is the weight of one answer in the expected durations.
+	expectedSmoothing = 0.05
 )
 
 // Gains of the spill controller, argued in docs/design/routing.md.
@@ -42,14 +51,18 @@
 
 	firstToken      time.Duration
 	coldConcurrency int
+	queueLength     int
 
 	group       *outlier.Group
 	index       *placement.Index
 	queue       *admission.Queue[*waiter]
 	completions admission.Rate
 	completed   int
-	hold        float64 // seconds a request takes, smoothed
-	delay       float64 // seconds to the first token without own prefill, smoothed
+	queuedSince time.Time // when the queue began to stand; zero if it is empty
+	hold        float64   // seconds a request takes, smoothed
+	perToken    float64   // of it, seconds per token asked for, smoothed
+	waited      float64   // seconds granted requests waited in the queue, smoothed
+	delay       float64   // seconds to the first token without own prefill, smoothed
 
 	spill       *setpoint.Controller
 	utilization float64
@@ -86,6 +99,7 @@
 	s.settings = settings
 	s.firstToken = time.Duration(limits.FirstTokenMS) * time.Millisecond
 	s.coldConcurrency = limits.ColdConcurrency
+	s.queueLength = limits.QueueLength
 	s.queue.SetLength(limits.QueueLength)
 	s.spill.SetSetPoint(limits.TargetUtilization)
 }
@@ -192,6 +206,7 @@
 // dispatch grants slots to waiting requests in fair order while there is room.
 func (s *service) dispatch(now time.Time) {
 	if s.queue.Len() == 0 {
+		s.queuedSince = time.Time{}
 		return
 	}
 	full := make(map[api.Class]bool)
@@ -205,6 +220,7 @@
 			full[w.request.Class] = full[w.request.Class] || len(w.request.Exclude) == 0
 			return false
 		}
+		s.waited = smoothed(s.waited, now.Sub(w.since).Seconds(), holdSmoothing)
 		w.grant(s.newSlot(now, w, choice))
 		return true
 	}
@@ -225,6 +241,24 @@
 			item.Payload.refuse(s.unusableError(&item.Payload.request))
 		}
 	}
+	for _, item := range s.queue.Items() {
+		if s.exhausted(now, &item.Payload.request) && s.queue.Remove(item) {
+			item.Payload.refuse(s.unusableError(&item.Payload.request))
+		}
+	}
+}
+
+// exhausted reports whether a request has tried every usable replica.
+func (s *service) exhausted(now time.Time, request *Request) bool {
+	if len(request.Exclude) == 0 {
+		return false
+	}
+	for _, target := range s.replicas {
+		if target.usable(now) && !request.Exclude[target.name] {
+			return false
+		}
+	}
+	return true
 }
 
 // judgeQueue refuses waiting requests that the present plan no longer admits.
@@ -295,19 +329,31 @@
 	return now.Sub(s.closedSince)
 }
 
-// rate is the completions per second that the queue can count on, 0 if unknown:
-// measured, and by Little's law while too few were seen.
+// rate is the completions per second that the queue can count on, 0 if unknown.
+// A queue that has stood for a while is judged by what was measured meanwhile;
+// a young one also by Little's law, since what was measured before it was the
+// demand and not the capacity.
 func (s *service) rate(now time.Time) float64 {
-	if s.completed >= enoughCompletions {
-		return max(s.completions.PerSecond(now), 0.01)
+	measured := s.completions.PerSecond(now)
+	if s.queuedSince.IsZero() || now.Sub(s.queuedSince) < youngQueue {
+		measured = max(measured, s.expectedRate())
 	}
-	inFlight := 0
-	for _, target := range s.replicas {
-		inFlight += target.inFlight
+	if s.completed == 0 {
+		return 0
 	}
+	return max(measured, leastRate)
+}
+
+// expectedRate is what the requests in flight complete per second if each takes
+// the usual time.
+func (s *service) expectedRate() float64 {
 	if s.hold <= 0 {
 		return 0
 	}
+	inFlight := 0
+	for _, target := range s.replicas {
+		inFlight += target.inFlight
+	}
 	return float64(inFlight) / s.hold
 }
 
@@ -337,13 +383,27 @@
 	s.utilization = s.measureUtilization(now)
 	s.spill.Update(now, s.utilization)
 	s.refreshRegions(now)
+	s.boundStanding(now)
 	s.sweep(now)
 }
 
-// measureUtilization is the work on the usable replicas and in the queue over
-// their ceilings. A cold replica that another gateway feeds is left out.
+// boundStanding keeps a queue that does not drain at the length that waits as
+// long as the set point of the first token. A young queue may use all of it.
+func (s *service) boundStanding(now time.Time) {
+	if s.queuedSince.IsZero() || now.Sub(s.queuedSince) < youngQueue {
+		s.queue.SetStanding(0)
+		return
+	}
+	length := s.rate(now) * s.firstToken.Seconds()
+	least := leastStanding * float64(s.queueLength)
+	s.queue.SetStanding(int(max(length, least, 1)))
+}
+
+// measureUtilization is the work on the usable replicas and in the queues over
+// their ceilings; the other gateways of the region are taken to queue as much
+// as this one. A cold replica that another gateway feeds is left out.
 func (s *service) measureUtilization(now time.Time) float64 {
-	busy := float64(s.queue.Len())
+	busy := float64(s.queue.Len() * max(1, len(s.router.gateways)))
 	ceilings := 0.0
 	for _, target := range s.replicas {
 		if !target.usable(now) {
@@ -357,3 +417,16 @@
 	}
 	return busy / ceilings
 }
+
+// regionLoad is the utilization to be told to other regions.
+func (s *service) regionLoad() float64 {
+	if s.utilization < unservable {
+		return s.utilization
+	}
+	for _, target := range s.replicas {
+		if target.allowed && target.reported && !target.unknown && target.condition.State == places.ConditionCold {
+			return fedElsewhere
+		}
+	}
+	return unservable
+}
--- a/routing/slot.go
+++ b/routing/slot.go
@@ -8,6 +8,10 @@
 	"github.com/deckpulley/deckpulley/ramp"
 )
 
+// toleratedRefusals is the number of refusals in a row by a replica that say
+// nothing against it.
+const toleratedRefusals = 10
+
 // Slot is the permission to send one request to one replica. Version and
 // Serial are those of the plan that decided it, for the stamp.
 type Slot struct {
@@ -64,7 +68,7 @@
 
 // Usable reports whether the slot may still be used for a first byte: the plan,
 // the replica and the home are judged as they are now. A slot that is not must
-// be finished with ResultNotStarted.
+// be finished with ResultCanceled.
 func (l *Slot) Usable(now time.Time) bool {
 	l.router.mutex.Lock()
 	defer l.router.mutex.Unlock()
@@ -78,12 +82,12 @@
 	return l.router.planError(&l.request) == nil && l.request.Service == l.target.service.name
 }
 
-// FirstToken records when the first event of a stream, or the first byte of an
-// answer that is sent as it is made, arrived.
+// FirstToken records when the first event of a stream arrived. A whole answer
+// shows no first token, and the call does nothing for one.
 func (l *Slot) FirstToken(at time.Time) {
 	l.router.mutex.Lock()
 	defer l.router.mutex.Unlock()
-	if l.firstToken || l.finished {
+	if l.firstToken || l.finished || !l.request.Stream {
 		return
 	}
 	l.firstToken = true
@@ -149,7 +153,7 @@
 	case ResultSuccess:
 		l.succeeded(at)
 	case ResultNotStarted:
-		service.index.Unsent(target.number, l.chain)
+		l.refused(at)
 	case ResultFailed:
 		service.index.Unsent(target.number, l.chain)
 		target.limit.Failure(at)
@@ -164,18 +168,31 @@
 	}
 }
 
+// refused takes a replica's own refusal as a sign that its limit is too high. A
+// few are usual when it drains or a configuration spreads; many without a
+// success between them are failures.
+func (l *Slot) refused(at time.Time) {
+	target := l.target
+	service := target.service
+	service.index.Unsent(target.number, l.chain)
+	target.limit.Failure(at)
+	target.refusals++
+	if target.refusals > toleratedRefusals && service.group.Failure(at, target.name) {
+		target.ejected("refusals")
+	}
+}
+
 func (l *Slot) succeeded(at time.Time) {
 	target := l.target
 	service := target.service
 	duration := at.Sub(l.granted).Seconds()
-	if !l.firstToken {
-		// A whole answer shows no first token: what it took beyond the usual
-		// time stands in for the delay.
-		l.recordDelay(at, duration-max(service.hold, l.prefill))
+	if !l.request.Stream && !target.cold() {
+		l.recordDelay(at, l.wholeDelay(duration))
 	}
 	target.hold = smoothed(target.hold, duration, holdSmoothing)
 	service.hold = smoothed(service.hold, duration, holdSmoothing)
 	service.group.Success(target.name)
+	target.refusals = 0
 	service.completions.Note(at)
 	service.completed++
 	if target.ramp != nil {
@@ -183,19 +200,30 @@
 	}
 }
 
+// wholeDelay stands in for the delay to the first token of a whole answer: at
+// twice the usual duration it is the set point.
+func (l *Slot) wholeDelay(duration float64) float64 {
+	service := l.target.service
+	tokens := float64(max(1, l.request.MaxTokens))
+	usual := l.prefill + service.perToken*tokens
+	service.perToken = smoothed(service.perToken, max(0, duration-l.prefill)/tokens, expectedSmoothing)
+	if usual <= l.prefill {
+		return 0
+	}
+	return (duration/usual - 1) * service.firstToken.Seconds()
+}
+
 // recordDelay feeds the controllers with the delay to the first token that is
 // not the request's own prefill.
 func (l *Slot) recordDelay(at time.Time, seconds float64) {
 	target := l.target
 	service := target.service
-	if !l.current() {
-		return
+	if !l.current() || target.cold() {
+		return // a cold replica is slow: its ramp holds it, not its delay
 	}
 	delay := time.Duration(max(seconds, 0.001) * float64(time.Second))
 	service.delay = smoothed(service.delay, delay.Seconds(), holdSmoothing)
-	if !target.cold() {
-		target.limit.Observe(at, delay, l.inFlight)
-	}
+	target.limit.Observe(at, delay, l.inFlight)
 	if service.group.Latency(at, target.name, delay) {
 		target.ejected("latency")
 	}
