--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -15,6 +15,8 @@
 func exact() Parameters {
 	parameters := DefaultParameters(KindModel)
 	parameters.Jitter = 0
+	parameters.PrefillTokensPerSecond = 20_000
+	parameters.PrefillChunkTokens = 512
 	return parameters
 }
 
