--- a/Makefile
+++ b/Makefile
@@ -56,6 +56,10 @@
 fleet: build ## run a whole deployment: DEPLOYMENT=kodovka|georgia SECONDS=20
 	bin/deckpulley-fleet run --deployment $(DEPLOYMENT) --seconds $(RUN_SECONDS)
 
+.PHONY: quickstart
+quickstart: build ## the three nodes of the README, checked
+	examples/quickstart/walk.sh
+
 .PHONY: faults-short
 faults-short: build ## the short fault suite on real processes
 	bin/deckpulley-fleet faults --deployment $(DEPLOYMENT) --short
