Look through the leases only when something may have changed

Cause: every renewal walked all leases twice, quadratic work at the primary. Change: the grantor keeps what the live leases have in common until a report, a new or lapsed lease, a new serial or a proof of office may change it.

--- /dev/null
+++ b/lease/bench_test.go
@@ -0,0 +1,27 @@
+package lease
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkRenew is one renewal at a primary with as many holders.
+func BenchmarkRenew(b *testing.B) {
+	for _, holders := range []int{8, 400} {
+		b.Run(fmt.Sprint(holders), func(b *testing.B) {
+			grantor, now := settled()
+			requests := make([]Request, holders)
+			for i := range requests {
+				requests[i] = ask(fmt.Sprint("gateway-", i), 5, 5)
+			}
+			step := DefaultTerms().Renewal / time.Duration(holders)
+			for i := 0; b.Loop(); i++ {
+				now += step
+				if !grantor.Renew(now, now, true, requests[i%holders]).Granted {
+					b.Fatal("not granted")
+				}
+			}
+		})
+	}
+}
--- a/lease/grantor.go
+++ b/lease/grantor.go
@@ -87,6 +87,17 @@
 	}
 }
 
+// oldest is what the live leases have in common. It is kept between calls, since
+// each renewal asks for it and few change it.
+type oldest struct {
+	known bool
+	// until is when the first of the live leases runs out, unless it is renewed.
+	until    time.Duration
+	held     uint32 // oldest held serial, the table's without leases
+	proven   uint32 // oldest proven active serial, the table's without leases; 0 if one has none
+	unproven bool   // some reports wait for a newer proof of office
+}
+
 // Grantor is the primary's side for one term of office. It is not safe for
 // concurrent use. Discard it when the office is lost.
 type Grantor struct {
@@ -100,6 +111,7 @@
 	contact     time.Duration
 	contactSeen bool
 	leases      map[HolderID]*lease
+	oldest      oldest
 	left        map[HolderID]time.Duration // until when late renewals of those that left are ignored
 }
 
@@ -122,16 +134,23 @@
 
 // SetSerial tells the newest serial of the table.
 func (g *Grantor) SetSerial(serial uint32) {
-	g.serial = newerSerial(g.serial, serial)
+	if serialLess(g.serial, serial) {
+		g.serial = serial
+		g.oldest.known = false
+	}
 }
 
 // SetContact tells the newest proof of office: the sending time of the newest
 // heartbeat round that a majority acknowledged in this term. Call it whenever it
 // changes and before InForce, since leases are judged as run out only up to it.
 func (g *Grantor) SetContact(contact time.Duration) {
-	if !g.contactSeen || contact > g.contact {
-		g.contact = contact
-		g.contactSeen = true
+	if g.contactSeen && contact <= g.contact {
+		return
+	}
+	g.contact = contact
+	g.contactSeen = true
+	if g.oldest.unproven || contact >= g.oldest.until {
+		g.oldest.known = false
 	}
 }
 
@@ -184,6 +203,9 @@
 		entry = &lease{}
 		g.leases[id] = entry
 	}
+	if !g.live(entry) || serialLess(entry.held, request.Held) || serialLess(entry.active, request.Active) {
+		g.oldest.known = false
+	}
 	entry.expires = now + g.terms.Length + g.terms.Margin
 	entry.held = newerSerial(entry.held, request.Held)
 	entry.reportActive(now, request.Active)
@@ -196,6 +218,7 @@
 	if entry, known := g.leases[id]; known {
 		entry.expires = min(entry.expires, now)
 		entry.told = true
+		g.oldest.known = false
 	}
 	for other, until := range g.left {
 		if until <= now {
@@ -215,20 +238,34 @@
 // some holder has just reported as active, 0 for none.
 func (g *Grantor) activation(reported uint32) uint32 {
 	g.activate = newerSerial(g.activate, reported)
-	for _, entry := range g.leases {
-		g.activate = newerSerial(g.activate, entry.active)
+	if g.windowOver() {
+		g.activate = newerSerial(g.activate, g.oldestOfAll().held)
 	}
-	if !g.windowOver() {
-		return g.activate
+	return g.activate
+}
+
+// oldestOfAll looks through the leases if anything may have changed.
+func (g *Grantor) oldestOfAll() oldest {
+	if g.oldest.known {
+		return g.oldest
 	}
-	held := g.serial
+	found := oldest{known: true, until: NoDeadline, held: g.serial, proven: g.serial}
 	for _, entry := range g.leases {
-		if g.live(entry) && serialLess(entry.held, held) {
-			held = entry.held
+		if !g.live(entry) {
+			continue
+		}
+		entry.prove(g.contact)
+		found.until = min(found.until, entry.expires)
+		found.unproven = found.unproven || len(entry.waiting) > 0
+		if serialLess(entry.held, found.held) {
+			found.held = entry.held
+		}
+		if serialLess(entry.proven, found.proven) {
+			found.proven = entry.proven
 		}
 	}
-	g.activate = newerSerial(g.activate, held)
-	return g.activate
+	g.oldest = found
+	return found
 }
 
 // live says that the lease may be valid at its holder, as far as the proof of
@@ -253,20 +290,11 @@
 	if !g.windowOver() {
 		return 0, false
 	}
-	oldest := g.serial
-	for _, entry := range g.leases {
-		if !g.live(entry) {
-			continue
-		}
-		entry.prove(g.contact)
-		if serialLess(entry.proven, oldest) {
-			oldest = entry.proven
-		}
-	}
-	if oldest == 0 {
+	proven := g.oldestOfAll().proven
+	if proven == 0 {
 		return g.reported, g.reported != 0
 	}
-	g.reported = newerSerial(g.reported, oldest)
+	g.reported = newerSerial(g.reported, proven)
 	return g.reported, true
 }
 
