Test the operators' port, failed writes and the forced recovery

Cause: these paths had no test, and the test of a thawed primary passed with both of its guards removed, since no renewal was waiting at the thaw.

Change: tables for malformed requests, a disk that fails at the next write, a recovery with an old and a new disk coming back, the bound on kept orders. The gateway of the thaw test now waits for its answer through the whole freeze.

Result: package tests pass under the race detector; with the early tick and the proof of office both removed the thaw test fails.

--- a/control/fixture_test.go
+++ b/control/fixture_test.go
@@ -235,6 +235,7 @@
 	address string
 	network transport.Network
 	control []string
+	timeout time.Duration // of one renewal
 	started time.Time
 	cancel  context.CancelFunc
 	done    chan struct{}
@@ -251,12 +252,19 @@
 }
 
 func (f *fleet) startGateway(name string) *testGateway {
+	f.t.Helper()
+	return f.startGatewayOf(name, 200*time.Millisecond, controlNames...)
+}
+
+// startGatewayOf starts a gateway that knows these control nodes alone.
+func (f *fleet) startGatewayOf(name string, timeout time.Duration, control ...string) *testGateway {
 	f.t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &testGateway{
 		name:    name,
 		address: name + ":1",
 		network: f.network.Node(name, name+":1"),
+		timeout: timeout,
 		started: time.Now(),
 		cancel:  cancel,
 		done:    make(chan struct{}),
@@ -265,8 +273,8 @@
 		copy:    registry.NewSecondary(places.Apex, places.Schema()),
 		granted: make(map[uint64]int),
 	}
-	for _, control := range controlNames {
-		g.control = append(g.control, f.options[control].PeerAddress)
+	for _, name := range control {
+		g.control = append(g.control, f.options[name].PeerAddress)
 	}
 	g.network.Handle(peer.KindNotify, g.serveNotify)
 	if err := g.network.Start(); err != nil {
@@ -321,7 +329,7 @@
 
 // renewOnce returns true if there is more to report at once.
 func (g *testGateway) renewOnce(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, g.timeout)
 	defer cancel()
 	g.mutex.Lock()
 	sent := time.Since(g.started)
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -318,14 +318,9 @@
 		f.mustSend(f.primary(), "order-1", 0)
 		old := f.primary()
 		term := old.observe().status.Term
-		// A gateway that hears the old primary alone.
-		lonely := f.startGateway("gateway-2")
+		// A gateway that knows the old primary alone, and waits for its answer.
+		lonely := f.startGatewayOf("gateway-2", time.Minute, old.options.Name)
 		f.await("a lease", lonely.valid)
-		for _, name := range controlNames {
-			if name != old.options.Name {
-				f.cut(lonely.address, f.options[name].PeerAddress)
-			}
-		}
 		f.freeze(old, 25*time.Second)
 		time.Sleep(10 * time.Second)
 		before := lonely.leases(term)
--- /dev/null
+++ b/control/operators_test.go
@@ -0,0 +1,217 @@
+package control
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/registry"
+	"github.com/deckpulley/deckpulley/settings"
+	"github.com/deckpulley/deckpulley/storage"
+)
+
+const testToken = "a-token-of-the-tests"
+
+func tokens(t *testing.T) func() settings.Tokens {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "tokens")
+	if err := os.WriteFile(path, []byte("ada "+testToken+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	file := settings.Settings{TokenFile: path}
+	read, err := file.Tokens()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return func() settings.Tokens { return read }
+}
+
+func TestOperatorsPortRejectsWhatIsMalformed(t *testing.T) {
+	configurationOrder := func(document string) string {
+		encoded, _ := json.Marshal(api.ConfigurationOrder{OrderID: "order", Document: document})
+		return string(encoded)
+	}
+	cases := []struct {
+		name, method, path, body, token string
+		status                          int
+		code                            api.Code
+		field                           string
+	}{
+		{"no token", "PUT", "/v1/configuration", "{}", "", 401, api.CodeUnauthorized, ""},
+		{"wrong token", "POST", "/v1/evacuations", "{}", "another-token-of-16", 401, api.CodeUnauthorized, ""},
+		{"unknown path", "GET", "/v2/status", "", testToken, 404, api.CodeNotFound, ""},
+		{"unknown method", "DELETE", "/v1/replicas", "", testToken, 404, api.CodeNotFound, ""},
+		{"unknown field", "POST", "/v1/evacuations", `{"order_id":"a","zone":"b","when":"now"}`, testToken, 400, api.CodeInvalid, "when"},
+		{"wrong type", "POST", "/v1/evacuations", `{"order_id":"a","zone":7}`, testToken, 400, api.CodeInvalid, "zone"},
+		{"two documents", "POST", "/v1/evacuations", `{"order_id":"a","zone":"b"}{}`, testToken, 400, api.CodeInvalid, ""},
+		{"body too large", "POST", "/v1/evacuations", `{"order_id":"` + strings.Repeat("a", maxSmallBody) + `"}`, testToken, 413, api.CodeTooLarge, ""},
+		{"document too large", "PUT", "/v1/configuration", configurationOrder(strings.Repeat("a", api.MaxDocumentBytes+1)), testToken, 413, api.CodeTooLarge, "document"},
+		{"no order id", "POST", "/v1/evacuations", `{"zone":"b"}`, testToken, 400, api.CodeInvalid, "order_id"},
+		{"order id too long", "POST", "/v1/evacuations", `{"order_id":"` + strings.Repeat("a", 129) + `","zone":"b"}`, testToken, 400, api.CodeInvalid, "order_id"},
+		{"wait not a number", "POST", "/v1/evacuations?wait_ms=soon", `{"order_id":"a","zone":"b"}`, testToken, 400, api.CodeInvalid, "wait_ms"},
+		{"wait too long", "POST", "/v1/evacuations?wait_ms=60001", `{"order_id":"a","zone":"b"}`, testToken, 400, api.CodeInvalid, "wait_ms"},
+		{"document with an unknown field", "PUT", "/v1/configuration", configurationOrder("regons: {}"), testToken, 400, api.CodeInvalid, "document.regons"},
+		{"replica twice", "PUT", "/v1/replicas", `{"replicas":[{"id":"a","service":"s","zone":"z","address":"h:1"},{"id":"a","service":"s","zone":"z","address":"h:1"}]}`, testToken, 400, api.CodeInvalid, "replicas[1].id"},
+		{"replica of an unknown zone", "PUT", "/v1/replicas", `{"replicas":[{"id":"a","service":"s","zone":"z","address":"h:1"}]}`, testToken, 400, api.CodeInvalid, "replicas[0].zone"},
+	}
+	permitted := tokens(t)
+	inFleet(t, func(t *testing.T, f *fleet) {
+		for _, name := range controlNames {
+			options := f.options[name]
+			options.Tokens = permitted
+			f.options[name] = options
+		}
+		f.start(controlNames...)
+		handler := f.primary().Handler()
+		serial := f.primary().observe().serial
+		for _, c := range cases {
+			request := httptest.NewRequest(c.method, c.path, strings.NewReader(c.body))
+			request.Header.Set("Authorization", "Bearer "+c.token)
+			recorder := httptest.NewRecorder()
+			handler.ServeHTTP(recorder, request)
+			var answer api.ErrorBody
+			if err := json.Unmarshal(recorder.Body.Bytes(), &answer); err != nil || answer.Error == nil {
+				t.Errorf("%s: answered %d %q", c.name, recorder.Code, recorder.Body)
+				continue
+			}
+			got := []any{recorder.Code, answer.Error.Code, answer.Error.Field, answer.Error.Outcome}
+			if difference := cmp.Diff([]any{c.status, c.code, c.field, api.OutcomeRefused}, got); difference != "" {
+				t.Errorf("%s: %s\n%s", c.name, answer.Error.Message, difference)
+			}
+		}
+		if got := f.primary().observe().serial; got != serial {
+			t.Errorf("the serial went from %d to %d", serial, got)
+		}
+	})
+}
+
+func TestOrdersWithoutPrimaryAreRefusedOrUnknown(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		f.mustSend(f.primary(), "order-1", 0)
+		old := f.primary().options.Name
+		survivor := f.follower()
+		for name := range f.nodes {
+			if name != survivor.options.Name {
+				f.stop(name)
+			}
+		}
+		f.await("the survivor to miss its primary", func() bool { return survivor.observe().leaderAddress() == "" })
+		var answer api.ErrorBody
+		order := api.ConfigurationOrder{OrderID: "order-2", BaseVersion: 1, Document: document(t)}
+		status := f.request(survivor, http.MethodPut, api.PathConfiguration+"?wait_ms=500", order, &answer)
+		if status != http.StatusServiceUnavailable || answer.Error.Code != api.CodeNoPrimary || answer.Error.Outcome != api.OutcomeRefused || !answer.Error.Retry {
+			t.Errorf("without a majority an order was answered %d %+v", status, answer.Error)
+		}
+		f.start(old)
+		f.mustSend(survivor, "order-2", 1)
+	})
+}
+
+func TestFailedWriteEndsTheNode(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		f.startGateway("gateway-1")
+		f.mustSend(f.primary(), "order-1", 0)
+		failing := f.primary()
+		name := failing.options.Name
+		f.disks[name].Plan(storage.CrashPlan{Write: 1})
+		_, answer := f.send(f.follower(), "order-2", 1, document(t))
+		if !answer.Accepted {
+			t.Errorf("the order was answered %+v", answer)
+		}
+		var final *storage.FinalError
+		if err := failing.Err(); !errors.As(err, &final) {
+			t.Errorf("the node ended with %v", err)
+		}
+		delete(f.nodes, name)
+		f.disks[name].Reopen()
+		f.start(name)
+		f.await("the node to catch up", func() bool {
+			o := f.nodes[name].observe()
+			return o.contents != nil && o.contents.Version() == 2
+		})
+	})
+}
+
+func TestForcedRecoveryKeepsTheSurvivingCopy(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		first := f.mustSend(f.primary(), "order-1", 0)
+		f.await("a whole group", func() bool { return f.members(f.primary()).RepairDone })
+		cluster := f.primary().observe().cluster
+		for _, name := range controlNames {
+			f.stop(name)
+		}
+		survivor := f.options[controlNames[0]]
+		recovered, err := Recover(RecoverOptions{
+			Name:        survivor.Name,
+			Zone:        survivor.Zone,
+			PeerAddress: survivor.PeerAddress,
+			Store:       f.disks[survivor.Name],
+			Logger:      survivor.Logger,
+		})
+		if err != nil || recovered.OldCluster != cluster || recovered.Cluster == cluster {
+			t.Fatalf("recovering answered %+v, %v", recovered, err)
+		}
+		// One old disk comes back, and one new.
+		f.wipe(controlNames[1])
+		f.start(controlNames...)
+		f.await("the new disk to vote", func() bool {
+			o := f.nodes[controlNames[1]].observe()
+			return o.cluster == recovered.Cluster && o.voter()
+		})
+		if got := f.nodes[controlNames[2]].observe().cluster; got != cluster {
+			t.Errorf("the old disk went over to %s", got)
+		}
+		_, again := f.send(f.primary(), "order-1", 0, document(t))
+		if difference := cmp.Diff(first, again); difference != "" {
+			t.Errorf("the order's answer is not kept (-first +again):\n%s", difference)
+		}
+		_, next := f.send(f.primary(), "order-2", 1+recoveredVersionStep, document(t))
+		if !next.Accepted || next.Version != 2+recoveredVersionStep {
+			t.Errorf("the next order was answered %+v", next)
+		}
+	})
+}
+
+func TestOldestOrdersMakeRoom(t *testing.T) {
+	const limit = 3
+	var book orderBook
+	follow := func(serial uint32, changes ...registry.Record) {
+		update := registry.NewUpdate(places.Apex, nil, changes)
+		book.follow(&update, registry.Result{Changed: true, Serial: serial})
+	}
+	for i := range 5 {
+		order := fmt.Sprintf("order-%d", i)
+		changes := []registry.Record{registry.Add(places.OrderRecord(order, places.Order{}))}
+		for _, name := range book.surplus(limit) {
+			changes = append(changes, registry.DeleteSet(name, places.TypeOrder))
+		}
+		follow(uint32(10+i), changes...)
+		if len(book.serials) > limit {
+			t.Fatalf("%d orders are kept, at most %d may be", len(book.serials), limit)
+		}
+	}
+	refused := registry.NewUpdate(places.Apex, nil, []registry.Record{registry.Add(places.OrderRecord("order-9", places.Order{}))})
+	book.follow(&refused, registry.Result{Code: registry.YXRRSet})
+	want := []orderEntry{{places.OrderName("order-2"), 12}, {places.OrderName("order-3"), 13}, {places.OrderName("order-4"), 14}}
+	if difference := cmp.Diff(want, book.entries()); difference != "" {
+		t.Errorf("kept orders (-want +got):\n%s", difference)
+	}
+	var copied orderBook
+	copied.restore(book.entries())
+	if difference := cmp.Diff(book.entries(), copied.entries()); difference != "" {
+		t.Errorf("restored orders (-want +got):\n%s", difference)
+	}
+}
