--- a/control/formation.go
+++ b/control/formation.go
@@ -31,10 +31,14 @@
 type formation struct {
 	mutex sync.Mutex
 	// promised is the identity of the node whose Form is awaited.
-	promised  consensus.ID
-	addresses map[consensus.ID]string
+	promised consensus.ID
+	// contacts are addresses of control nodes that others told of.
+	contacts map[string]bool
 }
 
+// maxContacts bounds the addresses that are remembered from other nodes.
+const maxContacts = 64
+
 // serveHello tells what this node is and whom it knows.
 func (n *Node) serveHello(_ context.Context, _ string, decode func(any) error) (any, error) {
 	var hello peer.Hello
@@ -260,7 +264,7 @@
 	}
 	n.formation.mutex.Lock()
 	defer n.formation.mutex.Unlock()
-	for _, address := range n.formation.addresses {
+	for address := range n.formation.contacts {
 		include(address)
 	}
 	return addresses
@@ -270,30 +274,30 @@
 // know yet, so that it can answer them.
 func (n *Node) learnAddresses(ctx context.Context, replies []greeting) {
 	cluster := n.observe().cluster
-	heard := make(map[consensus.ID]string)
 	for _, greeting := range replies {
-		if cluster != "" && greeting.reply.Cluster != cluster {
-			continue
-		}
-		for _, member := range greeting.reply.Members {
-			heard[member.ID] = member.Address
+		if cluster == "" || greeting.reply.Cluster == cluster {
+			n.remember(ctx, greeting.reply.Members)
 		}
 	}
-	n.remember(ctx, heard)
 }
 
-func (n *Node) remember(ctx context.Context, heard map[consensus.ID]string) {
-	if len(heard) == 0 {
+// remember keeps where members are. A gateway tells addresses without identities.
+func (n *Node) remember(ctx context.Context, members []consensus.Member) {
+	if len(members) == 0 {
 		return
 	}
 	n.formation.mutex.Lock()
-	for id, address := range heard {
-		n.formation.addresses[id] = address
+	for _, member := range members {
+		if len(n.formation.contacts) < maxContacts {
+			n.formation.contacts[member.Address] = true
+		}
 	}
 	n.formation.mutex.Unlock()
 	n.post(ctx, func(time.Duration) {
-		for id, address := range heard {
-			n.machine.heard[id] = address
+		for _, member := range members {
+			if member.ID != consensus.None {
+				n.machine.heard[member.ID] = member.Address
+			}
 		}
 	})
 }
@@ -442,11 +446,7 @@
 		n.log.Debug("not joined", "error", err)
 		return
 	}
-	heard := make(map[consensus.ID]string)
-	for _, member := range reply.Members {
-		heard[member.ID] = member.Address
-	}
-	n.remember(ctx, heard)
+	n.remember(ctx, reply.Members)
 	if !reply.Accepted || observed.cluster != "" {
 		return
 	}
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -352,3 +352,40 @@
 		f.start(old.options.Name)
 	})
 }
+
+func TestReplacedDiskComesBackAsAStranger(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		f.await("a whole group", func() bool { return f.members(f.primary()).RepairDone })
+		replaced := f.follower().options.Name
+		f.stop(replaced)
+		f.options["control-4"] = f.replacement(replaced, "control-4")
+		f.wipe("control-4")
+		f.start("control-4")
+		f.await("the replacement", func() bool { return f.members(f.primary()).RepairDone })
+		f.mustSend(f.primary(), "order-1", 0)
+		before := f.primary().observe().status
+		f.start(replaced)
+		time.Sleep(patience)
+		after := f.primary().observe().status
+		if after.Term != before.Term || !cmp.Equal(after.Membership, before.Membership) {
+			t.Errorf("the replaced disk's return changed term %d to %d, or members %v to %v", before.Term, after.Term, before.Membership, after.Membership)
+		}
+		if f.nodes[replaced].observe().ready() == nil {
+			t.Error("a node that the group does not count says that it is ready")
+		}
+		f.stop("control-4")
+		f.await("the old disk to be taken in", func() bool {
+			o := f.nodes[replaced].observe()
+			return f.members(f.primary()).RepairDone && o.contents.Version() == 1
+		})
+	})
+}
+
+// replacement is a node in place of another, with a name and an address of its own.
+func (f *fleet) replacement(of, name string) Options {
+	options := f.options[of]
+	options.Name = name
+	options.PeerAddress = name + ":1"
+	return options
+}
--- a/control/machine.go
+++ b/control/machine.go
@@ -37,7 +37,7 @@
 	waiters map[uint64]waiter // by log index
 	office  *office           // nil unless this node leads
 
-	// heard holds addresses that other nodes told, by member.
+	// heard holds addresses of members that other nodes told.
 	heard     map[consensus.ID]string
 	transfers transferCache
 	failure   error // a failed write outside a batch; ends the node
--- a/control/node.go
+++ b/control/node.go
@@ -89,7 +89,7 @@
 		return nil, err
 	}
 	n.machine = machine
-	n.formation.addresses = make(map[consensus.ID]string)
+	n.formation.contacts = make(map[string]bool)
 	n.observed.Store(machine.observe(n.clock(), nil))
 	n.handleMessages()
 	return n, nil
--- a/control/options.go
+++ b/control/options.go
@@ -13,7 +13,7 @@
 
 // Defaults of Options.
 const (
-	defaultTickInterval      = 20 * time.Millisecond
+	defaultTickInterval      = 25 * time.Millisecond
 	defaultDiscoveryInterval = 250 * time.Millisecond
 	defaultCallTimeout       = time.Second
 	defaultReplaceAfter      = 3 * time.Second
