Count the control node's traffic and forget leases that ran out

Cause: the size and rate of messages could not be read from a running node, and the lease of each gateway incarnation stayed in the primary's memory.

Change: metrics of messages and bytes by kind and direction, of the process and of the runtime; leases that ran out are logged and dropped.

--- a/control/leases.go
+++ b/control/leases.go
@@ -206,6 +206,14 @@
 	m.propose(now, update, func(registry.Result, error) { done() })
 }
 
+// forgetLapsedLeases drops leases that have run out, so that restarted gateways
+// leave nothing behind.
+func (m *machine) forgetLapsedLeases(now time.Duration) {
+	for _, holder := range m.office.grantor.Expired(now) {
+		m.log.Warn("lease ran out", "gateway", holder.Holder, "incarnation", holder.Incarnation, "term", m.office.term)
+	}
+}
+
 // markLapsedGateways marks gateways down whose leases have run out for longer
 // than the grace, those that never renewed with this primary included.
 func (m *machine) markLapsedGateways(now time.Duration) {
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 )
 
 // metrics are the node's own; each node has a registry of its own, so that many
@@ -32,6 +33,7 @@
 
 func newMetrics() *metrics {
 	m := &metrics{registry: prometheus.NewRegistry()}
+	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	gauge := func(name, help string) prometheus.Gauge {
 		created := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metricsNamespace, Name: name, Help: help})
 		m.registry.MustRegister(created)
--- a/control/node.go
+++ b/control/node.go
@@ -89,6 +89,9 @@
 		return nil, err
 	}
 	n.machine = machine
+	if counting, counts := options.Network.(countingNetwork); counts {
+		n.metrics.registry.MustRegister(newTrafficCollector(counting))
+	}
 	n.formation.contacts = make(map[string]bool)
 	n.observed.Store(machine.observe(n.clock(), nil))
 	n.handleMessages()
--- a/control/repair.go
+++ b/control/repair.go
@@ -75,6 +75,7 @@
 	office.nextMaintenance = now + maintenanceInterval
 	m.recordHead(now)
 	m.recordMembers(now)
+	m.forgetLapsedLeases(now)
 	m.markLapsedGateways(now)
 	m.repairGroup(now)
 }
