--- a/control/node.go
+++ b/control/node.go
@@ -89,7 +89,10 @@
 		return nil, err
 	}
 	n.machine = machine
-	n.formation.addresses = make(map[consensus.ID]string)
+	if counting, counts := options.Network.(countingNetwork); counts {
+		n.metrics.registry.MustRegister(newTrafficCollector(counting))
+	}
+	n.formation.contacts = make(map[string]bool)
 	n.observed.Store(machine.observe(n.clock(), nil))
 	n.handleMessages()
 	return n, nil
