Count in a placement what its prefill costs the others

Ruled out by trials: a fixed price (4 to 100 times the own prefill) either fails under load or costs too much when idle; a cap on it in seconds fails under load. Change: the cost adds the time that an uncached prefix takes from each request on the replica, twice; the rendezvous owner is taken to hold its link; the bounded load has a slack of four. The test of Choose had an idle replica 'without the prefix' that was the rendezvous owner by accident: it now names owner, holder and others, with two more cases. Tests pass with -race.

--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"slices"
@@ -72,38 +73,41 @@
 	}
 }
 
-// TestChoose weighs a loaded replica with the prefix against an idle one without.
+// TestChoose weighs a loaded replica with the prefix against others without.
 func TestChoose(t *testing.T) {
-	base := Candidate{Speed: 1000, Slots: 8, Hold: 2}
-	with := func(change func(*Candidate)) Candidate {
-		c := base
+	work := Work{Tokens: 5000, Key: 99, Bulk: 4000}
+	hashes := []uint64{1, 2, 3, 4, 5}
+	slices.SortFunc(hashes, func(a, b uint64) int { return cmp.Compare(Score(work.Key, b), Score(work.Key, a)) })
+	with := func(rank int, change func(*Candidate)) Candidate {
+		c := Candidate{Speed: 1000, Slots: 8, Hold: 2, Hash: hashes[rank]}
 		change(&c)
 		return c
 	}
-	holder := with(func(c *Candidate) { c.Cached = 4000; c.Busy = 3; c.Pending = 1000 })
-	idle := with(func(c *Candidate) { c.Hash = 7 })
-	swamped := with(func(c *Candidate) { c.Cached = 4000; c.Busy = 3; c.Pending = 9000 })
-	full := with(func(c *Candidate) { c.Cached = 4000; c.Busy = 30 })
-	slow := with(func(c *Candidate) { c.Speed = 100 })
-	work := Work{Tokens: 5000, Key: 99, Bulk: 4000}
+	// The owner by rendezvous is busy in all cases but its own.
+	owner := with(0, func(c *Candidate) { c.Pending = 20000 })
+	holder := with(1, func(c *Candidate) { c.Cached = 4000; c.Busy = 3; c.Pending = 1000 })
+	swamped := with(1, func(c *Candidate) { c.Cached = 4000; c.Busy = 3; c.Pending = 9000 })
+	full := with(1, func(c *Candidate) { c.Cached = 4000; c.Busy = 40 })
+	idle := with(2, func(*Candidate) {})
+	busy := with(2, func(c *Candidate) { c.Busy = 3 })
+	slow := with(3, func(c *Candidate) { c.Speed = 100 })
+	ready := with(0, func(c *Candidate) { c.Busy = 1; c.Pending = 500 })
 	cases := []struct {
 		name       string
 		candidates []Candidate
 		want       int
 	}{
 		{"none", nil, -1},
-		{"the holder saves more than its queue costs", []Candidate{idle, holder}, 1},
-		{"the queue costs more than the prefix saves", []Candidate{swamped, idle}, 1},
-		{"beyond the bounded load", []Candidate{full, idle, idle, idle}, 1},
-		{"a slow replica", []Candidate{slow, idle}, 1},
+		{"the holder saves more than its queue costs", []Candidate{owner, idle, holder}, 2},
+		{"the queue costs more than the prefix saves", []Candidate{owner, swamped, idle}, 2},
+		{"but not if the prefill delays others", []Candidate{owner, swamped, busy}, 1},
+		{"the holder is beyond the bounded load", []Candidate{full, idle, slow, slow, slow}, 1},
+		{"nobody holds it: the owner", []Candidate{idle, ready, slow}, 1},
+		{"a slow replica", []Candidate{owner, slow, idle}, 2},
 		{"only a swamped one", []Candidate{swamped}, 0},
 	}
 	for _, c := range cases {
-		got, _ := Choose(c.candidates, work)
-		if c.want == 1 && len(c.candidates) == 4 && got > 0 {
-			continue // any idle one
-		}
-		if got != c.want {
+		if got, _ := Choose(c.candidates, work); got != c.want {
 			t.Errorf("%s: chose %d, want %d", c.name, got, c.want)
 		}
 	}
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -7,12 +7,15 @@
 	// the prefixes that belong to it.
 	BoundedLoad = 1.5
 	// boundedSlack is added to the bound, so that small counts do not decide.
-	boundedSlack = 2
-	// affinityPrice is the part of a prefix's prefill time that a request waits
-	// longer to place a new prefix on the replica it belongs to.
-	affinityPrice = 0.25
+	boundedSlack = 4
+	// othersPrice weighs the time that the prefill of a prefix takes from each
+	// request on the replica: once for the delay, once for what it evicts.
+	othersPrice = 2
+	// ownerCredit is the part of the affinity link that the rendezvous owner is
+	// taken to hold, since all gateways send there.
+	ownerCredit = 0.9
 	// tieWidth and tieFloor (seconds) are the relative and the absolute
-	// difference of expected times that count as nearly equal.
+	// difference that counts as nearly equal.
 	tieWidth = 0.05
 	tieFloor = 0.004
 	// crowding is the seconds added for a replica with all slots busy, in
@@ -39,7 +42,7 @@
 	// Cached is the part of the prompt expected in its KV cache, in tokens.
 	Cached float64
 
-	expected float64 // seconds to the first token, set by survey
+	cost float64 // seconds, set by Choose
 }
 
 // Work is what placement must know of a request.
@@ -68,27 +71,55 @@
 // Choose returns the position of the best candidate, -1 if there is none, and
 // its expected time to the first token in seconds.
 //
-// The earliest expected first token decides. A chain that no candidate holds
-// goes to its rendezvous owner if that costs at most a quarter of the prefill
-// that later requests then save. Among times that are nearly equal, rendezvous
-// decides, so gateways that know nothing of each other choose alike for one
-// chain and spread different ones. A replica beyond the bounded load is passed
-// over while another is below it.
+// The least cost decides: the request's own expected first token, and what the
+// prefill of a prefix that is or belongs elsewhere costs the others on the
+// replica. On idle replicas that is the first token alone; the more work is
+// under way, the more a prefix stays where it is. Among costs that are nearly
+// equal rendezvous decides, so gateways that know nothing of each other choose
+// alike for one chain and spread different ones. A replica beyond the bounded
+// load is passed over while another is below it.
 func Choose(candidates []Candidate, work Work) (position int, expected float64) {
 	if len(candidates) == 0 {
 		return -1, 0
 	}
+	creditOwner(candidates, work)
 	bound := loadBound(candidates)
-	earliest, someHold := survey(candidates, work, bound)
-	nearly := earliest*(1+tieWidth) + tieFloor
-	if !someHold && work.Bulk > 0 {
-		owner := ownerOf(candidates, work.Key, bound)
-		allowance := affinityPrice * prefill(&candidates[owner], work.Bulk)
-		if at := candidates[owner].expected; at <= nearly+allowance {
-			return owner, at
+	least, cheapest := math.Inf(1), 0
+	for index := range candidates {
+		c := &candidates[index]
+		c.cost = c.costOf(work)
+		if c.cost < least && withinBound(c, bound) {
+			least, cheapest = c.cost, index
 		}
 	}
-	return nearlyEarliest(candidates, work.Key, bound, nearly)
+	nearly := least + tieWidth*candidates[cheapest].FirstToken(work.Tokens) + tieFloor
+	best := nearlyLeast(candidates, work.Key, bound, nearly)
+	return best, candidates[best].FirstToken(work.Tokens)
+}
+
+// costOf is the candidate's cost for a request, in seconds.
+func (c *Candidate) costOf(work Work) float64 {
+	cost := c.FirstToken(work.Tokens)
+	if c.Speed > 0 {
+		cost += othersPrice * c.Busy * max(0, work.Bulk-c.Cached) / c.Speed
+	}
+	return cost
+}
+
+// creditOwner takes the rendezvous owner of the affinity link to hold most of
+// it, since all gateways send there.
+func creditOwner(candidates []Candidate, work Work) {
+	if work.Bulk <= 0 {
+		return
+	}
+	owner := &candidates[0]
+	for index := range candidates {
+		c := &candidates[index]
+		if Score(work.Key, c.Hash) > Score(work.Key, owner.Hash) {
+			owner = c
+		}
+	}
+	owner.Cached = max(owner.Cached, ownerCredit*work.Bulk)
 }
 
 // loadBound is the largest load per slot at which a replica keeps its prefixes.
@@ -105,55 +136,20 @@
 	return c.Busy <= bound*max(c.Slots, 1)+boundedSlack
 }
 
-// survey finds the earliest expected first token among the candidates within
-// the load bound, and whether any of them holds the affinity link.
-func survey(candidates []Candidate, work Work, bound float64) (earliest float64, someHold bool) {
-	earliest = math.Inf(1)
-	for index := range candidates {
-		c := &candidates[index]
-		someHold = someHold || (c.Cached > 0 && c.Cached >= work.Bulk)
-		if withinBound(c, bound) {
-			c.expected = c.FirstToken(work.Tokens)
-			earliest = min(earliest, c.expected)
-		}
-	}
-	return earliest, someHold
-}
-
-// ownerOf is the rendezvous owner among the candidates within the load bound.
-func ownerOf(candidates []Candidate, key uint64, bound float64) int {
-	owner := -1
-	var highest uint64
-	for index := range candidates {
-		c := &candidates[index]
-		score := Score(key, c.Hash)
-		if (owner < 0 || score > highest) && withinBound(c, bound) {
-			owner, highest = index, score
-		}
-	}
-	return owner
-}
-
-// nearlyEarliest is the rendezvous owner among the candidates whose first token
-// is expected nearly as early as the earliest.
-func nearlyEarliest(candidates []Candidate, key uint64, bound, nearly float64) (best int, expected float64) {
-	best = -1
+// nearlyLeast is the rendezvous owner among the candidates that cost nearly as
+// little as the cheapest.
+func nearlyLeast(candidates []Candidate, key uint64, bound, nearly float64) int {
+	best := 0
 	var highest uint64
+	found := false
 	for index := range candidates {
 		c := &candidates[index]
-		if !withinBound(c, bound) || c.expected > nearly {
+		if c.cost > nearly || !withinBound(c, bound) {
 			continue
 		}
-		if score := Score(key, c.Hash); best < 0 || score > highest {
-			best, highest, expected = index, score, c.expected
+		if score := Score(key, c.Hash); !found || score > highest {
+			best, highest, found = index, score, true
 		}
 	}
-	return best, expected
-}
-
-func prefill(c *Candidate, tokens float64) float64 {
-	if c.Speed <= 0 {
-		return 0
-	}
-	return tokens / c.Speed
+	return best
 }
