Let a request wait for the replica that holds its prefix

Change: replicas without room are candidates with the expected wait in their cost; a request that must leave the queue is granted any room first.

--- a/placement/replica.go
+++ b/placement/replica.go
@@ -39,6 +39,9 @@
 	Slots float64
 	// Hold is how long a request occupies a slot, in seconds.
 	Hold float64
+	// Wait is the expected time until it has room for the request, in seconds;
+	// 0 if it has room now.
+	Wait float64
 	// Cached is the part of the prompt expected in its KV cache, in tokens.
 	Cached float64
 
@@ -56,9 +59,10 @@
 }
 
 // FirstToken is the expected time to the first token of a prompt, in seconds:
-// the prefill ahead, the request's own uncached prefill and the wait for a slot.
+// the wait for room, the prefill ahead, the request's own uncached prefill and
+// the wait for a slot.
 func (c *Candidate) FirstToken(tokens float64) float64 {
-	expected := crowding * c.Busy / max(c.Slots, 1)
+	expected := c.Wait + crowding*c.Busy/max(c.Slots, 1)
 	if c.Speed > 0 {
 		expected += (c.Pending + max(0, tokens-c.Cached)) / c.Speed
 	}
--- a/routing/acquire.go
+++ b/routing/acquire.go
@@ -22,6 +22,7 @@
 	done    chan struct{} // closed once slot or failure is set
 	slot    *Slot
 	failure *api.Error
+	wants   *replica // the replica that it waits for
 }
 
 func newWaiter(request Request) *waiter {
@@ -36,15 +37,28 @@
 }
 
 func (w *waiter) grant(slot *Slot) {
+	w.want(nil)
 	w.slot = slot
 	close(w.done)
 }
 
 func (w *waiter) refuse(failure *api.Error) {
+	w.want(nil)
 	w.failure = failure
 	close(w.done)
 }
 
+// want notes the replica that the waiter waits for; nil is none.
+func (w *waiter) want(target *replica) {
+	if w.wants != nil {
+		w.wants.wanted--
+	}
+	w.wants = target
+	if target != nil {
+		target.wanted++
+	}
+}
+
 // Acquire waits for a slot on a replica of the own region. It returns within
 // the request's deadline, earlier if the request cannot make its time, and with
 // CodeCanceled if ctx ends first. A refused request never ran. Every slot must
@@ -72,8 +86,8 @@
 	if failure != nil {
 		return nil, failure
 	}
-	if slot := target.immediate(now, w); slot != nil {
-		return slot, nil
+	if choice := target.place(now, w, false); choice.target != nil {
+		return target.newSlot(now, w, choice), nil
 	}
 	if !target.anyUsable(now) {
 		return nil, target.unusableError(&w.request)
@@ -83,6 +97,7 @@
 }
 
 func (r *Router) acquireOnce(ctx context.Context, w *waiter) (*Slot, *api.Error) {
+	w.done = nil
 	slot, failure := r.enter(w)
 	if slot != nil || failure != nil {
 		return slot, failure
@@ -100,12 +115,8 @@
 	if failure != nil {
 		return nil, failure
 	}
-	if slot := service.immediate(now, w); slot != nil {
-		return slot, nil
-	}
-	w.done = make(chan struct{})
 	w.slot, w.failure = nil, nil
-	return nil, service.enqueue(now, w)
+	return service.enter(now, w)
 }
 
 // await waits for the grant or the refusal of a queued request.
@@ -132,7 +143,8 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.tick(now)
-	if service := r.services[w.request.Service]; service != nil {
+	service := r.services[w.request.Service]
+	if service != nil && now.Sub(service.dispatched) >= tickInterval/2 {
 		service.dispatch(now)
 	}
 }
@@ -140,8 +152,8 @@
 // cancel takes a waiter out whose caller has gone.
 func (r *Router) cancel(w *waiter) *api.Error {
 	r.mutex.Lock()
-	if service := r.services[w.request.Service]; service != nil {
-		service.queue.Remove(w.item)
+	if service := r.services[w.request.Service]; service != nil && service.queue.Remove(w.item) {
+		w.want(nil)
 	}
 	slot := w.slot
 	r.mutex.Unlock()
@@ -196,31 +208,43 @@
 		w.refuse(failure)
 		return
 	}
-	if slot := target.immediate(now, w); slot != nil {
+	w.want(nil)
+	slot, failure := target.enter(now, w)
+	switch {
+	case slot != nil:
 		w.grant(slot)
-		return
-	}
-	if failure := target.enqueue(now, w); failure != nil {
+	case failure != nil:
 		w.refuse(failure)
 	}
 }
 
-// immediate grants a slot if nobody of the class waits and a replica has room.
-func (s *service) immediate(now time.Time, w *waiter) *Slot {
-	if s.queue.ClassLen(w.request.Class) > 0 {
-		return nil
+// enter grants the waiter a slot on its best replica, if that has room and
+// nobody waits for it; else it queues the waiter. One that finds no place in the
+// queue is granted any replica with room before it is refused.
+func (s *service) enter(now time.Time, w *waiter) (*Slot, *api.Error) {
+	choice := s.place(now, w, true)
+	free := s.queue.ClassLen(w.request.Class) == 0 || (choice.target != nil && choice.target.wanted == 0)
+	if choice.room && free {
+		s.waited -= holdSmoothing * s.waited
+		return s.newSlot(now, w, choice), nil
 	}
-	choice := s.place(now, w)
-	if choice.target == nil {
-		return nil
+	failure := s.enqueue(now, w)
+	if failure == nil {
+		w.want(choice.target)
+		return nil, nil
 	}
-	s.waited -= holdSmoothing * s.waited
-	return s.newSlot(now, w, choice)
+	if choice = s.place(now, w, false); choice.target != nil {
+		return s.newSlot(now, w, choice), nil
+	}
+	return nil, failure
 }
 
 // enqueue gives the waiter a place in the queue, or says why not.
 func (s *service) enqueue(now time.Time, w *waiter) *api.Error {
 	w.since = now
+	if w.done == nil {
+		w.done = make(chan struct{})
+	}
 	w.item = &admission.Item[*waiter]{
 		Tenant:   w.request.Tenant,
 		Class:    w.request.Class,
@@ -236,7 +260,7 @@
 	rate := s.rate(now)
 	pushedOut, refused := s.queue.Offer(now, w.item, rate)
 	if pushedOut != nil {
-		pushedOut.Payload.refuse(s.fullError(&pushedOut.Payload.request, rate))
+		s.lastChance(now, pushedOut.Payload, s.fullError(&pushedOut.Payload.request, rate))
 	}
 	switch refused {
 	case admission.RefusedFull:
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -22,6 +22,9 @@
 	// feederChange is how long a new feeder of the same cold replica waits, so
 	// that what the feeder before it had under way is seen in a report.
 	feederChange = time.Second
+	// leastWait is the least time, in seconds, that a replica without room is
+	// expected to stay so.
+	leastWait = 0.001
 	// holdSmoothing is the weight of one request in the time a slot is held.
 	holdSmoothing = 0.1
 	// trustSmoothing is the weight of one answer in the trust in expected caches.
@@ -58,6 +61,7 @@
 
 	inFlight     int
 	inFlightLong int
+	wanted       int     // waiting requests that wait for this replica
 	refusals     int     // in a row
 	others       int     // requests of other gateways, by the last report
 	sentTokens   float64 // prefill sent since the last report
@@ -265,6 +269,20 @@
 	return t.inFlightLong < max(1, long/gateways) || t.busy() < long
 }
 
+// waitForRoom is the expected time until the replica has room for a waiter, in
+// seconds, behind the others that wait for it.
+func (t *replica) waitForRoom(w *waiter) float64 {
+	ahead := t.wanted
+	if w.wants == t {
+		ahead--
+	}
+	hold := t.hold
+	if hold <= 0 {
+		hold = t.service.hold
+	}
+	return max(leastWait, float64(ahead+1)*hold/float64(t.ceiling()))
+}
+
 // busy counts the requests on the replica, as far as known.
 func (t *replica) busy() int {
 	return t.inFlight + t.others
--- a/routing/service.go
+++ b/routing/service.go
@@ -19,6 +19,8 @@
 	feedPart = 0.25
 	// youngQueue is the age up to which a queue is judged by what it should do.
 	youngQueue = 4 * time.Second
+	// patiencePart of its remaining time a request may wait for one replica.
+	patiencePart = 0.25
 	// leastStanding is the part of the queue's length that may always wait.
 	leastStanding = 0.125
 	// leastRate bounds the completions per second assumed, above zero.
@@ -58,6 +60,7 @@
 	queue       *admission.Queue[*waiter]
 	completions admission.Rate
 	completed   int
+	dispatched  time.Time
 	queuedSince time.Time // when the queue began to stand; zero if it is empty
 	hold        float64   // seconds a request takes, smoothed
 	perToken    float64   // of it, seconds per token asked for, smoothed
@@ -151,16 +154,19 @@
 type chosen struct {
 	target *replica
 	cached float64 // tokens, by the index
+	room   bool
 }
 
-// place chooses a replica with room for the waiter's request, nil if there is none.
-func (s *service) place(now time.Time, w *waiter) chosen {
+// place chooses a replica for the waiter's request; its target is nil if there
+// is none. With patient set a replica without room may be chosen, if waiting
+// for it costs less than prefilling its prefix elsewhere.
+func (s *service) place(now time.Time, w *waiter, patient bool) chosen {
 	s.index.Cached(w.chain, func(number, tokens int) {
 		s.cached[number] = float64(tokens)
 	})
 	choice := s.feed(now, w)
 	if choice.target == nil {
-		choice = s.choose(now, w)
+		choice = s.choose(now, w, patient)
 	}
 	for number := range s.cached {
 		s.cached[number] = 0
@@ -168,20 +174,30 @@
 	return choice
 }
 
-func (s *service) choose(now time.Time, w *waiter) chosen {
+func (s *service) choose(now time.Time, w *waiter, patient bool) chosen {
 	s.candidates = s.candidates[:0]
+	longest := patiencePart * w.request.Deadline.Sub(now).Seconds()
 	for position, target := range s.replicas {
-		if !target.usable(now) || !target.room(w.request.Class) || w.request.Exclude[target.name] {
+		if !target.usable(now) || w.request.Exclude[target.name] {
 			continue
 		}
-		s.candidates = append(s.candidates, target.candidate(position, s.cached[target.number]))
+		room := target.room(w.request.Class)
+		wait := target.waitForRoom(w)
+		if !room && (!patient || wait > longest) {
+			continue
+		}
+		candidate := target.candidate(position, s.cached[target.number])
+		if !room {
+			candidate.Wait = wait
+		}
+		s.candidates = append(s.candidates, candidate)
 	}
 	best, _ := placement.Choose(s.candidates, w.work)
 	if best < 0 {
 		return chosen{}
 	}
 	target := s.replicas[s.candidates[best].Number]
-	return chosen{target: target, cached: s.cached[target.number]}
+	return chosen{target: target, cached: s.cached[target.number], room: s.candidates[best].Wait == 0}
 }
 
 // feed picks a cold replica that waits for work, if the request can bear it:
@@ -198,35 +214,55 @@
 			continue
 		}
 		target.fedAt = now
-		return chosen{target: target, cached: s.cached[target.number]}
+		return chosen{target: target, cached: s.cached[target.number], room: true}
 	}
 	return chosen{}
 }
 
 // dispatch grants slots to waiting requests in fair order while there is room.
+// A request whose prefix is worth the wait keeps waiting for its replica.
 func (s *service) dispatch(now time.Time) {
+	s.dispatched = now
 	if s.queue.Len() == 0 {
 		s.queuedSince = time.Time{}
 		return
 	}
-	full := make(map[api.Class]bool)
-	accept := func(item *admission.Item[*waiter]) bool {
-		w := item.Payload
-		if full[w.request.Class] {
-			return false
-		}
-		choice := s.place(now, w)
-		if choice.target == nil {
-			full[w.request.Class] = full[w.request.Class] || len(w.request.Exclude) == 0
-			return false
+	for s.anyRoom(now) && s.queue.Take(func(item *admission.Item[*waiter]) bool { return s.tryGrant(now, item.Payload) }) != nil {
+	}
+	s.sweep(now)
+}
+
+// anyRoom reports whether some replica would take a request that is not long.
+func (s *service) anyRoom(now time.Time) bool {
+	for _, target := range s.replicas {
+		if target.usable(now) && target.room(api.ClassQuick) {
+			return true
 		}
-		s.waited = smoothed(s.waited, now.Sub(w.since).Seconds(), holdSmoothing)
-		w.grant(s.newSlot(now, w, choice))
-		return true
 	}
-	for s.queue.Take(accept) != nil {
+	return false
+}
+
+// tryGrant grants a waiting request its best replica if that has room.
+func (s *service) tryGrant(now time.Time, w *waiter) bool {
+	choice := s.place(now, w, true)
+	if choice.target == nil || !choice.room {
+		w.want(choice.target)
+		return false
 	}
-	s.sweep(now)
+	s.waited = smoothed(s.waited, now.Sub(w.since).Seconds(), holdSmoothing)
+	w.grant(s.newSlot(now, w, choice))
+	return true
+}
+
+// lastChance grants a request that must leave the queue any replica with room;
+// else it is refused.
+func (s *service) lastChance(now time.Time, w *waiter, failure *api.Error) {
+	choice := s.place(now, w, false)
+	if choice.target == nil {
+		w.refuse(failure)
+		return
+	}
+	w.grant(s.newSlot(now, w, choice))
 }
 
 // sweep refuses the waiting requests that can no longer make their time, and
@@ -234,7 +270,7 @@
 func (s *service) sweep(now time.Time) {
 	rate := s.rate(now)
 	for _, item := range s.queue.Sweep(now, rate) {
-		item.Payload.refuse(s.lateError(&item.Payload.request, rate))
+		s.lastChance(now, item.Payload, s.lateError(&item.Payload.request, rate))
 	}
 	if s.queue.Len() > 0 && s.unusableFor(now) >= unusableWait {
 		for _, item := range s.queue.Drain() {
