Check the errors of closing logs and servers

The linter of the repository flagged unchecked closes in the stand-ins and comparisons of errors by identity in a test.

--- a/cmd/standin-platform/main.go
+++ b/cmd/standin-platform/main.go
@@ -101,7 +101,7 @@
 		if err != nil {
 			return err
 		}
-		defer writer.Close()
+		defer closeLog(writer, config.Logger)
 		config.Log = writer
 	}
 	platform := standin.NewPlatform(config)
@@ -115,10 +115,15 @@
 			config.Logger.Error("serving", "error", err)
 		}
 	}()
-	defer server.Close()
 	config.Logger.Info("serving", "address", listener.Addr().String())
 	reloadLoop(ctx, platform, config.Logger)
-	return nil
+	return server.Close()
+}
+
+func closeLog(writer *eventlog.Writer, logger *slog.Logger) {
+	if err := writer.Close(); err != nil {
+		logger.Error("the event log is not whole", "error", err)
+	}
 }
 
 // resendPause is the time between attempts while no node acknowledges the list.
--- a/cmd/standin-replica/main.go
+++ b/cmd/standin-replica/main.go
@@ -111,10 +111,10 @@
 		if err != nil {
 			return err
 		}
-		defer writer.Close()
+		defer closeLog(writer)
 		config.Log = writer
 		config.Exit = func() {
-			writer.Close()
+			closeLog(writer)
 			os.Exit(statusCrash)
 		}
 	}
@@ -128,6 +128,12 @@
 	return serve(ctx, listener, replica)
 }
 
+func closeLog(writer *eventlog.Writer) {
+	if err := writer.Close(); err != nil {
+		slog.Error("the event log is not whole", "error", err)
+	}
+}
+
 func loadParameters(flags options) (emulator.Parameters, error) {
 	kind := emulator.Kind(flags.kind)
 	if flags.parameters != "" {
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -118,7 +119,7 @@
 			t.Errorf("cached tokens of a, %s = %d, want %d", step.leaf, cached, step.want)
 		}
 	}
-	if err := replica.Submit(replica.stepEnd, Job{ID: "huge", PromptTokens: 4500, AnswerTokens: 1}); err != ErrTooLarge {
+	if err := replica.Submit(replica.stepEnd, Job{ID: "huge", PromptTokens: 4500, AnswerTokens: 1}); !errors.Is(err, ErrTooLarge) {
 		t.Errorf("a job beyond the cache: %v, want ErrTooLarge", err)
 	}
 }
@@ -188,7 +189,7 @@
 					AnswerTokens: rapid.IntRange(1, 20).Draw(t, "answer"),
 				}
 				err := replica.Submit(now, job)
-				if twinErr := twin.Submit(now, job); twinErr != err {
+				if twinErr := twin.Submit(now, job); !errors.Is(twinErr, err) {
 					t.Fatalf("equal replicas differ: %v and %v", err, twinErr)
 				}
 				if err == nil {
