Evacuate a zone that nothing is bound to on the ordinary path

Cause: requests at home in the evacuated zone alone are rightly refused, which says nothing about the ordinary path. Change: run picks the smallest zone that no home rule depends on alone.

--- a/cmd/deckpulley-fleet/run.go
+++ b/cmd/deckpulley-fleet/run.go
@@ -49,7 +49,8 @@
 
 // ordinary spreads a configuration, an evacuation and its withdrawal over the
 // time.
-func ordinary(length time.Duration) *scenario.Scenario {
+func ordinary(deployment fleet.Deployment, length time.Duration) *scenario.Scenario {
+	zone := deployment.SpareZone()
 	at := func(part float64) *scenario.Duration {
 		moment := scenario.Duration(float64(length) * part)
 		return &moment
@@ -61,8 +62,8 @@
 		Load:  1,
 		Steps: []scenario.Step{
 			{At: at(0.2), Do: scenario.Configure},
-			{At: at(evacuated), Do: scenario.Evacuate, Target: "south-1"},
-			{At: at(1 - tail), Do: scenario.Withdraw, Target: "south-1"},
+			{At: at(evacuated), Do: scenario.Evacuate, Target: zone},
+			{At: at(1 - tail), Do: scenario.Withdraw, Target: zone},
 		},
 		Tail: scenario.Duration(float64(length) * tail),
 	}
@@ -78,7 +79,7 @@
 		return err
 	}
 	result, err := scenario.Run(ctx, scenario.Options{
-		Scenario: ordinary(length), Deployment: deployment, Programs: flags.programs, Folder: folder,
+		Scenario: ordinary(deployment, length), Deployment: deployment, Programs: flags.programs, Folder: folder,
 		Seed: flags.seed, LogLevel: flags.logLevel, Progress: progress(os.Stderr, ""),
 	})
 	if err != nil {
--- a/internal/fleet/deployment.go
+++ b/internal/fleet/deployment.go
@@ -114,6 +114,23 @@
 	return document.Homes
 }
 
+// SpareZone is the smallest zone that no home rule depends on alone: with it
+// evacuated, everything can still be served.
+func (d Deployment) SpareZone() string {
+	only := map[string]bool{}
+	for _, regions := range d.Homes() {
+		if len(regions) == 1 {
+			only[regions[0]] = true
+		}
+	}
+	for i := len(d.Regions) - 1; i >= 0; i-- {
+		if !only[d.Regions[i].Name] {
+			return d.Regions[i].Zone
+		}
+	}
+	return d.Regions[len(d.Regions)-1].Zone
+}
+
 // WithRoute returns the configuration's text with one more route to the web
 // service.
 func (d Deployment) WithRoute(model string) (string, error) {
