Offer displaced requests to other regions until one has room

Cause: requests that wait in the queue of a region when its zone is evacuated, or when it loses its replicas, were offered to the other regions once. Ruled out: regions missing from the list (offers were made and declined); the lease (valid throughout). Change: while the own region takes nothing and nothing was sent, offers are repeated, every 50 to 100 ms, for 5 s or half of the caller's time at the most. Result: the new test fails before (overloaded/refused) and passes after; go test -race ./gateway passes.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	dto "github.com/prometheus/client_model/go"
+
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/places"
@@ -402,6 +404,51 @@
 	}
 }
 
+// TestDisplacedRequestsWaitForRoom sends a request to a gateway whose region
+// takes nothing while the other region's one replica is full.
+func TestDisplacedRequestsWaitForRoom(t *testing.T) {
+	f := newFleet(t)
+	f.primary.set(func(p *primary) {
+		p.apply(registry.Add(places.ServiceRecord("explain", places.Service{Kind: "model", MaxConcurrency: 1})))
+	})
+	replica := f.replica("r1", "south")
+	north := f.gateway("g1", "north", "a", nil)
+	south := f.gateway("g2", "south", "b", nil)
+	f.ready(north, south)
+	room := make(chan struct{})
+	replica.behave(func(w http.ResponseWriter, r *http.Request, request *api.ReplicaRequest) {
+		select {
+		case <-room:
+		case <-r.Context().Done():
+		}
+		answerWhole(w, r, request)
+	})
+	first, _ := south.where(t, question("first"))
+	done := make(chan *reply, 2)
+	go func() { done <- south.send(t, first) }()
+	waitFor(t, "the full replica", func() bool { return len(replica.requests()) == 1 })
+	displaced := question("displaced")
+	answer, failure := north.mint(&api.WhereRequest{RequestID: displaced.RequestID, Model: "m", WaitMS: displaced.WaitMS})
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	displaced.Ticket = answer.Ticket
+	go func() { done <- north.send(t, displaced) }()
+	waitFor(t, "a declined offer", func() bool {
+		var declined dto.Metric
+		return north.metrics.spills.WithLabelValues("declined").Write(&declined) == nil && declined.GetCounter().GetValue() > 0
+	})
+	close(room)
+	for range 2 {
+		if got := <-done; got.outcome() != "success" {
+			t.Errorf("got %s", got.outcome())
+		}
+	}
+	if reached := len(replica.requests()); reached != 2 {
+		t.Errorf("reached the replica %d times", reached)
+	}
+}
+
 // TestWithdraw shows which offers are confirmed never to run.
 func TestWithdraw(t *testing.T) {
 	f := newFleet(t)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/deckpulley/deckpulley/api"
@@ -23,6 +24,11 @@
 	// Backoff before a repeated attempt: doubled each time, with full jitter.
 	firstBackoff = 20 * time.Millisecond
 	lastBackoff  = 500 * time.Millisecond
+	// displacedWait bounds how long a request is offered to other regions while
+	// its own takes nothing, and displacedPause is the longest time between two
+	// rounds of offers.
+	displacedWait  = 5 * time.Second
+	displacedPause = 100 * time.Millisecond
 	// comeBack is told with refusals that will pass soon.
 	comeBack = 500 * time.Millisecond
 )
@@ -118,9 +124,40 @@
 	}
 }
 
-// place tries the regions in order. It returns nil once the result is
-// delivered, otherwise why there is none.
+// place returns nil once the result is delivered, otherwise why there is none.
+// A request that cannot wait in the queue of its own region, which is evacuated
+// or has lost its replicas, is offered to the others until one has room.
 func (r *runner) place(ctx context.Context) *api.Error {
+	waited := time.Duration(0)
+	patience := min(displacedWait, time.Until(r.route.Deadline)/2)
+	for {
+		failure := r.placeOnce(ctx)
+		if failure == nil || waited >= patience || !r.displaced(failure) {
+			return failure
+		}
+		pause := displacedPause/2 + r.gateway.jitter(displacedPause/2)
+		if !sleep(ctx, pause) {
+			return failure
+		}
+		waited += pause
+	}
+}
+
+// displaced tells that nothing was sent, that the own region takes nothing, and
+// that another one may soon have room.
+func (r *runner) displaced(failure *api.Error) bool {
+	if r.spilled || r.ran || r.sent+r.hops > 0 {
+		return false
+	}
+	if failure.Code != api.CodeOverloaded && failure.Code != api.CodeNoCapacity {
+		return false
+	}
+	regions := r.gateway.router.Regions(r.route)
+	return len(regions) > 0 && !slices.Contains(regions, r.gateway.region())
+}
+
+// placeOnce tries the regions in order.
+func (r *runner) placeOnce(ctx context.Context) *api.Error {
 	regions := []string{r.gateway.region()}
 	if !r.spilled {
 		regions = r.gateway.router.Regions(r.route)
@@ -296,7 +333,12 @@
 
 func (r *runner) backoff(ctx context.Context) bool {
 	longest := min(firstBackoff<<min(r.sent, 8), lastBackoff)
-	timer := time.NewTimer(r.gateway.jitter(longest))
+	return sleep(ctx, r.gateway.jitter(longest))
+}
+
+// sleep reports whether the time passed before the context ended.
+func sleep(ctx context.Context, length time.Duration) bool {
+	timer := time.NewTimer(length)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
