Let a leaving gateway refer callers to the others

Change: while it leaves and holds a lease, it has the ticket made by another gateway of the best region, its own included, and refuses only if none does. Result: the new test fails before and passes after; go test -race ./gateway passes.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -449,6 +449,27 @@
 	}
 }
 
+// TestLeavingGatewayRefers asks a gateway that is leaving where to go.
+func TestLeavingGatewayRefers(t *testing.T) {
+	f := newFleet(t)
+	f.replica("r1", "north")
+	leaving := f.gateway("g1", "north", "a", nil)
+	staying := f.gateway("g2", "north", "b", nil)
+	f.ready(leaving, staying)
+	leaving.Drain()
+	request, where := leaving.where(t, question("asked"))
+	if "http://"+where.Gateway != staying.url {
+		t.Fatalf("sent to %s, not to %s", where.Gateway, staying.url)
+	}
+	if got := staying.send(t, request); got.outcome() != "success" {
+		t.Errorf("got %s", got.outcome())
+	}
+	staying.Drain()
+	if _, failure := leaving.Gateway.where(t.Context(), &api.WhereRequest{RequestID: "nobody", Model: "m", WaitMS: 1000}); failure == nil || failure.Outcome != api.OutcomeRefused {
+		t.Errorf("with nobody left: %v", failure)
+	}
+}
+
 // TestWithdraw shows which offers are confirmed never to run.
 func TestWithdraw(t *testing.T) {
 	f := newFleet(t)
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -58,10 +58,12 @@
 }
 
 // where answers where a request should go: with a ticket of this gateway, or of
-// one in the region that serves it best.
+// one in the region that serves it best. A gateway that leaves gives no tickets
+// of its own.
 func (g *Gateway) where(ctx context.Context, request *api.WhereRequest) (*api.WhereAnswer, *api.Error) {
-	if failure := g.mayPlace(); failure != nil {
-		return nil, failure
+	refused := g.mayPlace()
+	if refused != nil && !g.mayRefer() {
+		return nil, refused
 	}
 	route, failure := g.router.Resolve(asGenerate(request), time.Now())
 	if failure != nil {
@@ -72,16 +74,24 @@
 		return nil, g.router.Refusal(route)
 	}
 	for _, region := range regions {
-		if region == g.region() && g.mayOwn() {
+		if region == g.region() && refused == nil && g.mayOwn() {
 			break
 		}
 		if answer := g.mintElsewhere(ctx, region, request); answer != nil {
 			return answer, nil
 		}
 	}
+	if refused != nil {
+		return nil, refused
+	}
 	return g.mint(request)
 }
 
+// mayRefer tells that the gateway is leaving but still knows the others.
+func (g *Gateway) mayRefer() bool {
+	return g.draining.Load() && g.agent.Valid() && g.agent.Active() != nil
+}
+
 // asGenerate is the part of a request that is known when asking where to go.
 func asGenerate(request *api.WhereRequest) api.GenerateRequest {
 	return api.GenerateRequest{
