Simulate the table, gateways under leases and repairs

Cause: histories of the log alone do not show whether answers, serials and leases survive elections, wiped disks and replacements.

Change: the replicated state is a registry table with the answers to orders; gateways hold leases and secondary copies; machines are wiped, replaced at new addresses and swapped while running; voters crash right after a vote, leaders right after their election, groups split during a change of the membership.

--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -125,6 +125,10 @@
 	Applied    uint64
 	LastIndex  uint64
 	Membership Membership
+	// Settled is true at a leader that has committed an entry of its own term and
+	// its newest membership. Only then do Commit and Membership tell what a
+	// successor would find: a repair is not done before.
+	Settled bool
 	// Match and Contact are kept by a leader: the highest index known stored, and
 	// the time of the last answer, by member.
 	Match   map[ID]uint64
--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -192,19 +192,25 @@
 	if n.defects.Has(defectTwoChanges) {
 		return nil
 	}
-	newest := n.configurations[len(n.configurations)-1]
-	if newest.index > n.commit {
-		return ErrMembershipPending
-	}
-	if term, _ := n.log.term(n.commit); term != n.term {
+	if !n.settled() {
 		return ErrMembershipPending
 	}
-	if distance(newest.membership, membership) > 1 {
+	if distance(n.membership(), membership) > 1 {
 		return ErrMembershipStep
 	}
 	return nil
 }
 
+// settled tells whether the newest membership and an entry of the own term are
+// committed.
+func (n *Node) settled() bool {
+	if len(n.configurations) > 0 && n.configurations[len(n.configurations)-1].index > n.commit {
+		return false
+	}
+	term, _ := n.log.term(n.commit)
+	return term == n.term
+}
+
 // leaveIfRemoved ends the office of a leader that the committed membership no
 // longer counts among the voters. It tells the others the commit first, and
 // calls on the most complete voter to take over.
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -287,6 +287,7 @@
 	}
 	if n.role == Leader {
 		status.Match, status.Contact = n.office.report(n)
+		status.Settled = n.settled()
 	}
 	return status
 }
--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -34,6 +34,8 @@
 	AcknowledgeProposal
 	// GrantWithoutContact grants leases without a proof of office.
 	GrantWithoutContact
+	// LeaseFromArrival counts a lease from the grant's arrival at the holder.
+	LeaseFromArrival
 
 	count
 )
@@ -82,5 +84,6 @@
 		"contact counted from the arrival",
 		"order acknowledged before the commit",
 		"lease granted without proof of office",
+		"lease counted from the grant's arrival",
 	}[d]
 }
--- a/internal/simulation/checks.go
+++ b/internal/simulation/checks.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/anishathalye/porcupine"
-	"github.com/fxamacker/cbor/v2"
 
 	"github.com/deckpulley/deckpulley/consensus"
+	"github.com/deckpulley/deckpulley/registry"
 )
 
 // Rule is something that must hold in every history.
@@ -44,10 +44,10 @@
 	// ledger holds each committed entry, from index 1, as first applied.
 	ledger  []ledgerEntry
 	answers map[string]answer
-	// acknowledgedSerial is the highest serial in any answer given.
-	acknowledgedSerial uint32
-	acknowledgements   map[string]answer
-	operations         []porcupine.Operation
+	// inForce is the highest serial that any primary has reported in force.
+	inForce          uint32
+	acknowledgements map[string]answer
+	operations       []porcupine.Operation
 }
 
 type election struct {
@@ -86,7 +86,7 @@
 		c.owns(member.ID, c.world.machines[position])
 	}
 	fresh := newBook()
-	c.ledger = []ledgerEntry{{}, {term: 1, digest: fresh.digest(), serial: fresh.serial, known: 1}}
+	c.ledger = []ledgerEntry{{}, {term: 1, digest: fresh.digest(), serial: fresh.serial(), known: 1}}
 }
 
 func (c *checks) owns(identity consensus.ID, m *machine) {
@@ -120,6 +120,7 @@
 		c.elected = append(c.elected, election{term, c.world.now})
 		c.world.result.Elections++
 		c.checkCompleteness(m, term)
+		c.world.afterElection(m)
 	} else if first != m.identity {
 		c.world.violate(RuleOneLeader, "%s and %s lead in term %d", first, m.identity, term)
 	}
@@ -208,13 +209,13 @@
 	}
 	term, _ := m.node.Office()
 	previous := c.ledger[c.committed()]
-	if digest != previous.digest && m.state.serial <= previous.serial {
-		c.world.violate(RuleSerial, "index %d changed the state, serial %d after %d", entry.Index, m.state.serial, previous.serial)
+	if digest != previous.digest && m.state.serial() <= previous.serial {
+		c.world.violate(RuleSerial, "index %d changed the state, serial %d after %d", entry.Index, m.state.serial(), previous.serial)
 	}
-	if m.state.serial < previous.serial {
-		c.world.violate(RuleSerial, "serial %d after %d", m.state.serial, previous.serial)
+	if m.state.serial() < previous.serial {
+		c.world.violate(RuleSerial, "serial %d after %d", m.state.serial(), previous.serial)
 	}
-	c.ledger = append(c.ledger, ledgerEntry{entry.Term, content, digest, m.state.serial, term})
+	c.ledger = append(c.ledger, ledgerEntry{entry.Term, content, digest, m.state.serial(), term})
 	c.world.result.Committed++
 	c.noteAnswer(m, entry)
 }
@@ -223,15 +224,23 @@
 	if entry.Kind != consensus.EntryNormal {
 		return
 	}
-	var asked order
-	if err := cbor.Unmarshal(entry.Data, &asked); err != nil {
+	update, err := registry.DecodeUpdate(entry.Data)
+	if err != nil {
 		return
 	}
-	given := m.state.answers[asked.ID]
-	if first, known := c.answers[asked.ID]; known && first != given {
-		c.world.violate(RuleAnswer, "order %s was answered %+v, then %+v", asked.ID, first, given)
+	for _, record := range update.Changes {
+		if record.Type != typeOrder {
+			continue
+		}
+		id := idOf(record)
+		given, known := m.state.answer(id)
+		if first, before := c.answers[id]; before && (!known || first != given) {
+			c.world.violate(RuleAnswer, "order %s was answered %+v, then %+v", id, first, given)
+		}
+		if known {
+			c.answers[id] = given
+		}
 	}
-	c.answers[asked.ID] = given
 }
 
 // restored checks the state that a snapshot brought.
@@ -255,10 +264,30 @@
 		c.world.violate(RuleAnswer, "order %s was answered %+v, then %+v", id, first, given)
 	}
 	c.acknowledgements[id] = given
-	c.acknowledgedSerial = max(c.acknowledgedSerial, given.Serial)
 	c.world.afterAnswer(m)
 }
 
+// reportedInForce checks every gateway against what a primary has just reported.
+func (c *checks) reportedInForce(m *machine, serial uint32) {
+	if serial <= c.inForce {
+		return
+	}
+	c.inForce = serial
+	for _, g := range c.world.gateways {
+		if g.mayPlace() {
+			c.placed(g)
+		}
+	}
+}
+
+// placed checks a gateway that acts, or could act, on its active serial. The
+// serials of a history never wrap.
+func (c *checks) placed(g *gateway) {
+	if g.active < c.inForce {
+		c.world.violate(RuleInForce, "%s acts on serial %d, %d was reported in force", g.name, g.active, c.inForce)
+	}
+}
+
 // record keeps one operation as its operator saw it.
 func (c *checks) record(o *operator, open *openOrder, given answer) {
 	c.operations = append(c.operations, porcupine.Operation{
@@ -286,6 +315,9 @@
 	}
 	last := w.checks.ledger[w.checks.committed()]
 	for _, m := range w.present() {
+		if m.retiring {
+			continue
+		}
 		if m.node == nil || m.applied != w.checks.committed() || m.state.digest() != last.digest {
 			w.violate(RuleAgreement, "%s ends at index %d, committed is %d", m.name, m.applied, w.checks.committed())
 			return
@@ -302,8 +334,8 @@
 func (w *world) checkKept(m *machine) {
 	for _, o := range w.operators {
 		for id, given := range o.answers {
-			if m.state.answers[id] != given {
-				w.violate(RuleDurable, "%s holds %+v for order %s, its operator was told %+v", m.name, m.state.answers[id], id, given)
+			if held, _ := m.state.answer(id); held != given {
+				w.violate(RuleDurable, "%s holds %+v for order %s, its operator was told %+v", m.name, held, id, given)
 			}
 		}
 	}
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -25,6 +25,10 @@
 	FaultWipeAfterAnswer FaultKind = "disk of the primary wiped after an answer"
 	FaultReplace         FaultKind = "replacement at a new address"
 	FaultTransfer        FaultKind = "leadership transfer"
+	FaultCrashAfterVote  FaultKind = "crash right after a vote"
+	FaultCrashElected    FaultKind = "crash or cut right after an election"
+	FaultSplit           FaultKind = "group split in two"
+	FaultSwap            FaultKind = "planned replacement of a running machine"
 	FaultGatewayFreeze   FaultKind = "gateway frozen"
 	FaultGatewayRestart  FaultKind = "gateway restarted"
 	FaultGatewayCut      FaultKind = "gateway cut off"
@@ -47,12 +51,28 @@
 	// writesAhead is how many writes ahead a power cut is planned.
 	writesAhead = 6
 	// wipeAfterAnswer is the chance that an answer is followed by a loss.
-	wipeAfterAnswer = 0.04
+	wipeAfterAnswer = 0.3
 	wipeDelayMost   = 50 * time.Millisecond
 )
 
+const (
+	// crashAfterVote and strikeElected are the chances that a vote is followed by
+	// a crash of the voter, and an election by a fault of the new leader.
+	crashAfterVote = 0.05
+	strikeElected  = 0.15
+	quickRestart   = 40 * time.Millisecond
+	strikeDelay    = 40 * time.Millisecond
+	// splitChange is the chance that a change of the membership meets a split.
+	splitChange = 0.15
+)
+
+// paces are how many times rarer than at most faults come, drawn for each
+// history: in a storm little is ever whole, so that few disks may be lost.
+var paces = []time.Duration{1, 2, 4, 8}
+
 // faultPlan is what the injector of faults keeps.
 type faultPlan struct {
+	pace time.Duration
 	// size is the number of voters that the group is to have.
 	size   int
 	ending time.Duration
@@ -70,6 +90,7 @@
 // startFaults injects faults until the end.
 func (w *world) startFaults(end time.Duration) {
 	w.faults.ending = end
+	w.faults.pace = pick(w, paces)
 	w.faults.lost = make(map[consensus.ID]bool)
 	w.faults.kind = []weighted{
 		{FaultCrash, 12, w.crashOne},
@@ -82,6 +103,8 @@
 		{FaultWipe, 10, w.wipeOne},
 		{FaultReplace, 5, w.replaceOne},
 		{FaultTransfer, 4, w.transfer},
+		{FaultSplit, 6, w.split},
+		{FaultSwap, 6, w.swapOne},
 		{FaultGatewayFreeze, 5, w.freezeGateway},
 		{FaultGatewayRestart, 5, w.restartGateway},
 		{FaultGatewayCut, 5, w.cutGateway},
@@ -90,7 +113,7 @@
 }
 
 func (w *world) faultLater() {
-	w.after(w.between(faultLeast, faultMost), func() {
+	w.after(w.faults.pace*w.between(faultLeast, faultMost), func() {
 		if w.now >= w.faults.ending {
 			return
 		}
@@ -216,6 +239,74 @@
 	w.after(w.between(cutLeast, cutMost), func() { w.mendAll(m.name) })
 }
 
+// split parts the machines in two, for a while.
+func (w *world) split() {
+	w.count(FaultSplit)
+	var here, there []*machine
+	for _, m := range w.machines {
+		if w.chance(0.5) {
+			here = append(here, m)
+		} else {
+			there = append(there, m)
+		}
+	}
+	each := func(change func(from, to string)) {
+		for _, one := range here {
+			for _, other := range there {
+				change(one.name, other.name)
+				change(other.name, one.name)
+			}
+		}
+	}
+	each(w.network.cut)
+	w.after(w.between(cutLeast, cutMost), func() { each(w.network.mend) })
+}
+
+// afterVote sometimes crashes a voter whose vote has just left.
+func (w *world) afterVote(m *machine) {
+	if w.now >= w.faults.ending || !w.chance(crashAfterVote) {
+		return
+	}
+	process := m.process
+	w.after(0, func() {
+		if m.process == process && m.node != nil {
+			w.count(FaultCrashAfterVote)
+			m.crash()
+			w.after(w.between(time.Millisecond, quickRestart), m.restart)
+		}
+	})
+}
+
+// afterElection sometimes strikes a leader before anybody holds its entries.
+func (w *world) afterElection(m *machine) {
+	if w.now >= w.faults.ending || !w.chance(strikeElected) {
+		return
+	}
+	process := m.process
+	w.after(w.between(0, strikeDelay), func() {
+		if m.process != process || m.node == nil || w.now >= w.faults.ending {
+			return
+		}
+		w.count(FaultCrashElected)
+		if w.chance(0.5) {
+			m.crash()
+			w.after(w.between(restartLeast, restartMost), m.restart)
+			return
+		}
+		for _, other := range w.machines {
+			w.network.cut(m.name, other.name)
+		}
+		w.after(w.between(cutLeast, cutMost), func() { w.mendAll(m.name) })
+	})
+}
+
+// afterChange sometimes splits the group while a membership is under way.
+func (w *world) afterChange() {
+	if w.now < w.faults.ending && w.chance(splitChange) {
+		w.after(w.between(0, strikeDelay), w.split)
+	}
+}
+
 func (w *world) mendAll(name string) {
 	for pair := range w.network.cuts {
 		if pair.from == name || pair.to == name {
@@ -289,12 +380,23 @@
 	})
 }
 
+// replaceable tells whether a machine votes and has no successor yet.
+func (w *world) replaceable(m *machine) bool {
+	if m.retiring || m.node == nil || !m.votes() {
+		return false
+	}
+	return replacedBy(m.node.Status().Membership, joining{member: m.member(m.identity), replaces: m.replaces}) < 0
+}
+
 // replaceOne takes a machine away for good and starts another one elsewhere.
 func (w *world) replaceOne() {
 	if !w.mayLose() {
 		return
 	}
 	old := w.target()
+	if !w.replaceable(old) {
+		return
+	}
 	w.count(FaultReplace)
 	w.faults.lost[old.identity] = true
 	old.crash()
@@ -306,6 +408,38 @@
 	w.after(w.between(restartLeast, restartMost), fresh.restart)
 }
 
+// swapOne starts a machine that is to take the place of one that still runs.
+func (w *world) swapOne() {
+	if !w.mayLose() {
+		return
+	}
+	old := w.target()
+	if !w.replaceable(old) {
+		return
+	}
+	w.count(FaultSwap)
+	old.retiring = true
+	w.named++
+	fresh := w.newMachine(fmt.Sprintf("control-%d", w.named), old.name)
+	held, _ := fresh.store.Load()
+	w.checks.owns(held.Identity, fresh)
+	fresh.restart()
+	w.retireLater(old)
+}
+
+// retireLater switches a replaced machine off some time after its removal.
+func (w *world) retireLater(old *machine) {
+	w.after(w.between(restartLeast, restartMost), func() {
+		leader := w.leader()
+		if leader == nil || leader.holds(old.identity) {
+			w.retireLater(old)
+			return
+		}
+		old.crash()
+		old.gone = true
+	})
+}
+
 func (w *world) transfer() {
 	leader := w.leader()
 	if leader == nil || !leader.up() {
@@ -349,7 +483,7 @@
 		return false
 	}
 	for _, m := range w.present() {
-		if !m.up() || !m.votes() {
+		if m.retiring || !m.up() || !m.votes() {
 			return false
 		}
 	}
@@ -369,9 +503,20 @@
 			text += m.name + " is down; "
 			continue
 		}
-		status := m.node.Status()
-		text += fmt.Sprintf("%s role %d term %d commit %d last %d members %d voter %v; ",
-			m.name, status.Role, status.Term, status.Commit, status.LastIndex, len(status.Membership.Members), m.votes())
+		text += m.describe()
 	}
 	return text + w.stuckGateways()
 }
+
+func (m *machine) describe() string {
+	status := m.node.Status()
+	text := fmt.Sprintf("%s (%s, retiring %v) role %d term %d commit %d last %d serial %d, members", m.name, m.identity,
+		m.retiring, status.Role, status.Term, status.Commit, status.LastIndex, m.state.serial())
+	for _, member := range status.Membership.Members {
+		text += fmt.Sprintf(" %s=%s", member.Name, member.ID)
+		if member.Learner {
+			text += "(learner)"
+		}
+	}
+	return text + "; "
+}
--- a/internal/simulation/machine.go
+++ b/internal/simulation/machine.go
@@ -31,8 +31,9 @@
 	replaces string
 	store    *storage.Memory
 
-	// gone machines never come back.
-	gone bool
+	// gone machines never come back; retiring ones run until they are replaced.
+	gone     bool
+	retiring bool
 	// node is nil while the process is down.
 	node *consensus.Node
 	// process counts the starts; timers of an earlier one are void.
@@ -49,10 +50,9 @@
 
 	// asked holds the orders that wait for their answer here, by id.
 	asked map[string][]waiting
-	// proposed holds the ids that are in the log but not applied, by id.
-	proposed map[string]place
-	joins    map[consensus.ID]joining
-	office   primary
+	joins map[consensus.ID]joining
+	// office is nil unless the machine leads.
+	office *primary
 }
 
 // place is where a proposal stands in the log.
@@ -60,13 +60,6 @@
 	index, term uint64
 }
 
-// joining is a machine that wants to be a member.
-type joining struct {
-	member   consensus.Member
-	replaces string
-	heard    time.Duration // on the local clock
-}
-
 func (w *world) newMachine(name, replaces string) *machine {
 	m := &machine{
 		world:    w,
@@ -130,12 +123,16 @@
 		return
 	}
 	node, err := consensus.New(consensus.Config{
-		ID:          held.Identity,
-		Seed:        m.world.random.Uint64(),
-		MaxInflight: 1 + m.world.random.IntN(16),
-		HardState:   held.HardState,
-		Snapshot:    held.Snapshot,
-		Entries:     held.Entries,
+		ID:        held.Identity,
+		Seed:      m.world.random.Uint64(),
+		HardState: held.HardState,
+		Snapshot:  held.Snapshot,
+		Entries:   held.Entries,
+
+		ElectionTimeout:   m.world.settings.electionTimeout,
+		HeartbeatInterval: m.world.settings.electionTimeout / heartbeatsPerTimeout,
+		MaxInflight:       m.world.settings.inflight,
+		MaxAppendBytes:    m.world.settings.appendBytes,
 	})
 	if err != nil {
 		m.world.violate(RuleDurable, "%s cannot start from its disk: %v", m.name, err)
@@ -150,9 +147,8 @@
 	m.frozen = false
 	m.buffer = nil
 	m.asked = make(map[string][]waiting)
-	m.proposed = make(map[string]place)
 	m.joins = make(map[consensus.ID]joining)
-	m.office = primary{}
+	m.office = nil
 	m.restoreState(held.Snapshot)
 	node.Tick(m.clock())
 	m.tickLater(m.process)
@@ -245,6 +241,7 @@
 
 // work does what the node asks for, in the order that Ready prescribes.
 func (m *machine) work() {
+	m.checkOffice()
 	for m.node != nil && m.node.HasReady() && !m.world.broken() {
 		ready := m.node.Ready()
 		if m.world.has(defect.SendBeforeSync) {
@@ -259,10 +256,14 @@
 		m.apply(ready)
 		m.node.Advance(ready)
 		m.compact()
+		if m.node != nil {
+			m.checkOffice()
+		}
 	}
 	if m.node != nil {
 		m.world.checks.afterStep(m)
 		m.answerOrders()
+		m.notifyGateways()
 	}
 }
 
@@ -289,6 +290,9 @@
 
 func (m *machine) sendAll(messages []consensus.Message) {
 	for _, message := range messages {
+		if message.Kind == consensus.MessageVoteReply && !message.Reject {
+			m.world.afterVote(m)
+		}
 		to := m.world.checks.holder(message.To)
 		if to == nil {
 			continue
@@ -311,12 +315,13 @@
 	}
 	for _, entry := range ready.Committed {
 		if entry.Kind == consensus.EntryNormal {
-			if err := m.state.apply(entry.Data); err != nil {
+			if _, err := m.state.apply(entry.Data); err != nil {
 				m.world.violate(RuleAgreement, "%s cannot apply index %d: %v", m.name, entry.Index, err)
 			}
 		}
 		m.applied = entry.Index
 		m.world.checks.appliedEntry(m, entry)
+		m.noteApplied(entry)
 	}
 }
 
--- a/internal/simulation/operator.go
+++ b/internal/simulation/operator.go
@@ -8,8 +8,8 @@
 const (
 	operatorCount  = 3
 	ordersEach     = 14
-	thinkLeast     = 50 * time.Millisecond
-	thinkMost      = 1200 * time.Millisecond
+	thinkLeast     = 20 * time.Millisecond
+	thinkMost      = 700 * time.Millisecond
 	patienceLeast  = 150 * time.Millisecond
 	patienceMost   = 600 * time.Millisecond
 	resendAnswered = 0.3
@@ -55,7 +55,7 @@
 
 // begin sends a new order, or an old one again.
 func (o *operator) begin() {
-	if o.sent >= ordersEach || o.world.now >= o.world.faults.ending {
+	if o.sent >= ordersEach || o.world.now >= o.world.options.Duration {
 		return
 	}
 	o.sent++
@@ -70,9 +70,9 @@
 func (o *operator) newOrder() order {
 	base := o.version
 	if reader := pick(o.world, o.world.machines); reader.up() && !o.world.chance(staleBase) {
-		base = max(base, reader.state.version)
+		base = max(base, reader.state.version())
 	}
-	return order{ID: fmt.Sprintf("%s/%d", o.name, o.sent), Base: base}
+	return order{ID: fmt.Sprintf("%s-%d", o.name, o.sent), Base: base}
 }
 
 // send asks some machine, and another one when no answer comes.
--- a/internal/simulation/orders.go
+++ b/internal/simulation/orders.go
@@ -1,79 +1,192 @@
 package simulation
 
 import (
+	"encoding/binary"
 	"hash/fnv"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/deckpulley/deckpulley/registry"
 )
 
-// order changes the one value if it was built on the newest version.
+// order changes the one versioned value if it was built on the newest version.
 type order struct {
-	ID   string `cbor:"1,keyasint"`
-	Base uint64 `cbor:"2,keyasint"`
+	ID   string
+	Base uint64
 }
 
 // answer is the first and only answer to an order.
 type answer struct {
 	Accepted bool   `cbor:"1,keyasint"`
 	Version  uint64 `cbor:"2,keyasint"` // after an accepted order, or at its refusal
-	Serial   uint32 `cbor:"3,keyasint"`
 }
 
-// book is the replicated state: a versioned value with the answers to all
-// orders. Each change raises the serial by one.
+const (
+	typeVersion = registry.FirstOwnType
+	typeOrder   = registry.FirstOwnType + 1
+
+	apex        registry.Name = "places."
+	versionName registry.Name = "version.places."
+	ordersName  registry.Name = "orders.places."
+	firstSerial uint32        = 1
+	// reuseEvery is how often the planted fault of a serial used twice strikes.
+	reuseEvery = 5
+)
+
+var schema = mustSchema()
+
+func mustSchema() *registry.Schema {
+	made, err := registry.NewSchema(
+		registry.Kind{Type: typeVersion, Name: "VERSION", Singleton: true},
+		registry.Kind{Type: typeOrder, Name: "ORDER", Singleton: true},
+	)
+	if err != nil {
+		panic(err)
+	}
+	return made
+}
+
+// book is the replicated state: a registry table with the version of one value
+// and the answers to all orders.
 type book struct {
-	version  uint64
-	serial   uint32
-	answers  map[string]answer
-	sequence []string // order ids in the order of their answers
-	// reuse plants the fault of a serial used twice.
-	reuse bool
+	table *registry.Table
+	// since is the serial at which an answer was, at the latest, in the table.
+	since map[string]uint32
+	// restored is the serial of the newest snapshot taken in.
+	restored uint32
+	reuse    bool
 }
 
-// reuseEvery is how often the planted fault strikes.
-const reuseEvery = 5
+func newBook() *book {
+	head := registry.Head{Primary: "none", Serial: firstSerial}
+	table, err := registry.New(apex, schema, head, []string{"control"})
+	if err != nil {
+		panic(err)
+	}
+	return &book{table: table, since: make(map[string]uint32), restored: firstSerial}
+}
 
-type bookSnapshot struct {
-	Version uint64   `cbor:"1,keyasint"`
-	Serial  uint32   `cbor:"2,keyasint"`
-	IDs     []string `cbor:"3,keyasint"`
-	Answers []answer `cbor:"4,keyasint"`
+func orderName(id string) registry.Name {
+	return ordersName.Child(id)
 }
 
-func newBook() *book {
-	return &book{serial: 1, answers: make(map[string]answer)}
+func orderRecord(id string, given answer) registry.Record {
+	data, err := cbor.Marshal(given)
+	if err != nil {
+		panic(err)
+	}
+	return registry.Record{Name: orderName(id), Type: typeOrder, Class: registry.ClassTable, Data: data}
+}
+
+func versionRecord(version uint64) registry.Record {
+	data := binary.BigEndian.AppendUint64(nil, version)
+	return registry.Record{Name: versionName, Type: typeVersion, Class: registry.ClassTable, Data: data}
 }
 
-// apply evaluates one order. Every machine does so in the log's order.
-func (b *book) apply(data []byte) error {
-	var asked order
-	if err := cbor.Unmarshal(data, &asked); err != nil {
-		return err
+// version returns the version of the value, zero at first.
+func (b *book) version() uint64 {
+	for _, record := range b.table.View().Lookup(versionName, typeVersion) {
+		return binary.BigEndian.Uint64(record.Data)
 	}
-	if _, known := b.answers[asked.ID]; known {
-		return nil
+	return 0
+}
+
+func (b *book) answer(id string) (answer, bool) {
+	for _, record := range b.table.View().Lookup(orderName(id), typeOrder) {
+		var given answer
+		if err := cbor.Unmarshal(record.Data, &given); err != nil {
+			panic(err)
+		}
+		return given, true
 	}
-	accepted := asked.Base == b.version
-	if accepted {
-		b.version++
+	return answer{}, false
+}
+
+// answeredBy returns a serial with which the answer is in the table.
+func (b *book) answeredBy(id string) uint32 {
+	if serial, known := b.since[id]; known {
+		return serial
 	}
-	if !b.reuse || len(b.sequence)%reuseEvery != 0 {
-		b.serial++
+	return b.restored
+}
+
+// serial returns the serial that the machine shows to others.
+func (b *book) serial() uint32 {
+	serial := b.table.Serial()
+	if b.reuse {
+		return serial - serial/reuseEvery
 	}
-	b.answers[asked.ID] = answer{Accepted: accepted, Version: b.version, Serial: b.serial}
-	b.sequence = append(b.sequence, asked.ID)
-	return nil
+	return serial
+}
+
+// decide makes the update that answers an order: the change with its answer, or
+// the refusal. Both hold only if nothing has moved in the meantime.
+func (b *book) decide(asked order) registry.Update {
+	version := b.version()
+	prerequisites := []registry.Record{registry.Absent(orderName(asked.ID), typeOrder)}
+	if version == 0 {
+		prerequisites = append(prerequisites, registry.Absent(versionName, typeVersion))
+	} else {
+		prerequisites = append(prerequisites, registry.Equals(versionRecord(version)))
+	}
+	if asked.Base != version {
+		refusal := registry.Add(orderRecord(asked.ID, answer{Version: version}))
+		return registry.NewUpdate(apex, prerequisites, []registry.Record{refusal})
+	}
+	accepted := answer{Accepted: true, Version: version + 1}
+	return registry.NewUpdate(apex, prerequisites, []registry.Record{
+		registry.Add(versionRecord(version + 1)),
+		registry.Add(orderRecord(asked.ID, accepted)),
+	})
+}
+
+// claim makes the update that names a new primary in the head record.
+func (b *book) claim(primary string) registry.Update {
+	head := b.table.Head()
+	head.Primary = primary
+	head.Serial = registry.NextSerial(head.Serial)
+	return registry.NewUpdate(apex, nil, []registry.Record{registry.Add(registry.HeadRecord(apex, head))})
+}
+
+// apply evaluates one update. Every machine does so in the log's order.
+func (b *book) apply(data []byte) (registry.Result, error) {
+	update, err := registry.DecodeUpdate(data)
+	if err != nil {
+		return registry.Result{}, err
+	}
+	result := b.table.Apply(&update, nil)
+	if result.Changed {
+		for _, record := range update.Changes {
+			if record.Type == typeOrder {
+				b.since[idOf(record)] = result.Serial
+			}
+		}
+	}
+	return result, nil
+}
+
+// idOf returns the order that a record answers.
+func idOf(record registry.Record) string {
+	return record.Name.Labels()[0]
 }
 
+// snapshot encodes the state, without the answers if that fault is planted.
 func (b *book) snapshot(dropAnswers bool) ([]byte, error) {
-	held := bookSnapshot{Version: b.version, Serial: b.serial}
 	if !dropAnswers {
-		held.IDs = b.sequence
-		for _, id := range b.sequence {
-			held.Answers = append(held.Answers, b.answers[id])
+		return b.table.Snapshot()
+	}
+	whole := b.table.Difference(0)
+	kept := registry.Transfer{Full: true, To: whole.To}
+	for _, record := range whole.Added {
+		if record.Type != typeOrder {
+			kept.Added = append(kept.Added, record)
 		}
 	}
-	return cbor.Marshal(held)
+	copied := registry.NewSecondary(apex, schema)
+	if err := copied.ApplyTransfer(kept); err != nil {
+		return nil, err
+	}
+	return copied.Snapshot()
 }
 
 // restore replaces the state; empty data is that of a new group.
@@ -81,16 +194,12 @@
 	fresh := newBook()
 	fresh.reuse = b.reuse
 	if len(data) > 0 {
-		var held bookSnapshot
-		if err := cbor.Unmarshal(data, &held); err != nil {
+		table, err := registry.Restore(schema, data)
+		if err != nil {
 			return err
 		}
-		fresh.version = held.Version
-		fresh.serial = held.Serial
-		fresh.sequence = held.IDs
-		for position, id := range held.IDs {
-			fresh.answers[id] = held.Answers[position]
-		}
+		fresh.table = table
+		fresh.restored = table.Serial()
 	}
 	*b = *fresh
 	return nil
@@ -98,11 +207,11 @@
 
 // digest identifies the whole state.
 func (b *book) digest() uint64 {
-	hash := fnv.New64a()
-	data, err := b.snapshot(false)
+	data, err := b.table.Snapshot()
 	if err != nil {
-		return 0
+		panic(err)
 	}
+	hash := fnv.New64a()
 	_, _ = hash.Write(data)
 	return hash.Sum64()
 }
--- a/internal/simulation/primary.go
+++ b/internal/simulation/primary.go
@@ -4,26 +4,33 @@
 	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/deckpulley/deckpulley/consensus"
 	"github.com/deckpulley/deckpulley/internal/defect"
+	"github.com/deckpulley/deckpulley/lease"
+	"github.com/deckpulley/deckpulley/registry"
 )
 
-const (
-	joinInterval = 150 * time.Millisecond
-	// joinFresh is how recent a request to join must be.
-	joinFresh = time.Second
-	// learnerPatience is how long a silent learner stays a member.
-	learnerPatience = 2 * time.Second
-	// reachable is how recent an answer must be for a member to count as reachable.
-	reachable = 500 * time.Millisecond
-)
+// clusterName is the group's identity in grants.
+const clusterName = "group"
+
+// notWaited is how far the planted fault of a skipped wait moves the election
+// into the past.
+const notWaited = time.Minute
 
 // primary is what a machine keeps while it leads.
 type primary struct {
-	term  uint64
-	since time.Duration // on the local clock
+	term    uint64
+	elected time.Duration // on the local clock
+	// grantor is nil until every entry of earlier terms is applied.
+	grantor *lease.Grantor
+	// proposed holds the orders that are in the log but not applied, by id.
+	proposed map[string]uint64
+	// notified is what the gateways were last told of.
+	notified notice
+}
+
+type notice struct {
+	serial, activate uint32
 }
 
 // waiting is one operator that waits for the answer to an order.
@@ -32,47 +39,66 @@
 	forwarded bool
 }
 
-// lead does a leader's periodic work.
-func (m *machine) lead() {
+// checkOffice notices that the machine has become or ceased to be the leader.
+func (m *machine) checkOffice() {
 	term, leading := m.node.Office()
 	if !leading {
+		m.office = nil
 		return
 	}
-	if m.office.term != term {
-		m.takeOffice(term)
+	if m.office == nil || m.office.term != term {
+		m.office = &primary{term: term, elected: m.clock(), proposed: make(map[string]uint64)}
 	}
-	m.repair()
-	m.work()
 }
 
-func (m *machine) takeOffice(term uint64) {
-	m.office = primary{term: term, since: m.clock()}
-	m.proposed = make(map[string]place)
+// beginGranting is called once the first entry of the own term is applied: the
+// table then holds everything that earlier primaries may have reported.
+func (m *machine) beginGranting() {
+	elected := m.office.elected
+	if m.world.has(defect.LeaseNotWaitedOut) {
+		elected -= notWaited
+	}
+	m.office.grantor = lease.NewGrantor(lease.DefaultTerms(), m.office.term, elected, m.state.serial())
+	m.propose(m.state.claim(m.name))
+}
+
+func (m *machine) propose(update registry.Update) (index uint64, proposed bool) {
+	data, err := registry.EncodeUpdate(&update)
+	if err != nil {
+		panic(err)
+	}
+	index, _, err = m.node.Propose(m.clock(), data)
+	return index, err == nil
+}
+
+// lead does a leader's periodic work.
+func (m *machine) lead() {
+	if m.office == nil {
+		return
+	}
+	m.repair()
+	m.work()
 }
 
 // askOrder takes an operator's order in. Only a leader proposes; the others
 // forward it once.
 func (m *machine) askOrder(asked order, from waiting) {
-	if _, leading := m.node.Office(); !leading {
+	if m.office == nil {
 		m.forwardOrder(asked, from)
 		return
 	}
 	m.asked[asked.ID] = append(m.asked[asked.ID], from)
-	if _, known := m.state.answers[asked.ID]; known {
-		return // answered by answerOrders, once it is in force
+	if _, known := m.state.answer(asked.ID); known {
+		return // answerOrders replies once it is in force
 	}
-	if at, open := m.proposed[asked.ID]; open && at.term == m.office.term {
+	if _, open := m.office.proposed[asked.ID]; open || m.office.grantor == nil {
 		return
 	}
-	data, err := cbor.Marshal(asked)
-	if err != nil {
-		panic(err)
-	}
-	index, term, err := m.node.Propose(m.clock(), data)
-	if err != nil {
+	index, proposed := m.propose(m.state.decide(asked))
+	if !proposed {
 		return
 	}
-	m.proposed[asked.ID] = place{index, term}
+	m.office.proposed[asked.ID] = index
 	if m.world.has(defect.AcknowledgeProposal) {
 		m.acknowledgeEarly(asked)
 	}
@@ -89,29 +115,80 @@
 	})
 }
 
+// acknowledgeEarly is a planted fault: it answers from a trial of the update.
 func (m *machine) acknowledgeEarly(asked order) {
-	trial := newBook()
-	data, _ := m.state.snapshot(false)
-	_ = trial.restore(data)
-	encoded, _ := cbor.Marshal(asked)
-	_ = trial.apply(encoded)
-	m.reply(asked.ID, trial.answers[asked.ID])
+	trial := &book{}
+	data, err := m.state.snapshot(false)
+	if err != nil {
+		panic(err)
+	}
+	if err := trial.restore(data); err != nil {
+		panic(err)
+	}
+	update := trial.decide(asked)
+	trial.table.Apply(&update, nil)
+	given, _ := trial.answer(asked.ID)
+	m.reply(asked.ID, given)
+}
+
+// noteApplied tells the office of an applied entry.
+func (m *machine) noteApplied(entry consensus.Entry) {
+	if m.office == nil {
+		return
+	}
+	if m.office.grantor == nil && entry.Term == m.office.term {
+		m.beginGranting()
+	}
+	if m.office.grantor != nil {
+		m.office.grantor.SetSerial(m.state.serial())
+	}
+	for id, index := range m.office.proposed {
+		if index <= entry.Index {
+			delete(m.office.proposed, id)
+		}
+	}
+}
+
+// inForce returns the serial that every gateway with a lease decides by.
+func (m *machine) inForce() (uint32, bool) {
+	if m.office == nil || m.office.grantor == nil {
+		return 0, false
+	}
+	if contact, known := m.contact(); known {
+		m.office.grantor.SetContact(contact)
+	}
+	serial, known := m.office.grantor.InForce(m.clock())
+	if known {
+		m.world.checks.reportedInForce(m, serial)
+	}
+	return serial, known
+}
+
+// contact is the proof of office.
+func (m *machine) contact() (time.Duration, bool) {
+	if m.world.has(defect.GrantWithoutContact) {
+		return m.clock(), true
+	}
+	return m.node.QuorumContact()
 }
 
-// answerOrders answers what is applied here and in force everywhere. A machine
-// that has lost its office may still answer: what is applied stays.
+// answerOrders answers what is applied here and in force everywhere.
 func (m *machine) answerOrders() {
 	if len(m.asked) == 0 {
 		return
 	}
+	serial, known := m.inForce()
+	if !known {
+		return
+	}
 	ids := make([]string, 0, len(m.asked))
 	for id := range m.asked {
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
-		given, known := m.state.answers[id]
-		if known && m.inForce(given.Serial) {
+		given, answered := m.state.answer(id)
+		if answered && !registry.SerialLess(serial, m.state.answeredBy(id)) {
 			m.reply(id, given)
 		}
 	}
@@ -127,133 +204,39 @@
 	delete(m.asked, id)
 }
 
-// joinLater lets a machine that is not a voter ask for membership.
-func (m *machine) joinLater(process int) {
-	m.world.after(joinInterval, func() {
-		if m.process != process || m.node == nil {
-			return
-		}
-		if !m.frozen && !m.votes() {
-			m.askToJoin()
-		}
-		m.joinLater(process)
-	})
-}
-
-func (m *machine) votes() bool {
-	for _, member := range m.node.Status().Membership.Members {
-		if member.ID == m.identity {
-			return !member.Learner
-		}
-	}
-	return false
-}
-
-func (m *machine) askToJoin() {
-	for _, other := range m.world.machines {
-		if other == m {
-			continue
-		}
-		request := joining{member: m.member(m.identity), replaces: m.replaces}
-		m.world.network.send(m.name, other.name, func() {
-			other.receive(func() { other.noteJoin(request) })
-		})
-	}
-}
-
-func (m *machine) noteJoin(request joining) {
-	if _, leading := m.node.Office(); !leading {
+// notifyGateways tells them that there is something to renew for.
+func (m *machine) notifyGateways() {
+	if m.office == nil || m.office.grantor == nil {
 		return
 	}
-	request.heard = m.clock()
-	m.joins[request.member.ID] = request
-}
-
-// repair takes the next step for one machine that wants to join: add it as a
-// learner, wait until it has caught up, remove whom it replaces, let it vote.
-func (m *machine) repair() {
-	status := m.node.Status()
-	if m.dropSilentLearner(status) {
+	now := notice{serial: m.state.serial(), activate: m.office.grantor.Activate(m.clock())}
+	if now == m.office.notified {
 		return
 	}
-	for _, id := range m.freshJoins() {
-		next, changes := nextMembership(status, m.joins[id])
-		if !changes {
-			continue
-		}
-		if _, _, err := m.node.ProposeMembership(m.clock(), next); err != nil && !m.world.has(defect.TwoMembershipChanges) {
-			return
-		}
-	}
-}
-
-func (m *machine) freshJoins() []consensus.ID {
-	ids := make([]consensus.ID, 0, len(m.joins))
-	for id, request := range m.joins {
-		if m.clock()-request.heard <= joinFresh {
-			ids = append(ids, id)
-		}
+	m.office.notified = now
+	for _, g := range m.world.gateways {
+		m.world.network.send(m.name, g.name, func() {
+			g.receive(func() { g.renew(m) })
+		})
 	}
-	slices.Sort(ids)
-	return ids
 }
 
-// dropSilentLearner takes back the addition of a machine that has gone away, or
-// whose late request to join came after its removal.
-func (m *machine) dropSilentLearner(status consensus.Status) bool {
-	for position, member := range status.Membership.Members {
-		heard := max(m.office.since, status.Contact[member.ID], m.joins[member.ID].heard)
-		if !member.Learner || m.clock()-heard < learnerPatience {
-			continue
+// grant answers a gateway's renewal.
+func (m *machine) grant(g *gateway, asked renewal) {
+	reply := grant{from: m}
+	if m.office != nil && m.office.grantor != nil {
+		contact, known := m.contact()
+		decision := m.office.grantor.Renew(m.clock(), contact, known, asked.request)
+		reply.decision = decision
+		reply.term = m.office.term
+		if decision.Granted && registry.SerialLess(asked.request.Held, m.state.serial()) {
+			transfer := m.state.table.Difference(asked.request.Held)
+			reply.transfer = &transfer
 		}
-		rest := slices.Delete(slices.Clone(status.Membership.Members), position, position+1)
-		_, _, err := m.node.ProposeMembership(m.clock(), consensus.Membership{Members: rest})
-		return err == nil
+	} else {
+		reply.hint = m.world.checks.holder(m.node.Status().Leader)
 	}
-	return false
-}
-
-// nextMembership returns the next membership on the way to the request.
-func nextMembership(status consensus.Status, request joining) (consensus.Membership, bool) {
-	members := slices.Clone(status.Membership.Members)
-	own := slices.IndexFunc(members, func(member consensus.Member) bool { return member.ID == request.member.ID })
-	if own < 0 {
-		learner := request.member
-		learner.Learner = true
-		return consensus.Membership{Members: append(members, learner)}, true
-	}
-	if !members[own].Learner || status.Match[request.member.ID] < status.Commit {
-		return consensus.Membership{}, false
-	}
-	replaced := slices.IndexFunc(members, func(member consensus.Member) bool {
-		return member.ID != request.member.ID && (member.Name == request.member.Name || member.Name == request.replaces)
+	m.world.network.send(m.name, g.name, func() {
+		g.receive(func() { g.granted(asked, reply) })
 	})
-	if replaced >= 0 {
-		return consensus.Membership{Members: slices.Delete(members, replaced, replaced+1)}, true
-	}
-	members[own].Learner = false
-	return consensus.Membership{Members: members}, true
-}
-
-// repairDone is what a leader reports as a whole group: enough voters, all
-// reachable and holding everything committed, and no learner left.
-func (m *machine) repairDone() bool {
-	if !m.up() {
-		return false
-	}
-	status := m.node.Status()
-	contact, known := m.node.QuorumContact()
-	if !known || m.clock()-contact > reachable || status.Role != consensus.Leader {
-		return false
-	}
-	if len(status.Membership.Members) != m.world.faults.size {
-		return false
-	}
-	for _, member := range status.Membership.Members {
-		heard, answered := status.Contact[member.ID]
-		if member.Learner || !answered || m.clock()-heard > reachable || status.Match[member.ID] < status.Commit {
-			return false
-		}
-	}
-	return true
 }
--- /dev/null
+++ b/internal/simulation/repair.go
@@ -0,0 +1,215 @@
+package simulation
+
+import (
+	"slices"
+	"time"
+
+	"github.com/deckpulley/deckpulley/consensus"
+	"github.com/deckpulley/deckpulley/internal/defect"
+)
+
+const (
+	joinInterval = 150 * time.Millisecond
+	// joinFresh is how recent a request to join must be.
+	joinFresh = time.Second
+	// learnerPatience is how long a silent learner stays a member.
+	learnerPatience = 2 * time.Second
+	// reachable is how recent an answer must be for a member to count as reachable.
+	reachable = 500 * time.Millisecond
+)
+
+// joining is a machine that wants to be a member.
+type joining struct {
+	member   consensus.Member
+	replaces string
+	heard    time.Duration // on the local clock
+}
+
+// joinLater lets a machine that is not a voter ask for membership.
+func (m *machine) joinLater(process int) {
+	m.world.after(joinInterval, func() {
+		if m.process != process || m.node == nil {
+			return
+		}
+		if !m.frozen && !m.retiring && !m.settled() {
+			m.askToJoin()
+		}
+		m.joinLater(process)
+	})
+}
+
+// settled tells whether the machine has its place in the group. A machine that
+// hears no leader asks again: the membership in which it votes may have been
+// lost with the leader that proposed it.
+func (m *machine) settled() bool {
+	status := m.node.Status()
+	if status.Leader == consensus.None {
+		return false
+	}
+	request := joining{member: m.member(m.identity), replaces: m.replaces}
+	return m.votes() && replacedBy(status.Membership, request) < 0
+}
+
+func (m *machine) votes() bool {
+	for _, member := range m.node.Status().Membership.Members {
+		if member.ID == m.identity {
+			return !member.Learner
+		}
+	}
+	return false
+}
+
+// holds tells whether an identity is a member, as far as this machine knows.
+func (m *machine) holds(identity consensus.ID) bool {
+	for _, member := range m.node.Status().Membership.Members {
+		if member.ID == identity {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *machine) askToJoin() {
+	for _, other := range m.world.machines {
+		if other == m {
+			continue
+		}
+		request := joining{member: m.member(m.identity), replaces: m.replaces}
+		m.world.network.send(m.name, other.name, func() {
+			other.receive(func() { other.noteJoin(request) })
+		})
+	}
+}
+
+func (m *machine) noteJoin(request joining) {
+	if m.office == nil {
+		return
+	}
+	request.heard = m.clock()
+	m.joins[request.member.ID] = request
+}
+
+// repair takes the next step for one machine that wants to join: add it as a
+// learner, wait until it has caught up, put it into the place of whom it
+// replaces.
+func (m *machine) repair() {
+	status := m.node.Status()
+	if m.dropSilentLearner(status) {
+		return
+	}
+	if !m.retiring && !m.settled() {
+		m.noteJoin(joining{member: m.member(m.identity), replaces: m.replaces})
+	}
+	for _, id := range m.freshJoins() {
+		next, changes := m.nextMembership(status, m.joins[id])
+		if !changes {
+			continue
+		}
+		if _, _, err := m.node.ProposeMembership(m.clock(), next); err != nil && !m.world.has(defect.TwoMembershipChanges) {
+			return
+		}
+		m.world.afterChange()
+	}
+}
+
+func (m *machine) freshJoins() []consensus.ID {
+	ids := make([]consensus.ID, 0, len(m.joins))
+	for id, request := range m.joins {
+		if m.clock()-request.heard <= joinFresh {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// dropSilentLearner takes back the addition of a machine that has gone away, or
+// whose late request to join came after its removal.
+func (m *machine) dropSilentLearner(status consensus.Status) bool {
+	for position, member := range status.Membership.Members {
+		heard := max(m.office.elected, status.Contact[member.ID], m.joins[member.ID].heard)
+		if !member.Learner || m.clock()-heard < learnerPatience {
+			continue
+		}
+		rest := slices.Delete(slices.Clone(status.Membership.Members), position, position+1)
+		_, _, err := m.node.ProposeMembership(m.clock(), consensus.Membership{Members: rest})
+		return err == nil
+	}
+	return false
+}
+
+// nextMembership returns the next membership on the way to the request. A
+// replaced voter that still works leaves only after the newcomer votes; one
+// that does not answer leaves first, since it would only raise the majority.
+func (m *machine) nextMembership(status consensus.Status, request joining) (consensus.Membership, bool) {
+	members := slices.Clone(status.Membership.Members)
+	own := slices.IndexFunc(members, func(member consensus.Member) bool { return member.ID == request.member.ID })
+	replaced := replacedBy(status.Membership, request)
+	room := len(status.Membership.Voters()) < m.world.faults.size
+	switch {
+	case own < 0 && (room || replaced >= 0):
+		learner := request.member
+		learner.Learner = true
+		return consensus.Membership{Members: append(members, learner)}, true
+	case own < 0 || members[own].Learner && status.Match[request.member.ID] < status.Commit:
+		return consensus.Membership{}, false
+	case replaced >= 0 && (!members[own].Learner || !m.reaches(status, members[replaced].ID)):
+		rest := consensus.Membership{Members: slices.Delete(members, replaced, replaced+1)}
+		return rest, m.works(status, rest)
+	case members[own].Learner && (room || replaced >= 0):
+		members[own].Learner = false
+		return consensus.Membership{Members: members}, true
+	default:
+		return consensus.Membership{}, false
+	}
+}
+
+// replacedBy returns the position of the member whose place the request takes,
+// or -1.
+func replacedBy(membership consensus.Membership, request joining) int {
+	return slices.IndexFunc(membership.Members, func(member consensus.Member) bool {
+		return member.ID != request.member.ID && (member.Name == request.member.Name || member.Name == request.replaces)
+	})
+}
+
+// reaches tells whether a member has answered lately.
+func (m *machine) reaches(status consensus.Status, id consensus.ID) bool {
+	heard, answered := status.Contact[id]
+	return answered && m.clock()-heard <= reachable
+}
+
+// works tells whether a majority of a membership's voters can be reached. One
+// that cannot would never be committed, nor be taken back.
+func (m *machine) works(status consensus.Status, membership consensus.Membership) bool {
+	voters := membership.Voters()
+	count := 0
+	for _, voter := range voters {
+		if m.reaches(status, voter.ID) {
+			count++
+		}
+	}
+	return count > len(voters)/2
+}
+
+// repairDone is what a leader reports as a whole group: a committed membership
+// of enough voters, all reachable and holding everything committed, and no
+// learner left.
+func (m *machine) repairDone() bool {
+	if !m.up() {
+		return false
+	}
+	status := m.node.Status()
+	contact, known := m.node.QuorumContact()
+	if !known || m.clock()-contact > reachable || status.Role != consensus.Leader {
+		return false
+	}
+	if !status.Settled || len(status.Membership.Voters()) < m.world.faults.size {
+		return false
+	}
+	for _, member := range status.Membership.Members {
+		if member.Learner || !m.reaches(status, member.ID) || status.Match[member.ID] < status.Commit {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -78,6 +78,7 @@
 	now     time.Duration
 	result  Result
 
+	settings  settings
 	machines  []*machine
 	operators []*operator
 	gateways  []*gateway
@@ -88,12 +89,33 @@
 	named int
 }
 
+// settings are drawn for each history, the defaults among them.
+type settings struct {
+	electionTimeout time.Duration
+	inflight        int
+	appendBytes     int
+}
+
+const heartbeatsPerTimeout = 6
+
+var (
+	electionTimeouts = []time.Duration{600 * time.Millisecond, 300 * time.Millisecond, 150 * time.Millisecond}
+	inflights        = []int{1, 4, 64}
+	// appendSizes make a message of one entry, of a few, or of all.
+	appendSizes = []int{1, 300, 256 << 10}
+)
+
 func newWorld(seed uint64, options Options) *world {
 	w := &world{
 		options: options,
 		random:  rand.New(rand.NewPCG(seed, 0x5eed)),
 		result:  Result{Seed: seed, Faults: make(map[FaultKind]int)},
 	}
+	w.settings = settings{
+		electionTimeout: pick(w, electionTimeouts),
+		inflight:        pick(w, inflights),
+		appendBytes:     pick(w, appendSizes),
+	}
 	w.network = newNetwork(w)
 	w.checks = newChecks(w)
 	return w
