--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -56,23 +56,28 @@
 )
 
 const (
-	// crashAfterVote and strikeElected are the chances that a vote is followed by
-	// a crash of the voter, and an election by a fault of the new leader.
-	crashAfterVote = 0.05
-	strikeElected  = 0.15
-	quickRestart   = 40 * time.Millisecond
-	strikeDelay    = 40 * time.Millisecond
+	quickRestart = 40 * time.Millisecond
+	strikeDelay  = 40 * time.Millisecond
 	// splitChange is the chance that a change of the membership meets a split.
 	splitChange = 0.15
 )
 
+// voteStrikes and officeStrikes are the chances that a vote is followed by a
+// crash of the voter, and an election by a fault of the new leader.
+var (
+	voteStrikes   = []float64{0.02, 0.05, 0.5}
+	officeStrikes = []float64{0.05, 0.15, 0.7}
+)
+
 // paces are how many times rarer than at most faults come, drawn for each
 // history: in a storm little is ever whole, so that few disks may be lost.
 var paces = []time.Duration{1, 2, 4, 8}
 
 // faultPlan is what the injector of faults keeps.
 type faultPlan struct {
-	pace time.Duration
+	pace         time.Duration
+	voteStrike   float64
+	officeStrike float64
 	// size is the number of voters that the group is to have.
 	size   int
 	ending time.Duration
@@ -91,6 +96,8 @@
 func (w *world) startFaults(end time.Duration) {
 	w.faults.ending = end
 	w.faults.pace = pick(w, paces)
+	w.faults.voteStrike = pick(w, voteStrikes)
+	w.faults.officeStrike = pick(w, officeStrikes)
 	w.faults.lost = make(map[consensus.ID]bool)
 	w.faults.kind = []weighted{
 		{FaultCrash, 12, w.crashOne},
@@ -264,7 +271,7 @@
 
 // afterVote sometimes crashes a voter whose vote has just left.
 func (w *world) afterVote(m *machine) {
-	if w.now >= w.faults.ending || !w.chance(crashAfterVote) {
+	if w.now >= w.faults.ending || !w.chance(w.faults.voteStrike) {
 		return
 	}
 	process := m.process
@@ -279,7 +286,7 @@
 
 // afterElection sometimes strikes a leader before anybody holds its entries.
 func (w *world) afterElection(m *machine) {
-	if w.now >= w.faults.ending || !w.chance(strikeElected) {
+	if w.now >= w.faults.ending || !w.chance(w.faults.officeStrike) {
 		return
 	}
 	process := m.process
@@ -290,7 +297,8 @@
 		w.count(FaultCrashElected)
 		if w.chance(0.5) {
 			m.crash()
-			w.after(w.between(restartLeast, restartMost), m.restart)
+			most := pick(w, []time.Duration{quickRestart, restartMost})
+			w.after(w.between(restartLeast, most), m.restart)
 			return
 		}
 		for _, other := range w.machines {
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -8,6 +8,8 @@
 	world *world
 	// cuts holds the directed pairs that lose everything.
 	cuts map[direction]bool
+	// most is the longest delay without a tail.
+	most time.Duration
 	loss float64
 	// doubling is the probability that a message arrives twice.
 	doubling float64
@@ -21,14 +23,16 @@
 
 const (
 	leastDelay  = 200 * time.Microsecond
-	mostDelay   = 3 * time.Millisecond
 	calmTail    = 5 * time.Millisecond
 	calmDouble  = 0.01
 	calmTailUse = 0.2
 )
 
+// farthest are the longest usual delays, one drawn for each history.
+var farthest = []time.Duration{3 * time.Millisecond, 3 * time.Millisecond, 40 * time.Millisecond}
+
 func newNetwork(w *world) network {
-	n := network{world: w, cuts: make(map[direction]bool)}
+	n := network{world: w, cuts: make(map[direction]bool), most: pick(w, farthest)}
 	n.calm()
 	return n
 }
@@ -61,7 +65,7 @@
 }
 
 func (n *network) delay() time.Duration {
-	delay := n.world.between(leastDelay, mostDelay)
+	delay := n.world.between(leastDelay, n.most)
 	if n.world.chance(calmTailUse) {
 		delay += n.world.between(0, n.tail)
 	}
