Measure control nodes and a gateway on one machine

There was no figure for what the control plane and the relay of a gateway cost. deckpulley-bench control runs control nodes with files and TCP on loopback: update rate and latency at one, three and five voters, recovery, the loss of the primary, and bytes and CPU time of leases and configuration changes. The gateways' agents run in a child process, so that the CPU time of the control nodes stands alone. deckpulley-bench gateway sends the same arrivals through a gateway in a child process and straight to a stand-in, less the replica's own time, and loads a gateway with GOMAXPROCS=1.

They check that counted updates are in the table after the primary's crash, that streams pass whole, and that the replica's own time is left out of the added latency.

--- /dev/null
+++ b/internal/benchmark/benchmark_test.go
@@ -0,0 +1,175 @@
+package benchmark
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/peer"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/registry"
+)
+
+// workerVariable makes the test's program a worker of the kind it holds.
+const workerVariable = "DECKPULLEY_BENCHMARK_WORKER"
+
+func TestMain(m *testing.M) {
+	if kind := os.Getenv(workerVariable); kind != "" {
+		if err := RunWorker(kind, os.Stdin, os.Stdout); err != nil {
+			os.Stderr.WriteString(err.Error() + "\n")
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func testOptions(t *testing.T) *Options {
+	t.Helper()
+	program, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := &Options{Short: true, Worker: func(kind string) *exec.Cmd {
+		command := exec.Command(program)
+		command.Env = append(os.Environ(), workerVariable+"="+kind)
+		return command
+	}}
+	o.withDefaults()
+	return o
+}
+
+func TestReplaceSection(t *testing.T) {
+	const page = "intro\n<!-- begin one -->\nold\n<!-- end one -->\nkept\n<!-- begin two -->\nother\n<!-- end two -->\n"
+	got, err := replaceSection([]byte(page), "one", []byte("new\n"))
+	if want := strings.Replace(page, "old", "new", 1); err != nil || string(got) != want {
+		t.Errorf("got %q, %v, want %q", got, err, want)
+	}
+	for _, broken := range []string{"", "<!-- begin one -->\n", "<!-- end one -->", "<!-- begin three -->\n<!-- end one -->"} {
+		if _, err := replaceSection([]byte(broken), "one", nil); !errors.Is(err, errNoMarkers) {
+			t.Errorf("%q: error %v", broken, err)
+		}
+	}
+}
+
+func TestMarkdown(t *testing.T) {
+	table := Table{Title: "Title", Note: "Note.", Columns: []string{"a", "b"}}
+	table.add("1", "2")
+	var got bytes.Buffer
+	if err := WriteTables(&got, []Table{table}); err != nil {
+		t.Fatal(err)
+	}
+	const want = "\n### Title\n\nNote.\n\n| a | b |\n| ---: | ---: |\n| 1 | 2 |\n"
+	if got.String() != want {
+		t.Errorf("got %q, want %q", got.String(), want)
+	}
+}
+
+// TestTimes checks that what the replica took is no part of the result, and
+// that a lost event is not passed over.
+func TestTimes(t *testing.T) {
+	start := time.Now()
+	after := func(lengths ...int) (moments []time.Time) {
+		for _, length := range lengths {
+			moments = append(moments, start.Add(time.Duration(length)*time.Millisecond))
+		}
+		return moments
+	}
+	watch := newObserver()
+	watch.put("whole", replicaNotes{started: after(2)[0], written: after(12, 24, 36)})
+	watch.put("short", replicaNotes{started: after(2)[0], written: after(12, 24)})
+	p := &path{watch: watch, notes: map[string]callerNotes{"whole": {sent: start, read: after(15, 28, 41)}}}
+	got := p.times()
+	if p.failures != nil {
+		t.Fatal(p.failures)
+	}
+	for name, check := range map[string][2]time.Duration{
+		"first":   {got.first.longest(), 5 * time.Millisecond},
+		"total":   {got.total.longest(), 7 * time.Millisecond},
+		"event":   {got.event.longest(), 5 * time.Millisecond},
+		"fastest": {got.event.at(0), 3 * time.Millisecond},
+	} {
+		if difference := (check[0] - check[1]).Abs(); difference > 10*time.Microsecond {
+			t.Errorf("%s: %v, want %v", name, check[0], check[1])
+		}
+	}
+	p.notes["short"] = callerNotes{sent: start, read: after(15)}
+	if p.times(); p.failures == nil {
+		t.Error("a stream with a lost event was counted")
+	}
+}
+
+// TestUpdatesArrive checks the group that all measurements of control nodes
+// stand on: what was counted is in the table, after a crash of the primary too.
+func TestUpdatesArrive(t *testing.T) {
+	o := testOptions(t)
+	g, err := newGroup(3, frequentSnapshots, o.Logger)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer g.close()
+	const count = 200
+	before := g.sent.Load()
+	run, err := g.runUpdates(8, patience, count)
+	if err != nil || run.latencies.count() != count || g.sent.Load() != before+count {
+		t.Fatalf("%d updates counted, %d sent, %v, want %d", run.latencies.count(), g.sent.Load()-before, err, count)
+	}
+	old, _, serial, err := g.replacePrimary()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var expected []registry.Record
+	for number := before + 1; number <= before+count; number++ {
+		expected = append(expected, registry.Equals(numberedRecord(number)))
+	}
+	check := peer.UpdateRequest{Update: registry.NewUpdate(places.Apex, expected, nil)}
+	primary, err := g.primary()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var reply peer.UpdateReply
+	if err := g.client.Call(t.Context(), primary.address, peer.KindUpdate, &check, &reply); err != nil || reply.Code != registry.NoError {
+		t.Errorf("the updates are not in the table: %v, %v", reply.Code, err)
+	}
+	if err := old.start(); err != nil {
+		t.Fatal(err)
+	}
+	if err := old.awaitSerial(serial); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestSite checks that requests and streams pass the gateway whole, and that the
+// costs are those of its process.
+func TestSite(t *testing.T) {
+	o := testOptions(t)
+	s, err := newSite(o, nil, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		if err := s.close(); err != nil {
+			t.Error(err)
+		}
+	}()
+	ctx := t.Context()
+	read, err := s.caller.stream(ctx, api.PathRequests, question("stream", modelName, true, 5), true)
+	if err != nil || len(read) != 6 {
+		t.Errorf("%d events of 5 pieces and the end: %v", len(read), err)
+	}
+	if err := s.caller.ticketed(ctx, question("ticketed", webName, false, 1)); err != nil {
+		t.Error(err)
+	}
+	run := closedLoop(s.child, 4, 200*time.Millisecond, func(ctx context.Context, id string) error {
+		return s.caller.ask(ctx, api.PathRequests, question(id, webName, false, 1))
+	})
+	if run.units == 0 || run.failures != 0 || run.processor <= 0 || run.allocations < run.units {
+		t.Errorf("run %+v", run)
+	}
+}
--- /dev/null
+++ b/internal/benchmark/caller.go
@@ -0,0 +1,157 @@
+package benchmark
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/deckpulley/deckpulley/api"
+)
+
+// maxConnections bounds the callers' connections to one address.
+const maxConnections = 2048
+
+// requestWait is how long a caller waits for an answer, in milliseconds.
+const requestWait = 20_000
+
+// errNotWhole means that a stream ended without its end event.
+var errNotWhole = errors.New("the stream is not whole")
+
+// caller sends requests as callers of a gateway do.
+type caller struct {
+	http *http.Client
+	// base begins every URL.
+	base string
+	// events counts the events read, also of streams that go on.
+	events atomic.Int64
+}
+
+func newCaller(address string) *caller {
+	connections := &http.Transport{MaxIdleConnsPerHost: maxConnections, MaxConnsPerHost: maxConnections}
+	return &caller{http: &http.Client{Transport: connections}, base: "http://" + address}
+}
+
+func (c *caller) close() { c.http.CloseIdleConnections() }
+
+// post sends a document and returns the answer's body.
+func (c *caller) post(ctx context.Context, path string, document any) (io.ReadCloser, error) {
+	encoded, err := json.Marshal(document)
+	if err != nil {
+		return nil, fmt.Errorf("encoding a request: %w", err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(encoded))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		defer response.Body.Close()
+		text, _ := io.ReadAll(io.LimitReader(response.Body, 1<<10))
+		return nil, fmt.Errorf("status %d: %s", response.StatusCode, bytes.TrimSpace(text))
+	}
+	return response.Body, nil
+}
+
+// ask sends a request for a whole answer.
+func (c *caller) ask(ctx context.Context, path string, document any) error {
+	body, err := c.post(ctx, path, document)
+	if err != nil {
+		return err
+	}
+	defer body.Close()
+	_, err = io.Copy(io.Discard, body)
+	return err
+}
+
+// ticketed asks where to go first, as for a request that must run at most once.
+func (c *caller) ticketed(ctx context.Context, request api.GenerateRequest) error {
+	where := api.WhereRequest{RequestID: request.RequestID, Model: request.Model, WaitMS: request.WaitMS}
+	body, err := c.post(ctx, api.PathWhere, where)
+	if err != nil {
+		return err
+	}
+	var answer api.WhereAnswer
+	err = json.NewDecoder(body).Decode(&answer)
+	body.Close()
+	if err != nil {
+		return fmt.Errorf("reading a ticket: %w", err)
+	}
+	request.Repeatable = false
+	request.Ticket = answer.Ticket
+	return c.ask(ctx, api.PathRequests, request)
+}
+
+// stream reads a stream to its end and returns when each event was read. Only
+// the times that are wanted are kept.
+func (c *caller) stream(ctx context.Context, path string, document any, keep bool) ([]time.Time, error) {
+	body, err := c.post(ctx, path, document)
+	if err != nil {
+		return nil, err
+	}
+	defer body.Close()
+	var read []time.Time
+	ended := false
+	lines := bufio.NewReader(body)
+	for {
+		line, err := lines.ReadSlice('\n')
+		if errors.Is(err, io.EOF) && ended {
+			return read, nil
+		}
+		if err != nil {
+			return read, fmt.Errorf("%w after %d events: %w", errNotWhole, len(read), err)
+		}
+		switch {
+		case len(line) == 1:
+			c.events.Add(1)
+			if keep {
+				read = append(read, time.Now())
+			}
+		case bytes.HasPrefix(line, []byte("event: "+api.EventEnd)):
+			ended = true
+		case bytes.HasPrefix(line, []byte("event: "+api.EventError)):
+			return read, fmt.Errorf("%w: it brought an error", errNotWhole)
+		}
+	}
+}
+
+// question is a request through a gateway.
+func question(id, model string, stream bool, tokens int) api.GenerateRequest {
+	return api.GenerateRequest{
+		RequestID:    id,
+		Model:        model,
+		PromptTokens: 16,
+		MaxTokens:    tokens,
+		Stream:       stream,
+		WaitMS:       requestWait,
+		Repeatable:   true,
+	}
+}
+
+// directQuestion is the same request at a replica.
+func directQuestion(id, model string, stream bool, tokens int) api.ReplicaRequest {
+	class := api.ClassFetch
+	if model == modelName {
+		class = api.ClassLong
+	}
+	return api.ReplicaRequest{
+		RequestID:    id,
+		Model:        model,
+		Class:        class,
+		PromptTokens: 16,
+		MaxTokens:    tokens,
+		Stream:       stream,
+		TimeLeftMS:   requestWait,
+		Stamp:        api.Stamp{ConfigurationVersion: 1, Gateway: "benchmark", Attempt: 1},
+	}
+}
--- /dev/null
+++ b/internal/benchmark/failover.go
@@ -0,0 +1,78 @@
+package benchmark
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// measureFailover stops the primary again and again.
+func measureFailover(o *Options) (Table, error) {
+	table := Table{
+		Title:   "New primary after the loss of the old one",
+		Note:    "The primary's node is closed without handing leadership over, as in a crash of its process; the time ends with the answer to the first update by another node. The stopped node then starts again on its disk and catches up before the next round.",
+		Columns: []string{"voters", "rounds", "p50 ms", "max ms", "restarted node caught up, p50 ms"},
+	}
+	rounds := pick(o, 8, 1)
+	for _, voters := range []int{3, 5} {
+		row, err := failoverRow(o, voters, rounds)
+		if err != nil {
+			return table, fmt.Errorf("failover with %d voters: %w", voters, err)
+		}
+		table.add(row...)
+	}
+	return table, nil
+}
+
+func failoverRow(o *Options, voters, rounds int) ([]string, error) {
+	g, err := newGroup(voters, 0, o.Logger)
+	if err != nil {
+		return nil, err
+	}
+	defer g.close()
+	elections, returns := newQuantiles(), newQuantiles()
+	for range rounds {
+		old, took, serial, err := g.replacePrimary()
+		if err != nil {
+			return nil, err
+		}
+		elections.add(took)
+		began := time.Now()
+		if err := old.start(); err != nil {
+			return nil, err
+		}
+		if err := old.awaitSerial(serial); err != nil {
+			return nil, err
+		}
+		returns.add(time.Since(began))
+	}
+	return []string{
+		fmt.Sprint(voters), fmt.Sprint(rounds), milliseconds(elections.at(50)),
+		milliseconds(elections.longest()), milliseconds(returns.at(50)),
+	}, nil
+}
+
+// replacePrimary stops the primary and waits for an update at another member.
+// It returns the stopped one, the time without a primary and the serial after.
+func (g *group) replacePrimary() (old *member, took time.Duration, serial uint32, err error) {
+	if old, err = g.primary(); err != nil {
+		return nil, 0, 0, err
+	}
+	stopped := time.Now()
+	if err := old.stop(); err != nil {
+		return nil, 0, 0, err
+	}
+	err = await("a new primary", time.Millisecond, func() bool {
+		for _, member := range g.members {
+			if member.node == nil {
+				continue
+			}
+			if answered, failure := g.probeAt(context.Background(), member); failure == nil {
+				serial = answered
+				return true
+			}
+		}
+		return false
+	})
+	return old, time.Since(stopped), serial, err
+}
--- /dev/null
+++ b/internal/benchmark/gateway_job.go
@@ -0,0 +1,74 @@
+package benchmark
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+
+	"github.com/deckpulley/deckpulley/gateway"
+	"github.com/deckpulley/deckpulley/lease"
+	"github.com/deckpulley/deckpulley/peer"
+	"github.com/deckpulley/deckpulley/transport"
+)
+
+// gatewayJob is one gateway with its ports, wired as in its daemon.
+type gatewayJob struct {
+	gateway *gateway.Gateway
+	network *transport.Node
+	callers *http.Server
+	address string
+}
+
+func newGatewayJob(config workerConfig) (*gatewayJob, error) {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return nil, fmt.Errorf("callers' port: %w", err)
+	}
+	const name = "gateway-1"
+	keys := [][]byte{config.Key}
+	network, err := transport.Listen(transport.Config{Name: name, Listen: loopback, Keys: keys}, workerLogger(config))
+	if err != nil {
+		return nil, err
+	}
+	address := listener.Addr().String()
+	created, err := gateway.New(gateway.Options{
+		Info: peer.GatewayInfo{
+			Name:        name,
+			Incarnation: "1",
+			Zone:        config.Zone,
+			Region:      config.Region,
+			PeerAddress: network.Address(),
+			HTTPAddress: address,
+		},
+		Seeds:   config.Seeds,
+		Keys:    keys,
+		Terms:   lease.DefaultTerms(),
+		Network: network,
+		Logger:  workerLogger(config),
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := created.Start(); err != nil {
+		return nil, err
+	}
+	j := &gatewayJob{gateway: created, network: network, callers: created.CallersServer(), address: address}
+	go j.callers.Serve(listener)
+	return j, nil
+}
+
+func (j *gatewayJob) fill(status *workerStatus) {
+	status.Address = j.address
+	if j.gateway.Agent().Valid() {
+		status.Valid = 1
+	}
+}
+
+func (j *gatewayJob) stop() {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel() // nobody waits for requests any more
+	j.gateway.Stop(ended)
+	j.callers.Close()
+	j.network.Close()
+}
--- /dev/null
+++ b/internal/benchmark/group.go
@@ -0,0 +1,322 @@
+package benchmark
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/control"
+	"github.com/deckpulley/deckpulley/peer"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/registry"
+	"github.com/deckpulley/deckpulley/storage"
+	"github.com/deckpulley/deckpulley/transport"
+)
+
+const (
+	// patience bounds every wait for a state that must come.
+	patience = 20 * time.Second
+	// callTimeout bounds one call to a node.
+	callTimeout = 5 * time.Second
+	keyBytes    = 32
+	// hopsExhausted keeps an update at the node that it is sent to.
+	hopsExhausted = 3
+	// requestor is whose updates the benchmark sends.
+	requestor = "gateway:benchmark"
+	// changedNames is the number of names that updates change in turn.
+	changedNames = 1000
+	// noSnapshots is an interval that no run reaches.
+	noSnapshots = 1 << 40
+)
+
+// errTooLate means that something did not come within patience.
+var errTooLate = errors.New("did not happen in time")
+
+// await polls a condition at an interval.
+func await(what string, interval time.Duration, condition func() bool) error {
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(interval) {
+		if condition() {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s: %w", what, errTooLate)
+}
+
+// member is one control node with its disk, its ports and its next life.
+type member struct {
+	name             string
+	address          string // peers' address
+	folder           string
+	snapshotInterval uint64
+	group            *group
+
+	node    *control.Node // nil while stopped
+	network *transport.Node
+	server  *http.Server
+	operate string // operators' address
+	// opening is how long the newest start took to read the disk.
+	opening time.Duration
+}
+
+// group is a group of control nodes in this process and a client of theirs.
+type group struct {
+	folder  string
+	key     []byte
+	members []*member
+	client  *transport.Node
+	log     *slog.Logger
+	http    *http.Client
+	// sent numbers the updates.
+	sent atomic.Uint64
+}
+
+// newGroup starts a new group and waits until it takes updates.
+func newGroup(voters int, snapshotInterval uint64, log *slog.Logger) (*group, error) {
+	g := &group{key: make([]byte, keyBytes), log: log, http: &http.Client{Timeout: callTimeout}}
+	_, _ = rand.Read(g.key) // never fails; see package crypto/rand
+	if err := g.open(voters, snapshotInterval); err != nil {
+		g.close()
+		return nil, err
+	}
+	return g, nil
+}
+
+func (g *group) open(voters int, snapshotInterval uint64) error {
+	var err error
+	if g.folder, err = os.MkdirTemp("", "deckpulley-bench-"); err != nil {
+		return fmt.Errorf("making a folder: %w", err)
+	}
+	if g.client, err = g.listen("benchmark", loopback); err != nil {
+		return err
+	}
+	if err := g.client.Start(); err != nil {
+		return fmt.Errorf("starting the client: %w", err)
+	}
+	for i := range voters {
+		name := fmt.Sprintf("control-%d", i+1)
+		added := &member{name: name, folder: filepath.Join(g.folder, name), snapshotInterval: snapshotInterval, group: g}
+		if added.network, err = g.listen(name, loopback); err != nil {
+			return err
+		}
+		added.address = added.network.Address()
+		g.members = append(g.members, added)
+	}
+	for _, member := range g.members {
+		if err := member.start(); err != nil {
+			return err
+		}
+	}
+	return await("the first update", time.Millisecond, func() bool { return g.probe(context.Background()) == nil })
+}
+
+func (g *group) listen(name, address string) (*transport.Node, error) {
+	node, err := transport.Listen(transport.Config{Name: name, Listen: address, Keys: [][]byte{g.key}}, g.log)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	return node, nil
+}
+
+func (g *group) close() {
+	for _, member := range g.members {
+		if err := member.stop(); err != nil {
+			g.log.Warn("stopping", "node", member.name, "error", err)
+		}
+	}
+	if g.client != nil {
+		g.client.Close()
+	}
+	g.http.CloseIdleConnections()
+	if g.folder != "" {
+		os.RemoveAll(g.folder)
+	}
+}
+
+// start gives a member its next life, from its disk.
+func (m *member) start() error {
+	var err error
+	if m.network == nil {
+		if m.network, err = m.group.listen(m.name, m.address); err != nil {
+			return err
+		}
+	}
+	began := time.Now()
+	store, err := storage.Open(m.folder)
+	if err != nil {
+		return fmt.Errorf("%s: %w", m.name, err)
+	}
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return fmt.Errorf("%s: operators' port: %w", m.name, err)
+	}
+	m.operate = listener.Addr().String()
+	m.node, err = control.New(m.options(store))
+	if err != nil {
+		return errors.Join(err, listener.Close(), store.Close())
+	}
+	m.opening = time.Since(began)
+	if err := m.node.Start(); err != nil {
+		return err
+	}
+	m.server = m.node.Server()
+	go m.server.Serve(listener)
+	return nil
+}
+
+func (m *member) options(store storage.Store) control.Options {
+	initial := make(map[string]string)
+	for _, other := range m.group.members {
+		initial[other.name] = other.address
+	}
+	return control.Options{
+		Name:             m.name,
+		Zone:             "zone-" + m.name,
+		Region:           "region-" + m.name,
+		PeerAddress:      m.address,
+		OperatorAddress:  m.operate,
+		InitialControl:   initial,
+		Network:          m.network,
+		Store:            store,
+		Logger:           m.group.log,
+		SnapshotInterval: m.snapshotInterval,
+	}
+}
+
+// stop ends a member at once, without handing leadership over.
+func (m *member) stop() error {
+	if m.node == nil {
+		if m.network != nil {
+			m.network.Close()
+		}
+		return nil
+	}
+	err := m.node.Stop()
+	m.server.Close()
+	m.node, m.network = nil, nil
+	return err
+}
+
+// serial is that of the table that a member shows.
+func (m *member) serial() (uint32, error) {
+	response, err := m.group.http.Get("http://" + m.operate + api.PathConfiguration)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	var answer api.ConfigurationAnswer
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return 0, err
+	}
+	return answer.Serial, nil
+}
+
+// primary finds the member that leads.
+func (g *group) primary() (*member, error) {
+	for _, asked := range g.members {
+		if asked.node == nil {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		var reply peer.HelloReply
+		err := g.client.Call(ctx, asked.address, peer.KindHello, &peer.Hello{Name: "benchmark"}, &reply)
+		cancel()
+		if err != nil {
+			continue
+		}
+		for _, listed := range reply.Members {
+			if listed.ID == reply.Leader {
+				return g.at(listed.Address)
+			}
+		}
+	}
+	return nil, fmt.Errorf("a primary: %w", errTooLate)
+}
+
+func (g *group) at(address string) (*member, error) {
+	for _, member := range g.members {
+		if member.address == address && member.node != nil {
+			return member, nil
+		}
+	}
+	return nil, fmt.Errorf("no running member at %s", address)
+}
+
+// probe sends an update to the primary, wherever it is.
+func (g *group) probe(ctx context.Context) error {
+	primary, err := g.primary()
+	if err != nil {
+		return err
+	}
+	_, err = g.probeAt(ctx, primary)
+	return err
+}
+
+// probeAt is updateAt for an update of a record that no other update changes.
+func (g *group) probeAt(ctx context.Context, at *member) (uint32, error) {
+	condition := places.Condition{State: places.ConditionUp, Incarnation: time.Now().String()}
+	return g.send(ctx, at, places.ConditionRecord("probe", condition))
+}
+
+// updateAt sends the next update to a member, which must be the primary, and
+// returns the serial that shows it.
+func (g *group) updateAt(ctx context.Context, at *member) (uint32, error) {
+	return g.send(ctx, at, numberedRecord(g.sent.Add(1)))
+}
+
+// send sends the update of one record, as watchers do.
+func (g *group) send(ctx context.Context, at *member, record registry.Record) (uint32, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request := peer.UpdateRequest{
+		Update: registry.NewUpdate(places.Apex, nil, []registry.Record{registry.Add(record)}),
+		Hops:   hopsExhausted,
+	}
+	request.Update.Requestor = requestor
+	var reply peer.UpdateReply
+	if err := g.client.Call(ctx, at.address, peer.KindUpdate, &request, &reply); err != nil {
+		return 0, err
+	}
+	if reply.Code != registry.NoError {
+		return 0, fmt.Errorf("update answered %v", reply.Code)
+	}
+	return reply.Serial, nil
+}
+
+// numberedRecord is what the update of a number writes.
+func numberedRecord(number uint64) registry.Record {
+	condition := places.Condition{State: places.ConditionUp, Incarnation: fmt.Sprintf("incarnation-%d", number)}
+	return places.ConditionRecord(fmt.Sprintf("replica-%d", number%changedNames), condition)
+}
+
+// order sends an operator's or the platform's order to the primary and waits
+// until it is in force.
+func (g *group) order(request peer.OrderRequest) (*api.OrderAnswer, error) {
+	primary, err := g.primary()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	request.WaitMS = patience.Milliseconds()
+	var reply peer.OrderReply
+	if err := g.client.Call(ctx, primary.address, peer.KindOrder, &request, &reply); err != nil {
+		return nil, fmt.Errorf("order: %w", err)
+	}
+	switch {
+	case reply.Error != nil:
+		return nil, fmt.Errorf("order: %w", reply.Error)
+	case !reply.Answer.Accepted:
+		return nil, fmt.Errorf("order refused: %w", reply.Answer.Error)
+	}
+	return reply.Answer, nil
+}
--- /dev/null
+++ b/internal/benchmark/recovery.go
@@ -0,0 +1,90 @@
+package benchmark
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/deckpulley/deckpulley/registry"
+)
+
+// frequentSnapshots is the snapshot interval of the runs with a snapshot, in
+// entries.
+const frequentSnapshots = 64
+
+// measureRecovery restarts one member of three after a number of changes.
+func measureRecovery(o *Options) (Table, error) {
+	table := Table{
+		Title:   "Recovery of a control node",
+		Note:    fmt.Sprintf("One node of three is stopped and started again on its disk. Disk is the time to read and check it; serving is the time from the start of the process's work until the node shows every change in its own table, the group's next heartbeat included. With a snapshot, one is taken every %d entries.", frequentSnapshots),
+		Columns: []string{"changes", "snapshot", "disk ms", "serving ms", "serving µs per change"},
+	}
+	for _, changes := range pick(o, []int64{100, 1000, 10_000}, []int64{100, 1000}) {
+		for _, snapshots := range []bool{false, true} {
+			row, err := recoveryRow(o, changes, snapshots)
+			if err != nil {
+				return table, fmt.Errorf("recovery after %d changes: %w", changes, err)
+			}
+			table.add(row...)
+		}
+	}
+	return table, nil
+}
+
+func recoveryRow(o *Options, changes int64, snapshots bool) ([]string, error) {
+	interval, label := uint64(noSnapshots), "no"
+	if snapshots {
+		interval, label = frequentSnapshots, "yes"
+	}
+	g, err := newGroup(3, interval, o.Logger)
+	if err != nil {
+		return nil, err
+	}
+	defer g.close()
+	if _, err := g.runUpdates(manyWriters, patience, changes); err != nil {
+		return nil, err
+	}
+	follower, serial, err := g.settledFollower()
+	if err != nil {
+		return nil, err
+	}
+	if err := follower.stop(); err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	if err := follower.start(); err != nil {
+		return nil, err
+	}
+	if err := follower.awaitSerial(serial); err != nil {
+		return nil, err
+	}
+	serving := time.Since(began)
+	perChange := microseconds(serving / time.Duration(changes))
+	return []string{fmt.Sprint(changes), label, milliseconds(follower.opening), milliseconds(serving), perChange}, nil
+}
+
+// settledFollower returns a member that does not lead and shows every change,
+// with its serial.
+func (g *group) settledFollower() (*member, uint32, error) {
+	primary, err := g.primary()
+	if err != nil {
+		return nil, 0, err
+	}
+	serial, err := primary.serial()
+	if err != nil {
+		return nil, 0, err
+	}
+	for _, candidate := range g.members {
+		if candidate != primary {
+			return candidate, serial, candidate.awaitSerial(serial)
+		}
+	}
+	return nil, 0, fmt.Errorf("a follower: %w", errTooLate)
+}
+
+// awaitSerial waits until the member's table shows a serial.
+func (m *member) awaitSerial(serial uint32) error {
+	return await("serial at "+m.name, time.Millisecond, func() bool {
+		shown, err := m.serial()
+		return err == nil && !registry.SerialLess(shown, serial)
+	})
+}
--- /dev/null
+++ b/internal/benchmark/updates.go
@@ -0,0 +1,139 @@
+package benchmark
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/deckpulley/deckpulley/consensus"
+	"github.com/deckpulley/deckpulley/storage"
+)
+
+// manyWriters is the number of updates on their way at once in the throughput
+// measurement, and while a log is filled.
+const manyWriters = 64
+
+// updateRun is the result of updates sent for a time.
+type updateRun struct {
+	rate      float64 // per second
+	latencies *quantiles
+}
+
+// runUpdates sends updates to the primary from a number of writers, each after
+// the answer to its last, until the time is over or the count is reached.
+// A count of 0 is none.
+func (g *group) runUpdates(writers int, length time.Duration, count int64) (updateRun, error) {
+	primary, err := g.primary()
+	if err != nil {
+		return updateRun{}, err
+	}
+	ctx := context.Background()
+	var begun atomic.Int64
+	var mutex sync.Mutex
+	var failures error
+	merged := newQuantiles()
+	var running sync.WaitGroup
+	started := time.Now()
+	for range writers {
+		running.Go(func() {
+			own := newQuantiles()
+			var failure error
+			for failure == nil && time.Since(started) < length && (count == 0 || begun.Add(1) <= count) {
+				sent := time.Now()
+				_, failure = g.updateAt(ctx, primary)
+				own.add(time.Since(sent))
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			merged.merge(own)
+			failures = errors.Join(failures, failure)
+		})
+	}
+	running.Wait()
+	rate := float64(merged.count()) / time.Since(started).Seconds()
+	return updateRun{rate: rate, latencies: merged}, failures
+}
+
+// measureUpdates compares groups of one, three and five voters.
+func measureUpdates(o *Options) (Table, error) {
+	length := pick(o, 2500*time.Millisecond, 250*time.Millisecond)
+	table := Table{
+		Title:   "Updates",
+		Note:    "Updates of one record, sent over TCP to the primary and answered after they are on a majority's disks and in its table. Each writer waits for its answer. Ratios are to one voter with as many writers. The first row is the disk alone: one synced write after the other, without network or table.",
+		Columns: []string{"voters", "writers", "updates/s", "ratio", "p50 ms", "p90 ms", "p99 ms", "p99.9 ms", "max ms", "p50 ratio"},
+	}
+	disk, err := measureDisk(length)
+	if err != nil {
+		return table, err
+	}
+	table.add(append([]string{"disk alone", "1"}, updateCells(disk, updateRun{})...)...)
+	alone := make(map[int]updateRun)
+	for _, voters := range []int{1, 3, 5} {
+		for _, writers := range []int{1, manyWriters} {
+			run, err := updatesAt(o, voters, writers, length)
+			if err != nil {
+				return table, fmt.Errorf("%d voters, %d writers: %w", voters, writers, err)
+			}
+			if voters == 1 {
+				alone[writers] = run
+			}
+			cells := []string{fmt.Sprint(voters), fmt.Sprint(writers)}
+			table.add(append(cells, updateCells(run, alone[writers])...)...)
+		}
+	}
+	return table, nil
+}
+
+func updatesAt(o *Options, voters, writers int, length time.Duration) (updateRun, error) {
+	g, err := newGroup(voters, 0, o.Logger)
+	if err != nil {
+		return updateRun{}, err
+	}
+	defer g.close()
+	return g.runUpdates(writers, length, 0)
+}
+
+func updateCells(run, baseline updateRun) []string {
+	rateRatio, latencyRatio := "", ""
+	if baseline.latencies != nil {
+		rateRatio = decimal(run.rate / baseline.rate)
+		latencyRatio = decimal(float64(run.latencies.at(50)) / float64(baseline.latencies.at(50)))
+	}
+	return []string{
+		whole(run.rate), rateRatio,
+		milliseconds(run.latencies.at(50)), milliseconds(run.latencies.at(90)), milliseconds(run.latencies.at(99)),
+		milliseconds(run.latencies.at(99.9)), milliseconds(run.latencies.longest()), latencyRatio,
+	}
+}
+
+// measureDisk writes single entries of the size of an update.
+func measureDisk(length time.Duration) (updateRun, error) {
+	folder, err := os.MkdirTemp("", "deckpulley-bench-")
+	if err != nil {
+		return updateRun{}, fmt.Errorf("making a folder: %w", err)
+	}
+	defer os.RemoveAll(folder)
+	disk, err := storage.Open(filepath.Join(folder, "disk"))
+	if err != nil {
+		return updateRun{}, err
+	}
+	defer disk.Close()
+	const entryBytes = 128
+	run := updateRun{latencies: newQuantiles()}
+	started := time.Now()
+	for index := uint64(1); time.Since(started) < length; index++ {
+		before := time.Now()
+		entry := consensus.Entry{Index: index, Term: 1, Kind: consensus.EntryNormal, Data: make([]byte, entryBytes)}
+		if err := disk.Save(nil, []consensus.Entry{entry}); err != nil {
+			return updateRun{}, err
+		}
+		run.latencies.add(time.Since(before))
+	}
+	run.rate = float64(run.latencies.count()) / time.Since(started).Seconds()
+	return run, nil
+}
