--- a/control/leases.go
+++ b/control/leases.go
@@ -23,6 +23,8 @@
 	grantor  *lease.Grantor
 	gateways map[string]*gatewayState
 	joins    map[consensus.ID]joinRequest
+	// noticed is when each member was first seen in the membership.
+	noticed map[consensus.ID]time.Duration
 
 	notifiedSerial   uint32
 	notifiedActivate uint32
@@ -58,6 +60,7 @@
 			elected:  now,
 			gateways: make(map[string]*gatewayState),
 			joins:    make(map[consensus.ID]joinRequest),
+			noticed:  make(map[consensus.ID]time.Duration),
 		}
 	}
 }
@@ -203,6 +206,14 @@
 	m.propose(now, update, func(registry.Result, error) { done() })
 }
 
+// forgetLapsedLeases drops leases that have run out, so that restarted gateways
+// leave nothing behind.
+func (m *machine) forgetLapsedLeases(now time.Duration) {
+	for _, holder := range m.office.grantor.Expired(now) {
+		m.log.Warn("lease ran out", "gateway", holder.Holder, "incarnation", holder.Incarnation, "term", m.office.term)
+	}
+}
+
 // markLapsedGateways marks gateways down whose leases have run out for longer
 // than the grace, those that never renewed with this primary included.
 func (m *machine) markLapsedGateways(now time.Duration) {
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -22,6 +22,9 @@
 	// feederChange is how long a new feeder of the same cold replica waits, so
 	// that what the feeder before it had under way is seen in a report.
 	feederChange = time.Second
+	// leastWait is the least time, in seconds, that a replica without room is
+	// expected to stay so.
+	leastWait = 0.001
 	// holdSmoothing is the weight of one request in the time a slot is held.
 	holdSmoothing = 0.1
 	// trustSmoothing is the weight of one answer in the trust in expected caches.
@@ -58,6 +61,7 @@
 
 	inFlight     int
 	inFlightLong int
+	wanted       int     // waiting requests that wait for this replica
 	refusals     int     // in a row
 	others       int     // requests of other gateways, by the last report
 	sentTokens   float64 // prefill sent since the last report
@@ -112,10 +116,13 @@
 	if same && report.Sequence < t.report.Sequence {
 		return
 	}
-	if same {
-		t.evictions(report.CacheEvictions - t.report.CacheEvictions)
-	} else {
+	switch {
+	case !same:
 		t.restarted(at)
+	case report.Cold && !t.report.Cold:
+		t.service.index.Forget(t.number)
+	default:
+		t.evictions(report.CacheEvictions - t.report.CacheEvictions)
 	}
 	t.report = report
 	t.reported, t.unknown = true, false
@@ -191,18 +198,18 @@
 }
 
 // startRamp begins a ramp for a new incarnation, after a long closure, and when
-// a fed replica has become warm.
+// a replica has become cold or warm.
 func (t *replica) startRamp(now time.Time, was bool) {
 	fresh := t.rampedFor != t.report.Incarnation
 	long := !was && now.Sub(t.closedAt) >= longClosure
 	bound := t.bound()
-	if fresh || long {
+	additive := t.ramp != nil && t.ramp.Growth() == ramp.Additive
+	if fresh || long || (t.cold() && !additive) {
 		t.rampedFor = t.report.Incarnation
 		t.ramp = t.newRamp(bound)
 		return
 	}
-	becameWarm := t.ramp != nil && t.ramp.Growth() == ramp.Additive && !t.cold()
-	if becameWarm {
+	if additive && !t.cold() {
 		t.ramp = ramp.New(ramp.Doubling, t.ramp.Limit(), bound)
 	}
 }
@@ -262,6 +269,20 @@
 	return t.inFlightLong < max(1, long/gateways) || t.busy() < long
 }
 
+// waitForRoom is the expected time until the replica has room for a waiter, in
+// seconds, behind the others that wait for it.
+func (t *replica) waitForRoom(w *waiter) float64 {
+	ahead := t.wanted
+	if w.wants == t {
+		ahead--
+	}
+	hold := t.hold
+	if hold <= 0 {
+		hold = t.service.hold
+	}
+	return max(leastWait, float64(ahead+1)*hold/float64(t.ceiling()))
+}
+
 // busy counts the requests on the replica, as far as known.
 func (t *replica) busy() int {
 	return t.inFlight + t.others
