Honor issued tickets while leaving, and test leaving and the operators' port

Cause: callers that had just been sent to a gateway were refused when it was told to stop; nothing showed that a stop lets streams finish. Change: tickets from before are taken for 2 s more; failures of requests are logged, five lines a second at the most; what a replica says of its service no longer names the key under which its configuration version is kept. Measured: go test -race ./gateway/... ./ticket passes.

--- a/cmd/deckpulley-gateway/daemon.go
+++ b/cmd/deckpulley-gateway/daemon.go
@@ -184,8 +184,7 @@
 	defer cancel()
 	for _, server := range []*http.Server{d.callers, d.operators} {
 		if err := server.Shutdown(ctx); err != nil {
-			d.log.Warn("a port was closed with connections open", "error", err)
-			server.Close()
+			d.log.Warn("a port is closed with connections open", "error", err, "close", server.Close())
 		}
 	}
 	if err := d.network.Close(); err != nil {
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -68,7 +68,7 @@
 }
 
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if failure := g.mayPlace(); failure != nil {
+	if failure := g.mayAccept(); failure != nil {
 		writeError(w, failure)
 		return
 	}
@@ -110,7 +110,7 @@
 	if failure != nil {
 		copied := *failure
 		copied.RequestID = request.RequestID
-		g.metrics.noteRequest(&request, &copied, started)
+		g.noteRequest(&request, &copied, started)
 		writeError(w, &copied)
 		return
 	}
@@ -118,6 +118,17 @@
 	g.answer(w, r, &request, reader, started)
 }
 
+// noteRequest counts a request that is over, and logs some of those that went
+// wrong.
+func (g *Gateway) noteRequest(request *api.GenerateRequest, failure *api.Error, started time.Time) {
+	g.metrics.noteRequest(request, failure, started)
+	if failure == nil || !g.failures.Allow() {
+		return
+	}
+	g.log.Info("request without an answer", "request", request.RequestID, "model", request.Model,
+		"outcome", failure.Outcome, "code", failure.Code, "reason", failure.Message, "elapsed", time.Since(started))
+}
+
 // answer copies an execution's output to the caller. It panics with
 // http.ErrAbortHandler where the connection must not end cleanly.
 func (g *Gateway) answer(w http.ResponseWriter, r *http.Request, request *api.GenerateRequest, reader *follower, started time.Time) {
@@ -125,11 +136,11 @@
 	for {
 		frames, ended, err := reader.next(r.Context())
 		if err != nil {
-			g.metrics.noteRequest(request, failed(api.CodeCanceled, api.OutcomeUnknown, "the caller went away"), started)
+			g.noteRequest(request, failed(api.CodeCanceled, api.OutcomeUnknown, "the caller went away"), started)
 			panic(http.ErrAbortHandler)
 		}
 		if ended != nil {
-			g.metrics.noteRequest(request, ended.failure, started)
+			g.noteRequest(request, ended.failure, started)
 			finishAnswer(w, writer, ended)
 			return
 		}
@@ -138,7 +149,7 @@
 			writer = stream.NewWriter(w, writeTimeout)
 		}
 		if err := writer.Frames(frames); err != nil {
-			g.metrics.noteRequest(request, failed(api.CodeCanceled, api.OutcomeUnknown, "the caller went away"), started)
+			g.noteRequest(request, failed(api.CodeCanceled, api.OutcomeUnknown, "the caller went away"), started)
 			panic(http.ErrAbortHandler)
 		}
 	}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -44,6 +44,7 @@
 	table    *registry.Table
 	silent   bool   // grants nothing
 	activate uint32 // limit of activation; 0 is the newest serial
+	orders   []peer.OrderRequest
 }
 
 func newPrimary(t testing.TB, network transport.Network) *primary {
@@ -54,6 +55,7 @@
 	p := &primary{table: table}
 	network.Handle(peer.KindRenew, p.renew)
 	network.Handle(peer.KindUpdate, p.update)
+	network.Handle(peer.KindOrder, p.order)
 	if err := network.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -101,6 +103,17 @@
 	return &peer.UpdateReply{Code: result.Code, Serial: result.Serial}, nil
 }
 
+func (p *primary) order(_ context.Context, _ string, decode func(any) error) (any, error) {
+	var order peer.OrderRequest
+	if err := decode(&order); err != nil {
+		return nil, err
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.orders = append(p.orders, order)
+	return &peer.OrderReply{Answer: &api.OrderAnswer{Accepted: true}}, nil
+}
+
 func (p *primary) apply(changes ...registry.Record) {
 	update := registry.NewUpdate(places.Apex, nil, changes)
 	if result := p.table.Apply(&update, nil); result.Code != registry.NoError {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/time/rate"
 
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/gateway/agent"
@@ -84,15 +85,26 @@
 	MaxConnections int
 	// StopTimeout bounds how long a stopping gateway lets requests finish. Optional.
 	StopTimeout time.Duration
-	Logger      *slog.Logger
+	// HonorTickets is how long a stopping gateway takes requests with tickets that
+	// it issued before. Optional; it is a part of StopTimeout.
+	HonorTickets time.Duration
+	Logger       *slog.Logger
 }
 
+const (
+	// honorPause is the time between two looks at the tickets while leaving.
+	honorPause = 20 * time.Millisecond
+	// failureLinesPerSecond bounds the log lines about requests that went wrong.
+	failureLinesPerSecond = 5
+)
+
 // Defaults of Options.
 const (
 	defaultPollInterval   = 500 * time.Millisecond
 	defaultPollTimeout    = time.Second
 	defaultMaxConnections = 1024
 	defaultStopTimeout    = 20 * time.Second
+	defaultHonorTickets   = 2 * time.Second
 )
 
 func (o *Options) withDefaults() {
@@ -127,6 +139,9 @@
 	if o.StopTimeout == 0 {
 		o.StopTimeout = defaultStopTimeout
 	}
+	if o.HonorTickets == 0 {
+		o.HonorTickets = defaultHonorTickets
+	}
 }
 
 // Gateway is one gateway process. It is safe for concurrent use.
@@ -144,6 +159,9 @@
 	metrics  *metrics
 	counter  atomic.Uint64 // makes offer ids unique
 	draining atomic.Bool
+	// drainedAt is the time of Drain in nanoseconds of the clock.
+	drainedAt atomic.Int64
+	failures  *rate.Limiter // of log lines about requests
 	// work ends when the process stops waiting for requests.
 	work     context.Context
 	stopWork context.CancelCauseFunc
@@ -167,6 +185,7 @@
 		offers:   newOfferBook(),
 		bodies:   newByteBudget(maxBodyBytesInFlight),
 		running:  newActivity(),
+		failures: rate.NewLimiter(failureLinesPerSecond, failureLinesPerSecond),
 		random:   rand.New(rand.NewPCG(options.Seed, 0x6761746577617921)),
 		seen:     make(map[string]uint64),
 		reported: make(map[string]time.Time),
@@ -228,8 +247,26 @@
 	}()
 }
 
-// Drain takes nothing new from now on.
-func (g *Gateway) Drain() { g.draining.Store(true) }
+// Drain takes nothing new from now on, except what comes with a ticket that was
+// issued before, for a short time.
+func (g *Gateway) Drain() {
+	g.drainedAt.Store(int64(g.options.Clock()))
+	g.draining.Store(true)
+}
+
+// honors tells that a leaving gateway still takes requests with its tickets.
+func (g *Gateway) honors() bool {
+	return g.options.Clock()-time.Duration(g.drainedAt.Load()) < g.options.HonorTickets
+}
+
+// awaitTickets waits until every issued ticket is used or no longer honored.
+func (g *Gateway) awaitTickets(ctx context.Context) {
+	for g.honors() && g.unusedTickets() > 0 {
+		if !sleep(ctx, honorPause) {
+			return
+		}
+	}
+}
 
 // Stop drains, lets what runs finish for a bounded time, gives the lease up and
 // ends everything. The context ends the waiting early.
@@ -237,6 +274,7 @@
 	g.Drain()
 	waiting, cancel := context.WithTimeout(ctx, g.options.StopTimeout)
 	defer cancel()
+	g.awaitTickets(waiting)
 	if !g.running.idle(waiting) {
 		g.log.Warn("requests are cut off", "requests", g.running.count())
 	}
@@ -261,11 +299,16 @@
 	g.log.Info("configuration copy active", "serial", contents.Serial(), "version", contents.Version())
 }
 
-// mayPlace is why the gateway may not place a request now; nil if it may.
-func (g *Gateway) mayPlace() *api.Error {
+// mayAccept is why the gateway may not take anything new; nil if it may.
+func (g *Gateway) mayAccept() *api.Error {
 	if g.draining.Load() {
 		return refusedLater(api.CodeNotReady, comeBack, "the gateway is leaving")
 	}
+	return g.mayPlace()
+}
+
+// mayPlace is why the gateway may not place a request now; nil if it may.
+func (g *Gateway) mayPlace() *api.Error {
 	if !g.agent.Valid() {
 		return refusedLater(api.CodeNoLease, comeBack, "the gateway has no lease from the primary")
 	}
@@ -316,11 +359,10 @@
 	}
 }
 
-func (g *Gateway) noteReport(slot *routing.Slot, report *api.ReplicaReport) {
-	if report == nil {
-		return
+func (g *Gateway) noteReport(service string, report *api.ReplicaReport) {
+	if report != nil {
+		g.noteVersion(service, report.ConfigurationVersion)
 	}
-	g.noteVersion(report.Service, report.ConfigurationVersion)
 }
 
 // learnVersion asks a replica that refused a stale configuration which one it
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -491,6 +492,128 @@
 	}
 }
 
+// TestStop lets a gateway leave while a stream runs and a ticket is unused.
+func TestStop(t *testing.T) {
+	f := newFleet(t)
+	replica := f.replica("r1", "north")
+	g := f.gateway("g1", "north", "a", func(options *Options) {
+		options.StopTimeout, options.HonorTickets = patience, patience
+	})
+	f.ready(g)
+	started, release := make(chan struct{}), make(chan struct{})
+	replica.behave(func(w http.ResponseWriter, r *http.Request, request *api.ReplicaRequest) {
+		if request.RequestID != "running" {
+			answerWhole(w, r, request)
+			return
+		}
+		close(started)
+		<-release
+		answerStream(w, request, 5)
+	})
+	running := question("running")
+	running.Stream = true
+	running, _ = g.where(t, running)
+	issued, _ := g.where(t, question("issued"))
+	done := make(chan *reply, 1)
+	go func() { done <- g.send(t, running) }()
+	<-started
+	stopped := make(chan struct{})
+	go func() {
+		g.Stop(context.Background())
+		close(stopped)
+	}()
+	waitFor(t, "the gateway to leave", g.draining.Load)
+	fresh := question("fresh")
+	fresh.Repeatable = true
+	if got := g.send(t, fresh); got.outcome() != "not_ready/refused" {
+		t.Errorf("new request: %s", got.outcome())
+	}
+	if got := g.send(t, issued); got.outcome() != "success" {
+		t.Errorf("request with a ticket from before: %s", got.outcome())
+	}
+	close(release)
+	if got := <-done; got.outcome() != "success" || got.pieces != 5 {
+		t.Errorf("running stream: %s with %d pieces", got.outcome(), got.pieces)
+	}
+	select {
+	case <-stopped:
+	case <-time.After(patience):
+		t.Fatal("does not stop")
+	}
+	f.primary.mutex.Lock()
+	defer f.primary.mutex.Unlock()
+	contents, err := places.Read(f.primary.table.View())
+	if err != nil || contents.Gateways()["g1"].Up || g.agent.Valid() {
+		t.Errorf("the lease was not given up: %+v %v", contents.Gateways()["g1"], err)
+	}
+}
+
+// tokenOf accepts one Authorization header.
+type tokenOf string
+
+func (token tokenOf) Authenticate(header string) (string, bool) {
+	return "platform", header == string(token)
+}
+
+// TestOperatorsPort reads a gateway's status, replicas and metrics, and hands
+// over a list of replicas.
+func TestOperatorsPort(t *testing.T) {
+	f := newFleet(t)
+	f.replica("r1", "north")
+	g := f.gateway("g1", "north", "a", func(options *Options) {
+		options.Tokens = func() Authenticator { return tokenOf("Bearer secret") }
+	})
+	f.ready(g)
+	server := httptest.NewServer(g.OperatorsServer().Handler)
+	defer server.Close()
+	ask := func(method, path, token, body string) (int, string) {
+		t.Helper()
+		request, err := http.NewRequest(method, server.URL+path, strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("Authorization", token)
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer response.Body.Close()
+		answer, err := readBounded(response.Body, 1<<20)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return response.StatusCode, string(answer)
+	}
+	list := `{"replicas":[{"id":"r9","service":"explain","zone":"north-1","address":"127.0.0.1:1"}]}`
+	tests := []struct {
+		method, path, token, body string
+		status                    int
+		contains                  string
+	}{
+		{"GET", api.PathStatus, "", "", 200, `"active_version":1`},
+		{"GET", api.PathReplicas, "", "", 200, `"id":"r1"`},
+		{"GET", api.PathMetrics, "", "", 200, "deckpulley_gateway_active_version 1"},
+		{"GET", api.PathMetrics, "", "", 200, `deckpulley_gateway_controller_set_point{controller="retry_ratio"`},
+		{"GET", api.PathReady, "", "", 200, "{}"},
+		{"GET", "/debug/pprof/cmdline", "", "", 200, ""},
+		{"PUT", api.PathReplicas, "Bearer wrong", list, 401, `"code":"unauthorized"`},
+		{"PUT", api.PathReplicas, "Bearer secret", `{"replicas":[{"name":"r9"}]}`, 400, `"field":"name"`},
+		{"PUT", api.PathReplicas, "Bearer secret", list, 200, `"accepted":true`},
+		{"DELETE", api.PathReplicas, "Bearer secret", "", 405, ""},
+	}
+	for _, test := range tests {
+		status, body := ask(test.method, test.path, test.token, test.body)
+		if status != test.status || !strings.Contains(body, test.contains) {
+			t.Errorf("%s %s: status %d: %.300s", test.method, test.path, status, body)
+		}
+	}
+	f.primary.mutex.Lock()
+	defer f.primary.mutex.Unlock()
+	if len(f.primary.orders) != 1 || f.primary.orders[0].Replicas.Replicas[0].ID != "r9" {
+		t.Errorf("orders %+v", f.primary.orders)
+	}
+}
+
 // TestWithdraw shows which offers are confirmed never to run.
 func TestWithdraw(t *testing.T) {
 	f := newFleet(t)
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -39,6 +39,10 @@
 	Close() error
 }
 
+// closeEvents gives a stream up; its connection is then closed or reused, and
+// neither matters to the request.
+func closeEvents(events streamReader) { _ = events.Close() }
+
 // errNotAnswer means that a peer sent events that make no answer.
 var errNotAnswer = errors.New("gateway: peer's events do not belong together")
 
@@ -230,7 +234,7 @@
 			unsent:   true,
 		}
 	}
-	defer events.Close()
+	defer closeEvents(events)
 	r.spare = false
 	final, err := consume(running, events, r.execution)
 	if err != nil {
@@ -413,7 +417,7 @@
 }
 
 func (g *Gateway) grant(asked *peer.Offer) (*peer.OfferReply, *api.Error) {
-	if failure := g.mayPlace(); failure != nil {
+	if failure := g.mayAccept(); failure != nil {
 		return nil, failure
 	}
 	asked.Request.WaitMS = asked.TimeLeft
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -98,6 +98,13 @@
 	return g.owner.ledger.Len()
 }
 
+// unusedTickets counts the tickets that may still be used for the first time.
+func (g *Gateway) unusedTickets() int {
+	g.owner.mutex.Lock()
+	defer g.owner.mutex.Unlock()
+	return g.owner.ledger.Unused(g.options.Clock())
+}
+
 func classLabel(class api.Class) string {
 	if class == "" {
 		return "default"
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -61,7 +61,7 @@
 // one in the region that serves it best. A gateway that leaves gives no tickets
 // of its own.
 func (g *Gateway) where(ctx context.Context, request *api.WhereRequest) (*api.WhereAnswer, *api.Error) {
-	refused := g.mayPlace()
+	refused := g.mayAccept()
 	if refused != nil && !g.mayRefer() {
 		return nil, refused
 	}
@@ -134,7 +134,7 @@
 	if failure := checkWhere(&request.Request); failure != nil {
 		return &peer.MintTicketReply{Error: failure}, nil
 	}
-	if failure := g.mayPlace(); failure != nil {
+	if failure := g.mayAccept(); failure != nil {
 		return &peer.MintTicketReply{Error: failure}, nil
 	}
 	if !g.mayOwn() {
@@ -289,7 +289,7 @@
 		defer g.running.end()
 		defer cancel(nil)
 		work := &runner{gateway: g, request: copied, execution: run, ran: ran}
-		g.resolveAndRun(ctx, work)
+		g.resolveAndRun(ctx, work, owned)
 		if !owned {
 			return
 		}
@@ -299,8 +299,12 @@
 	}
 }
 
-func (g *Gateway) resolveAndRun(ctx context.Context, work *runner) {
-	failure := g.mayPlace()
+func (g *Gateway) resolveAndRun(ctx context.Context, work *runner, owned bool) {
+	check := g.mayAccept
+	if owned && g.honors() {
+		check = g.mayPlace
+	}
+	failure := check()
 	if failure == nil {
 		work.route, failure = g.router.Resolve(work.request, time.Now())
 	}
@@ -343,7 +347,7 @@
 	go func() {
 		defer g.running.end()
 		defer cancel(nil)
-		defer events.Close()
+		defer closeEvents(events)
 		g.copyFromOwner(ctx, events, run)
 	}()
 	return reader, failure
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -496,7 +496,7 @@
 	answer.Report = nil
 	slot.CachedTokens(answer.CachedTokens)
 	slot.Finish(routing.ResultSuccess, report, now)
-	r.gateway.noteReport(slot, report)
+	r.gateway.noteReport(r.route.Service, report)
 	answer.Replica = slot.Replica
 	answer.Region = r.gateway.region()
 	answer.ConfigurationVersion = slot.Version
@@ -553,7 +553,7 @@
 	end.Report = nil
 	slot.CachedTokens(end.CachedTokens)
 	slot.Finish(routing.ResultSuccess, report, time.Now())
-	r.gateway.noteReport(slot, report)
+	r.gateway.noteReport(r.route.Service, report)
 	end.Replica = slot.Replica
 	end.Region = r.gateway.region()
 	end.ConfigurationVersion = slot.Version
--- a/ticket/ledger.go
+++ b/ticket/ledger.go
@@ -234,6 +234,17 @@
 // Len is the number of tickets remembered.
 func (l *Ledger[R]) Len() int { return len(l.entries) }
 
+// Unused is the number of tickets that were not used and have not expired.
+func (l *Ledger[R]) Unused(now time.Duration) int {
+	unused := 0
+	for _, e := range l.entries {
+		if e.state == StateNew && now < e.ticket.Expires {
+			unused++
+		}
+	}
+	return unused
+}
+
 // Retained is the number of bytes of output kept.
 func (l *Ledger[R]) Retained() int { return l.retained }
 
