--- a/gateway/agent/forward.go
+++ b/gateway/agent/forward.go
@@ -50,7 +50,7 @@
 func (a *Agent) forward(ctx context.Context, ask func(address string) (hint string, answered bool, err error)) error {
 	queue := a.Control()
 	asked := make(map[string]bool)
-	var failure error = ErrNoPrimary
+	failure := ErrNoPrimary
 	for len(queue) > 0 && ctx.Err() == nil {
 		address := queue[0]
 		queue = queue[1:]
