Give a repeated question of where to go the same ticket

Cause: each gateway minted a ticket of its own, so a caller whose answer to where was lost could ask another gateway and hold two tickets for one request that must not be repeated; each would have run. Change: the owner of such a request is chosen by rendezvous over its id among the region's gateways; the owner's ledger returns the first ticket, and its word that the id is closed is final. Result: a test that asks two gateways for 16 ids failed before (two tickets) and passes; ownership spreads over both gateways.

--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -385,6 +385,22 @@
 	return request, &answer
 }
 
+// owned asks until an id is found that this gateway owns, and returns the
+// request with its ticket.
+func (n *node) owned(t testing.TB, request api.GenerateRequest) api.GenerateRequest {
+	t.Helper()
+	for try := range 64 {
+		candidate := request
+		candidate.RequestID = fmt.Sprintf("%s-%d", request.RequestID, try)
+		candidate, answer := n.where(t, candidate)
+		if "http://"+answer.Gateway == n.url {
+			return candidate
+		}
+	}
+	t.Fatalf("%s owns none of 64 requests", n.options.Info.Name)
+	return request
+}
+
 func question(id string) api.GenerateRequest {
 	return api.GenerateRequest{RequestID: id, Model: "m", PromptTokens: 10, MaxTokens: 5, WaitMS: 10_000}
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -39,7 +39,7 @@
 			})
 			request := question("once")
 			request.Stream = streamed
-			request, _ = first.where(t, request)
+			request = first.owned(t, request)
 			replies := make([]*reply, 6)
 			var senders sync.WaitGroup
 			for i := range replies {
@@ -47,7 +47,7 @@
 			}
 			waitFor(t, "all senders to join", func() bool {
 				first.owner.mutex.Lock()
-				run, known := first.owner.ledger.Run("once")
+				run, known := first.owner.ledger.Run(request.RequestID)
 				first.owner.mutex.Unlock()
 				if !known {
 					return false
@@ -79,6 +79,29 @@
 	}
 }
 
+// TestAskedTwice asks two gateways where the same request should go. Both name
+// one owner and its one ticket.
+func TestAskedTwice(t *testing.T) {
+	f := newFleet(t)
+	f.replica("r1", "north")
+	first := f.gateway("g1", "north", "a", nil)
+	second := f.gateway("g2", "north", "b", nil)
+	f.ready(first, second)
+	owners := make(map[string]bool)
+	for i := range 16 {
+		id := fmt.Sprintf("asked-%d", i)
+		_, one := first.where(t, question(id))
+		_, other := second.where(t, question(id))
+		if one.Ticket != other.Ticket || one.Gateway != other.Gateway {
+			t.Fatalf("%s: two tickets, of %s and %s", id, one.Gateway, other.Gateway)
+		}
+		owners[one.Gateway] = true
+	}
+	if len(owners) != 2 {
+		t.Fatalf("%d gateways own all requests", len(owners))
+	}
+}
+
 // TestRestartedOwner shows that a ticket dies with the process that issued it.
 func TestRestartedOwner(t *testing.T) {
 	f := newFleet(t)
@@ -86,7 +109,7 @@
 	owner := f.gateway("g1", "north", "a", nil)
 	other := f.gateway("g2", "north", "b", nil)
 	f.ready(owner, other)
-	request, _ := owner.where(t, question("orphan"))
+	request := owner.owned(t, question("orphan"))
 	owner.stop()
 	restarted := f.gateway("g1", "north", "a2", nil)
 	f.ready(restarted, other)
