Add hollow gateways and the measurement of the control plane at growing sizes

Cause: the capacity page needs slopes that were measured. Change: internal/hollow runs the real renewal loops, many to a process, and a replica that computes nothing; deckpulley-scale puts them beside real control processes and a real gateway, fits lines and works out the target size. Result: go test -race ./internal/hollow ./cmd/deckpulley-scale passes (a fleet of three control processes and three gateways, with the loss of the primary).

--- /dev/null
+++ b/cmd/deckpulley-scale/document.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"fmt"
+
+	"go.yaml.in/yaml/v3"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/configuration"
+)
+
+// Shape of the measured configuration: the regions, zones and models of the
+// target size.
+const (
+	regionCount  = 50
+	zoneCount    = 102
+	modelCount   = 28
+	tenantCount  = 1000
+	clientCount  = 100
+	spillTargets = 3
+)
+
+func regionName(index int) string  { return fmt.Sprintf("region-%02d", index) }
+func zoneName(index int) string    { return fmt.Sprintf("zone-%03d", index) }
+func serviceName(index int) string { return fmt.Sprintf("service-%02d", index) }
+func modelName(index int) string   { return fmt.Sprintf("model-%02d", index) }
+
+// regionOfZone spreads the zones evenly.
+func regionOfZone(zone int) int { return zone % regionCount }
+
+// placeOf gives the zone and region of the gateway with an index.
+func placeOf(index int) (zone, region string) {
+	number := index % zoneCount
+	return zoneName(number), regionName(regionOfZone(number))
+}
+
+// documentText is the configuration with one field that changes with each step.
+func documentText(step int) (string, error) {
+	document := configuration.Document{
+		Regions:  make(map[string]configuration.Region),
+		Services: make(map[string]configuration.Service),
+		Routes:   make(map[string]configuration.Route),
+		Clients:  make(map[string]string),
+		Homes:    make(map[string][]string),
+		Tenants:  make(map[string]configuration.Tenant),
+	}
+	for i := range regionCount {
+		region := configuration.Region{Capacity: 10 + i}
+		for zone := i; zone < zoneCount; zone += regionCount {
+			region.Zones = append(region.Zones, zoneName(zone))
+		}
+		for target := 1; target <= spillTargets; target++ {
+			region.Spill = append(region.Spill, regionName((i+target)%regionCount))
+		}
+		document.Regions[regionName(i)] = region
+		document.Homes[fmt.Sprintf("home-%02d", i)] = []string{regionName(i)}
+	}
+	for i := range modelCount {
+		document.Services[serviceName(i)] = configuration.Service{Kind: configuration.KindModel, MaxConcurrency: configuration.MaxConcurrency}
+		document.Routes[modelName(i)] = configuration.Route{Service: serviceName(i), Class: string(api.ClassLong), Weight: 1}
+	}
+	changing := document.Routes[modelName(1)]
+	changing.Weight = 1 + step%configuration.MaxWeight
+	document.Routes[modelName(1)] = changing
+	for i := range clientCount {
+		document.Clients[fmt.Sprintf("clients-%03d", i)] = regionName(i % regionCount)
+	}
+	for i := range tenantCount {
+		tenant := configuration.Tenant{Weight: 1}
+		if i%10 == 0 {
+			tenant.Home = fmt.Sprintf("home-%02d", i%regionCount)
+		}
+		document.Tenants[fmt.Sprintf("tenant-%05d", i)] = tenant
+	}
+	text, err := yaml.Marshal(document)
+	return string(text), err
+}
+
+// replicaList is a platform's list of a number of replicas over all zones.
+func replicaList(count int) api.ReplicaList {
+	list := api.ReplicaList{Replicas: make([]api.ReplicaEntry, count)}
+	for i := range list.Replicas {
+		list.Replicas[i] = api.ReplicaEntry{
+			ID:      fmt.Sprintf("replica-%05d", i),
+			Service: serviceName(i % modelCount),
+			Zone:    zoneName(i % zoneCount),
+			Address: fmt.Sprintf("10.%d.%d.1:8000", i/250, i%250),
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/cmd/deckpulley-scale/measure.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/deckpulley/deckpulley/internal/eventlog"
+)
+
+// Times of one measurement.
+const (
+	settleTime = 2 * time.Second
+	quietTime  = 5 * time.Second
+	changes    = 10
+	burst      = 50
+	mebibyte   = 1 << 20
+)
+
+// reading is what one size costs.
+type reading struct {
+	gateways int
+	replicas int
+
+	primary  cost
+	follower cost
+	// gateway is the hollow process divided by its gateways.
+	gateway cost
+
+	acknowledged []time.Duration // per change, at the sender
+	everywhere   []time.Duration // per change, until the last gateway acted on it
+	perChange    float64         // bytes at the primary for one change
+	perGateway   float64         // bytes at one gateway for one change
+	burst        time.Duration   // for a number of changes one after the other
+	failover     time.Duration   // loss of the primary until the next acknowledgement
+}
+
+// cost is one process at rest, per second.
+type cost struct {
+	messages float64
+	bytes    float64
+	cpu      float64 // share of one core
+	heap     float64 // bytes
+	resident float64 // bytes
+}
+
+// observed are the samples of all processes at one moment.
+type observed struct {
+	primary  sample
+	follower sample
+	hollow   sample
+}
+
+// measurement is one size being measured.
+type measurement struct {
+	group    *group
+	hollow   *process
+	primary  int
+	follower int
+}
+
+func (m *measurement) observe(collect bool) (observed, error) {
+	var all observed
+	for _, one := range []struct {
+		child *process
+		into  *sample
+	}{
+		{m.group.processes[m.primary], &all.primary},
+		{m.group.processes[m.follower], &all.follower},
+		{m.hollow, &all.hollow},
+	} {
+		report, err := one.child.ask(order{Collect: collect})
+		if err != nil {
+			return observed{}, err
+		}
+		*one.into = report
+	}
+	return all, nil
+}
+
+// measureSize measures one number of gateways and replicas.
+func measureSize(ctx context.Context, gateways, replicas int) (reading, error) {
+	result := reading{gateways: gateways, replicas: replicas}
+	g, err := startGroup(ctx, replicaList(replicas))
+	if err != nil {
+		return result, err
+	}
+	defer g.stop()
+	m := &measurement{group: g}
+	if m.hollow, err = g.startHollow(gateways); err != nil {
+		return result, err
+	}
+	defer m.hollow.stop()
+	if m.primary, err = g.primary(); err != nil {
+		return result, err
+	}
+	m.follower = (m.primary + 1) % controlCount
+	for _, step := range []func(*reading) error{m.atRest, m.underChanges, m.inBurst, m.afterLoss} {
+		if err := step(&result); err != nil {
+			return result, fmt.Errorf("%d gateways, %d replicas: %w", gateways, replicas, err)
+		}
+	}
+	return result, nil
+}
+
+func (m *measurement) atRest(into *reading) error {
+	time.Sleep(settleTime)
+	before, err := m.observe(true)
+	if err != nil {
+		return err
+	}
+	time.Sleep(quietTime)
+	after, err := m.observe(true)
+	if err != nil {
+		return err
+	}
+	into.primary = costBetween(before.primary, after.primary)
+	into.follower = costBetween(before.follower, after.follower)
+	into.gateway = costBetween(before.hollow, after.hollow).dividedBy(float64(into.gateways))
+	return nil
+}
+
+func costBetween(before, after sample) cost {
+	seconds := float64(after.At-before.At) / float64(time.Second)
+	messagesBefore, bytesBefore := before.traffic()
+	messagesAfter, bytesAfter := after.traffic()
+	return cost{
+		messages: (messagesAfter - messagesBefore) / seconds,
+		bytes:    (bytesAfter - bytesBefore) / seconds,
+		cpu:      float64(after.CPU-before.CPU) / float64(after.At-before.At),
+		heap:     float64(after.Heap),
+		resident: float64(after.Resident),
+	}
+}
+
+func (c cost) dividedBy(count float64) cost {
+	return cost{messages: c.messages / count, bytes: c.bytes / count, cpu: c.cpu / count, heap: c.heap / count, resident: c.resident / count}
+}
+
+func (m *measurement) underChanges(into *reading) error {
+	before, err := m.observe(false)
+	if err != nil {
+		return err
+	}
+	for range changes {
+		sent := eventlog.Now()
+		acknowledged, err := m.group.change()
+		if err != nil {
+			return err
+		}
+		last, err := m.activatedAt(into.gateways)
+		if err != nil {
+			return err
+		}
+		into.acknowledged = append(into.acknowledged, acknowledged)
+		into.everywhere = append(into.everywhere, time.Duration(last-sent))
+	}
+	after, err := m.observe(false)
+	if err != nil {
+		return err
+	}
+	into.perChange = extraBytes(before.primary, after.primary, into.primary.bytes) / changes
+	into.perGateway = extraBytes(before.hollow, after.hollow, into.gateway.bytes*float64(into.gateways)) / changes / float64(into.gateways)
+	return nil
+}
+
+// extraBytes is what was sent and received beyond the rate at rest.
+func extraBytes(before, after sample, rate float64) float64 {
+	_, bytesBefore := before.traffic()
+	_, bytesAfter := after.traffic()
+	return bytesAfter - bytesBefore - rate*float64(after.At-before.At)/float64(time.Second)
+}
+
+// activatedAt returns when the last gateway made the newest version active.
+func (m *measurement) activatedAt(gateways int) (int64, error) {
+	report, err := m.hollow.ask(order{Version: m.group.version})
+	if err != nil {
+		return 0, err
+	}
+	if report.Activated != gateways {
+		return 0, fmt.Errorf("version %d was acknowledged, but is active at %d of %d gateways", m.group.version, report.Activated, gateways)
+	}
+	return report.ActivatedAt, nil
+}
+
+func (m *measurement) inBurst(into *reading) error {
+	began := time.Now()
+	for range burst {
+		if _, err := m.group.change(); err != nil {
+			return err
+		}
+	}
+	into.burst = time.Since(began)
+	return nil
+}
+
+func (m *measurement) afterLoss(into *reading) error {
+	took, err := m.group.killPrimary(m.primary)
+	into.failover = took
+	if err != nil {
+		return err
+	}
+	return awaitLeases(m.group.ctx, m.hollow, into.gateways)
+}
+
+func median(durations []time.Duration) time.Duration {
+	sorted := slices.Sorted(slices.Values(durations))
+	return sorted[len(sorted)/2]
+}
--- /dev/null
+++ b/cmd/deckpulley-scale/report.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"strings"
+	"time"
+)
+
+// Markers of the generated part of the page.
+const (
+	beginMarker = "<!-- begin of the measured tables: written by make capacity -->"
+	endMarker   = "<!-- end of the measured tables -->"
+)
+
+// measured is everything that was measured.
+type measured struct {
+	began      time.Time
+	took       time.Duration
+	byGateways []reading
+	byReplicas []reading
+	relays     []relayReading
+	poll       pollReading
+}
+
+// writeBetweenMarkers replaces the generated part of a page.
+func writeBetweenMarkers(path, text string) error {
+	page, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	before, rest, begins := strings.Cut(string(page), beginMarker)
+	_, after, ends := strings.Cut(rest, endMarker)
+	if !begins || !ends {
+		return fmt.Errorf("%s lacks the markers %q and %q", path, beginMarker, endMarker)
+	}
+	return os.WriteFile(path, []byte(before+beginMarker+"\n"+text+endMarker+after), 0o644)
+}
+
+// markdown builds tables.
+type markdown struct{ strings.Builder }
+
+func (m *markdown) row(cells ...string) {
+	m.WriteString("| " + strings.Join(cells, " | ") + " |\n")
+}
+
+func (m *markdown) head(cells ...string) {
+	m.row(cells...)
+	rules := make([]string, len(cells))
+	for i := range rules {
+		rules[i] = "---"
+	}
+	m.row(rules...)
+}
+
+func (m *markdown) paragraph(format string, arguments ...any) {
+	fmt.Fprintf(m, "\n"+format+"\n\n", arguments...)
+}
+
+// tables is the generated part of the page.
+func (r *measured) tables() string {
+	m := &markdown{}
+	m.paragraph("Measured on %s on a machine of %d cores shared with other work, in %.0f s, over the loopback interface. Processor time is that of the process, user and system, so that other work disturbs it little; times of day are disturbed more.",
+		r.began.Format("2006-01-02"), runtime.NumCPU(), r.took.Seconds())
+	r.sizes(m, "### By the number of gateways", r.byGateways)
+	r.sizes(m, "### By the number of listed replicas", r.byReplicas)
+	r.relayTable(m)
+	r.slopeTable(m)
+	r.targetTable(m)
+	return m.String()
+}
+
+func (r *measured) sizes(m *markdown, title string, readings []reading) {
+	m.WriteString("\n" + title + "\n\n")
+	m.head("gateways", "replicas", "primary: B/s", "frames/s", "core", "heap MiB", "resident MiB",
+		"follower: core", "resident MiB", "gateway: B/s", "frames/s", "core", "heap MiB",
+		"change: B at primary", "B at gateway", "acknowledged, median", "longest", "active at the last gateway, longest", "50 in a row", "loss of the primary")
+	for _, one := range readings {
+		m.row(
+			fmt.Sprint(one.gateways), fmt.Sprint(one.replicas),
+			number(one.primary.bytes), number(one.primary.messages), percent(one.primary.cpu), number(one.primary.heap/mebibyte), number(one.primary.resident/mebibyte),
+			percent(one.follower.cpu), number(one.follower.resident/mebibyte),
+			number(one.gateway.bytes), number(one.gateway.messages), percent(one.gateway.cpu), number(one.gateway.heap/mebibyte),
+			number(one.perChange), number(one.perGateway),
+			millis(median(one.acknowledged)), millis(longest(one.acknowledged)), millis(longest(one.everywhere)),
+			seconds(one.burst), seconds(one.failover),
+		)
+	}
+}
+
+func (r *measured) relayTable(m *markdown) {
+	m.WriteString("\n### Streams through one real gateway\n\n")
+	m.head("streams", "events/s", "core", "resident MiB", "failed")
+	for _, one := range r.relays {
+		m.row(fmt.Sprint(one.streams), number(one.events), percent(one.cpu), number(one.resident/mebibyte), fmt.Sprint(one.failed))
+	}
+	m.paragraph("One poll of a replica's report: %s bytes both ways and %.0f µs of processor time at both ends together (%d polls over one connection).",
+		number(r.poll.bytes), r.poll.cpu*1e6, pollCount)
+}
+
+func (r *measured) slopeTable(m *markdown) {
+	m.WriteString("\n### Slopes\n\n")
+	m.head("figure", "unit", "intercept", "slope", "per", "largest residual", "points", "up to")
+	for _, s := range r.slopes() {
+		m.row(s.name, s.unit, number(s.Intercept), number(s.Slope), s.per, number(s.Residual), fmt.Sprint(s.Points), number(s.Highest))
+	}
+}
+
+func (r *measured) targetTable(m *markdown) {
+	m.WriteString("\n### The target size\n\n")
+	m.head("role", "figure", "worked out as", "value", "bound", "verdict", "mechanism that carries it")
+	for _, t := range r.targets() {
+		m.row(t.role, t.figure, t.formula, t.value, t.bound, string(t.verdict), t.mechanism)
+	}
+}
+
+func longest(durations []time.Duration) time.Duration {
+	var found time.Duration
+	for _, one := range durations {
+		found = max(found, one)
+	}
+	return found
+}
+
+// number keeps three significant digits.
+func number(value float64) string {
+	switch size := max(value, -value); {
+	case size >= 100:
+		return fmt.Sprintf("%.0f", value)
+	case size >= 10:
+		return fmt.Sprintf("%.1f", value)
+	case size >= 1:
+		return fmt.Sprintf("%.2f", value)
+	default:
+		return fmt.Sprintf("%.3g", value)
+	}
+}
+
+func percent(share float64) string { return number(100*share) + "%" }
+
+func millis(duration time.Duration) string {
+	return number(float64(duration)/float64(time.Millisecond)) + " ms"
+}
+
+func seconds(duration time.Duration) string { return number(duration.Seconds()) + " s" }
--- /dev/null
+++ b/cmd/deckpulley-scale/scale_test.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/deckpulley/deckpulley/configuration"
+)
+
+// The tests start this binary again as the children of a measurement.
+func TestMain(m *testing.M) {
+	if len(os.Args) == 2 && os.Args[1] == childArgument {
+		if err := serveOrders(os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(exitFailure)
+		}
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+func TestFit(t *testing.T) {
+	found := fit([]float64{1, 2, 3, 4}, []float64{5, 7, 9, 11})
+	if math.Abs(found.Slope-2) > 1e-9 || math.Abs(found.Intercept-3) > 1e-9 || found.Residual > 1e-9 || found.Highest != 4 {
+		t.Errorf("an exact line: %+v", found)
+	}
+	bent := fit([]float64{0, 1, 2}, []float64{0, 3, 0})
+	if math.Abs(bent.Residual-2) > 1e-9 || math.Abs(bent.at(10)-1) > 1e-9 {
+		t.Errorf("a bent one: %+v", bent)
+	}
+}
+
+func TestVerdicts(t *testing.T) {
+	for _, c := range []struct {
+		value, bound, size, measuredTo float64
+		want                           verdict
+	}{
+		{2, 1, 10, 10, notMet},
+		{1, 1, 10, 10, metMeasured},
+		{1, 1, 10, 9, metExtrapolated},
+		{math.NaN(), 1, 10, 10, notMet},
+	} {
+		if got := judge(c.value, c.bound, c.size, c.measuredTo); got != c.want {
+			t.Errorf("%+v: %s", c, got)
+		}
+	}
+}
+
+func TestWriteBetweenMarkers(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "page.md")
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("a\n" + beginMarker + "\nold\n" + endMarker + "\nz\n")
+	if err := writeBetweenMarkers(path, "new\n"); err != nil {
+		t.Fatal(err)
+	}
+	got, err := os.ReadFile(path)
+	if want := "a\n" + beginMarker + "\nnew\n" + endMarker + "\nz\n"; err != nil || string(got) != want {
+		t.Errorf("got %q, %v", got, err)
+	}
+	write("a page without markers")
+	if err := writeBetweenMarkers(path, "new"); err == nil {
+		t.Error("a page without markers was changed")
+	}
+}
+
+func TestDocumentsAreValidAndDiffer(t *testing.T) {
+	first, err := documentText(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := documentText(2)
+	if err != nil || first == second {
+		t.Fatalf("the second document equals the first, or %v", err)
+	}
+	document, err := configuration.Parse(second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := document.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	zones := 0
+	for _, region := range document.Regions {
+		zones += len(region.Zones)
+	}
+	if len(document.Regions) != regionCount || zones != zoneCount || len(document.Routes) != modelCount {
+		t.Errorf("%d regions, %d zones, %d routes", len(document.Regions), zones, len(document.Routes))
+	}
+}
+
+// TestSmallFleet runs the parts of a measurement with real processes: what is
+// acknowledged must be active at every hollow gateway, also after the primary was
+// lost.
+func TestSmallFleet(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	g, err := startGroup(ctx, replicaList(20))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer g.stop()
+	const gateways = 3
+	child, err := g.startHollow(gateways)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer child.stop()
+	primary, err := g.primary()
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &measurement{group: g, hollow: child, primary: primary, follower: (primary + 1) % controlCount}
+	result := reading{gateways: gateways}
+	if err := m.underChanges(&result); err != nil {
+		t.Fatal(err)
+	}
+	if len(result.everywhere) != changes || result.perChange <= 0 || result.perGateway <= 0 {
+		t.Errorf("changes left no trace: %+v", result)
+	}
+	if err := m.afterLoss(&result); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := m.activatedAt(gateways); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestReportNamesEveryFigure(t *testing.T) {
+	one := func(gateways, replicas int) reading {
+		return reading{gateways: gateways, replicas: replicas, acknowledged: []time.Duration{1}, everywhere: []time.Duration{1}, burst: 1}
+	}
+	results := measured{
+		byGateways: []reading{one(1, 9), one(2, 9), one(3, 9)},
+		byReplicas: []reading{one(5, 1), one(5, 2), one(5, 3)},
+		relays:     []relayReading{{events: 1, cpu: 1}, {events: 2, cpu: 2}, {events: 3, cpu: 3}},
+	}
+	text := results.tables()
+	if strings.Contains(text, "NaN") || strings.Contains(text, "%!") {
+		t.Errorf("the report has holes:\n%s", text)
+	}
+	for _, row := range results.targets() {
+		if !strings.Contains(text, "| "+row.role+" | "+row.figure+" |") || row.mechanism == "" || row.verdict == "" {
+			t.Errorf("row %+v is missing or incomplete", row)
+		}
+	}
+}
+
+func TestPollIsMeasured(t *testing.T) {
+	poll, err := measurePoll(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if poll.bytes < 300 || poll.bytes > 3000 || poll.cpu <= 0 {
+		t.Errorf("one poll: %+v", poll)
+	}
+}
+
+func TestPlansAreChecked(t *testing.T) {
+	good := plan{gateways: []int{1, 2, 3}, replicas: []int{1, 2, 3}, streams: []int{1, 2, 3}}
+	if err := good.check(); err != nil {
+		t.Error(err)
+	}
+	short, zero := good, good
+	short.streams, zero.gateways = []int{1, 2}, []int{0, 1, 2}
+	for _, bad := range []plan{short, zero} {
+		if bad.check() == nil {
+			t.Errorf("accepted %+v", bad)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/deckpulley-scale/target.go
@@ -0,0 +1,252 @@
+package main
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// The target size and its bounds.
+const (
+	targetGateways  = 402
+	targetReplicas  = 12_000
+	targetRegions   = 50
+	targetEvents    = 5.5e6 // tokens a second, one event each
+	targetRequests  = 12_000
+	changesPerDay   = 52_000
+	restartsPerDay  = 1600 + 72
+	secondsPerDay   = 86_400
+	boundCore       = 0.015
+	boundBytes      = 14 << 10
+	boundMemory     = 32 << 20
+	boundInForce    = 8 * time.Second
+	pollsPerSecond  = 2 // of one replica by one gateway
+	updatesPerStart = 4 // registry updates for one restart: down, up, and both member records
+	usableCore      = 0.6
+	relayCount      = 13 // of 18 machines, beside 5 voters
+)
+
+// verdict says how sure a figure is and whether it keeps its bound.
+type verdict string
+
+const (
+	metMeasured     verdict = "met by measurement"
+	metExtrapolated verdict = "met by extrapolation"
+	notMet          verdict = "**not met**"
+	estimatedOnly   verdict = "estimated only"
+	noBound         verdict = "no bound"
+)
+
+// slope is a named line.
+type slope struct {
+	line
+	name string
+	unit string
+	per  string
+}
+
+const (
+	perGateway = "gateway"
+	perReplica = "replica"
+	perEvent   = "event/s"
+)
+
+// sloped fits one figure over readings.
+func sloped(name, unit, per string, readings []reading, figure func(reading) float64) slope {
+	var x, y []float64
+	for _, one := range readings {
+		size := one.gateways
+		if per == perReplica {
+			size = one.replicas
+		}
+		x = append(x, float64(size))
+		y = append(y, figure(one))
+	}
+	return slope{line: fit(x, y), name: name, unit: unit, per: per}
+}
+
+// lines are the slopes that the target is worked out from.
+type lines struct {
+	primaryBytes, primaryCPU, primaryMemory        slope
+	followerBytes, followerCPU, followerMemory     slope
+	gatewayBytes, gatewayCPU, gatewayHeap          slope
+	changeBytes, changeGateway, inForce, failover  slope
+	burstTime                                      slope
+	primaryPerReplica, gatewayPerReplica, inForceR slope
+	relayCPU, relayMemory                          slope
+}
+
+func (r *measured) lines() lines {
+	g, s := r.byGateways, r.byReplicas
+	l := lines{
+		primaryBytes:   sloped("primary, traffic at rest", "B/s", perGateway, g, func(one reading) float64 { return one.primary.bytes }),
+		primaryCPU:     sloped("primary, processor at rest", "core", perGateway, g, func(one reading) float64 { return one.primary.cpu }),
+		primaryMemory:  sloped("primary, resident memory", "B", perGateway, g, func(one reading) float64 { return one.primary.resident }),
+		followerBytes:  sloped("follower, traffic at rest", "B/s", perGateway, g, func(one reading) float64 { return one.follower.bytes }),
+		followerCPU:    sloped("follower, processor at rest", "core", perGateway, g, func(one reading) float64 { return one.follower.cpu }),
+		followerMemory: sloped("follower, resident memory", "B", perGateway, g, func(one reading) float64 { return one.follower.resident }),
+		gatewayBytes:   sloped("gateway, traffic at rest", "B/s", perGateway, g, func(one reading) float64 { return one.gateway.bytes }),
+		gatewayCPU:     sloped("gateway, processor at rest", "core", perGateway, g, func(one reading) float64 { return one.gateway.cpu }),
+		gatewayHeap:    sloped("gateway, heap and stacks", "B", perGateway, g, func(one reading) float64 { return one.gateway.heap }),
+		changeBytes:    sloped("primary, one change", "B", perGateway, g, func(one reading) float64 { return one.perChange }),
+		changeGateway:  sloped("gateway, one change", "B", perGateway, g, func(one reading) float64 { return one.perGateway }),
+		inForce:        sloped("change in force everywhere, longest", "s", perGateway, g, longestInForce),
+		burstTime:      sloped("50 changes one after the other", "s", perGateway, g, func(one reading) float64 { return one.burst.Seconds() }),
+		failover:       sloped("loss of the primary to the next acknowledgement", "s", perGateway, g, func(one reading) float64 { return one.failover.Seconds() }),
+
+		primaryPerReplica: sloped("primary, resident memory", "B", perReplica, s, func(one reading) float64 { return one.primary.resident }),
+		gatewayPerReplica: sloped("gateway, heap and stacks", "B", perReplica, s, func(one reading) float64 { return one.gateway.heap }),
+		inForceR:          sloped("change in force everywhere, longest", "s", perReplica, s, longestInForce),
+	}
+	var events, cpu, resident []float64
+	for _, one := range r.relays {
+		events = append(events, one.events)
+		cpu = append(cpu, one.cpu)
+		resident = append(resident, one.resident)
+	}
+	l.relayCPU = slope{line: fit(events, cpu), name: "gateway, relaying of streams", unit: "core", per: perEvent}
+	l.relayMemory = slope{line: fit(events, resident), name: "gateway, resident memory while relaying", unit: "B", per: perEvent}
+	return l
+}
+
+func longestInForce(one reading) float64 {
+	return max(longest(one.acknowledged), longest(one.everywhere)).Seconds()
+}
+
+func (r *measured) slopes() []slope {
+	l := r.lines()
+	return []slope{
+		l.primaryBytes, l.primaryCPU, l.primaryMemory, l.followerBytes, l.followerCPU, l.followerMemory,
+		l.gatewayBytes, l.gatewayCPU, l.gatewayHeap, l.changeBytes, l.changeGateway, l.inForce, l.burstTime, l.failover,
+		l.primaryPerReplica, l.gatewayPerReplica, l.inForceR, l.relayCPU, l.relayMemory,
+	}
+}
+
+// target is one row of the table of the target size.
+type target struct {
+	role      string
+	figure    string
+	formula   string
+	value     string
+	bound     string
+	verdict   verdict
+	mechanism string
+}
+
+// judge compares a value with its bound. measuredTo is the largest size that was
+// measured, of the size that the value is for.
+func judge(value, bound, size, measuredTo float64) verdict {
+	switch {
+	case !(value <= bound): // also of a value that could not be worked out
+		return notMet
+	case measuredTo >= size:
+		return metMeasured
+	default:
+		return metExtrapolated
+	}
+}
+
+// updatesPerSecond is the rate of changes of the table at the target size.
+func updatesPerSecond() float64 {
+	return float64(changesPerDay+restartsPerDay*updatesPerStart) / secondsPerDay
+}
+
+func (r *measured) targets() []target {
+	l := r.lines()
+	rows := append(r.primaryTargets(l), r.followerTargets(l)...)
+	rows = append(rows, r.gatewayTargets(l)...)
+	return append(rows, r.fleetTargets(l)...)
+}
+
+func (r *measured) primaryTargets(l lines) []target {
+	rate := updatesPerSecond()
+	bytes := l.primaryBytes.at(targetGateways) + rate*l.changeBytes.at(targetGateways)
+	memory := l.primaryMemory.at(targetGateways) + l.primaryPerReplica.Slope*targetReplicas
+	cpu := l.primaryCPU.at(targetGateways)
+	return []target{
+		{"primary", "traffic", fmt.Sprintf("rest at %d gateways + %s updates/s × one change", targetGateways, number(rate)), number(bytes) + " B/s", number(boundBytes) + " B/s",
+			judge(bytes, boundBytes, targetGateways, l.primaryBytes.Highest), "flat fan-out of renewals and incremental transfers; the bound needs relays in a tree, see below"},
+		{"primary", "processor", fmt.Sprintf("rest at %d gateways", targetGateways), percent(cpu), percent(boundCore),
+			judge(cpu, boundCore, targetGateways, l.primaryCPU.Highest), "renewals are decided without a look at the other leases"},
+		{"primary", "resident memory", fmt.Sprintf("at %d gateways + slope × %d replicas", targetGateways, targetReplicas), number(memory/mebibyte) + " MiB", number(boundMemory/mebibyte) + " MiB",
+			judge(memory, boundMemory, targetGateways, l.primaryMemory.Highest), "one copy-on-write table; bounded queues that are empty at rest"},
+	}
+}
+
+func (r *measured) followerTargets(l lines) []target {
+	bytes, cpu := l.followerBytes.at(targetGateways), l.followerCPU.at(targetGateways)
+	memory := l.followerMemory.at(targetGateways) + l.primaryPerReplica.Slope*targetReplicas
+	return []target{
+		{"other control node", "traffic at rest", fmt.Sprintf("at %d gateways", targetGateways), number(bytes) + " B/s", number(boundBytes) + " B/s",
+			judge(bytes, boundBytes, targetGateways, l.followerBytes.Highest), "heartbeats of the replicated log"},
+		{"other control node", "processor at rest", fmt.Sprintf("at %d gateways", targetGateways), percent(cpu), percent(boundCore),
+			judge(cpu, boundCore, targetGateways, l.followerCPU.Highest), "heartbeats of the replicated log"},
+		{"other control node", "resident memory", fmt.Sprintf("at %d gateways + slope × %d replicas", targetGateways, targetReplicas), number(memory/mebibyte) + " MiB", number(boundMemory/mebibyte) + " MiB",
+			judge(memory, boundMemory, targetGateways, l.followerMemory.Highest), "one table, the log since the last snapshot"},
+	}
+}
+
+func (r *measured) gatewayTargets(l lines) []target {
+	rate := updatesPerSecond()
+	control := l.gatewayBytes.at(targetGateways) + rate*l.changeGateway.at(targetGateways)
+	cpu := l.gatewayCPU.at(targetGateways)
+	heap := l.gatewayHeap.at(targetGateways) + l.gatewayPerReplica.Slope*targetReplicas
+	whole := heap
+	if len(r.relays) > 0 {
+		whole += l.relayMemory.Intercept
+	}
+	shared := float64(targetReplicas) / targetGateways
+	polls := shared * pollsPerSecond * r.poll.bytes
+	return []target{
+		{"gateway", "control traffic", fmt.Sprintf("rest at %d gateways + %s updates/s × one change", targetGateways, number(rate)), number(control) + " B/s", number(boundBytes) + " B/s",
+			judge(control, boundBytes, targetGateways, l.gatewayBytes.Highest), "renewal each 300 ms, incremental transfer"},
+		{"gateway", "control processor", fmt.Sprintf("rest at %d gateways", targetGateways), percent(cpu), percent(boundCore),
+			judge(cpu, boundCore, targetGateways, l.gatewayCPU.Highest), "one renewal loop, incremental reading of the table"},
+		{"gateway", "memory of the copy", fmt.Sprintf("heap at %d gateways + slope × %d replicas", targetGateways, targetReplicas), number(heap/mebibyte) + " MiB", number(boundMemory/mebibyte) + " MiB",
+			judge(heap, boundMemory, targetReplicas, l.gatewayPerReplica.Highest), "whole copy of the table; watch-by-region would hold a fiftieth"},
+		{"gateway", "memory of the whole process, idle", "that + intercept of a real gateway", number(whole/mebibyte) + " MiB", number(boundMemory/mebibyte) + " MiB",
+			judge(whole, boundMemory, targetReplicas, l.gatewayPerReplica.Highest), "as above"},
+		{"gateway", "watching of replicas", fmt.Sprintf("%s replicas each × %d polls/s × %s B", number(shared), pollsPerSecond, number(r.poll.bytes)), number(polls) + " B/s", number(boundBytes) + " B/s",
+			judgeEstimate(polls, boundBytes), "one watcher a replica, HTTP polls"},
+	}
+}
+
+// relayNode is one of the relays that would stand between voters and gateways.
+func (r *measured) relayNode(l lines) target {
+	share := math.Ceil(float64(targetGateways) / relayCount)
+	bytes := share * (l.gatewayBytes.at(targetGateways) + updatesPerSecond()*l.changeGateway.at(targetGateways))
+	return target{"relay (not built)", "traffic towards its gateways", fmt.Sprintf("%.0f gateways × the control traffic of one", share), number(bytes) + " B/s", number(boundBytes) + " B/s",
+		judgeEstimate(bytes, boundBytes), "a tree of two levels; slower renewals and smaller changes, see below"}
+}
+
+// judgeEstimate is for figures that no run of the whole shows.
+func judgeEstimate(value, bound float64) verdict {
+	if value > bound {
+		return notMet
+	}
+	return estimatedOnly
+}
+
+func (r *measured) fleetTargets(l lines) []target {
+	inForce := max(l.inForce.at(targetGateways), 0) + max(l.inForceR.Slope, 0)*targetReplicas
+	burstRate := burst / l.burstTime.at(targetGateways)
+	eventsPerCore := usableCore / l.relayCPU.Slope
+	gateways := math.Ceil(targetEvents / eventsPerCore)
+	perGatewayEvents := targetEvents / targetGateways
+	relay := l.relayCPU.at(perGatewayEvents)
+	return []target{
+		{"fleet", "a change in force everywhere", fmt.Sprintf("longest at %d gateways + slope × %d replicas", targetGateways, targetReplicas), number(inForce) + " s", number(boundInForce.Seconds()) + " s",
+			judge(inForce, boundInForce.Seconds(), targetGateways, l.inForce.Highest), "two-step activation; notify, then an incremental transfer"},
+		{"fleet", "changes a second, one after the other", fmt.Sprintf("%d in a row at %d gateways", burst, targetGateways), number(burstRate) + "/s", "at least " + number(float64(changesPerDay)/secondsPerDay) + "/s",
+			judge(-burstRate, -float64(changesPerDay)/secondsPerDay, targetGateways, l.burstTime.Highest), "one update a change; each waits for two rounds of all gateways"},
+		{"fleet", "loss of the primary", fmt.Sprintf("to the next acknowledgement at %d gateways", targetGateways), number(l.failover.at(targetGateways)) + " s", "12 s",
+			judge(l.failover.at(targetGateways), 12, targetGateways, l.failover.Highest), "election, then waiting out the leases"},
+		{"gateway", "relaying, each its share", fmt.Sprintf("%s events/s × slope + intercept", number(perGatewayEvents)), percent(relay), "100%",
+			judge(relay, 1, perGatewayEvents, l.relayCPU.Highest), "one goroutine each way a stream, no copy of the text is parsed twice"},
+		{"fleet", "gateways' cores for 5.5 million events a second", fmt.Sprintf("at %.0f%% use of a core", 100*usableCore), number(gateways) + " cores", fmt.Sprintf("%d machines of one core or more", targetGateways),
+			judgeEstimate(gateways, targetGateways), "streams of one region stay in it"},
+		r.relayNode(l),
+		{"control", "machines", "3 voters of today; with relays 5 voters + 13 relays", "3 today", "18", estimatedOnly, "one replicated log; relays aggregate leases and confirmations"},
+		{"replicas", "first token, between tokens", "depends on the replicas; the gateway's share is measured by the fleet run", "not measured here", "0.92 s, 33 ms", estimatedOnly, "placement by prefix and load, admission by deadline"},
+	}
+}
--- /dev/null
+++ b/internal/hollow/replica_test.go
@@ -0,0 +1,51 @@
+package hollow
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/stream"
+)
+
+func TestReplicaReportsAndStreams(t *testing.T) {
+	replica := &Replica{ID: "r", Service: "s", Slots: 4, Gap: time.Millisecond}
+	server := httptest.NewServer(replica.Handler())
+	defer server.Close()
+	response, err := http.Get(server.URL + api.PathReplicaReport)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var report api.ReplicaReport
+	if err := json.NewDecoder(response.Body).Decode(&report); err != nil || report.Replica != "r" || report.Slots != 4 || report.Sequence != 1 {
+		t.Errorf("report %+v, %v", report, err)
+	}
+	answer, err := http.Post(server.URL+api.PathReplicaGenerate, "application/json", strings.NewReader(`{"request_id":"q","max_tokens":3,"stream":true}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	events := stream.NewReader(answer.Body, stream.Options{RequestID: "q", Gap: 10 * time.Second, Interrupt: func() { answer.Body.Close() }})
+	defer events.Close()
+	for {
+		event, err := events.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if event.End != nil {
+			break
+		}
+	}
+	if events.Pieces() != 3 {
+		t.Errorf("%d pieces", events.Pieces())
+	}
+	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+		t.Error(err)
+	}
+}
