Review all leases only when something about them changed

Cause: each renewal worked through all leases several times, so that 400 gateways cost 64 microseconds a renewal, 9% of a core at 3.3 renewals/s each.

Change: what may become active and what is in force is worked out again only after a new report, serial or proof of office.

--- a/control/leases.go
+++ b/control/leases.go
@@ -26,6 +26,16 @@
 	// noticed is when each member was first seen in the membership.
 	noticed map[consensus.ID]time.Duration
 
+	// leasesChanged is set when a gateway reported something new since the last
+	// review of all leases; the rest is the result of that review.
+	leasesChanged bool
+	contact       time.Duration
+	contactKnown  bool
+	serial        uint32
+	activate      uint32
+	inForce       uint32
+	inForceKnown  bool
+
 	notifiedSerial   uint32
 	notifiedActivate uint32
 	nextMaintenance  time.Duration
@@ -37,6 +47,9 @@
 // gatewayState is what the primary knows of one gateway beside its lease.
 type gatewayState struct {
 	info peer.GatewayInfo
+	// held and active are the serials of its last renewal.
+	held   uint32
+	active uint32
 	// renewed is the time of its last renewal, since that of the unbroken series.
 	renewed       time.Duration
 	since         time.Duration
@@ -164,7 +177,12 @@
 	if restarted || lapsed {
 		state.since = now
 	}
+	if restarted || lapsed || state.held != renew.Held || state.active != renew.Active {
+		m.office.leasesChanged = true
+	}
 	state.info = renew.Gateway
+	state.held = renew.Held
+	state.active = renew.Active
 	state.renewed = now
 	state.activeVersion = renew.ActiveVersion
 	m.recordGateway(now, renew.Gateway.Name, state)
@@ -234,29 +252,44 @@
 	}
 }
 
-// notifyGateways tells the gateways that there is something to renew for: a new
-// serial, a new activation or a new primary.
-func (m *machine) notifyGateways(now time.Duration) {
+// reviewLeases works out what may become active and what is in force. Both
+// follow from the serial, the proof of office and what gateways report; a renewal
+// that reports nothing new changes neither.
+func (m *machine) reviewLeases(now time.Duration) {
 	office, serving := m.serving()
 	if !serving {
 		return
 	}
-	if contact, known := m.group.QuorumContact(); known {
+	contact, known := m.group.QuorumContact()
+	serial := m.table.Serial()
+	if !office.leasesChanged && contact == office.contact && known == office.contactKnown && serial == office.serial {
+		return
+	}
+	office.leasesChanged = false
+	office.contact, office.contactKnown = contact, known
+	office.serial = serial
+	if known {
 		office.grantor.SetContact(contact)
 	}
-	serial := m.table.Serial()
-	activate := office.grantor.Activate(now)
-	if serial == office.notifiedSerial && activate == office.notifiedActivate {
+	office.activate = office.grantor.Activate(now)
+	office.inForce, office.inForceKnown = office.grantor.InForce(now)
+	m.notifyGateways(office)
+}
+
+// notifyGateways tells the gateways that there is something to renew for: a new
+// serial, a new activation or a new primary.
+func (m *machine) notifyGateways(office *office) {
+	if office.serial == office.notifiedSerial && office.activate == office.notifiedActivate {
 		return
 	}
-	office.notifiedSerial = serial
-	office.notifiedActivate = activate
+	office.notifiedSerial = office.serial
+	office.notifiedActivate = office.activate
 	notify := peer.Notify{
 		Cluster:  m.cluster,
 		Term:     office.term,
 		Primary:  m.options.PeerAddress,
-		Serial:   serial,
-		Activate: activate,
+		Serial:   office.serial,
+		Activate: office.activate,
 	}
 	for _, address := range m.gatewayAddresses() {
 		m.network.Send(address, peer.KindNotify, &notify)
--- a/control/machine.go
+++ b/control/machine.go
@@ -146,7 +146,7 @@
 		}
 	}
 	m.followOffice(now)
-	m.notifyGateways(now)
+	m.reviewLeases(now)
 	return m.failure
 }
 
@@ -283,12 +283,8 @@
 		return o
 	}
 	o.primary = true
-	o.contact, o.contactKnown = m.group.QuorumContact()
-	if o.contactKnown {
-		office.grantor.SetContact(o.contact)
-	}
-	o.activate = office.grantor.Activate(now)
-	o.inForce, o.inForceKnown = office.grantor.InForce(now)
+	o.contact, o.contactKnown = office.contact, office.contactKnown
+	o.inForce, o.inForceKnown = office.inForce, office.inForceKnown
 	return o
 }
 
--- a/control/observation.go
+++ b/control/observation.go
@@ -27,7 +27,6 @@
 	// contact is the send time of the newest heartbeat round that a majority answered.
 	contact      time.Duration
 	contactKnown bool
-	activate     uint32
 	inForce      uint32
 	inForceKnown bool
 
