Stop simulated machines between disk and network, let gateways leave

Cause: a slow disk, or a freeze between the write and the sending, delays messages that were made long before; gateways that leave give their lease up.

Change: machines stop between the two steps; half of the restarted gateways leave first; learners vote before they hold everything in half of the histories, as the control node lets them.

--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -18,6 +18,7 @@
 	FaultCrashAtWrite    FaultKind = "crash around a write"
 	FaultCrashAll        FaultKind = "crash of all machines"
 	FaultFreeze          FaultKind = "freeze"
+	FaultStall           FaultKind = "stop between disk and network"
 	FaultCutOneWay       FaultKind = "one-way cut"
 	FaultIsolate         FaultKind = "two-way cut of a machine"
 	FaultWeather         FaultKind = "loss, doubling and reordering"
@@ -104,6 +105,7 @@
 		{FaultCrashAtWrite, 14, w.planCrash},
 		{FaultCrashAll, 1, w.crashAll},
 		{FaultFreeze, 10, w.freezeOne},
+		{FaultStall, 10, w.stallOne},
 		{FaultCutOneWay, 12, w.cutOneWay},
 		{FaultIsolate, 8, w.isolateOne},
 		{FaultWeather, 8, w.weather},
@@ -217,6 +219,13 @@
 	w.after(w.between(freezeLeast, freezeMost), m.thaw)
 }
 
+// stallOne plans a slow write, or a freeze right after one.
+func (w *world) stallOne() {
+	if m := w.target(); m.up() {
+		m.stall = w.between(freezeLeast, pick(w, []time.Duration{2 * freezeLeast, freezeMost}))
+	}
+}
+
 func (w *world) cutOneWay() {
 	from, to := w.target(), pick(w, w.present())
 	if from == to {
@@ -473,6 +482,7 @@
 			m.restart()
 		} else {
 			m.store.Plan(storage.CrashPlan{})
+			m.stall = 0
 			m.thaw()
 		}
 	}
--- a/internal/simulation/gateway.go
+++ b/internal/simulation/gateway.go
@@ -143,6 +143,18 @@
 	})
 }
 
+// leave gives the lease up before the process ends.
+func (g *gateway) leave() {
+	g.holder.Leave()
+	to := g.primary
+	asked := renewal{sent: g.clock(), request: lease.Request{
+		Holder: g.name, Incarnation: fmt.Sprint(g.incarnation), Active: g.active, Leaving: true,
+	}}
+	g.world.network.send(g.name, to.name, func() {
+		to.receive(func() { to.grant(g, asked) })
+	})
+}
+
 func (g *gateway) newest() uint32 {
 	return g.copied.Serial()
 }
@@ -230,6 +242,9 @@
 		return
 	}
 	w.count(FaultGatewayRestart)
+	if !g.frozen && g.primary != nil && w.chance(0.5) {
+		g.leave()
+	}
 	g.up = false
 	w.after(w.between(restartLeast, restartMost), func() {
 		if !g.up {
--- a/internal/simulation/machine.go
+++ b/internal/simulation/machine.go
@@ -47,6 +47,10 @@
 
 	frozen bool
 	buffer []func()
+	// stall stops the process before it sends what it writes next; unfinished is
+	// the batch that waits for that.
+	stall      time.Duration
+	unfinished *consensus.Ready
 
 	// asked holds the orders that wait for their answer here, by id.
 	asked map[string][]waiting
@@ -146,6 +150,7 @@
 	m.drift = mostDrift * (2*m.world.random.Float64() - 1)
 	m.frozen = false
 	m.buffer = nil
+	m.stall = 0
 	m.asked = make(map[string][]waiting)
 	m.joins = make(map[consensus.ID]joining)
 	m.office = nil
@@ -173,6 +178,7 @@
 	m.node = nil
 	m.frozen = false
 	m.buffer = nil
+	m.unfinished = nil
 	m.store.Crash()
 }
 
@@ -231,7 +237,12 @@
 	m.frozen = false
 	waited := m.buffer
 	m.buffer = nil
-	if m.world.chance(0.5) {
+	if m.unfinished != nil {
+		batch := *m.unfinished
+		m.unfinished = nil
+		m.finish(batch)
+	}
+	if m.node != nil && m.world.chance(0.5) {
 		m.tick()
 	}
 	for _, run := range waited {
@@ -242,31 +253,48 @@
 // work does what the node asks for, in the order that Ready prescribes.
 func (m *machine) work() {
 	m.checkOffice()
-	for m.node != nil && m.node.HasReady() && !m.world.broken() {
+	for m.up() && m.node.HasReady() && !m.world.broken() {
 		ready := m.node.Ready()
 		if m.world.has(defect.SendBeforeSync) {
 			m.sendAll(ready.Messages)
+			ready.Messages = nil
 		}
 		if !m.persist(ready) {
 			return
 		}
-		if !m.world.has(defect.SendBeforeSync) {
-			m.sendAll(ready.Messages)
-		}
-		m.apply(ready)
-		m.node.Advance(ready)
-		m.compact()
-		if m.node != nil {
-			m.checkOffice()
+		if m.stall > 0 {
+			m.stop(ready)
+			return
 		}
+		m.finish(ready)
 	}
-	if m.node != nil {
+	if m.up() {
 		m.world.checks.afterStep(m)
 		m.answerOrders()
 		m.notifyGateways()
 	}
 }
 
+// finish does the part of a batch that follows the write.
+func (m *machine) finish(ready consensus.Ready) {
+	m.sendAll(ready.Messages)
+	m.apply(ready)
+	m.node.Advance(ready)
+	m.compact()
+	if m.node != nil {
+		m.checkOffice()
+	}
+}
+
+// stop freezes the process between its disk and the network.
+func (m *machine) stop(ready consensus.Ready) {
+	m.world.count(FaultStall)
+	m.frozen = true
+	m.unfinished = &ready
+	m.world.after(m.stall, m.thaw)
+	m.stall = 0
+}
+
 func (m *machine) persist(ready consensus.Ready) bool {
 	if ready.HardState != nil && m.world.has(defect.ForgetVote) {
 		forgetful := *ready.HardState
--- a/internal/simulation/repair.go
+++ b/internal/simulation/repair.go
@@ -151,7 +151,7 @@
 		learner := request.member
 		learner.Learner = true
 		return consensus.Membership{Members: append(members, learner)}, true
-	case own < 0 || members[own].Learner && status.Match[request.member.ID] < status.Commit:
+	case own < 0 || members[own].Learner && !m.caughtUp(status, request.member.ID):
 		return consensus.Membership{}, false
 	case replaced >= 0 && (!members[own].Learner || !m.reaches(status, members[replaced].ID)):
 		rest := consensus.Membership{Members: slices.Delete(members, replaced, replaced+1)}
@@ -164,6 +164,12 @@
 	}
 }
 
+// caughtUp tells whether a learner lacks so little that it may vote.
+func (m *machine) caughtUp(status consensus.Status, id consensus.ID) bool {
+	match := status.Match[id]
+	return match > 0 && match+m.world.settings.promoteLag >= status.Commit
+}
+
 // replacedBy returns the position of the member whose place the request takes,
 // or -1.
 func replacedBy(membership consensus.Membership, request joining) int {
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -94,6 +94,8 @@
 	electionTimeout time.Duration
 	inflight        int
 	appendBytes     int
+	// promoteLag is how many committed entries a learner may lack to be let vote.
+	promoteLag uint64
 }
 
 const heartbeatsPerTimeout = 6
@@ -103,6 +105,7 @@
 	inflights        = []int{1, 4, 64}
 	// appendSizes make a message of one entry, of a few, or of all.
 	appendSizes = []int{1, 300, 256 << 10}
+	promoteLags = []uint64{0, 64}
 )
 
 func newWorld(seed uint64, options Options) *world {
@@ -115,6 +118,7 @@
 		electionTimeout: pick(w, electionTimeouts),
 		inflight:        pick(w, inflights),
 		appendBytes:     pick(w, appendSizes),
+		promoteLag:      pick(w, promoteLags),
 	}
 	w.network = newNetwork(w)
 	w.checks = newChecks(w)
