Number faults and orders in the charts

Cause: the lines over the charts could be told apart only by hovering. Change: each line has the number of its entry in the list.

--- a/internal/report/page.go
+++ b/internal/report/page.go
@@ -171,9 +171,10 @@
 		fmt.Fprintf(&out, `<text x="%.1f" y="%d" text-anchor="middle">%d s</text>`, c.x(float64(at)), height-6, at)
 	}
 	out.WriteString(c.body.String())
-	for _, mark := range markers {
+	for i, mark := range markers {
 		fmt.Fprintf(&out, `<line x1="%.1f" x2="%.1f" y1="%d" y2="%d" stroke="%s" stroke-dasharray="3 3"><title>%s</title></line>`,
 			c.x(mark.at), c.x(mark.at), chartTop, chartTop+chartHeight, mark.color, template.HTMLEscapeString(mark.label))
+		fmt.Fprintf(&out, `<text x="%.1f" y="%d" text-anchor="middle" style="fill:%s">%d</text>`, c.x(mark.at), chartTop-3, mark.color, i+1)
 	}
 	out.WriteString(`</svg>`)
 	return template.HTML(out.String())
@@ -334,8 +335,8 @@
 		outcomeChart(seconds, markers), latencyChart(seconds, markers),
 		placementChart(seconds, markers), versionChart(seconds, markers),
 	}
-	for _, mark := range markers {
-		data.Markers = append(data.Markers, fmt.Sprintf("%7.2f s  %s", mark.at, mark.label))
+	for i, mark := range markers {
+		data.Markers = append(data.Markers, fmt.Sprintf("%3d  %7.2f s  %s", i+1, mark.at, mark.label))
 	}
 	if err := pageTemplate.Execute(out, data); err != nil {
 		return fmt.Errorf("writing the report: %w", err)
@@ -361,6 +362,7 @@
 {{if .Lines}}<tr><td></td><td colspan="6"><pre>{{range .Lines}}{{.}}
 {{end}}</pre></td></tr>{{end}}{{end}}</table>
 <h2>Course of the run</h2>
+<p>Numbered lines are faults (red) and acknowledged orders (blue), named in the list below the charts.</p>
 {{range .Charts}}{{.}}{{end}}
 <h2>Faults and orders</h2><pre>{{range .Markers}}{{.}}
 {{end}}</pre>
