--- /dev/null
+++ b/gateway/hop_test.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+
+	dto "github.com/prometheus/client_model/go"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/peer"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/registry"
+)
+
+// TestSpill runs a request in another region, then loses the connection to it.
+func TestSpill(t *testing.T) {
+	f := newFleet(t)
+	replica := f.replica("r1", "south")
+	north := f.gateway("g1", "north", "a", nil)
+	south := f.gateway("g2", "south", "b", nil)
+	f.ready(north, south)
+	spilled := func(id string) api.GenerateRequest {
+		request := question(id)
+		answer, failure := north.mint(&api.WhereRequest{RequestID: id, Model: "m", WaitMS: request.WaitMS})
+		if failure != nil {
+			t.Fatal(failure)
+		}
+		request.Ticket = answer.Ticket
+		return request
+	}
+	if got := north.send(t, spilled("whole")); got.outcome() != "success" || got.answer.Region != "south" {
+		t.Fatalf("got %s in %q", got.outcome(), got.answer.Region)
+	}
+	streamed := spilled("streamed")
+	streamed.Stream = true
+	if got := north.send(t, streamed); got.outcome() != "success" || got.pieces != 5 || got.ended.Replica != "r1" {
+		t.Fatalf("got %s with %d pieces", got.outcome(), got.pieces)
+	}
+	if _, where := north.where(t, question("asked")); where.Region != "south" || "http://"+where.Gateway != south.url {
+		t.Fatalf("sent to %s in %s", where.Gateway, where.Region)
+	}
+	started := make(chan struct{})
+	replica.behave(func(_ http.ResponseWriter, r *http.Request, _ *api.ReplicaRequest) {
+		close(started)
+		<-r.Context().Done()
+	})
+	done := make(chan *reply, 1)
+	lost := spilled("lost")
+	go func() { done <- north.send(t, lost) }()
+	<-started
+	f.memory.Cut("g2", "g1")
+	f.memory.Cut("g1", "g2")
+	if got := <-done; got.outcome() != "replica_broken/unknown" {
+		t.Fatalf("got %s", got.outcome())
+	}
+	if got := north.send(t, lost); got.outcome() != "replica_broken/unknown" {
+		t.Fatalf("resent: got %s", got.outcome())
+	}
+	if reached := len(replica.requests()); reached != 3 {
+		t.Fatalf("reached the replica %d times", reached)
+	}
+}
+
+// TestDisplacedRequestsWaitForRoom sends a request to a gateway whose region
+// takes nothing while the other region's one replica is full.
+func TestDisplacedRequestsWaitForRoom(t *testing.T) {
+	f := newFleet(t)
+	f.primary.set(func(p *primary) {
+		p.apply(registry.Add(places.ServiceRecord("explain", places.Service{Kind: "model", MaxConcurrency: 1})))
+	})
+	replica := f.replica("r1", "south")
+	north := f.gateway("g1", "north", "a", nil)
+	south := f.gateway("g2", "south", "b", nil)
+	f.ready(north, south)
+	room := make(chan struct{})
+	replica.behave(func(w http.ResponseWriter, r *http.Request, request *api.ReplicaRequest) {
+		select {
+		case <-room:
+		case <-r.Context().Done():
+		}
+		answerWhole(w, r, request)
+	})
+	first, _ := south.where(t, question("first"))
+	done := make(chan *reply, 2)
+	go func() { done <- south.send(t, first) }()
+	waitFor(t, "the full replica", func() bool { return len(replica.requests()) == 1 })
+	displaced := question("displaced")
+	answer, failure := north.mint(&api.WhereRequest{RequestID: displaced.RequestID, Model: "m", WaitMS: displaced.WaitMS})
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	displaced.Ticket = answer.Ticket
+	go func() { done <- north.send(t, displaced) }()
+	waitFor(t, "a declined offer", func() bool {
+		var declined dto.Metric
+		return north.metrics.spills.WithLabelValues("declined").Write(&declined) == nil && declined.GetCounter().GetValue() > 0
+	})
+	close(room)
+	for range 2 {
+		if got := <-done; got.outcome() != "success" {
+			t.Errorf("got %s", got.outcome())
+		}
+	}
+	if reached := len(replica.requests()); reached != 2 {
+		t.Errorf("reached the replica %d times", reached)
+	}
+}
+
+// TestWithdraw shows which offers are confirmed never to run.
+func TestWithdraw(t *testing.T) {
+	f := newFleet(t)
+	f.replica("r1", "south")
+	north := f.gateway("g1", "north", "a", nil)
+	south := f.gateway("g2", "south", "b", nil)
+	f.ready(north, south)
+	request := question("offered")
+	request.Repeatable = true
+	offer := peer.Offer{OfferID: "o1", From: "g1", Request: request, TimeLeft: 5000, Version: 1, Attempt: 1}
+	var reply peer.OfferReply
+	if err := north.network.Call(t.Context(), "g2", peer.KindOffer, &offer, &reply); err != nil || !reply.Granted {
+		t.Fatalf("offer: %+v %v", reply, err)
+	}
+	run := func(id string) api.Outcome {
+		events, err := north.network.OpenStream(t.Context(), "g2", peer.KindRun, &peer.Run{OfferID: id, Incarnation: "b"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer events.Close()
+		var event peer.RunEvent
+		if err := events.Next(&event); err != nil {
+			t.Fatal(err)
+		}
+		if event.Error != nil {
+			return event.Error.Outcome
+		}
+		return api.OutcomeSuccess
+	}
+	for _, want := range []struct {
+		id  string
+		yes bool
+	}{{"o1", true}, {"o1", true}, {"never heard of", false}} {
+		if got := north.withdraw(t.Context(), "g2", want.id, "b"); got != want.yes {
+			t.Errorf("withdraw %s: %v", want.id, got)
+		}
+	}
+	if got := run("o1"); got != api.OutcomeRefused {
+		t.Errorf("run of a withdrawn offer: %s", got)
+	}
+	offer.OfferID = "o2"
+	if err := north.network.Call(t.Context(), "g2", peer.KindOffer, &offer, &reply); err != nil || !reply.Granted {
+		t.Fatalf("offer: %+v %v", reply, err)
+	}
+	if got := run("o2"); got != api.OutcomeSuccess {
+		t.Errorf("run: %s", got)
+	}
+	if got := run("o2"); got != api.OutcomeUnknown {
+		t.Errorf("second run of an offer: %s", got)
+	}
+	if north.withdraw(t.Context(), "g2", "o2", "b") || north.withdraw(t.Context(), "g2", "o2", "another") {
+		t.Error("withdrew an offer that ran")
+	}
+}
