--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -357,8 +357,13 @@
 	if reached := len(replica.requests()); reached != 0 {
 		t.Fatalf("reached the replica %d times", reached)
 	}
-	if response, err := http.Get(g.url + api.PathReady); err != nil || response.StatusCode != http.StatusServiceUnavailable {
-		t.Fatalf("ready without a lease: %v %v", response, err)
+	response, err := http.Get(g.url + api.PathReady)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	if response.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("ready without a lease: status %d", response.StatusCode)
 	}
 }
 
