--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -44,7 +44,7 @@
 	b.ReportAllocs()
 	b.SetBytes(int64(source.Len()))
 	for b.Loop() {
-		run := newExecution("request-1", true, func(error) {})
+		run := newExecution("request-1", true, pieces, func(error) {})
 		reader, _ := run.follow(true)
 		go produce(ctx, run, source.Bytes())
 		response := &nullWriter{header: http.Header{}}
--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -15,6 +15,13 @@
 // join late, and how far its slowest reader may lag behind.
 const keptStreamBytes = 256 << 10
 
+// The first room for a stream's events, in bytes: enough for most streams, so
+// that they never grow it.
+const (
+	typicalFrame = 160
+	firstFrames  = 32 << 10
+)
+
 // errAbandoned is the cause of a cancellation after the last reader left.
 var errAbandoned = errors.New("gateway: the caller went away")
 
@@ -59,10 +66,16 @@
 
 var _ ticket.Run = (*execution)(nil)
 
-func newExecution(requestID string, streamed bool, cancel context.CancelCauseFunc) *execution {
+// newExecution returns an execution of a request for maxTokens tokens at the most.
+func newExecution(requestID string, streamed bool, maxTokens int, cancel context.CancelCauseFunc) *execution {
+	var frames []byte
+	if streamed {
+		frames = make([]byte, 0, min(maxTokens*typicalFrame, firstFrames))
+	}
 	return &execution{
 		requestID: requestID,
 		stream:    streamed,
+		frames:    frames,
 		cancel:    cancel,
 		drained:   make(chan struct{}, 1),
 		followers: make(map[*follower]struct{}, 1),
@@ -73,7 +86,7 @@
 func (e *execution) RetainedBytes() int {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	size := len(e.frames)
+	size := cap(e.frames)
 	if e.result != nil && e.result.answer != nil {
 		size += len(e.result.answer.Text)
 	}
--- a/gateway/offer.go
+++ b/gateway/offer.go
@@ -241,7 +241,7 @@
 
 func (g *Gateway) beginOffer(id string, granted *offer) (*follower, *api.Error) {
 	ctx, cancel := g.isolate(granted.deadline)
-	run := newExecution(granted.request.RequestID, granted.request.Stream, cancel)
+	run := newExecution(granted.request.RequestID, granted.request.Stream, granted.request.MaxTokens, cancel)
 	reader, failure := run.follow(granted.request.Stream)
 	work := &runner{
 		gateway:   g,
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -143,7 +143,7 @@
 	copied := *request
 	copied.Ticket = ""
 	ctx, cancel := g.isolate(time.Now().Add(waitOf(request.WaitMS)))
-	run := newExecution(request.RequestID, request.Stream, cancel)
+	run := newExecution(request.RequestID, request.Stream, request.MaxTokens, cancel)
 	g.running.begin()
 	return run, func() {
 		defer g.running.end()
@@ -201,7 +201,7 @@
 		g.log.Debug("ticket owner unreachable", "owner", presented.Owner, "error", err)
 		return g.orphaned(request)
 	}
-	run := newExecution(request.RequestID, request.Stream, cancel)
+	run := newExecution(request.RequestID, request.Stream, request.MaxTokens, cancel)
 	reader, failure := run.follow(request.Stream)
 	g.running.begin()
 	go func() {
