Keep a cold replica's first step for short requests

Cause: in the fleet's crowd-on-cold scenario long requests held the one place on 4 of 12 cold replicas for seven to twelve seconds, so that their ramps stood. Change: a long request gets the first step only when nothing shorter has come for 2 s; later steps keep a part for short ones.

--- a/routing/replica.go
+++ b/routing/replica.go
@@ -22,6 +22,9 @@
 	// feederChange is how long a new feeder of the same cold replica waits, so
 	// that what the feeder before it had under way is seen in a report.
 	feederChange = time.Second
+	// longFeedDelay is how long a cold replica at its first step waits for
+	// something shorter before it is given a long request.
+	longFeedDelay = 2 * time.Second
 	// leastWait is the least time, in seconds, that a replica without room is
 	// expected to stay so.
 	leastWait = 0.001
@@ -207,6 +210,7 @@
 	if fresh || long || (t.cold() && !additive) {
 		t.rampedFor = t.report.Incarnation
 		t.ramp = t.newRamp(bound)
+		t.fedAt = now
 		return
 	}
 	if additive && !t.cold() {
@@ -252,10 +256,10 @@
 // showed it free. Long requests have the same within their part of the ceiling,
 // and the others' requests all count as long. A cold replica has no such part:
 // its ceiling binds all.
-func (t *replica) room(class api.Class) bool {
+func (t *replica) room(now time.Time, class api.Class) bool {
 	ceiling := t.ceiling()
 	if t.cold() {
-		return t.inFlight+t.others < ceiling
+		return t.busy() < ceiling && (class != api.ClassLong || t.coldRoomForLong(now, ceiling))
 	}
 	gateways := max(1, len(t.service.router.gateways))
 	part := (ceiling + gateways - 1) / gateways
@@ -269,6 +273,15 @@
 	return t.inFlightLong < max(1, long/gateways) || t.busy() < long
 }
 
+// coldRoomForLong keeps the first step of a cold replica for short requests,
+// whose successes raise the ramp soonest, unless none has come for a while.
+func (t *replica) coldRoomForLong(now time.Time, ceiling int) bool {
+	if ceiling < 2 {
+		return now.Sub(t.fedAt) >= longFeedDelay
+	}
+	return t.inFlightLong < admission.ClassLimit(ceiling, api.ClassLong)
+}
+
 // waitForRoom is the expected time until the replica has room for a waiter, in
 // seconds, behind the others that wait for it.
 func (t *replica) waitForRoom(w *waiter) float64 {
--- a/routing/service.go
+++ b/routing/service.go
@@ -181,7 +181,7 @@
 		if !target.usable(now) || w.request.Exclude[target.name] {
 			continue
 		}
-		room := target.room(w.request.Class)
+		room := target.room(now, w.request.Class)
 		wait := target.waitForRoom(w)
 		if !room && (!patient || wait > longest) {
 			continue
@@ -205,7 +205,7 @@
 func (s *service) feed(now time.Time, w *waiter) chosen {
 	for _, target := range s.replicas {
 		due := target.cold() && now.Sub(target.fedAt) >= feedInterval
-		if !due || !target.usable(now) || !target.room(w.request.Class) || w.request.Exclude[target.name] {
+		if !due || !target.usable(now) || !target.room(now, w.request.Class) || w.request.Exclude[target.name] {
 			continue
 		}
 		candidate := target.candidate(0, s.cached[target.number])
@@ -213,7 +213,6 @@
 		if candidate.FirstToken(w.work.Tokens) > feedPart*left {
 			continue
 		}
-		target.fedAt = now
 		return chosen{target: target, cached: s.cached[target.number], room: true}
 	}
 	return chosen{}
@@ -235,7 +234,7 @@
 // anyRoom reports whether some replica would take a request that is not long.
 func (s *service) anyRoom(now time.Time) bool {
 	for _, target := range s.replicas {
-		if target.usable(now) && target.room(api.ClassQuick) {
+		if target.usable(now) && target.room(now, api.ClassQuick) {
 			return true
 		}
 	}
--- a/routing/slot.go
+++ b/routing/slot.go
@@ -38,6 +38,7 @@
 func (s *service) newSlot(now time.Time, w *waiter, choice chosen) *Slot {
 	target := choice.target
 	target.inFlight++
+	target.fedAt = now
 	if w.request.Class == api.ClassLong {
 		target.inFlightLong++
 	}
--- a/routing/spill_test.go
+++ b/routing/spill_test.go
@@ -266,6 +266,37 @@
 	})
 }
 
+// TestColdReplicaIsFedShortRequestsFirst gives the first step of a ramp to a
+// long request only when nothing shorter has come.
+func TestColdReplicaIsFedShortRequestsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.replica("r1", "east-a", "east")
+		f.condition("r1", places.ConditionCold, "g1")
+		router := newRouter("east", "g1")
+		router.SetPlan(f.plan())
+		told := report("r1")
+		told.Cold = true
+		router.Observe("r1", told, time.Now())
+		long := request("long")
+		long.Class = api.ClassLong
+		wantRefused(t, router, long, api.CodeOverloaded)
+		mustReserve(t, router, request("quick")).Finish(ResultSuccess, nil, time.Now())
+		mustReserve(t, router, long)
+		wantRefused(t, router, long, api.CodeOverloaded)
+		mustReserve(t, router, request("beside the long one")).Finish(ResultCanceled, nil, time.Now())
+
+		alone := newRouter("east", "g1")
+		alone.SetPlan(f.plan())
+		alone.Observe("r1", told, time.Now())
+		time.Sleep(time.Second)
+		told.Sequence++
+		alone.Observe("r1", told, time.Now())
+		time.Sleep(time.Second)
+		mustReserve(t, alone, long)
+	})
+}
+
 // TestLongLeavesRoom fills a replica with long requests: a quick one still finds
 // room, also when another gateway has most of the slots.
 func TestLongLeavesRoom(t *testing.T) {
