--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	dto "github.com/prometheus/client_model/go"
+
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/places"
@@ -29,12 +31,15 @@
 			f.ready(first, second)
 			release := make(chan struct{})
 			replica.behave(func(w http.ResponseWriter, r *http.Request, request *api.ReplicaRequest) {
-				<-release
-				answerWhole(w, r, request)
+				select {
+				case <-release:
+					answerWhole(w, r, request)
+				case <-r.Context().Done():
+				}
 			})
 			request := question("once")
 			request.Stream = streamed
-			request, _ = first.where(t, request)
+			request = first.owned(t, request)
 			replies := make([]*reply, 6)
 			var senders sync.WaitGroup
 			for i := range replies {
@@ -42,7 +47,7 @@
 			}
 			waitFor(t, "all senders to join", func() bool {
 				first.owner.mutex.Lock()
-				run, known := first.owner.ledger.Run("once")
+				run, known := first.owner.ledger.Run(request.RequestID)
 				first.owner.mutex.Unlock()
 				if !known {
 					return false
@@ -74,6 +79,29 @@
 	}
 }
 
+// TestAskedTwice asks two gateways where the same request should go. Both name
+// one owner and its one ticket.
+func TestAskedTwice(t *testing.T) {
+	f := newFleet(t)
+	f.replica("r1", "north")
+	first := f.gateway("g1", "north", "a", nil)
+	second := f.gateway("g2", "north", "b", nil)
+	f.ready(first, second)
+	owners := make(map[string]bool)
+	for i := range 16 {
+		id := fmt.Sprintf("asked-%d", i)
+		_, one := first.where(t, question(id))
+		_, other := second.where(t, question(id))
+		if one.Ticket != other.Ticket || one.Gateway != other.Gateway {
+			t.Fatalf("%s: two tickets, of %s and %s", id, one.Gateway, other.Gateway)
+		}
+		owners[one.Gateway] = true
+	}
+	if len(owners) != 2 {
+		t.Fatalf("%d gateways own all requests", len(owners))
+	}
+}
+
 // TestRestartedOwner shows that a ticket dies with the process that issued it.
 func TestRestartedOwner(t *testing.T) {
 	f := newFleet(t)
@@ -81,7 +109,7 @@
 	owner := f.gateway("g1", "north", "a", nil)
 	other := f.gateway("g2", "north", "b", nil)
 	f.ready(owner, other)
-	request, _ := owner.where(t, question("orphan"))
+	request := owner.owned(t, question("orphan"))
 	owner.stop()
 	restarted := f.gateway("g1", "north", "a2", nil)
 	f.ready(restarted, other)
@@ -237,13 +265,13 @@
 	}
 }
 
-// TestRepeatableIsRetriedOnce lets the first of two replicas break.
-func TestRepeatableIsRetriedOnce(t *testing.T) {
+// TestRetries breaks attempts on three replicas, with budget for retries left.
+func TestRetries(t *testing.T) {
 	f := newFleet(t)
-	replicas := []*fakeReplica{f.replica("r1", "north"), f.replica("r2", "north")}
+	replicas := []*fakeReplica{f.replica("r1", "north"), f.replica("r2", "north"), f.replica("r3", "north")}
 	g := f.gateway("g1", "north", "a", nil)
 	f.ready(g)
-	for range 30 { // earns budget
+	for range 60 { // earns budget
 		request := question("warm")
 		request.Repeatable = true
 		if got := g.send(t, request); got.outcome() != "success" {
@@ -252,29 +280,47 @@
 	}
 	var mutex sync.Mutex
 	attempts := map[string]int{}
-	breakFirst := func(w http.ResponseWriter, r *http.Request, request *api.ReplicaRequest) {
+	misbehave := func(w http.ResponseWriter, r *http.Request, request *api.ReplicaRequest) {
 		mutex.Lock()
 		attempts[request.RequestID]++
 		attempt := attempts[request.RequestID]
 		mutex.Unlock()
-		if attempt == 1 || strings.HasPrefix(request.RequestID, "always") {
+		if request.RequestID == "after a piece" {
+			w.Header().Set("Content-Type", stream.ContentType)
+			w.Write(pieceFrame(request, 1))
+			http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		if attempt == 1 || request.RequestID == "always" {
 			panic(http.ErrAbortHandler)
 		}
 		answerWhole(w, r, request)
 	}
 	for _, replica := range replicas {
-		replica.behave(breakFirst)
+		replica.behave(misbehave)
 	}
-	for id, want := range map[string]string{"first": "success", "always": "replica_broken/unknown"} {
-		request := question(id)
-		request.Repeatable = true
-		request.Stream = id == "first"
+	tests := []struct {
+		id         string
+		repeatable bool
+		stream     bool
+		attempts   int
+		want       string
+	}{
+		{"not repeatable", false, false, 1, "replica_broken/unknown"},
+		{"after a piece", true, true, 1, "replica_incomplete/failed"},
+		{"first", true, true, 2, "success"},
+		{"always", true, false, 2, "replica_broken/unknown"},
+	}
+	for _, test := range tests {
+		request := question(test.id)
+		request.Repeatable, request.Stream = test.repeatable, test.stream
+		request, _ = g.where(t, request)
 		got := g.send(t, request)
 		mutex.Lock()
-		made := attempts[id]
+		made := attempts[test.id]
 		mutex.Unlock()
-		if got.outcome() != want || made != 2 {
-			t.Errorf("%s: %s after %d attempts", id, got.outcome(), made)
+		if got.outcome() != test.want || made != test.attempts {
+			t.Errorf("%s: %s after %d attempts", test.id, got.outcome(), made)
 		}
 	}
 }
@@ -402,6 +448,72 @@
 	}
 }
 
+// TestDisplacedRequestsWaitForRoom sends a request to a gateway whose region
+// takes nothing while the other region's one replica is full.
+func TestDisplacedRequestsWaitForRoom(t *testing.T) {
+	f := newFleet(t)
+	f.primary.set(func(p *primary) {
+		p.apply(registry.Add(places.ServiceRecord("explain", places.Service{Kind: "model", MaxConcurrency: 1})))
+	})
+	replica := f.replica("r1", "south")
+	north := f.gateway("g1", "north", "a", nil)
+	south := f.gateway("g2", "south", "b", nil)
+	f.ready(north, south)
+	room := make(chan struct{})
+	replica.behave(func(w http.ResponseWriter, r *http.Request, request *api.ReplicaRequest) {
+		select {
+		case <-room:
+		case <-r.Context().Done():
+		}
+		answerWhole(w, r, request)
+	})
+	first, _ := south.where(t, question("first"))
+	done := make(chan *reply, 2)
+	go func() { done <- south.send(t, first) }()
+	waitFor(t, "the full replica", func() bool { return len(replica.requests()) == 1 })
+	displaced := question("displaced")
+	answer, failure := north.mint(&api.WhereRequest{RequestID: displaced.RequestID, Model: "m", WaitMS: displaced.WaitMS})
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	displaced.Ticket = answer.Ticket
+	go func() { done <- north.send(t, displaced) }()
+	waitFor(t, "a declined offer", func() bool {
+		var declined dto.Metric
+		return north.metrics.spills.WithLabelValues("declined").Write(&declined) == nil && declined.GetCounter().GetValue() > 0
+	})
+	close(room)
+	for range 2 {
+		if got := <-done; got.outcome() != "success" {
+			t.Errorf("got %s", got.outcome())
+		}
+	}
+	if reached := len(replica.requests()); reached != 2 {
+		t.Errorf("reached the replica %d times", reached)
+	}
+}
+
+// TestLeavingGatewayRefers asks a gateway that is leaving where to go.
+func TestLeavingGatewayRefers(t *testing.T) {
+	f := newFleet(t)
+	f.replica("r1", "north")
+	leaving := f.gateway("g1", "north", "a", nil)
+	staying := f.gateway("g2", "north", "b", nil)
+	f.ready(leaving, staying)
+	leaving.Drain()
+	request, where := leaving.where(t, question("asked"))
+	if "http://"+where.Gateway != staying.url {
+		t.Fatalf("sent to %s, not to %s", where.Gateway, staying.url)
+	}
+	if got := staying.send(t, request); got.outcome() != "success" {
+		t.Errorf("got %s", got.outcome())
+	}
+	staying.Drain()
+	if _, failure := leaving.Gateway.where(t.Context(), &api.WhereRequest{RequestID: "nobody", Model: "m", WaitMS: 1000}); failure == nil || failure.Outcome != api.OutcomeRefused {
+		t.Errorf("with nobody left: %v", failure)
+	}
+}
+
 // TestWithdraw shows which offers are confirmed never to run.
 func TestWithdraw(t *testing.T) {
 	f := newFleet(t)
