--- a/routing/acquire.go
+++ b/routing/acquire.go
@@ -9,9 +9,6 @@
 	"github.com/deckpulley/deckpulley/placement"
 )
 
-// costUnit is the number of tokens that count as one unit of cost in fair shares.
-const costUnit = 1024
-
 // waiter is one request on its way to a slot.
 type waiter struct {
 	request Request
@@ -217,73 +214,3 @@
 		w.refuse(failure)
 	}
 }
-
-// enter grants the waiter a slot on its best replica, if that has room and
-// nobody waits for it; else it queues the waiter. One that finds no place in the
-// queue is granted any replica with room before it is refused.
-func (s *service) enter(now time.Time, w *waiter) (*Slot, *api.Error) {
-	choice := s.place(now, w, true)
-	free := s.queue.ClassLen(w.request.Class) == 0 || (choice.target != nil && choice.target.wanted == 0)
-	if choice.room && free {
-		s.waited -= holdSmoothing * s.waited
-		return s.newSlot(now, w, choice), nil
-	}
-	failure := s.enqueue(now, w)
-	if failure == nil {
-		w.want(choice.target)
-		return nil, nil
-	}
-	if choice = s.place(now, w, false); choice.target != nil {
-		return s.newSlot(now, w, choice), nil
-	}
-	return nil, failure
-}
-
-// enqueue gives the waiter a place in the queue, or says why not.
-func (s *service) enqueue(now time.Time, w *waiter) *api.Error {
-	w.since = now
-	if w.done == nil {
-		w.done = make(chan struct{})
-	}
-	w.item = &admission.Item[*waiter]{
-		Tenant:   w.request.Tenant,
-		Class:    w.request.Class,
-		Weight:   shareOf(s.router.plan, &w.request),
-		Cost:     1 + (w.work.Tokens+float64(w.request.MaxTokens))/costUnit,
-		Deadline: w.request.Deadline,
-		Needs:    s.needs(w),
-		Payload:  w,
-	}
-	if s.queue.Len() == 0 {
-		s.queuedSince = now
-	}
-	rate := s.rate(now)
-	pushedOut, refused := s.queue.Offer(now, w.item, rate)
-	if pushedOut != nil {
-		s.lastChance(now, pushedOut.Payload, s.fullError(&pushedOut.Payload.request, rate))
-	}
-	switch refused {
-	case admission.RefusedFull:
-		return s.fullError(&w.request, rate)
-	case admission.RefusedDeadline:
-		return s.lateError(&w.request, rate)
-	default:
-		return nil
-	}
-}
-
-func (s *service) fullError(request *Request, rate float64) *api.Error {
-	return refusal(request, api.CodeOverloaded, s.queue.RetryAfter(rate), "the queue of %q is full", s.name)
-}
-
-func (s *service) lateError(request *Request, rate float64) *api.Error {
-	return refusal(request, api.CodeDeadline, s.queue.RetryAfter(rate), "%q cannot begin the answer in the caller's time", s.name)
-}
-
-func (s *service) unusableError(request *Request) *api.Error {
-	code := api.CodeNoCapacity
-	if len(request.Home) > 0 {
-		code = api.CodeHomeUnavailable
-	}
-	return refusal(request, code, unavailableRetry, "no replica of %q is usable in region %q", s.name, s.router.config.Region)
-}
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -370,3 +370,114 @@
 		}
 	})
 }
+
+// TestLongLeavesRoom fills a replica with long requests: a quick one still finds
+// room, also when another gateway has most of the slots.
+func TestLongLeavesRoom(t *testing.T) {
+	for others := range 4 {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t)
+			f.replica("r1", "east-a", "east")
+			router := newRouter("east", "g1")
+			router.SetPlan(f.plan())
+			for sequence := range uint64(4) { // passes the ramp
+				told := report("r1")
+				told.Sequence = sequence + 1
+				router.Observe("r1", told, time.Now())
+				mustReserve(t, router, request("warms")).Finish(ResultSuccess, nil, time.Now())
+			}
+			told := report("r1")
+			told.Sequence, told.Running = 9, others
+			router.Observe("r1", told, time.Now())
+			granted := 0
+			for range 8 {
+				long := request("long")
+				long.Class = api.ClassLong
+				if _, failure := router.Reserve(long); failure == nil {
+					granted++
+				}
+			}
+			if granted != 3 && others == 0 || granted >= 4 || granted == 0 {
+				t.Fatalf("%d long requests beside %d others on four slots", granted, others)
+			}
+			mustReserve(t, router, request("quick"))
+		})
+	}
+}
+
+// TestExcludedEverywhere asks for another attempt when every usable replica was
+// tried: the refusal comes at once.
+func TestExcludedEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.replica("r1", "east-a", "east")
+		router := newRouter("east", "g1")
+		router.SetPlan(f.plan())
+		router.Observe("r1", report("r1"), time.Now())
+		again := request("again")
+		again.Exclude = map[string]bool{"r1": true}
+		start := time.Now()
+		if _, failure := router.Acquire(t.Context(), again); failure == nil || failure.Code != api.CodeNoCapacity {
+			t.Fatalf("got %v", failure)
+		}
+		if waited := time.Since(start); waited > 0 {
+			t.Fatalf("refused after %v", waited)
+		}
+	})
+}
+
+// TestWaitsForThePrefix fills the replica that holds a prefix while the other is
+// busy with room: a request for the prefix waits for the holder, one that may
+// not wait takes the other.
+func TestWaitsForThePrefix(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.replica("r1", "east-a", "east")
+		f.replica("r2", "east-a", "east")
+		router := newRouter("east", "g1")
+		router.SetPlan(f.plan())
+		for sequence := range uint64(8) { // passes the ramps
+			for _, name := range []string{"r1", "r2"} {
+				told := report(name)
+				told.Sequence = sequence + 1
+				router.Observe(name, told, time.Now())
+			}
+			first, second := mustReserve(t, router, request("a")), mustReserve(t, router, request("b"))
+			time.Sleep(100 * time.Millisecond)
+			first.Finish(ResultSuccess, nil, time.Now())
+			second.Finish(ResultSuccess, nil, time.Now())
+		}
+		shared := request("shared")
+		shared.Prefixes = []api.Prefix{{ID: "repository", Tokens: 4000}}
+		holders := []*Slot{mustReserve(t, router, shared)}
+		for len(holders) < 4 {
+			holders = append(holders, mustReserve(t, router, shared))
+		}
+		holder := holders[0].Replica
+		other := map[string]string{"r1": "r2", "r2": "r1"}[holder]
+		for _, slot := range holders {
+			if slot.Replica != holder {
+				t.Fatalf("the prefix went to %s and %s", holder, slot.Replica)
+			}
+		}
+		told := report(other)
+		told.Sequence, told.Running = 20, 3
+		router.Observe(other, told, time.Now())
+		granted := make(chan *Slot, 1)
+		go func() {
+			slot, _ := router.Acquire(context.Background(), shared)
+			granted <- slot
+		}()
+		synctest.Wait()
+		if queued := router.Status().Services[0].Queued; queued != 1 {
+			t.Fatalf("%d queued, want the request to wait", queued)
+		}
+		if slot := mustReserve(t, router, shared); slot.Replica != other {
+			t.Fatalf("reserved on the full %s", slot.Replica)
+		}
+		holders[0].Finish(ResultSuccess, nil, time.Now())
+		if slot := <-granted; slot.Replica != holder {
+			t.Fatalf("granted on %s, want the holder", slot.Replica)
+		}
+	})
+}
