Send less to replicas that fail some of their requests

Change: a replica's cost rises with the part of its recent attempts that failed or were refused; the memory halves in 5 s without attempts.

--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -4,6 +4,7 @@
 package outlier
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -44,6 +45,17 @@
 // smoothing is the weight of one request in the moving figures.
 const smoothing = 0.1
 
+// FailingHalf is the time in which the memory of failures halves while a
+// replica gets no attempts.
+const FailingHalf = 5 * time.Second
+
+// leastFailing is what counts as none, and forgetting the time after which the
+// memory of any failure has come down to it.
+const (
+	leastFailing = 0.01
+	forgetting   = 7 * FailingHalf
+)
+
 // medianAge is how long a computed median is used.
 const medianAge = 200 * time.Millisecond
 
@@ -51,6 +63,8 @@
 	failuresInRow int
 	errorRate     float64
 	requests      float64
+	failing       float64 // part of the attempts that failed or were refused, smoothed
+	failingAt     time.Time
 	latency       float64 // seconds, smoothed
 	samples       float64 // of latency
 	ejectedUntil  time.Time
@@ -61,7 +75,8 @@
 type Group struct {
 	config   Config
 	members  map[string]*member
-	median   float64 // of the members' latency, seconds; 0 is unknown
+	trouble  time.Time // of the last failure or refusal
+	median   float64   // of the members' latency, seconds; 0 is unknown
 	medianAt time.Time
 }
 
@@ -90,11 +105,12 @@
 }
 
 // Success records a completed request.
-func (g *Group) Success(name string) {
+func (g *Group) Success(now time.Time, name string) {
 	m := g.members[name]
 	if m == nil {
 		return
 	}
+	m.noteAttempt(now, 0)
 	m.failuresInRow = 0
 	m.requests++
 	m.errorRate -= smoothing * m.errorRate
@@ -125,6 +141,8 @@
 	if m == nil {
 		return false
 	}
+	g.trouble = now
+	m.noteAttempt(now, 1)
 	m.failuresInRow++
 	m.requests++
 	m.errorRate += smoothing * (1 - m.errorRate)
@@ -136,6 +154,33 @@
 	return g.eject(now, m)
 }
 
+// Refusal records an attempt that the replica itself refused. It never ejects.
+func (g *Group) Refusal(now time.Time, name string) {
+	if m := g.members[name]; m != nil {
+		g.trouble = now
+		m.noteAttempt(now, 1)
+	}
+}
+
+// Failing is the part of the recent attempts on a replica that failed or were
+// refused, 0 to 1. It halves with every FailingHalf without an attempt, so that
+// a replica that is avoided for it is tried again.
+func (g *Group) Failing(now time.Time, name string) float64 {
+	if now.Sub(g.trouble) > forgetting {
+		return 0
+	}
+	m := g.members[name]
+	if m == nil || m.failing < leastFailing {
+		return 0
+	}
+	return m.failing * math.Exp2(-float64(now.Sub(m.failingAt))/float64(FailingHalf))
+}
+
+func (m *member) noteAttempt(now time.Time, outcome float64) {
+	m.failing += smoothing * (outcome - m.failing)
+	m.failingAt = now
+}
+
 // EjectedUntil is the end of the replica's ejection; the zero time or a past
 // one means that it is not ejected.
 func (g *Group) EjectedUntil(name string) time.Time {
--- a/outlier/outlier_test.go
+++ b/outlier/outlier_test.go
@@ -35,7 +35,7 @@
 				group.Failure(now, name)
 			} else {
 				group.Latency(now, name, time.Duration(rapid.IntRange(1, 9000).Draw(t, "latency"))*time.Millisecond)
-				group.Success(name)
+				group.Success(now, name)
 			}
 			if ejected := group.Ejected(now); ejected > int(0.4*float64(size)) {
 				t.Fatalf("%d of %d ejected", ejected, size)
@@ -71,10 +71,20 @@
 	if !slow {
 		t.Fatal("a replica fifteen times as slow as the others stayed")
 	}
+	if failing := group.Failing(now, "a"); failing > 0.5 {
+		t.Fatalf("failing %v long after the last failure", failing)
+	}
+	for range 20 {
+		group.Refusal(now, "c")
+	}
+	recent, later := group.Failing(now, "c"), group.Failing(now.Add(FailingHalf), "c")
+	if recent < 0.8 || later > recent*0.51 || later < recent*0.49 || group.EjectedUntil("c").After(now) {
+		t.Fatalf("failing %v by refusals, %v a half life later", recent, later)
+	}
 	broken := false
 	for range 30 { // first tokens arrive in time, and every other stream breaks twice
 		now = now.Add(2 * time.Second)
-		group.Success("b")
+		group.Success(now, "b")
 		for range 2 {
 			broken = group.Failure(now, "b") || broken
 		}
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -42,6 +42,9 @@
 	// Wait is the expected time until it has room for the request, in seconds;
 	// 0 if it has room now.
 	Wait float64
+	// Penalty is added to its cost, in seconds, though not to the expected time:
+	// it keeps requests off a replica that fails them.
+	Penalty float64
 	// Cached is the part of the prompt expected in its KV cache, in tokens.
 	Cached float64
 
@@ -103,7 +106,7 @@
 
 // costOf is the candidate's cost for a request, in seconds.
 func (c *Candidate) costOf(work Work) float64 {
-	cost := c.FirstToken(work.Tokens)
+	cost := c.FirstToken(work.Tokens) + c.Penalty
 	if c.Speed > 0 {
 		cost += othersPrice * c.Busy * max(0, work.Bulk-c.Cached) / c.Speed
 	}
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -12,6 +12,9 @@
 	feedInterval = 200 * time.Millisecond
 	// feedPart of a request's remaining time may be spent to feed a cold replica.
 	feedPart = 0.25
+	// failingPrice, in seconds, times the square of the part of attempts that
+	// fail is added to a replica's cost: one failure in ten hardly counts.
+	failingPrice = 30
 	// patiencePart of its remaining time a request may wait for one replica.
 	patiencePart = 0.25
 )
@@ -62,6 +65,8 @@
 			continue
 		}
 		candidate := target.candidate(position, s.cached[target.number])
+		failing := s.group.Failing(now, target.name)
+		candidate.Penalty = failingPrice * failing * failing
 		if !room {
 			candidate.Wait = wait
 		}
--- a/routing/slot.go
+++ b/routing/slot.go
@@ -178,7 +178,11 @@
 	service.index.Unsent(target.number, l.chain)
 	target.limit.Failure(at)
 	target.refusals++
-	if target.refusals > toleratedRefusals && service.group.Failure(at, target.name) {
+	if target.refusals <= toleratedRefusals {
+		service.group.Refusal(at, target.name)
+		return
+	}
+	if service.group.Failure(at, target.name) {
 		target.ejected("refusals")
 	}
 }
@@ -192,7 +196,7 @@
 	}
 	target.hold = smoothed(target.hold, duration, holdSmoothing)
 	service.hold = smoothed(service.hold, duration, holdSmoothing)
-	service.group.Success(target.name)
+	service.group.Success(at, target.name)
 	target.refusals = 0
 	service.completions.Note(at)
 	service.completed++
