--- a/gateway/mint.go
+++ b/gateway/mint.go
@@ -17,7 +17,7 @@
 // where answers where a request should go: with a ticket of a gateway in the
 // region that serves it best. A gateway that leaves gives no tickets of its own.
 func (g *Gateway) where(ctx context.Context, request *api.WhereRequest) (*api.WhereAnswer, *api.Error) {
-	refused := g.mayPlace()
+	refused := g.mayAccept()
 	if refused != nil && !g.mayRefer() {
 		return nil, refused
 	}
@@ -148,7 +148,7 @@
 	if failure := checkWhere(&request.Request); failure != nil {
 		return &peer.MintTicketReply{Error: failure}, nil
 	}
-	if failure := g.mayPlace(); failure != nil {
+	if failure := g.mayAccept(); failure != nil {
 		return &peer.MintTicketReply{Error: failure}, nil
 	}
 	if !g.mayOwn() {
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -149,7 +149,7 @@
 		defer g.running.end()
 		defer cancel(nil)
 		work := &runner{gateway: g, request: copied, execution: run, ran: ran}
-		g.resolveAndRun(ctx, work)
+		g.resolveAndRun(ctx, work, owned)
 		if !owned {
 			return
 		}
@@ -159,8 +159,12 @@
 	}
 }
 
-func (g *Gateway) resolveAndRun(ctx context.Context, work *runner) {
-	failure := g.mayPlace()
+func (g *Gateway) resolveAndRun(ctx context.Context, work *runner, owned bool) {
+	check := g.mayAccept
+	if owned && g.honors() {
+		check = g.mayPlace
+	}
+	failure := check()
 	if failure == nil {
 		work.route, failure = g.router.Resolve(work.request, time.Now())
 	}
@@ -203,7 +207,7 @@
 	go func() {
 		defer g.running.end()
 		defer cancel(nil)
-		defer events.Close()
+		defer closeEvents(events)
 		g.copyFromOwner(ctx, events, run)
 	}()
 	return reader, failure
