Repair without pauses, and tell of members while one is cut off

Cause: the three steps of a repair waited 100 ms each for the next look; until the last, one more loss costs the majority. A member that was cut off used up the time of the whole answer about the members. A document between 2 and 8 MiB was let in only to be refused as invalid.

Change: steps follow each other while a node asks to join. A member has a third of a call's time-out to answer. The bound on documents is configuration's.

--- a/control/describe.go
+++ b/control/describe.go
@@ -17,8 +17,13 @@
 	kindOverview                             // call overviewRequest/overview, control to the primary
 )
 
-// describeInterval is the time between two rounds of asking the members.
-const describeInterval = 2 * time.Second
+const (
+	// describeInterval is the time between two rounds of asking the members.
+	describeInterval = 2 * time.Second
+	// describeShare is the part of a call's time-out that a member has to answer,
+	// so that one that is cut off leaves time for the answer about it.
+	describeShare = 3
+)
 
 // describeRequest asks a control node for what its member record does not hold.
 // A lost one is asked again.
@@ -74,7 +79,7 @@
 
 // describe asks one node and remembers its answer.
 func (n *Node) describe(ctx context.Context, address string) (description, error) {
-	ctx, cancel := context.WithTimeout(ctx, n.options.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, n.options.CallTimeout/describeShare)
 	defer cancel()
 	var described description
 	if err := n.network.Call(ctx, address, kindDescribe, &describeRequest{}, &described); err != nil {
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -389,3 +389,35 @@
 	options.PeerAddress = name + ":1"
 	return options
 }
+
+func TestMembersAreToldWithOneCutOff(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		gateway := f.startGateway("gateway-1")
+		f.await("a lease", gateway.valid)
+		f.await("a whole group", func() bool { return f.members(f.primary()).RepairDone })
+		primary, cutOff := f.primary(), f.follower()
+		for _, name := range controlNames {
+			if name != cutOff.options.Name {
+				f.cut(cutOff.options.PeerAddress, f.options[name].PeerAddress)
+			}
+		}
+		time.Sleep(2 * reachableWithin)
+		for _, name := range controlNames {
+			if name == cutOff.options.Name {
+				continue
+			}
+			answer := f.members(f.nodes[name])
+			if answer.RepairDone {
+				t.Errorf("%s says that the group is whole", name)
+			}
+			up := make(map[string]bool)
+			for _, member := range answer.Members {
+				up[member.Name] = member.Up
+			}
+			if len(up) != 4 || up[cutOff.options.Name] || !up[primary.options.Name] || !up["gateway-1"] {
+				t.Errorf("%s lists as up: %v", name, up)
+			}
+		}
+	})
+}
--- a/control/http.go
+++ b/control/http.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/configuration"
 	"github.com/deckpulley/deckpulley/peer"
 )
 
@@ -26,7 +27,7 @@
 	// writeTimeout covers the longest wait for an order to be in force.
 	writeTimeout = maxOrderWait + 10*time.Second
 	// maxOrderBody bounds an order's body in bytes: a document, escaped, and the rest.
-	maxOrderBody = 2*api.MaxDocumentBytes + 64<<10
+	maxOrderBody = 2*configuration.MaxDocumentBytes + 64<<10
 	// maxSmallBody bounds the body of an evacuation order.
 	maxSmallBody = 64 << 10
 	// liveTimeout is how soon a live event loop answers.
@@ -116,8 +117,8 @@
 		writeError(w, problem)
 		return
 	}
-	if len(order.Document) > api.MaxDocumentBytes {
-		writeError(w, &api.Error{Code: api.CodeTooLarge, Outcome: api.OutcomeRefused, Field: "document", Message: fmt.Sprintf("must have at most %d bytes", api.MaxDocumentBytes)})
+	if len(order.Document) > configuration.MaxDocumentBytes {
+		writeError(w, &api.Error{Code: api.CodeTooLarge, Outcome: api.OutcomeRefused, Field: "document", Message: fmt.Sprintf("must have at most %d bytes", configuration.MaxDocumentBytes)})
 		return
 	}
 	order.Author = authorOf(order.Author, operator)
@@ -136,7 +137,7 @@
 
 func (n *Node) putReplicas(w http.ResponseWriter, r *http.Request, _ string) {
 	var list api.ReplicaList
-	if problem := readJSON(w, r, api.MaxDocumentBytes, &list); problem != nil {
+	if problem := readJSON(w, r, maxOrderBody, &list); problem != nil {
 		writeError(w, problem)
 		return
 	}
--- a/control/operators_test.go
+++ b/control/operators_test.go
@@ -14,6 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/configuration"
 	"github.com/deckpulley/deckpulley/places"
 	"github.com/deckpulley/deckpulley/registry"
 	"github.com/deckpulley/deckpulley/settings"
@@ -55,7 +56,7 @@
 		{"wrong type", "POST", "/v1/evacuations", `{"order_id":"a","zone":7}`, testToken, 400, api.CodeInvalid, "zone"},
 		{"two documents", "POST", "/v1/evacuations", `{"order_id":"a","zone":"b"}{}`, testToken, 400, api.CodeInvalid, ""},
 		{"body too large", "POST", "/v1/evacuations", `{"order_id":"` + strings.Repeat("a", maxSmallBody) + `"}`, testToken, 413, api.CodeTooLarge, ""},
-		{"document too large", "PUT", "/v1/configuration", configurationOrder(strings.Repeat("a", api.MaxDocumentBytes+1)), testToken, 413, api.CodeTooLarge, "document"},
+		{"document too large", "PUT", "/v1/configuration", configurationOrder(strings.Repeat("a", configuration.MaxDocumentBytes+1)), testToken, 413, api.CodeTooLarge, "document"},
 		{"no order id", "POST", "/v1/evacuations", `{"zone":"b"}`, testToken, 400, api.CodeInvalid, "order_id"},
 		{"order id too long", "POST", "/v1/evacuations", `{"order_id":"` + strings.Repeat("a", 129) + `","zone":"b"}`, testToken, 400, api.CodeInvalid, "order_id"},
 		{"wait not a number", "POST", "/v1/evacuations?wait_ms=soon", `{"order_id":"a","zone":"b"}`, testToken, 400, api.CodeInvalid, "wait_ms"},
--- a/control/repair.go
+++ b/control/repair.go
@@ -66,10 +66,18 @@
 	o.joins[request.member.ID] = request
 }
 
-// maintain is what a primary does at intervals.
+// maintain is what a primary does at intervals. While a node asks to join, the
+// repair goes on without waiting for them: until it is done, one more loss can
+// cost the majority.
 func (m *machine) maintain(now time.Duration) {
 	office, serving := m.serving()
-	if !serving || now < office.nextMaintenance {
+	if !serving {
+		return
+	}
+	if now < office.nextMaintenance {
+		if len(office.joins) > 0 {
+			m.repairGroup(now)
+		}
 		return
 	}
 	office.nextMaintenance = now + maintenanceInterval
--- a/control/status.go
+++ b/control/status.go
@@ -12,6 +12,9 @@
 	"github.com/deckpulley/deckpulley/settings"
 )
 
+// overviewTimeout bounds collecting an overview, forwarding included.
+const overviewTimeout = 2 * time.Second
+
 // overviewRequest asks the primary for what only it knows. A lost one leaves the
 // asking node to answer from what it has.
 type overviewRequest struct{}
@@ -35,7 +38,7 @@
 // overview is the primary's, or this node's own view with a note if no primary
 // answers.
 func (n *Node) overview(ctx context.Context) overview {
-	ctx, cancel := context.WithTimeout(ctx, n.options.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, overviewTimeout)
 	defer cancel()
 	observed := n.observe()
 	if observed.primary {
