--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 SEEDS ?= 20000
 FIRST_SEED ?= 1
 NAME ?= placement
+FUZZTIME ?= 30s
 NODES ?= 402
 REPLICAS ?= 12000
 
@@ -52,6 +53,10 @@
 	if [ -n "$$unformatted" ]; then echo "not formatted (make format): $$unformatted"; exit 1; fi
 	$(TOOLS)/golangci-lint run ./...
 
+.PHONY: fuzz
+fuzz: ## run every fuzz target for a while: FUZZTIME=30s
+	scripts/fuzz.sh $(FUZZTIME)
+
 .PHONY: fleet
 fleet: build ## run a whole deployment: DEPLOYMENT=kodovka|georgia SECONDS=20
 	bin/deckpulley-fleet run --deployment $(DEPLOYMENT) --seconds $(RUN_SECONDS)
--- /dev/null
+++ b/configuration/fuzz_test.go
@@ -0,0 +1,45 @@
+package configuration
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/registry"
+)
+
+// FuzzLoad feeds text to Load. An error names its reasons; a document that
+// passes can be applied to an empty table.
+func FuzzLoad(f *testing.F) {
+	f.Add("regions: {a: {zones: [a-1], capacity: 1}}\nservices: {s: {kind: model, max_concurrency: 1}}\nroutes: {m: {service: s}}\n")
+	f.Add(`{"regions":{"a":{"zones":["a-1"],"capacity":0}}}`)
+	f.Add("a: &b {c: *b}")
+	kodovka, err := Example("kodovka")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(kodovka)
+	f.Fuzz(func(t *testing.T, text string) {
+		document, err := Load(text)
+		if err != nil {
+			var problems *Problems
+			if !errors.As(err, &problems) || len(problems.List) == 0 || problems.List[0].Reason == "" {
+				t.Fatalf("an error without reasons: %v", err)
+			}
+			return
+		}
+		head := registry.Head{Primary: "p", Serial: 1}
+		table, err := registry.New(places.Apex, places.Schema(), head, []string{"p"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		changes, err := Changes(table.View(), document, 1, "", text)
+		if err != nil {
+			t.Fatalf("changes of a valid document: %v", err)
+		}
+		update := registry.NewUpdate(places.Apex, nil, changes)
+		if result := table.Apply(&update, nil); result.Code != registry.NoError {
+			t.Fatalf("applying a valid document: %s: %v", result.Code, result.Reason)
+		}
+	})
+}
