Let orders leave a frozen primary; keep the group's size in its state

Cause: an order forwarded to a primary that then froze waited its whole time there, 9.9 of 10 s in the test. The number of voters of a whole group came from each node's own settings, which a replacement need not have.

Change: a forwarding node gives the call up when another node leads, and asks that one. The number of voters is part of the group's state since its formation.

--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -22,7 +22,6 @@
 		Network:     transport.NewMemory().Node("control-1", "control-1:1"),
 		Store:       storage.NewMemory("disk-1"),
 		Logger:      slog.New(slog.DiscardHandler),
-		Voters:      1,
 	}.withDefaults()
 	m, err := newMachine(options, options.Logger, newMetrics(), 0)
 	if err != nil {
--- a/control/formation.go
+++ b/control/formation.go
@@ -143,7 +143,7 @@
 	if err != nil {
 		return consensus.Snapshot{}, fmt.Errorf("control: encoding the first table: %w", err)
 	}
-	data, err := encodeSnapshot(snapshotContent{Cluster: cluster, Table: encoded})
+	data, err := encodeSnapshot(snapshotContent{Cluster: cluster, Table: encoded, Voters: len(members)})
 	if err != nil {
 		return consensus.Snapshot{}, err
 	}
--- a/control/forward.go
+++ b/control/forward.go
@@ -77,8 +77,15 @@
 	return &reply, nil
 }
 
-// forwardOrder passes an order to the primary. An error leaves its fate open.
+// forwardOrder passes an order to the primary, and gives up when another node
+// becomes that: the first may be frozen. An error leaves the order's fate open.
 func (n *Node) forwardOrder(ctx context.Context, primary string, request peer.OrderRequest) (peer.OrderReply, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		n.waitUntil(ctx, func(o *observation) bool { return o.leaderAddress() != primary })
+		cancel()
+	}()
 	request.Hops++
 	if deadline, bounded := ctx.Deadline(); bounded {
 		request.WaitMS = (time.Until(deadline) - answerSlack).Milliseconds()
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -421,3 +421,23 @@
 		}
 	})
 }
+
+func TestOrderLeavesAFrozenPrimary(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		f.mustSend(f.primary(), "order-1", 0)
+		old, through := f.primary(), f.follower()
+		f.freeze(old, 25*time.Second)
+		started := time.Now()
+		f.mustSend(through, "order-2", 1)
+		// An election takes up to two time-outs of 600 ms, then older leases run out.
+		if took := time.Since(started); took > lease.DefaultTerms().Window()+2*time.Second {
+			t.Errorf("the order took %v", took)
+		}
+		time.Sleep(patience)
+		_, again := f.send(old, "order-2", 1, document(t))
+		if !again.Accepted || again.Version != 2 {
+			t.Errorf("the thawed node repeats %+v", again)
+		}
+	})
+}
--- a/control/machine.go
+++ b/control/machine.go
@@ -31,6 +31,8 @@
 	contents *places.Contents
 	orders   orderBook
 	applied  uint64
+	// voters is the number of voters of the group without loss.
+	voters int
 	// snapshotIndex is the index of the newest snapshot on disk.
 	snapshotIndex uint64
 
--- a/control/options.go
+++ b/control/options.go
@@ -19,7 +19,6 @@
 	defaultReplaceAfter      = 3 * time.Second
 	defaultGatewayGrace      = time.Second
 	defaultOrderWait         = 10 * time.Second
-	defaultVoters            = 3
 	defaultSnapshotInterval  = 4096
 )
 
@@ -74,9 +73,6 @@
 	// OrderWait is how long an order may wait to be in force when its sender
 	// does not say.
 	OrderWait time.Duration
-	// Voters is the number of voters of a group without loss. Default: the
-	// number of InitialControl, or 3.
-	Voters int
 	// SnapshotInterval is the number of entries applied between two snapshots.
 	SnapshotInterval uint64
 }
@@ -110,12 +106,6 @@
 	setDefault(&o.ReplaceAfter, defaultReplaceAfter)
 	setDefault(&o.GatewayGrace, defaultGatewayGrace)
 	setDefault(&o.OrderWait, defaultOrderWait)
-	if o.Voters == 0 {
-		o.Voters = len(o.InitialControl)
-	}
-	if o.Voters == 0 {
-		o.Voters = defaultVoters
-	}
 	if o.SnapshotInterval == 0 {
 		o.SnapshotInterval = defaultSnapshotInterval
 	}
--- a/control/recover.go
+++ b/control/recover.go
@@ -77,6 +77,7 @@
 type survivor struct {
 	table  *registry.Table
 	orders orderBook
+	voters int
 	index  uint64
 	term   uint64
 }
@@ -92,7 +93,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("control: restoring snapshot %d: %w", loaded.Snapshot.Index, err)
 	}
-	s := &survivor{table: table, index: loaded.Snapshot.Index, term: max(loaded.HardState.Term, loaded.Snapshot.Term)}
+	s := &survivor{table: table, voters: content.Voters, index: loaded.Snapshot.Index, term: max(loaded.HardState.Term, loaded.Snapshot.Term)}
 	s.orders.restore(content.Orders)
 	for _, entry := range loaded.Entries {
 		if entry.Index <= s.index {
@@ -148,7 +149,7 @@
 	if err != nil {
 		return fmt.Errorf("control: encoding the table: %w", err)
 	}
-	data, err := encodeSnapshot(snapshotContent{Cluster: recovered.Cluster, Table: table, Orders: s.orders.entries()})
+	data, err := encodeSnapshot(snapshotContent{Cluster: recovered.Cluster, Table: table, Orders: s.orders.entries(), Voters: s.voters})
 	if err != nil {
 		return err
 	}
--- a/control/repair.go
+++ b/control/repair.go
@@ -189,7 +189,7 @@
 		status:       status,
 		joins:        joins,
 		noticed:      m.office.noticed,
-		voters:       m.options.Voters,
+		voters:       m.voters,
 		replaceAfter: m.options.ReplaceAfter,
 	}
 }
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -22,6 +22,8 @@
 	Table   []byte `cbor:"2,keyasint"`
 	// Orders remembers at which serial each kept order became visible.
 	Orders []orderEntry `cbor:"3,keyasint,omitempty"`
+	// Voters is the number of voters of the group without loss: that of its formation.
+	Voters int `cbor:"4,keyasint"`
 }
 
 func encodeSnapshot(content snapshotContent) ([]byte, error) {
@@ -60,6 +62,7 @@
 	m.contents = nil
 	m.transfers.reset()
 	m.orders.restore(content.Orders)
+	m.voters = content.Voters
 	m.applied = snapshot.Index
 	m.snapshotIndex = snapshot.Index
 	return m.readContents()
@@ -99,5 +102,5 @@
 	if err != nil {
 		return nil, fmt.Errorf("control: encoding the table: %w", err)
 	}
-	return encodeSnapshot(snapshotContent{Cluster: m.cluster, Table: table, Orders: m.orders.entries()})
+	return encodeSnapshot(snapshotContent{Cluster: m.cluster, Table: table, Orders: m.orders.entries(), Voters: m.voters})
 }
