--- a/control/group_test.go
+++ b/control/group_test.go
@@ -187,6 +187,7 @@
 		cluster := f.primary().observe().cluster
 		for round, name := range append(controlNames, controlNames[0]) {
 			f.await("a whole group", func() bool { return f.members(f.primary()).RepairDone })
+			time.Sleep(2 * learnerPatience) // a primary long in office counts a newcomer's time from its coming
 			f.mustSend(f.primary(), "order-"+string(rune('a'+round)), base)
 			base++
 			f.stop(name)
@@ -317,14 +318,9 @@
 		f.mustSend(f.primary(), "order-1", 0)
 		old := f.primary()
 		term := old.observe().status.Term
-		// A gateway that hears the old primary alone.
-		lonely := f.startGateway("gateway-2")
+		// A gateway that knows the old primary alone, and waits for its answer.
+		lonely := f.startGatewayOf("gateway-2", time.Minute, old.options.Name)
 		f.await("a lease", lonely.valid)
-		for _, name := range controlNames {
-			if name != old.options.Name {
-				f.cut(lonely.address, f.options[name].PeerAddress)
-			}
-		}
 		f.freeze(old, 25*time.Second)
 		time.Sleep(10 * time.Second)
 		before := lonely.leases(term)
@@ -356,3 +352,72 @@
 		f.start(old.options.Name)
 	})
 }
+
+func TestReplacedDiskComesBackAsAStranger(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		f.await("a whole group", func() bool { return f.members(f.primary()).RepairDone })
+		replaced := f.follower().options.Name
+		f.stop(replaced)
+		f.options["control-4"] = f.replacement(replaced, "control-4")
+		f.wipe("control-4")
+		f.start("control-4")
+		f.await("the replacement", func() bool { return f.members(f.primary()).RepairDone })
+		f.mustSend(f.primary(), "order-1", 0)
+		before := f.primary().observe().status
+		f.start(replaced)
+		time.Sleep(patience)
+		after := f.primary().observe().status
+		if after.Term != before.Term || !cmp.Equal(after.Membership, before.Membership) {
+			t.Errorf("the replaced disk's return changed term %d to %d, or members %v to %v", before.Term, after.Term, before.Membership, after.Membership)
+		}
+		if f.nodes[replaced].observe().ready() == nil {
+			t.Error("a node that the group does not count says that it is ready")
+		}
+		f.stop("control-4")
+		f.await("the old disk to be taken in", func() bool {
+			o := f.nodes[replaced].observe()
+			return f.members(f.primary()).RepairDone && o.contents.Version() == 1
+		})
+	})
+}
+
+// replacement is a node in place of another, with a name and an address of its own.
+func (f *fleet) replacement(of, name string) Options {
+	options := f.options[of]
+	options.Name = name
+	options.PeerAddress = name + ":1"
+	return options
+}
+
+func TestMembersAreToldWithOneCutOff(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		gateway := f.startGateway("gateway-1")
+		f.await("a lease", gateway.valid)
+		f.await("a whole group", func() bool { return f.members(f.primary()).RepairDone })
+		primary, cutOff := f.primary(), f.follower()
+		for _, name := range controlNames {
+			if name != cutOff.options.Name {
+				f.cut(cutOff.options.PeerAddress, f.options[name].PeerAddress)
+			}
+		}
+		time.Sleep(2 * reachableWithin)
+		for _, name := range controlNames {
+			if name == cutOff.options.Name {
+				continue
+			}
+			answer := f.members(f.nodes[name])
+			if answer.RepairDone {
+				t.Errorf("%s says that the group is whole", name)
+			}
+			up := make(map[string]bool)
+			for _, member := range answer.Members {
+				up[member.Name] = member.Up
+			}
+			if len(up) != 4 || up[cutOff.options.Name] || !up[primary.options.Name] || !up["gateway-1"] {
+				t.Errorf("%s lists as up: %v", name, up)
+			}
+		}
+	})
+}
--- a/internal/simulation/machine.go
+++ b/internal/simulation/machine.go
@@ -31,8 +31,9 @@
 	replaces string
 	store    *storage.Memory
 
-	// gone machines never come back.
-	gone bool
+	// gone machines never come back; retiring ones run until they are replaced.
+	gone     bool
+	retiring bool
 	// node is nil while the process is down.
 	node *consensus.Node
 	// process counts the starts; timers of an earlier one are void.
@@ -46,13 +47,16 @@
 
 	frozen bool
 	buffer []func()
+	// stall stops the process before it sends what it writes next; unfinished is
+	// the batch that waits for that.
+	stall      time.Duration
+	unfinished *consensus.Ready
 
 	// asked holds the orders that wait for their answer here, by id.
 	asked map[string][]waiting
-	// proposed holds the ids that are in the log but not applied, by id.
-	proposed map[string]place
-	joins    map[consensus.ID]joining
-	office   primary
+	joins map[consensus.ID]joining
+	// office is nil unless the machine leads.
+	office *primary
 }
 
 // place is where a proposal stands in the log.
@@ -60,13 +64,6 @@
 	index, term uint64
 }
 
-// joining is a machine that wants to be a member.
-type joining struct {
-	member   consensus.Member
-	replaces string
-	heard    time.Duration // on the local clock
-}
-
 func (w *world) newMachine(name, replaces string) *machine {
 	m := &machine{
 		world:    w,
@@ -130,12 +127,16 @@
 		return
 	}
 	node, err := consensus.New(consensus.Config{
-		ID:          held.Identity,
-		Seed:        m.world.random.Uint64(),
-		MaxInflight: 1 + m.world.random.IntN(16),
-		HardState:   held.HardState,
-		Snapshot:    held.Snapshot,
-		Entries:     held.Entries,
+		ID:        held.Identity,
+		Seed:      m.world.random.Uint64(),
+		HardState: held.HardState,
+		Snapshot:  held.Snapshot,
+		Entries:   held.Entries,
+
+		ElectionTimeout:   m.world.settings.electionTimeout,
+		HeartbeatInterval: m.world.settings.electionTimeout / heartbeatsPerTimeout,
+		MaxInflight:       m.world.settings.inflight,
+		MaxAppendBytes:    m.world.settings.appendBytes,
 	})
 	if err != nil {
 		m.world.violate(RuleDurable, "%s cannot start from its disk: %v", m.name, err)
@@ -149,10 +150,10 @@
 	m.drift = mostDrift * (2*m.world.random.Float64() - 1)
 	m.frozen = false
 	m.buffer = nil
+	m.stall = 0
 	m.asked = make(map[string][]waiting)
-	m.proposed = make(map[string]place)
 	m.joins = make(map[consensus.ID]joining)
-	m.office = primary{}
+	m.office = nil
 	m.restoreState(held.Snapshot)
 	node.Tick(m.clock())
 	m.tickLater(m.process)
@@ -177,6 +178,7 @@
 	m.node = nil
 	m.frozen = false
 	m.buffer = nil
+	m.unfinished = nil
 	m.store.Crash()
 }
 
@@ -235,7 +237,12 @@
 	m.frozen = false
 	waited := m.buffer
 	m.buffer = nil
-	if m.world.chance(0.5) {
+	if m.unfinished != nil {
+		batch := *m.unfinished
+		m.unfinished = nil
+		m.finish(batch)
+	}
+	if m.node != nil && m.world.chance(0.5) {
 		m.tick()
 	}
 	for _, run := range waited {
@@ -245,27 +252,49 @@
 
 // work does what the node asks for, in the order that Ready prescribes.
 func (m *machine) work() {
-	for m.node != nil && m.node.HasReady() && !m.world.broken() {
+	m.checkOffice()
+	for m.up() && m.node.HasReady() && !m.world.broken() {
 		ready := m.node.Ready()
 		if m.world.has(defect.SendBeforeSync) {
 			m.sendAll(ready.Messages)
+			ready.Messages = nil
 		}
 		if !m.persist(ready) {
 			return
 		}
-		if !m.world.has(defect.SendBeforeSync) {
-			m.sendAll(ready.Messages)
+		if m.stall > 0 {
+			m.stop(ready)
+			return
 		}
-		m.apply(ready)
-		m.node.Advance(ready)
-		m.compact()
+		m.finish(ready)
 	}
-	if m.node != nil {
+	if m.up() {
 		m.world.checks.afterStep(m)
 		m.answerOrders()
+		m.notifyGateways()
 	}
 }
 
+// finish does the part of a batch that follows the write.
+func (m *machine) finish(ready consensus.Ready) {
+	m.sendAll(ready.Messages)
+	m.apply(ready)
+	m.node.Advance(ready)
+	m.compact()
+	if m.node != nil {
+		m.checkOffice()
+	}
+}
+
+// stop freezes the process between its disk and the network.
+func (m *machine) stop(ready consensus.Ready) {
+	m.world.count(FaultStall)
+	m.frozen = true
+	m.unfinished = &ready
+	m.world.after(m.stall, m.thaw)
+	m.stall = 0
+}
+
 func (m *machine) persist(ready consensus.Ready) bool {
 	if ready.HardState != nil && m.world.has(defect.ForgetVote) {
 		forgetful := *ready.HardState
@@ -289,6 +318,9 @@
 
 func (m *machine) sendAll(messages []consensus.Message) {
 	for _, message := range messages {
+		if message.Kind == consensus.MessageVoteReply && !message.Reject {
+			m.world.afterVote(m)
+		}
 		to := m.world.checks.holder(message.To)
 		if to == nil {
 			continue
@@ -311,12 +343,13 @@
 	}
 	for _, entry := range ready.Committed {
 		if entry.Kind == consensus.EntryNormal {
-			if err := m.state.apply(entry.Data); err != nil {
+			if _, err := m.state.apply(entry.Data); err != nil {
 				m.world.violate(RuleAgreement, "%s cannot apply index %d: %v", m.name, entry.Index, err)
 			}
 		}
 		m.applied = entry.Index
 		m.world.checks.appliedEntry(m, entry)
+		m.noteApplied(entry)
 	}
 }
 
--- a/routing/acquire.go
+++ b/routing/acquire.go
@@ -9,9 +9,6 @@
 	"github.com/deckpulley/deckpulley/placement"
 )
 
-// costUnit is the number of tokens that count as one unit of cost in fair shares.
-const costUnit = 1024
-
 // waiter is one request on its way to a slot.
 type waiter struct {
 	request Request
@@ -22,6 +19,7 @@
 	done    chan struct{} // closed once slot or failure is set
 	slot    *Slot
 	failure *api.Error
+	wants   *replica // the replica that it waits for
 }
 
 func newWaiter(request Request) *waiter {
@@ -36,15 +34,28 @@
 }
 
 func (w *waiter) grant(slot *Slot) {
+	w.want(nil)
 	w.slot = slot
 	close(w.done)
 }
 
 func (w *waiter) refuse(failure *api.Error) {
+	w.want(nil)
 	w.failure = failure
 	close(w.done)
 }
 
+// want notes the replica that the waiter waits for; nil is none.
+func (w *waiter) want(target *replica) {
+	if w.wants != nil {
+		w.wants.wanted--
+	}
+	w.wants = target
+	if target != nil {
+		target.wanted++
+	}
+}
+
 // Acquire waits for a slot on a replica of the own region. It returns within
 // the request's deadline, earlier if the request cannot make its time, and with
 // CodeCanceled if ctx ends first. A refused request never ran. Every slot must
@@ -72,8 +83,8 @@
 	if failure != nil {
 		return nil, failure
 	}
-	if slot := target.immediate(now, w); slot != nil {
-		return slot, nil
+	if choice := target.place(now, w, false); choice.target != nil {
+		return target.newSlot(now, w, choice), nil
 	}
 	if !target.anyUsable(now) {
 		return nil, target.unusableError(&w.request)
@@ -83,6 +94,7 @@
 }
 
 func (r *Router) acquireOnce(ctx context.Context, w *waiter) (*Slot, *api.Error) {
+	w.done = nil
 	slot, failure := r.enter(w)
 	if slot != nil || failure != nil {
 		return slot, failure
@@ -100,12 +112,8 @@
 	if failure != nil {
 		return nil, failure
 	}
-	if slot := service.immediate(now, w); slot != nil {
-		return slot, nil
-	}
-	w.done = make(chan struct{})
 	w.slot, w.failure = nil, nil
-	return nil, service.enqueue(now, w)
+	return service.enter(now, w)
 }
 
 // await waits for the grant or the refusal of a queued request.
@@ -132,7 +140,8 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.tick(now)
-	if service := r.services[w.request.Service]; service != nil {
+	service := r.services[w.request.Service]
+	if service != nil && now.Sub(service.dispatched) >= tickInterval/2 {
 		service.dispatch(now)
 	}
 }
@@ -140,8 +149,8 @@
 // cancel takes a waiter out whose caller has gone.
 func (r *Router) cancel(w *waiter) *api.Error {
 	r.mutex.Lock()
-	if service := r.services[w.request.Service]; service != nil {
-		service.queue.Remove(w.item)
+	if service := r.services[w.request.Service]; service != nil && service.queue.Remove(w.item) {
+		w.want(nil)
 	}
 	slot := w.slot
 	r.mutex.Unlock()
@@ -196,70 +205,12 @@
 		w.refuse(failure)
 		return
 	}
-	if slot := target.immediate(now, w); slot != nil {
+	w.want(nil)
+	slot, failure := target.enter(now, w)
+	switch {
+	case slot != nil:
 		w.grant(slot)
-		return
-	}
-	if failure := target.enqueue(now, w); failure != nil {
+	case failure != nil:
 		w.refuse(failure)
 	}
 }
-
-// immediate grants a slot if nobody of the class waits and a replica has room.
-func (s *service) immediate(now time.Time, w *waiter) *Slot {
-	if s.queue.ClassLen(w.request.Class) > 0 {
-		return nil
-	}
-	choice := s.place(now, w)
-	if choice.target == nil {
-		return nil
-	}
-	s.waited -= holdSmoothing * s.waited
-	return s.newSlot(now, w, choice)
-}
-
-// enqueue gives the waiter a place in the queue, or says why not.
-func (s *service) enqueue(now time.Time, w *waiter) *api.Error {
-	w.since = now
-	w.item = &admission.Item[*waiter]{
-		Tenant:   w.request.Tenant,
-		Class:    w.request.Class,
-		Weight:   shareOf(s.router.plan, &w.request),
-		Cost:     1 + (w.work.Tokens+float64(w.request.MaxTokens))/costUnit,
-		Deadline: w.request.Deadline,
-		Needs:    s.needs(w),
-		Payload:  w,
-	}
-	if s.queue.Len() == 0 {
-		s.queuedSince = now
-	}
-	rate := s.rate(now)
-	pushedOut, refused := s.queue.Offer(now, w.item, rate)
-	if pushedOut != nil {
-		pushedOut.Payload.refuse(s.fullError(&pushedOut.Payload.request, rate))
-	}
-	switch refused {
-	case admission.RefusedFull:
-		return s.fullError(&w.request, rate)
-	case admission.RefusedDeadline:
-		return s.lateError(&w.request, rate)
-	default:
-		return nil
-	}
-}
-
-func (s *service) fullError(request *Request, rate float64) *api.Error {
-	return refusal(request, api.CodeOverloaded, s.queue.RetryAfter(rate), "the queue of %q is full", s.name)
-}
-
-func (s *service) lateError(request *Request, rate float64) *api.Error {
-	return refusal(request, api.CodeDeadline, s.queue.RetryAfter(rate), "%q cannot begin the answer in the caller's time", s.name)
-}
-
-func (s *service) unusableError(request *Request) *api.Error {
-	code := api.CodeNoCapacity
-	if len(request.Home) > 0 {
-		code = api.CodeHomeUnavailable
-	}
-	return refusal(request, code, unavailableRetry, "no replica of %q is usable in region %q", s.name, s.router.config.Region)
-}
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -22,6 +22,12 @@
 	// feederChange is how long a new feeder of the same cold replica waits, so
 	// that what the feeder before it had under way is seen in a report.
 	feederChange = time.Second
+	// longFeedDelay is how long a cold replica at its first step waits for
+	// something shorter before it is given a long request.
+	longFeedDelay = 2 * time.Second
+	// leastWait is the least time, in seconds, that a replica without room is
+	// expected to stay so.
+	leastWait = 0.001
 	// holdSmoothing is the weight of one request in the time a slot is held.
 	holdSmoothing = 0.1
 	// trustSmoothing is the weight of one answer in the trust in expected caches.
@@ -58,6 +64,7 @@
 
 	inFlight     int
 	inFlightLong int
+	wanted       int     // waiting requests that wait for this replica
 	refusals     int     // in a row
 	others       int     // requests of other gateways, by the last report
 	sentTokens   float64 // prefill sent since the last report
@@ -203,6 +210,7 @@
 	if fresh || long || (t.cold() && !additive) {
 		t.rampedFor = t.report.Incarnation
 		t.ramp = t.newRamp(bound)
+		t.fedAt = now
 		return
 	}
 	if additive && !t.cold() {
@@ -248,10 +256,10 @@
 // showed it free. Long requests have the same within their part of the ceiling,
 // and the others' requests all count as long. A cold replica has no such part:
 // its ceiling binds all.
-func (t *replica) room(class api.Class) bool {
+func (t *replica) room(now time.Time, class api.Class) bool {
 	ceiling := t.ceiling()
 	if t.cold() {
-		return t.inFlight+t.others < ceiling
+		return t.busy() < ceiling && (class != api.ClassLong || t.coldRoomForLong(now, ceiling))
 	}
 	gateways := max(1, len(t.service.router.gateways))
 	part := (ceiling + gateways - 1) / gateways
@@ -265,6 +273,29 @@
 	return t.inFlightLong < max(1, long/gateways) || t.busy() < long
 }
 
+// coldRoomForLong keeps the first step of a cold replica for short requests,
+// whose successes raise the ramp soonest, unless none has come for a while.
+func (t *replica) coldRoomForLong(now time.Time, ceiling int) bool {
+	if ceiling < 2 {
+		return now.Sub(t.fedAt) >= longFeedDelay
+	}
+	return t.inFlightLong < admission.ClassLimit(ceiling, api.ClassLong)
+}
+
+// waitForRoom is the expected time until the replica has room for a waiter, in
+// seconds, behind the others that wait for it.
+func (t *replica) waitForRoom(w *waiter) float64 {
+	ahead := t.wanted
+	if w.wants == t {
+		ahead--
+	}
+	hold := t.hold
+	if hold <= 0 {
+		hold = t.service.hold
+	}
+	return max(leastWait, float64(ahead+1)*hold/float64(t.ceiling()))
+}
+
 // busy counts the requests on the replica, as far as known.
 func (t *replica) busy() int {
 	return t.inFlight + t.others
