Keep the newest entry in a forced recovery

Cause: on a real disk with 6,009 entries the recovery did not end: it dropped the whole log, and storage then searched the emptied bucket for its last entry without end.

--- a/control/recover.go
+++ b/control/recover.go
@@ -55,7 +55,7 @@
 	if loaded.Cluster == "" || loaded.Snapshot.Index == 0 {
 		return Recovered{}, ErrNothingToRecover
 	}
-	options.Logger.Warn("FORCED RECOVERY: what is not in this copy is lost", "node", options.Name, "cluster", loaded.Cluster, "identity", string(loaded.Identity))
+	options.Logger.Warn("FORCED RECOVERY: what is not in this copy is lost", "cluster", loaded.Cluster, "identity", string(loaded.Identity))
 	survivor, err := replay(loaded)
 	if err != nil {
 		return Recovered{}, err
@@ -68,7 +68,7 @@
 		return Recovered{}, err
 	}
 	options.Logger.Warn("FORCED RECOVERY done: start this node, then restart every gateway, then add control nodes with empty disks",
-		"node", options.Name, "cluster", recovered.Cluster, "index", recovered.Index, "serial", recovered.Serial,
+		"cluster", recovered.Cluster, "index", recovered.Index, "serial", recovered.Serial,
 		"version_before", recovered.Version, "version", recovered.NewVersion)
 	return recovered, nil
 }
@@ -78,8 +78,10 @@
 	table  *registry.Table
 	orders orderBook
 	voters int
-	index  uint64
-	term   uint64
+	// index and lastTerm are those of the newest entry; term is the newest known.
+	index    uint64
+	lastTerm uint64
+	term     uint64
 }
 
 // replay applies everything in the log, committed or not: what this copy holds
@@ -93,7 +95,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("control: restoring snapshot %d: %w", loaded.Snapshot.Index, err)
 	}
-	s := &survivor{table: table, voters: content.Voters, index: loaded.Snapshot.Index, term: max(loaded.HardState.Term, loaded.Snapshot.Term)}
+	s := &survivor{
+		table:    table,
+		voters:   content.Voters,
+		index:    loaded.Snapshot.Index,
+		lastTerm: loaded.Snapshot.Term,
+		term:     max(loaded.HardState.Term, loaded.Snapshot.Term),
+	}
 	s.orders.restore(content.Orders)
 	for _, entry := range loaded.Entries {
 		if entry.Index <= s.index {
@@ -108,6 +116,7 @@
 
 func (s *survivor) apply(entry consensus.Entry) error {
 	s.index = entry.Index
+	s.lastTerm = entry.Term
 	s.term = max(s.term, entry.Term)
 	if entry.Kind != consensus.EntryNormal {
 		return nil
@@ -155,15 +164,15 @@
 	}
 	self := consensus.Member{ID: loaded.Identity, Name: options.Name, Address: options.PeerAddress, Zone: options.Zone}
 	snapshot := consensus.Snapshot{
-		Index:      s.index + 1,
-		Term:       s.term + 1,
+		Index:      s.index,
+		Term:       s.lastTerm,
 		Membership: consensus.Membership{Members: []consensus.Member{self}},
 		Data:       data,
 	}
-	if err := options.Store.SaveSnapshot(snapshot, snapshot.Index+1); err != nil {
+	if err := options.Store.SaveSnapshot(snapshot, snapshot.Index); err != nil {
 		return fmt.Errorf("control: writing the snapshot: %w", err)
 	}
-	state := consensus.HardState{Term: snapshot.Term, Commit: snapshot.Index}
+	state := consensus.HardState{Term: s.term + 1, Commit: snapshot.Index}
 	if err := options.Store.Save(&state, nil); err != nil {
 		return fmt.Errorf("control: writing the state: %w", err)
 	}
