--- a/api/caller.go
+++ b/api/caller.go
@@ -20,7 +20,6 @@
 	MaxPromptTokens   = 1 << 20 // tokens of a prompt, all prefixes included
 	MaxOutputTokens   = 1 << 16 // tokens to generate
 	MaxWaitMS         = 600_000 // longest time a caller may wait, in milliseconds
-	MaxDocumentBytes  = 8 << 20 // bytes of a configuration document
 	MaxHeaderBytes    = 16 << 10
 	MaxReplicaAnswer  = 8 << 20 // bytes of a whole replica answer
 	MaxStreamLine     = 64 << 10
--- a/cmd/deckpulleyctl/config.go
+++ b/cmd/deckpulleyctl/config.go
@@ -40,7 +40,7 @@
 
 func readText(command *cobra.Command, path string) (string, error) {
 	if path == "-" {
-		text, err := io.ReadAll(io.LimitReader(command.InOrStdin(), api.MaxDocumentBytes+1))
+		text, err := io.ReadAll(io.LimitReader(command.InOrStdin(), configuration.MaxDocumentBytes+1))
 		return string(text), err
 	}
 	text, err := os.ReadFile(path)
--- a/storage/disk.go
+++ b/storage/disk.go
@@ -197,14 +197,16 @@
 	return nil
 }
 
+// saveBounds records the first and last index of the log. Last is asked only of
+// a log that holds something: on one of several pages that was emptied in the
+// same transaction, the library's cursor never returns from it.
 func saveBounds(tx *bolt.Tx) error {
 	cursor := tx.Bucket(logBucket).Cursor()
 	var held bounds
-	if key, _ := cursor.First(); key != nil {
-		held.First = keyIndex(key)
-	}
-	if key, _ := cursor.Last(); key != nil {
-		held.Last = keyIndex(key)
+	if first, _ := cursor.First(); first != nil {
+		last, _ := cursor.Last()
+		held.First = keyIndex(first)
+		held.Last = keyIndex(last)
 	}
 	return put(tx.Bucket(stateBucket), boundsKey, singletonIndex, held)
 }
--- a/storage/storage_test.go
+++ b/storage/storage_test.go
@@ -280,6 +280,46 @@
 	}
 }
 
+// TestLongLogIsDropped installs a snapshot over a log of many pages that does
+// not reach it, as a member does that was away for long.
+func TestLongLogIsDropped(t *testing.T) {
+	folder := t.TempDir()
+	disk, err := Open(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var entries []consensus.Entry
+	for index := uint64(1); index <= 2000; index++ {
+		entries = append(entries, consensus.Entry{Term: 1, Index: index, Data: make([]byte, 100)})
+	}
+	if err := disk.Save(&consensus.HardState{Term: 1, Commit: 2000}, entries); err != nil {
+		t.Fatal(err)
+	}
+	snapshot := consensus.Snapshot{Index: 7000, Term: 2, Data: []byte("state")}
+	if err := disk.SaveSnapshot(snapshot, 6500); err != nil {
+		t.Fatal(err)
+	}
+	next := consensus.Entry{Term: 2, Index: 7001}
+	if err := disk.Save(&consensus.HardState{Term: 2, Commit: 7000}, []consensus.Entry{next}); err != nil {
+		t.Fatal(err)
+	}
+	if err := disk.Close(); err != nil {
+		t.Fatal(err)
+	}
+	disk, err = Open(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer disk.Close()
+	loaded, err := disk.Load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if loaded.Snapshot.Index != 7000 || len(loaded.Entries) != 1 || loaded.Entries[0].Index != 7001 {
+		t.Fatalf("loaded snapshot %d and %d entries", loaded.Snapshot.Index, len(loaded.Entries))
+	}
+}
+
 func TestMemoryCrashesAroundAWrite(t *testing.T) {
 	for _, after := range []bool{false, true} {
 		memory := NewMemory("disk")
