Poll a replica at once that refuses because it drains

Cause: until the next poll other requests were sent to it and refused. Change: such a refusal starts a poll out of turn. Measured: the new test waits in vain without it, since its polls are an hour apart; go test -race -count=2 ./gateway passes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -131,6 +131,9 @@
 		outcome = r.broken(outcome.failure)
 	}
 	slot.Finish(accounted, nil, time.Now())
+	if outcome.failure.Code == api.CodeReplicaDraining {
+		r.gateway.pollNow(slot.Replica) // so that nobody else is sent there
+	}
 	r.gateway.metrics.noteAttempt(outcome.failure)
 	return outcome
 }
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -139,6 +139,8 @@
 	server  *httptest.Server
 	answer  atomic.Pointer[answerFunc]
 	version atomic.Uint64 // reported
+	// draining is reported.
+	draining atomic.Bool
 
 	mutex    sync.Mutex
 	received []api.ReplicaRequest
@@ -158,7 +160,7 @@
 	if r.URL.Path == api.PathReplicaReport {
 		writeJSON(w, http.StatusOK, api.ReplicaReport{
 			Replica: f.name, Incarnation: "1", Service: "explain", Slots: 64, PrefillTokensPerSecond: 1e6,
-			ConfigurationVersion: f.version.Load(), Sequence: uint64(time.Now().UnixNano()),
+			ConfigurationVersion: f.version.Load(), Draining: f.draining.Load(), Sequence: uint64(time.Now().UnixNano()),
 		})
 		return
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -166,6 +166,7 @@
 	work     context.Context
 	stopWork context.CancelCauseFunc
 	running  *activity
+	polling  *inProgress
 	loops    sync.WaitGroup
 
 	mutex    sync.Mutex
@@ -185,6 +186,7 @@
 		offers:   newOfferBook(),
 		bodies:   newByteBudget(maxBodyBytesInFlight),
 		running:  newActivity(),
+		polling:  newInProgress(),
 		failures: rate.NewLimiter(failureLinesPerSecond, failureLinesPerSecond),
 		random:   rand.New(rand.NewPCG(options.Seed, 0x6761746577617921)),
 		seen:     make(map[string]uint64),
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -153,6 +153,23 @@
 	}
 }
 
+// TestDrainingIsLearntFromARefusal has a replica drain between two polls.
+func TestDrainingIsLearntFromARefusal(t *testing.T) {
+	f := newFleet(t)
+	replica := f.replica("r1", "north")
+	g := f.gateway("g1", "north", "a", func(options *Options) { options.PollInterval = time.Hour })
+	f.ready(g)
+	replica.draining.Store(true)
+	replica.behave(func(w http.ResponseWriter, _ *http.Request, request *api.ReplicaRequest) {
+		writeError(w, &api.Error{Code: api.CodeReplicaDraining, Outcome: api.OutcomeRefused, RequestID: request.RequestID})
+	})
+	request, _ := g.where(t, question("drained"))
+	if got := g.send(t, request); got.failure == nil || got.failure.Outcome != api.OutcomeRefused {
+		t.Fatalf("got %s", got.outcome())
+	}
+	waitFor(t, "the draining replica to be left alone", func() bool { return g.router.Status().Services[0].Usable == 0 })
+}
+
 // TestRefusalIsFinal resends a refused request after the cause is gone.
 func TestRefusalIsFinal(t *testing.T) {
 	f := newFleet(t)
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -34,7 +34,6 @@
 	slots := make(chan struct{}, maxPolls)
 	var polls sync.WaitGroup
 	defer polls.Wait()
-	polling := newInProgress()
 	known := make(map[string]bool)
 	for {
 		changed := g.agent.Changed()
@@ -53,7 +52,7 @@
 		watched := g.router.Watched()
 		for _, replica := range watched {
 			if !onlyNew || !known[replica] {
-				g.startPoll(ctx, active, replica, slots, polling, &polls)
+				g.startPoll(ctx, active, replica, slots, &polls)
 			}
 		}
 		known = setOf(watched)
@@ -95,24 +94,38 @@
 	delete(p.names, name)
 }
 
-func (g *Gateway) startPoll(ctx context.Context, active *places.Contents, replica string, slots chan struct{}, polling *inProgress, polls *sync.WaitGroup) {
+func (g *Gateway) startPoll(ctx context.Context, active *places.Contents, replica string, slots chan struct{}, polls *sync.WaitGroup) {
 	record, listed := active.Replicas()[replica]
-	if !listed || !polling.enter(replica) {
+	if !listed || !g.polling.enter(replica) {
 		return
 	}
 	select {
 	case slots <- struct{}{}:
 	default:
-		polling.leave(replica)
+		g.polling.leave(replica)
 		return
 	}
 	polls.Go(func() {
 		g.poll(ctx, replica, record)
-		polling.leave(replica)
+		g.polling.leave(replica)
 		<-slots
 	})
 }
 
+// pollNow polls one replica out of turn, unless it is being polled.
+func (g *Gateway) pollNow(replica string) {
+	record, listed := g.agent.Active().Replicas()[replica]
+	if !listed || !g.polling.enter(replica) {
+		return
+	}
+	g.running.begin()
+	go func() {
+		defer g.running.end()
+		defer g.polling.leave(replica)
+		g.poll(g.work, replica, record)
+	}()
+}
+
 // poll asks one replica for its report. An answer in the name of another replica
 // is a failure: the address has changed hands.
 func (g *Gateway) poll(ctx context.Context, replica string, record places.Replica) {
