--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -80,6 +80,25 @@
 	}
 }
 
+// TestPlacementMeetsItsTarget holds our own placement against the best baseline
+// at 70% load.
+func TestPlacementMeetsItsTarget(t *testing.T) {
+	const target = 0.3
+	config := DefaultPlacementConfig()
+	config.Loads = []float64{0.7}
+	config.Seeds = 2
+	config.Length = 60 * time.Second
+	points, err := Placement(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, comparison := range Compare(points) {
+		if comparison.Gain() < target || comparison.OwnRefused > comparison.BestRefused {
+			t.Errorf("%s: gain %.2f over %s, want %.2f: %+v", comparison.Deployment, comparison.Gain(), comparison.Best, target, comparison)
+		}
+	}
+}
+
 func TestPlacementReport(t *testing.T) {
 	config := DefaultPlacementConfig()
 	config.Deployments = []string{"georgia"}
--- a/internal/experiment/live.go
+++ b/internal/experiment/live.go
@@ -35,8 +35,9 @@
 	profile  *workload.Profile
 	gateways []*liveGateway
 
-	tableMutex sync.Mutex
-	table      *registry.Table
+	table *registry.Table
+	// activation keeps plans in the order of the table.
+	activation sync.Mutex
 
 	mutex    sync.Mutex
 	replicas map[string]*standin.Server
@@ -108,6 +109,8 @@
 
 // activate makes the table's present state the plan of every router.
 func (l *live) activate() error {
+	l.activation.Lock()
+	defer l.activation.Unlock()
 	contents, err := places.Read(l.table.View())
 	if err != nil {
 		return fmt.Errorf("reading the table: %w", err)
@@ -214,8 +217,6 @@
 		registry.Add(places.ConditionRecord(change.Replica, change.New)),
 	}
 	update := registry.NewUpdate(places.Apex, []registry.Record{before}, changes)
-	l.tableMutex.Lock()
-	defer l.tableMutex.Unlock()
 	if result := l.table.Apply(&update, nil); result.Code != registry.NoError {
 		return // the watcher offers the change again
 	}
--- a/internal/experiment/response.go
+++ b/internal/experiment/response.go
@@ -160,8 +160,6 @@
 
 // setUp writes whether a region's gateways are up.
 func (l *live) setUp(region string, up bool) {
-	l.tableMutex.Lock()
-	defer l.tableMutex.Unlock()
 	contents, err := places.Read(l.table.View())
 	if err != nil {
 		l.meter.note(err)
