Run parts of a benchmark, and show when a new primary is heard

On a machine with a load average of 28 one of four losses of the primary left all 400 holders without a valid lease for a moment (2,132 ms until all had renewed; leases last 1,800 ms); the table now tells the time until the new primary was heard from the time until all had renewed with it.

--- a/cmd/deckpulley-bench/main.go
+++ b/cmd/deckpulley-bench/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -25,8 +26,8 @@
 		SilenceErrors: true,
 	}
 	command.AddCommand(
-		measureCommand("control", "Updates, recovery, elections and the cost of leases", benchmark.Control),
-		measureCommand("gateway", "Added latency and the cost of requests and events", benchmark.Gateway),
+		measureCommand("control", "Updates, recovery, elections and the cost of leases", "updates, recovery, failover, leases", benchmark.Control),
+		measureCommand("gateway", "Added latency and the cost of requests and events", "latency, capacity", benchmark.Gateway),
 		&cobra.Command{
 			Use:    workerCommand + " KIND",
 			Hidden: true,
@@ -42,7 +43,7 @@
 	}
 }
 
-func measureCommand(name, short string, measure func(benchmark.Options) ([]benchmark.Table, error)) *cobra.Command {
+func measureCommand(name, short, parts string, measure func(benchmark.Options) ([]benchmark.Table, error)) *cobra.Command {
 	var options benchmark.Options
 	var page string
 	var verbose bool
@@ -59,11 +60,15 @@
 			if verbose {
 				options.Logger = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn}))
 			}
+			if page != "" && len(options.Only) > 0 {
+				return errors.New("--write takes the place of a whole section: leave --only out")
+			}
 			return run(name, page, options, measure)
 		},
 	}
 	flags := command.Flags()
 	flags.BoolVar(&options.Short, "short", false, "under 20 seconds, to see that every measurement runs")
+	flags.StringSliceVar(&options.Only, "only", nil, "measurements to run: "+parts)
 	flags.StringVar(&options.Profiles, "profiles", "", "folder for CPU profiles")
 	flags.StringVar(&page, "write", "", "page whose section is replaced by the tables")
 	flags.BoolVar(&verbose, "verbose", false, "print the nodes' warnings")
--- a/internal/benchmark/benchmark.go
+++ b/internal/benchmark/benchmark.go
@@ -23,6 +23,8 @@
 type Options struct {
 	// Short cuts every measurement down, to see that all of them run.
 	Short bool
+	// Only names the measurements to run; empty is all.
+	Only []string
 	// Worker makes the command of a child that calls RunWorker with the kind.
 	Worker func(kind string) *exec.Cmd
 	// Profiles is a folder for CPU profiles; empty takes none.
--- a/internal/benchmark/control.go
+++ b/internal/benchmark/control.go
@@ -5,27 +5,56 @@
 	"os"
 	"path/filepath"
 	"runtime/pprof"
+	"slices"
+	"strings"
 )
 
+// measurement is one part of a benchmark.
+type measurement struct {
+	name string
+	run  func(*Options) ([]Table, error)
+}
+
+var controlMeasurements = []measurement{
+	{"updates", measureUpdates},
+	{"recovery", measureRecovery},
+	{"failover", measureFailover},
+	{"leases", measureLeases},
+}
+
 // Control measures control nodes. Its tables are those that were finished if it
 // returns an error.
-func Control(o Options) ([]Table, error) {
+func Control(o Options) ([]Table, error) { return o.measure("control", controlMeasurements) }
+
+// measure runs the measurements that are wanted, in their order.
+func (o *Options) measure(profile string, measurements []measurement) ([]Table, error) {
 	o.withDefaults()
-	stop, err := o.profile("control")
+	known := make([]string, 0, len(measurements))
+	for _, one := range measurements {
+		known = append(known, one.name)
+	}
+	for _, wanted := range o.Only {
+		if !slices.Contains(known, wanted) {
+			return nil, fmt.Errorf("there is no measurement %q, but %s", wanted, strings.Join(known, ", "))
+		}
+	}
+	stop, err := o.profile(profile)
 	if err != nil {
 		return nil, err
 	}
 	defer stop()
 	var tables []Table
-	for _, measure := range []func(*Options) (Table, error){measureUpdates, measureRecovery, measureFailover} {
-		table, err := measure(&o)
+	for _, one := range measurements {
+		if len(o.Only) > 0 && !slices.Contains(o.Only, one.name) {
+			continue
+		}
+		finished, err := one.run(o)
+		tables = append(tables, finished...)
 		if err != nil {
-			return tables, err
+			return tables, fmt.Errorf("%s: %w", one.name, err)
 		}
-		tables = append(tables, table)
 	}
-	leases, err := measureLeases(&o)
-	return append(tables, leases...), err
+	return tables, nil
 }
 
 // profile starts a CPU profile of this process, if profiles are wanted.
--- a/internal/benchmark/failover.go
+++ b/internal/benchmark/failover.go
@@ -7,7 +7,7 @@
 )
 
 // measureFailover stops the primary again and again.
-func measureFailover(o *Options) (Table, error) {
+func measureFailover(o *Options) ([]Table, error) {
 	table := Table{
 		Title:   "New primary after the loss of the old one",
 		Note:    "The primary's node is closed without handing leadership over, as in a crash of its process; the time ends with the answer to the first update by another node. The stopped node then starts again on its disk and catches up before the next round.",
@@ -17,11 +17,11 @@
 	for _, voters := range pick(o, []int{3, 5}, []int{3}) {
 		row, err := failoverRow(o, voters, rounds)
 		if err != nil {
-			return table, fmt.Errorf("failover with %d voters: %w", voters, err)
+			return nil, fmt.Errorf("failover with %d voters: %w", voters, err)
 		}
 		table.add(row...)
 	}
-	return table, nil
+	return []Table{table}, nil
 }
 
 func failoverRow(o *Options, voters, rounds int) ([]string, error) {
--- a/internal/benchmark/holders.go
+++ b/internal/benchmark/holders.go
@@ -81,6 +81,7 @@
 		if i == 0 || read.Term < status.Term {
 			status.Term = read.Term
 		}
+		status.NewestTerm = max(status.NewestTerm, read.Term)
 		if read.Lease > 0 {
 			status.Valid++
 		}
--- a/internal/benchmark/leases.go
+++ b/internal/benchmark/leases.go
@@ -211,6 +211,7 @@
 
 // primaryLoss is what the loss of a primary did to leases.
 type primaryLoss struct {
+	heard   time.Duration // until the first holder had heard the new primary
 	renewed time.Duration // until all holders had renewed with the new primary
 	fewest  int           // holders with a valid lease at the worst moment seen
 	inForce time.Duration // until a change was in force again
@@ -238,6 +239,9 @@
 			return true
 		}
 		loss.fewest = min(loss.fewest, status.Valid)
+		if loss.heard == 0 && status.NewestTerm > before.NewestTerm {
+			loss.heard = time.Since(stopped)
+		}
 		return status.Term > before.Term && status.Valid == before.Valid
 	})
 	if err := errors.Join(failure, err); err != nil {
@@ -255,11 +259,11 @@
 func lossTable(costs []leaseCost) Table {
 	table := Table{
 		Title:   "Leases through the loss of the primary",
-		Note:    "The primary's node is closed as in a crash of its process. A gateway acts on while its lease is valid; the figures are from the stop until every gateway had heard the new primary and held a valid lease, and until a change sent then was in force at all of them.",
-		Columns: []string{"gateways", "all renewed after ms", "fewest with a valid lease", "first change in force after ms"},
+		Note:    "The primary's node is closed as in a crash of its process. A gateway acts on while its lease is valid; the figures are from the stop until the first gateway had heard the new primary, until every one had and held a valid lease, and until a change sent then was in force at all of them.",
+		Columns: []string{"gateways", "new primary heard after ms", "all renewed after ms", "fewest with a valid lease", "first change in force after ms"},
 	}
 	for _, cost := range costs {
-		table.add(fmt.Sprint(cost.holders), milliseconds(cost.loss.renewed), fmt.Sprint(cost.loss.fewest), milliseconds(cost.loss.inForce))
+		table.add(fmt.Sprint(cost.holders), milliseconds(cost.loss.heard), milliseconds(cost.loss.renewed), fmt.Sprint(cost.loss.fewest), milliseconds(cost.loss.inForce))
 	}
 	return table
 }
--- a/internal/benchmark/recovery.go
+++ b/internal/benchmark/recovery.go
@@ -12,7 +12,7 @@
 const frequentSnapshots = 64
 
 // measureRecovery restarts one member of three after a number of changes.
-func measureRecovery(o *Options) (Table, error) {
+func measureRecovery(o *Options) ([]Table, error) {
 	table := Table{
 		Title:   "Recovery of a control node",
 		Note:    fmt.Sprintf("One node of three is stopped and started again on its disk. Disk is the time to read and check it; serving is the time from the start of the process's work until the node shows every change in its own table, the wait for the group's next heartbeat (every 100 ms) included; five restarts each. With a snapshot, one is taken every %d entries.", frequentSnapshots),
@@ -22,12 +22,12 @@
 		for _, snapshots := range []bool{false, true} {
 			row, err := recoveryRow(o, changes, snapshots)
 			if err != nil {
-				return table, fmt.Errorf("recovery after %d changes: %w", changes, err)
+				return nil, fmt.Errorf("recovery after %d changes: %w", changes, err)
 			}
 			table.add(row...)
 		}
 	}
-	return table, nil
+	return []Table{table}, nil
 }
 
 func recoveryRow(o *Options, changes int64, snapshots bool) ([]string, error) {
--- a/internal/benchmark/updates.go
+++ b/internal/benchmark/updates.go
@@ -60,7 +60,7 @@
 }
 
 // measureUpdates compares groups of one, three and five voters.
-func measureUpdates(o *Options) (Table, error) {
+func measureUpdates(o *Options) ([]Table, error) {
 	length := pick(o, 2500*time.Millisecond, 150*time.Millisecond)
 	table := Table{
 		Title:   "Updates",
@@ -69,7 +69,7 @@
 	}
 	disk, err := measureDisk(length)
 	if err != nil {
-		return table, err
+		return nil, err
 	}
 	table.add(append([]string{"disk alone", "1"}, updateCells(disk, updateRun{})...)...)
 	alone := make(map[int]updateRun)
@@ -77,7 +77,7 @@
 		for _, writers := range []int{1, manyWriters} {
 			run, err := updatesAt(o, voters, writers, length)
 			if err != nil {
-				return table, fmt.Errorf("%d voters, %d writers: %w", voters, writers, err)
+				return nil, fmt.Errorf("%d voters, %d writers: %w", voters, writers, err)
 			}
 			if voters == 1 {
 				alone[writers] = run
@@ -86,7 +86,7 @@
 			table.add(append(cells, updateCells(run, alone[writers])...)...)
 		}
 	}
-	return table, nil
+	return []Table{table}, nil
 }
 
 func updatesAt(o *Options, voters, writers int, length time.Duration) (updateRun, error) {
--- a/internal/benchmark/worker.go
+++ b/internal/benchmark/worker.go
@@ -55,8 +55,9 @@
 	Active   int    `json:"active"`
 	Serial   uint32 `json:"serial"`
 	Renewals uint64 `json:"renewals"`
-	// Term is the oldest term of a holder.
-	Term uint64 `json:"term"`
+	// Term is the oldest term that a holder knows, NewestTerm the newest.
+	Term       uint64 `json:"term"`
+	NewestTerm uint64 `json:"newest_term"`
 }
 
 // job is what a worker does.
