Strike leaders at their first commit in the simulation

Cause: the planted defect that commits an entry of an older term by counting was not caught in trials: the leader had to lose its messages in one round trip.

Change: leaders are silenced at their first commit, some histories always lose messages, struck leaders may still reach some of the others. The planted vote for a less complete log covers the pre-vote too. The unit test of the commit rule also shows the planted defect.

--- a/cmd/deckpulley-simulate/main.go
+++ b/cmd/deckpulley-simulate/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"runtime"
 	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -41,6 +42,7 @@
 	workers   int
 	duration  time.Duration
 	planted   bool
+	only      string
 }
 
 func main() {
@@ -56,7 +58,7 @@
 				return errors.New("--seeds and --workers must be above zero, --duration not below")
 			}
 			if flags.planted {
-				return hunt(command.OutOrStdout(), flags)
+				return hunt(command.OutOrStdout(), command.ErrOrStderr(), flags)
 			}
 			return play(command.OutOrStdout(), flags)
 		},
@@ -67,6 +69,7 @@
 	set.IntVar(&flags.workers, "workers", min(defaultWorkers, runtime.NumCPU()), "histories played at once")
 	set.DurationVar(&flags.duration, "duration", 0, "virtual time with faults in each history, 0 for the default")
 	set.BoolVar(&flags.planted, "planted", false, "plant each known defect in turn and count the histories until it is caught")
+	set.StringVar(&flags.only, "only", "", "with --planted: only the defects whose name contains this")
 	if err := command.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "deckpulley-simulate:", err)
 		os.Exit(status(err))
@@ -111,16 +114,19 @@
 	fmt.Fprintf(out, "violations: %d\n", len(summary.Failures))
 }
 
-// hunt plants each defect in turn.
-func hunt(out io.Writer, flags options) error {
+// hunt plants each defect in turn. It says on progress when one is done.
+func hunt(out, progress io.Writer, flags options) error {
 	limit := flags.seeds
 	if limit == defaultHistories {
 		limit = huntLimit
 	}
-	all := defect.All()
+	all := slices.DeleteFunc(defect.All(), func(planted defect.Defect) bool {
+		return !strings.Contains(planted.String(), flags.only)
+	})
 	catches := make([]simulation.Catch, len(all))
 	simulation.Each(len(all), flags.workers, func(position int) {
 		catches[position] = simulation.Hunt(all[position], flags.firstSeed, limit)
+		fmt.Fprintf(progress, "%s: %d histories\n", all[position], catches[position].Seeds)
 	})
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "planted defect\thistories until caught\tseed\trule that caught it")
--- a/consensus/consensus_test.go
+++ b/consensus/consensus_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/deckpulley/deckpulley/internal/defect"
 )
 
 func TestReplicationInOrderWithPipelining(t *testing.T) {
@@ -43,15 +45,27 @@
 
 // TestOlderTermIsNotCommittedByCounting is figure 8 of the Raft paper: every
 // member holds an entry of an older term, and the new leader knows it.
+// The same scenario with the rule switched off shows that it would be seen.
 func TestOlderTermIsNotCommittedByCounting(t *testing.T) {
+	if commit, index := commitOfOlderTerm(t, defect.Set{}); commit >= index {
+		t.Errorf("index %d of an older term was committed by counting", index)
+	}
+	if commit, index := commitOfOlderTerm(t, defect.Of(defect.CommitOlderTerm)); commit < index {
+		t.Error("the scenario does not show the planted defect")
+	}
+}
+
+func commitOfOlderTerm(t *testing.T, planted defect.Set) (commit, index uint64) {
+	t.Helper()
 	c := newCluster(t, "a", "b", "c")
 	old := c.leader().config.ID
 	c.block = func(message Message) bool { return message.Kind == MessageAppendReply }
-	index := c.propose(c.nodes[old], "of an older term")
+	index = c.propose(c.nodes[old], "of an older term")
 	c.settle()
 	c.restart(old)
 	c.block = func(message Message) bool { return message.Kind == MessageAppend }
 	node := c.nodes[old]
+	node.Plant(planted)
 	node.campaign(true)
 	c.settle()
 	if node.role != Leader {
@@ -69,14 +83,13 @@
 			t.Fatal(err)
 		}
 	}
-	if node.commit >= index {
-		t.Fatalf("index %d of an older term was committed by counting", index)
-	}
+	commit = node.commit
 	c.heal()
 	c.run(time.Second)
 	if c.leader().commit <= index {
 		t.Fatal("the entry was never committed by one of a newer term")
 	}
+	return commit, index
 }
 
 func TestReturningMemberDoesNotDisturb(t *testing.T) {
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -92,7 +92,7 @@
 	if n.hearsLeader() && !message.Transfer {
 		return
 	}
-	granted := message.Term > n.term && n.log.upToDate(message.Index, message.LogTerm)
+	granted := message.Term > n.term && n.acceptableLog(message)
 	reply := Message{Kind: MessagePreVoteReply, To: message.From, Term: message.Term}
 	if !granted {
 		reply.Term = n.term
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -28,6 +28,7 @@
 	FaultTransfer        FaultKind = "leadership transfer"
 	FaultCrashAfterVote  FaultKind = "crash right after a vote"
 	FaultCrashElected    FaultKind = "crash or cut right after an election"
+	FaultSilenced        FaultKind = "leader cut off at its first commit"
 	FaultSplit           FaultKind = "group split in two"
 	FaultSwap            FaultKind = "planned replacement of a running machine"
 	FaultGatewayFreeze   FaultKind = "gateway frozen"
@@ -63,6 +64,9 @@
 	splitChange = 0.15
 )
 
+// cutShares are the shares of the others that a struck leader no longer reaches.
+var cutShares = []float64{0.5, 1}
+
 // voteStrikes and officeStrikes are the chances that a vote is followed by a
 // crash of the voter, and an election by a fault of the new leader.
 var (
@@ -310,11 +314,29 @@
 			w.after(w.between(restartLeast, most), m.restart)
 			return
 		}
-		for _, other := range w.machines {
+		w.silence(m)
+	})
+}
+
+// atFirstCommit sometimes silences a leader at the moment at which it learns of
+// its first commit, before anybody else does.
+func (w *world) atFirstCommit(m *machine) {
+	if w.now >= w.faults.ending || !w.chance(w.faults.officeStrike) {
+		return
+	}
+	w.count(FaultSilenced)
+	w.silence(m)
+}
+
+// silence cuts what a machine sends to some or all of the others.
+func (w *world) silence(m *machine) {
+	share := pick(w, cutShares)
+	for _, other := range w.machines {
+		if w.chance(share) {
 			w.network.cut(m.name, other.name)
 		}
-		w.after(w.between(cutLeast, cutMost), func() { w.mendAll(m.name) })
-	})
+	}
+	w.after(w.between(cutLeast, cutMost), func() { w.mendAll(m.name) })
 }
 
 // afterChange sometimes splits the group while a membership is under way.
@@ -473,6 +495,7 @@
 // healEverything ends all faults.
 func (w *world) healEverything() {
 	clear(w.network.cuts)
+	w.network.usual = 0
 	w.network.calm()
 	for _, m := range w.present() {
 		if w.broken() {
--- a/internal/simulation/machine.go
+++ b/internal/simulation/machine.go
@@ -266,6 +266,9 @@
 			m.stop(ready)
 			return
 		}
+		if len(ready.Committed) > 0 && m.office != nil && m.office.grantor == nil {
+			m.world.atFirstCommit(m)
+		}
 		m.finish(ready)
 	}
 	if m.up() {
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -10,7 +10,8 @@
 	cuts map[direction]bool
 	// most is the longest delay without a tail.
 	most time.Duration
-	loss float64
+	// usual is the loss in calm weather, loss that at present.
+	usual, loss float64
 	// doubling is the probability that a message arrives twice.
 	doubling float64
 	// tail is the longest extra delay; it reorders messages.
@@ -31,15 +32,18 @@
 // farthest are the longest usual delays, one drawn for each history.
 var farthest = []time.Duration{3 * time.Millisecond, 3 * time.Millisecond, 40 * time.Millisecond}
 
+// usualLosses are the losses in calm weather, one drawn for each history.
+var usualLosses = []float64{0, 0, 0.15}
+
 func newNetwork(w *world) network {
-	n := network{world: w, cuts: make(map[direction]bool), most: pick(w, farthest)}
+	n := network{world: w, cuts: make(map[direction]bool), most: pick(w, farthest), usual: pick(w, usualLosses)}
 	n.calm()
 	return n
 }
 
 // calm ends the bad weather, but not the cuts.
 func (n *network) calm() {
-	n.loss = 0
+	n.loss = n.usual
 	n.doubling = calmDouble
 	n.tail = calmTail
 }
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -27,7 +27,7 @@
 	kinds := []FaultKind{
 		FaultCrash, FaultCrashAtWrite, FaultCrashAll, FaultFreeze, FaultCutOneWay, FaultIsolate, FaultWeather,
 		FaultWipe, FaultWipeAfterAnswer, FaultReplace, FaultTransfer, FaultGatewayFreeze, FaultGatewayRestart,
-		FaultGatewayCut, FaultCrashAfterVote, FaultCrashElected, FaultStall, FaultSplit, FaultSwap,
+		FaultGatewayCut, FaultCrashAfterVote, FaultCrashElected, FaultSilenced, FaultStall, FaultSplit, FaultSwap,
 	}
 	for _, kind := range kinds {
 		if summary.Total.Faults[kind] == 0 {
