--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -11,7 +11,6 @@
 
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/peer"
-	"github.com/deckpulley/deckpulley/places"
 	"github.com/deckpulley/deckpulley/ticket"
 )
 
@@ -57,145 +56,6 @@
 	}
 }
 
-// where answers where a request should go: with a ticket of this gateway, or of
-// one in the region that serves it best. A gateway that leaves gives no tickets
-// of its own.
-func (g *Gateway) where(ctx context.Context, request *api.WhereRequest) (*api.WhereAnswer, *api.Error) {
-	refused := g.mayPlace()
-	if refused != nil && !g.mayRefer() {
-		return nil, refused
-	}
-	route, failure := g.router.Resolve(asGenerate(request), time.Now())
-	if failure != nil {
-		return nil, failure
-	}
-	regions := g.router.Regions(route)
-	if len(regions) == 0 {
-		return nil, g.router.Refusal(route)
-	}
-	for _, region := range regions {
-		if region == g.region() && refused == nil && g.mayOwn() {
-			break
-		}
-		if answer := g.mintElsewhere(ctx, region, request); answer != nil {
-			return answer, nil
-		}
-	}
-	if refused != nil {
-		return nil, refused
-	}
-	return g.mint(request)
-}
-
-// mayRefer tells that the gateway is leaving but still knows the others.
-func (g *Gateway) mayRefer() bool {
-	return g.draining.Load() && g.agent.Valid() && g.agent.Active() != nil
-}
-
-// asGenerate is the part of a request that is known when asking where to go.
-func asGenerate(request *api.WhereRequest) api.GenerateRequest {
-	return api.GenerateRequest{
-		RequestID:  request.RequestID,
-		Tenant:     request.Tenant,
-		Model:      request.Model,
-		Prefixes:   request.Prefixes,
-		Home:       request.Home,
-		Client:     request.Client,
-		WaitMS:     request.WaitMS,
-		Repeatable: request.Repeatable,
-	}
-}
-
-// mayOwn is false in an evacuated zone: its tickets would die with it.
-func (g *Gateway) mayOwn() bool {
-	active := g.agent.Active()
-	return active != nil && !active.Evacuated(g.options.Info.Zone)
-}
-
-// mintElsewhere asks gateways of a region, two at the most, to own the request.
-func (g *Gateway) mintElsewhere(ctx context.Context, region string, request *api.WhereRequest) *api.WhereAnswer {
-	for _, member := range g.peersIn(region, maxPeersTried) {
-		asking, cancel := context.WithTimeout(ctx, mintTimeout)
-		var reply peer.MintTicketReply
-		err := g.options.Network.Call(asking, member.PeerAddress, peer.KindMintTicket, &peer.MintTicket{Request: *request}, &reply)
-		cancel()
-		if err == nil && reply.Answer != nil {
-			return reply.Answer
-		}
-	}
-	return nil
-}
-
-func (g *Gateway) serveMint(_ context.Context, _ string, decode func(any) error) (any, error) {
-	var request peer.MintTicket
-	if err := decode(&request); err != nil {
-		return nil, err
-	}
-	if failure := checkWhere(&request.Request); failure != nil {
-		return &peer.MintTicketReply{Error: failure}, nil
-	}
-	if failure := g.mayPlace(); failure != nil {
-		return &peer.MintTicketReply{Error: failure}, nil
-	}
-	if !g.mayOwn() {
-		return &peer.MintTicketReply{Error: refusedLater(api.CodeNotReady, comeBack, "the zone is evacuated")}, nil
-	}
-	answer, failure := g.mint(&request.Request)
-	return &peer.MintTicketReply{Answer: answer, Error: failure}, nil
-}
-
-// mint makes a ticket that this process owns.
-func (g *Gateway) mint(request *api.WhereRequest) (*api.WhereAnswer, *api.Error) {
-	now := g.options.Clock()
-	wait := waitOf(request.WaitMS)
-	fresh := ticket.Ticket{
-		RequestID:   request.RequestID,
-		Owner:       g.options.Info.Name,
-		Incarnation: g.options.Info.Incarnation,
-		Home:        request.Home,
-		Repeatable:  request.Repeatable,
-		IssuedAt:    now,
-		Expires:     now + wait,
-	}
-	g.owner.mutex.Lock()
-	issued, err := g.owner.ledger.Issue(now, fresh)
-	g.owner.mutex.Unlock()
-	if err != nil {
-		return nil, issueFailure(request.RequestID, err)
-	}
-	text, err := g.sealer.Load().Seal(issued)
-	if err != nil {
-		return nil, failed(api.CodeInternal, api.OutcomeRefused, "sealing the ticket: %v", err)
-	}
-	answer := &api.WhereAnswer{
-		RequestID:   request.RequestID,
-		Ticket:      text,
-		Gateway:     g.options.Info.HTTPAddress,
-		Alternates:  g.alternates(),
-		Region:      g.region(),
-		ExpiresInMS: max(0, (issued.Expires - now).Milliseconds()),
-	}
-	if active := g.agent.Active(); active != nil {
-		answer.ConfigurationVersion = active.Version()
-	}
-	g.metrics.tickets.WithLabelValues("issued").Inc()
-	return answer, nil
-}
-
-func issueFailure(requestID string, err error) *api.Error {
-	var failure *api.Error
-	switch {
-	case errors.Is(err, ticket.ErrFull):
-		failure = refusedLater(api.CodeOverloaded, comeBack, "the gateway remembers as many requests as it can")
-	case errors.Is(err, ticket.ErrClosed):
-		failure = failed(api.CodeDuplicate, api.OutcomeRefused, "the request was refused for good: ask again with a new request id")
-	default:
-		failure = failed(api.CodeDuplicate, api.OutcomeUnknown, "the request id is in use for another request")
-	}
-	failure.RequestID = requestID
-	return failure
-}
-
 func waitOf(waitMS int64) time.Duration {
 	if waitMS <= 0 {
 		waitMS = api.DefaultWaitMillis
@@ -289,7 +149,7 @@
 		defer g.running.end()
 		defer cancel(nil)
 		work := &runner{gateway: g, request: copied, execution: run, ran: ran}
-		g.resolveAndRun(ctx, work)
+		g.resolveAndRun(ctx, work, owned)
 		if !owned {
 			return
 		}
@@ -299,8 +159,12 @@
 	}
 }
 
-func (g *Gateway) resolveAndRun(ctx context.Context, work *runner) {
-	failure := g.mayPlace()
+func (g *Gateway) resolveAndRun(ctx context.Context, work *runner, owned bool) {
+	check := g.mayAccept
+	if owned && g.honors() {
+		check = g.mayPlace
+	}
+	failure := check()
 	if failure == nil {
 		work.route, failure = g.router.Resolve(work.request, time.Now())
 	}
@@ -343,7 +207,7 @@
 	go func() {
 		defer g.running.end()
 		defer cancel(nil)
-		defer events.Close()
+		defer closeEvents(events)
 		g.copyFromOwner(ctx, events, run)
 	}()
 	return reader, failure
@@ -421,38 +285,3 @@
 	}
 	return g.use(request, presented)
 }
-
-// alternates are callers' addresses of gateways that pass requests on: those of
-// the own region first.
-func (g *Gateway) alternates() []string {
-	active := g.agent.Active()
-	if active == nil {
-		return nil
-	}
-	var near, far []string
-	for name, member := range active.Gateways() {
-		switch {
-		case name == g.options.Info.Name || !usable(active, member):
-		case member.Region == g.region():
-			near = append(near, member.HTTPAddress)
-		default:
-			far = append(far, member.HTTPAddress)
-		}
-	}
-	g.shuffle(near)
-	g.shuffle(far)
-	all := append(near, far...)
-	return all[:min(len(all), maxAlternates)]
-}
-
-func usable(active *places.Contents, member places.Gateway) bool {
-	return member.Up && !active.Evacuated(member.Zone)
-}
-
-func (g *Gateway) shuffle(addresses []string) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.random.Shuffle(len(addresses), func(i, j int) {
-		addresses[i], addresses[j] = addresses[j], addresses[i]
-	})
-}
