--- a/internal/simulation/orders.go
+++ b/internal/simulation/orders.go
@@ -85,21 +85,23 @@
 
 // version returns the version of the value, zero at first.
 func (b *book) version() uint64 {
-	for _, record := range b.table.View().Lookup(versionName, typeVersion) {
-		return binary.BigEndian.Uint64(record.Data)
+	records := b.table.View().Lookup(versionName, typeVersion)
+	if len(records) == 0 {
+		return 0
 	}
-	return 0
+	return binary.BigEndian.Uint64(records[0].Data)
 }
 
 func (b *book) answer(id string) (answer, bool) {
-	for _, record := range b.table.View().Lookup(orderName(id), typeOrder) {
-		var given answer
-		if err := cbor.Unmarshal(record.Data, &given); err != nil {
-			panic(err)
-		}
-		return given, true
+	records := b.table.View().Lookup(orderName(id), typeOrder)
+	if len(records) == 0 {
+		return answer{}, false
+	}
+	var given answer
+	if err := cbor.Unmarshal(records[0].Data, &given); err != nil {
+		panic(err)
 	}
-	return answer{}, false
+	return given, true
 }
 
 // answeredBy returns a serial with which the answer is in the table.
