Split the simulated group before a change is heard of

Cause: two membership changes at once show only if a split meets both while neither is committed.

Change: in half of the histories most changes meet a split, half of them before any message of the change has left; planned replacements are more frequent.

--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -60,10 +60,11 @@
 const (
 	quickRestart = 40 * time.Millisecond
 	strikeDelay  = 40 * time.Millisecond
-	// splitChange is the chance that a change of the membership meets a split.
-	splitChange = 0.15
 )
 
+// changeSplits are the chances that a change of the membership meets a split.
+var changeSplits = []float64{0.1, 0.6}
+
 // cutShares are the shares of the others that a struck leader no longer reaches.
 var cutShares = []float64{0.5, 1}
 
@@ -83,6 +84,7 @@
 	pace         time.Duration
 	voteStrike   float64
 	officeStrike float64
+	changeSplit  float64
 	// size is the number of voters that the group is to have.
 	size   int
 	ending time.Duration
@@ -103,6 +105,7 @@
 	w.faults.pace = pick(w, paces)
 	w.faults.voteStrike = pick(w, voteStrikes)
 	w.faults.officeStrike = pick(w, officeStrikes)
+	w.faults.changeSplit = pick(w, changeSplits)
 	w.faults.lost = make(map[consensus.ID]bool)
 	w.faults.kind = []weighted{
 		{FaultCrash, 12, w.crashOne},
@@ -117,7 +120,7 @@
 		{FaultReplace, 5, w.replaceOne},
 		{FaultTransfer, 4, w.transfer},
 		{FaultSplit, 6, w.split},
-		{FaultSwap, 6, w.swapOne},
+		{FaultSwap, 14, w.swapOne},
 		{FaultGatewayFreeze, 5, w.freezeGateway},
 		{FaultGatewayRestart, 5, w.restartGateway},
 		{FaultGatewayCut, 5, w.cutGateway},
@@ -341,9 +344,14 @@
 
 // afterChange sometimes splits the group while a membership is under way.
 func (w *world) afterChange() {
-	if w.now < w.faults.ending && w.chance(splitChange) {
-		w.after(w.between(0, strikeDelay), w.split)
+	if w.now >= w.faults.ending || !w.chance(w.faults.changeSplit) {
+		return
+	}
+	if w.chance(0.5) {
+		w.split() // before anybody has heard of the change
+		return
 	}
+	w.after(w.between(0, strikeDelay), w.split)
 }
 
 func (w *world) mendAll(name string) {
