List the kept answers to orders

The answers are kept for resends and were readable by nobody. GET /v1/orders lists the newest of them, newest first, with the reason of each refusal. The types of the gateways' explanation come with it.

--- a/api/operator.go
+++ b/api/operator.go
@@ -9,9 +9,14 @@
 	PathStatus        = "/v1/status"        // GET StatusAnswer
 	PathMembers       = "/v1/members"       // GET MembersAnswer
 	PathReplicas      = "/v1/replicas"      // GET ReplicasAnswer; PUT ReplicaList (platform)
+	PathOrders        = "/v1/orders"        // GET OrdersAnswer
 	PathMetrics       = "/metrics"
 )
 
+// PathExplain of a gateway's operators' port: POST GenerateRequest, answered by
+// ExplainAnswer. Nothing is decided or sent.
+const PathExplain = "/v1/explain"
+
 // ConfigurationOrder hands over a whole configuration document.
 type ConfigurationOrder struct {
 	// OrderID makes a resend safe: the first answer is repeated.
@@ -140,4 +145,97 @@
 	Leases        int            `json:"leases"`
 	Members       []MemberStatus `json:"members"`
 	Degraded      []string       `json:"degraded,omitempty"`
+	// Services are those of a gateway's own region; only a gateway fills them in.
+	Services []ServiceLoad `json:"services,omitempty"`
+}
+
+// ServiceLoad is one service in one region as a gateway of that region sees it.
+type ServiceLoad struct {
+	Service string `json:"service"`
+	Region  string `json:"region"`
+	// Utilization is work over limit, 1 is full; SetPoint is what is aimed at.
+	Utilization float64 `json:"utilization"`
+	SetPoint    float64 `json:"set_point"`
+	// Spill is the part of the region's own requests that is sent elsewhere.
+	Spill float64 `json:"spill"`
+	// Limit, InFlight and Queued count requests.
+	Limit    int `json:"limit"`
+	InFlight int `json:"in_flight"`
+	Queued   int `json:"queued"`
+	// Replicas counts all that are listed, the others those in that state.
+	Replicas int `json:"replicas"`
+	Usable   int `json:"usable"`
+	Cold     int `json:"cold"`
+	Draining int `json:"draining"`
+	Ejected  int `json:"ejected"`
+}
+
+// OrderStatus is one order's answer that is still kept.
+type OrderStatus struct {
+	// Number orders the answers by age, newer is larger.
+	Number   uint64 `json:"number"`
+	OrderID  string `json:"order_id"`
+	Accepted bool   `json:"accepted"`
+	// Version is the configuration version after the order.
+	Version uint64 `json:"version"`
+	// Code, Field and Reason say why an order was refused.
+	Code   Code   `json:"code,omitempty"`
+	Field  string `json:"field,omitempty"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// OrdersAnswer lists kept orders, newest first.
+type OrdersAnswer struct {
+	Serial uint32        `json:"serial"`
+	Orders []OrderStatus `json:"orders"`
+}
+
+// ExplainStep is one step of the decision about a request.
+type ExplainStep struct {
+	// Step is what was decided, Result what came out, Reason where it comes from.
+	Step   string `json:"step"`
+	Result string `json:"result"`
+	Reason string `json:"reason"`
+}
+
+// ExplainRegion is one region as the explaining gateway knows it.
+type ExplainRegion struct {
+	Region string `json:"region"`
+	// Rank is the place in the order of attempts, 1 first; 0 is not a candidate.
+	Rank int `json:"rank"`
+	// Load is its utilization, 1 is full, and Knowledge how that is known:
+	// "fresh", "stale" (reports have stopped) or "unheard" (there never was one).
+	Load      float64 `json:"load"`
+	Knowledge string  `json:"knowledge"`
+	// Usable is false if the plan leaves it no replica or no gateway.
+	Usable     bool `json:"usable"`
+	TakesSpill bool `json:"takes_spill"`
+}
+
+// ExplainReplica is one replica of the explaining gateway's region.
+type ExplainReplica struct {
+	Replica string `json:"replica"`
+	// State is "usable", or why it gets nothing new from this gateway.
+	State string `json:"state"`
+	// InFlight counts this gateway's requests, Others the rest; Limit is this
+	// gateway's bound.
+	InFlight int `json:"in_flight"`
+	Others   int `json:"others"`
+	Limit    int `json:"limit"`
+	// FirstTokenMS is the expected time to the first token of this request, in
+	// milliseconds, with nothing of its prompt cached.
+	FirstTokenMS int64 `json:"first_token_ms"`
+}
+
+// ExplainAnswer says where a request would go at this moment, and why.
+type ExplainAnswer struct {
+	Gateway              string           `json:"gateway"`
+	Region               string           `json:"region"`
+	ConfigurationVersion uint64           `json:"configuration_version"`
+	Serial               uint32           `json:"serial"`
+	Steps                []ExplainStep    `json:"steps"`
+	Regions              []ExplainRegion  `json:"regions"`
+	Replicas             []ExplainReplica `json:"replicas"`
+	// Error is the answer that the request would get if it would be refused.
+	Error *Error `json:"error,omitempty"`
 }
--- a/client/operator.go
+++ b/client/operator.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"strconv"
 
 	"github.com/deckpulley/deckpulley/api"
 )
@@ -78,6 +79,30 @@
 	return read[api.ReplicasAnswer](ctx, c, api.PathReplicas, nil)
 }
 
+// Orders lists the newest kept answers to orders, limit of them at the most; 0 is
+// the server's own limit.
+func (c *Client) Orders(ctx context.Context, limit int) (*api.OrdersAnswer, error) {
+	query := url.Values{}
+	if limit > 0 {
+		query.Set("limit", strconv.Itoa(limit))
+	}
+	return read[api.OrdersAnswer](ctx, c, api.PathOrders, query)
+}
+
+// Explain asks a gateway's operators' port where a request would go and why.
+// The request itself is not run.
+func (c *Client) Explain(ctx context.Context, request *api.GenerateRequest) (*api.ExplainAnswer, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, &api.Error{Code: api.CodeInvalid, Outcome: api.OutcomeRefused, Message: fmt.Sprintf("encoding the request: %v", err)}
+	}
+	var answer api.ExplainAnswer
+	if err := c.do(ctx, call{method: http.MethodPost, path: api.PathExplain, body: body}, &answer); err != nil {
+		return nil, err
+	}
+	return &answer, nil
+}
+
 func read[T any](ctx context.Context, c *Client, path string, query url.Values) (*T, error) {
 	var answer T
 	if err := c.do(ctx, call{method: http.MethodGet, path: path, query: query}, &answer); err != nil {
--- a/control/http.go
+++ b/control/http.go
@@ -64,6 +64,7 @@
 	mux.HandleFunc("GET "+api.PathMembers, n.getMembers)
 	mux.HandleFunc("GET "+api.PathReplicas, n.getReplicas)
 	mux.HandleFunc("PUT "+api.PathReplicas, n.authorized(n.putReplicas))
+	mux.HandleFunc("GET "+api.PathOrders, n.getOrders)
 	mux.HandleFunc("GET "+api.PathLive, n.getLive)
 	mux.HandleFunc("GET "+api.PathReady, n.getReady)
 	mux.Handle("GET "+api.PathMetrics, promhttp.HandlerFor(n.metrics.registry, promhttp.HandlerOpts{}))
--- a/control/operators_test.go
+++ b/control/operators_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -216,3 +217,39 @@
 		t.Errorf("restored orders (-want +got):\n%s", difference)
 	}
 }
+
+func TestHistoryListsTheNewestOrders(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		f.startGateway("gateway-1")
+		f.mustSend(f.primary(), "order-1", 0)
+		f.mustSend(f.primary(), "order-2", 1)
+		f.send(f.primary(), "order-3", 1, document(t)) // outraced
+		f.send(f.primary(), "order-2", 1, document(t)) // resent
+		var answer api.OrdersAnswer
+		if status := f.request(f.primary(), http.MethodGet, api.PathOrders+"?limit=2", nil, &answer); status != http.StatusOK {
+			t.Fatalf("status %d", status)
+		}
+		want := []api.OrderStatus{
+			{OrderID: "order-3", Version: 2, Code: api.CodeVersionConflict},
+			{OrderID: "order-2", Version: 2, Accepted: true},
+		}
+		got := slices.Clone(answer.Orders)
+		for i := range got {
+			if got[i].Number == 0 || i > 0 && got[i].Number >= answer.Orders[i-1].Number {
+				t.Errorf("numbers out of order: %+v", answer.Orders)
+			}
+			if got[i].Accepted == (got[i].Reason != "") {
+				t.Errorf("accepted and a reason: %+v", got[i])
+			}
+			got[i].Number, got[i].Reason, got[i].Field = 0, "", ""
+		}
+		if difference := cmp.Diff(want, got); difference != "" {
+			t.Error(difference)
+		}
+		var problem api.ErrorBody
+		if status := f.request(f.primary(), http.MethodGet, api.PathOrders+"?limit=none", nil, &problem); status != http.StatusBadRequest || problem.Error.Field != "limit" {
+			t.Errorf("limit not a number: %d %+v", status, problem.Error)
+		}
+	})
+}
