Explain where a request would go

POST /v1/explain of a gateway's operators' port takes a request and answers each step of its decision: lease, route, service, class, homes, client region, ticket, regions in order with what is known of them, replicas with state and expected first token. It reads the state that decides and sends nothing. The status of a gateway lists its region's services. The test compares explanations with where the same requests then run, in five cases.

--- /dev/null
+++ b/gateway/explain.go
@@ -0,0 +1,305 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/placement"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/routing"
+)
+
+// explainedRequest is the id of a request that names none. The id decides which
+// requests spill, so it is part of the explanation.
+const explainedRequest = "explained"
+
+// explanation gathers the steps of one decision.
+type explanation struct {
+	gateway *Gateway
+	active  *places.Contents
+	request *api.GenerateRequest
+	answer  *api.ExplainAnswer
+}
+
+// serveExplain answers where a request would go. It reads the state that
+// decides and changes none of it.
+func (g *Gateway) serveExplain(w http.ResponseWriter, r *http.Request) {
+	var request api.GenerateRequest
+	if failure := g.readRequest(w, r, &request); failure != nil {
+		writeError(w, failure)
+		return
+	}
+	if request.RequestID == "" {
+		request.RequestID = explainedRequest
+	}
+	if failure := checkGenerate(&request); failure != nil {
+		writeError(w, failure)
+		return
+	}
+	active := g.agent.Active()
+	if active == nil {
+		writeError(w, refusedLater(api.CodeNotReady, comeBack, "the gateway has no copy of the registry yet"))
+		return
+	}
+	writeJSON(w, http.StatusOK, g.explain(active, &request))
+}
+
+func (g *Gateway) explain(active *places.Contents, request *api.GenerateRequest) *api.ExplainAnswer {
+	e := &explanation{
+		gateway: g,
+		active:  active,
+		request: request,
+		answer: &api.ExplainAnswer{
+			Gateway:              g.options.Info.Name,
+			Region:               g.options.Info.Region,
+			ConfigurationVersion: active.Version(),
+			Serial:               active.Serial(),
+			Regions:              []api.ExplainRegion{},
+			Replicas:             []api.ExplainReplica{},
+		},
+	}
+	resolved, failure := g.router.Resolve(*request, time.Now())
+	e.lease()
+	e.route(&resolved)
+	e.home(&resolved)
+	e.client()
+	e.ticket()
+	if failure != nil {
+		e.refuse(failure)
+		return e.answer
+	}
+	e.regions(&resolved)
+	return e.answer
+}
+
+func (e *explanation) step(step, result, reason string, arguments ...any) {
+	e.answer.Steps = append(e.answer.Steps, api.ExplainStep{Step: step, Result: result, Reason: fmt.Sprintf(reason, arguments...)})
+}
+
+// refuse keeps the first refusal: it is the one that the request would get.
+func (e *explanation) refuse(failure *api.Error) {
+	if e.answer.Error == nil {
+		e.answer.Error = failure
+	}
+}
+
+func (e *explanation) lease() {
+	if failure := e.gateway.mayPlace(); failure != nil {
+		e.step("lease", "refused", "%s", failure.Message)
+		e.refuse(failure)
+		return
+	}
+	left := e.gateway.agent.Remaining().Milliseconds()
+	e.step("lease", "valid", "%d ms left; configuration version %d, serial %d decide", left, e.active.Version(), e.active.Serial())
+}
+
+func (e *explanation) route(resolved *routing.Request) {
+	route, known := e.active.Route(e.request.Model)
+	if !known {
+		e.step("route", "none", "no route for model %q", e.request.Model)
+		return
+	}
+	e.step("route", e.request.Model, "route of the configuration")
+	service, known := e.active.Service(route.Service)
+	if !known {
+		e.step("service", "none", "the route names service %q, which is not configured", route.Service)
+		return
+	}
+	e.step("service", route.Service, "named by the route; kind %s", service.Kind)
+	e.step("class", string(resolved.Class), "%s", classReason(e.request, route))
+}
+
+func classReason(request *api.GenerateRequest, route places.Route) string {
+	switch {
+	case request.Class != "":
+		return "named by the request"
+	case route.Class != "":
+		return "named by the route"
+	default:
+		return "by the kind of service and whether the answer is streamed"
+	}
+}
+
+// home names every rule that binds the request and what is left of regions.
+func (e *explanation) home(resolved *routing.Request) {
+	var rules []string
+	add := func(source, name string) {
+		if name == "" {
+			return
+		}
+		home, _ := e.active.Home(name)
+		rules = append(rules, fmt.Sprintf("%s: %s = %s", source, name, strings.Join(home.Regions, ", ")))
+	}
+	route, _ := e.active.Route(e.request.Model)
+	tenant, _ := e.active.Tenant(e.request.Tenant)
+	add("request", e.request.Home)
+	add("route", route.Home)
+	add("tenant "+e.request.Tenant, tenant.Home)
+	if len(rules) == 0 {
+		e.step("home", "any region", "neither request, route nor tenant names a home rule")
+		return
+	}
+	left := strings.Join(resolved.Home, ", ")
+	if left == "" {
+		left = "no region"
+	}
+	e.step("home", left, "regions in common of %s", strings.Join(rules, "; "))
+}
+
+func (e *explanation) client() {
+	own := e.answer.Region
+	if e.request.Client == "" {
+		e.step("client region", own, "the request names no client: the region of this gateway")
+		return
+	}
+	client, known := e.active.Client(e.request.Client)
+	if !known {
+		e.step("client region", own, "client %q is not configured: the region of this gateway", e.request.Client)
+		return
+	}
+	e.step("client region", client.Region, "client %q is served there", e.request.Client)
+}
+
+func (e *explanation) ticket() {
+	if e.request.Repeatable {
+		e.step("ticket", "not needed", "the request is repeatable")
+		return
+	}
+	e.step("ticket", "needed", "the request must not run twice: it goes where %s sends it, by the same steps", api.PathWhere)
+}
+
+// regions adds the order of the regions and the replicas of the own one.
+func (e *explanation) regions(resolved *routing.Request) {
+	order := e.gateway.router.Regions(*resolved)
+	service := e.service(resolved.Service)
+	for _, region := range service.Regions {
+		e.answer.Regions = append(e.answer.Regions, api.ExplainRegion{
+			Region:     region.Name,
+			Rank:       slices.Index(order, region.Name) + 1,
+			Load:       region.Load,
+			Knowledge:  knowledgeName(region.Knowledge),
+			Usable:     region.Usable,
+			TakesSpill: region.TakesSpill,
+		})
+	}
+	if len(order) == 0 {
+		failure := e.gateway.router.Refusal(*resolved)
+		e.step("regions", "none", "%s", failure.Message)
+		e.refuse(failure)
+	} else {
+		e.step("regions", strings.Join(order, ", "), "order of attempts; %.0f%% of this region's own requests are sent elsewhere now", 100*spillOf(&service))
+	}
+	e.replicas(resolved, &service, order)
+}
+
+func (e *explanation) service(name string) routing.ServiceStatus {
+	for _, service := range e.gateway.router.Status().Services {
+		if service.Service == name {
+			return service
+		}
+	}
+	return routing.ServiceStatus{}
+}
+
+func (e *explanation) replicas(resolved *routing.Request, service *routing.ServiceStatus, order []string) {
+	tokens := float64(resolved.PromptTokens)
+	for _, prefix := range resolved.Prefixes {
+		tokens += float64(prefix.Tokens)
+	}
+	for _, member := range service.Members {
+		expected := member.Expected.FirstToken(tokens)
+		e.answer.Replicas = append(e.answer.Replicas, api.ExplainReplica{
+			Replica:      member.Replica,
+			State:        replicaState(&member),
+			InFlight:     member.InFlight,
+			Others:       member.Others,
+			Limit:        member.Limit,
+			FirstTokenMS: time.Duration(expected * float64(time.Second)).Milliseconds(),
+		})
+	}
+	if len(order) == 0 {
+		return
+	}
+	if order[0] != e.answer.Region {
+		e.step("replica", "chosen there", "a gateway of region %s is asked for a slot; the replicas below are those of region %s", order[0], e.answer.Region)
+		return
+	}
+	e.step("replica", fmt.Sprintf("one of %d usable", service.Usable), "least expected first token, and what the prefix costs elsewhere; %d wait in the queue", service.Queued)
+}
+
+// replicaState says why a replica gets nothing new from this gateway, the most
+// lasting reason first.
+func replicaState(member *routing.ReplicaStatus) string {
+	switch {
+	case member.Draining:
+		return "draining"
+	case member.Unknown:
+		return "unknown: the last poll was not answered"
+	case member.Ejected:
+		return "ejected: it fails more than the others"
+	case member.Cold && !member.Usable:
+		return "cold: another gateway feeds it"
+	case member.Cold:
+		return "usable, cold: fed by this gateway"
+	case !member.Usable:
+		return "closed: suspected, evacuated, or its condition is not up"
+	default:
+		return "usable"
+	}
+}
+
+func knowledgeName(knowledge placement.Knowledge) string {
+	switch knowledge {
+	case placement.Fresh:
+		return "fresh"
+	case placement.Stale:
+		return "stale"
+	default:
+		return "unheard"
+	}
+}
+
+// spillController is the controller of a service whose output is the part of a
+// region's own requests that is sent elsewhere.
+const spillController = "utilization"
+
+func spillOf(service *routing.ServiceStatus) float64 {
+	for _, controller := range service.Controllers {
+		if controller.Name == spillController {
+			return controller.Output
+		}
+	}
+	return 0
+}
+
+// serviceLoads describes the services of the own region.
+func (g *Gateway) serviceLoads() []api.ServiceLoad {
+	var loads []api.ServiceLoad
+	for _, service := range g.router.Status().Services {
+		load := api.ServiceLoad{
+			Service:     service.Service,
+			Region:      g.options.Info.Region,
+			Utilization: service.Utilization,
+			Spill:       spillOf(&service),
+			Limit:       service.Limit,
+			InFlight:    service.InFlight,
+			Queued:      service.Queued,
+			Replicas:    service.Replicas,
+			Usable:      service.Usable,
+			Cold:        service.Cold,
+			Draining:    service.Draining,
+			Ejected:     service.Ejected,
+		}
+		for _, controller := range service.Controllers {
+			if controller.Name == spillController {
+				load.SetPoint = controller.SetPoint
+			}
+		}
+		loads = append(loads, load)
+	}
+	return loads
+}
--- /dev/null
+++ b/gateway/explain_test.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/registry"
+)
+
+// explained asks the operators' port of a gateway.
+func explained(t *testing.T, n *node, request api.GenerateRequest) (int, api.ExplainAnswer) {
+	t.Helper()
+	body, err := json.Marshal(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(n.OperatorsServer().Handler)
+	defer server.Close()
+	response, err := http.Post(server.URL+api.PathExplain, "application/json", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var answer api.ExplainAnswer
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode, answer
+}
+
+// TestExplainAgreesWithWhatHappens compares the explanation of requests with
+// where they run, and finds that explaining runs nothing.
+func TestExplainAgreesWithWhatHappens(t *testing.T) {
+	f := newFleet(t)
+	f.primary.set(func(p *primary) {
+		p.apply(
+			registry.Add(places.HomeRecord("at-south", places.Home{Regions: []string{"south"}})),
+			registry.Add(places.HomeRecord("at-north", places.Home{Regions: []string{"north"}})),
+			registry.Add(places.TenantRecord("bank", places.Tenant{Home: "at-south"})),
+			registry.Add(places.ClientRecord("near-south", places.Client{Region: "south"})),
+		)
+	})
+	replicas := []*fakeReplica{f.replica("r1", "north"), f.replica("r2", "south")}
+	north, south := f.gateway("g1", "north", "a", nil), f.gateway("g2", "south", "b", nil)
+	f.ready(north, south)
+	waitFor(t, "the load of the other region", func() bool {
+		for _, region := range north.router.Status().Services[0].Regions {
+			if region.Name == "south" && region.Knowledge == 1 {
+				return true
+			}
+		}
+		return false
+	})
+	cases := []struct {
+		name   string
+		change func(*api.GenerateRequest)
+		region string // empty is refused
+		steps  map[string]string
+		code   api.Code
+	}{
+		{"plain", func(*api.GenerateRequest) {}, "north", map[string]string{"route": "m", "service": "explain", "class": "quick", "home": "any region", "client region": "north"}, ""},
+		{"home of the tenant", func(r *api.GenerateRequest) { r.Tenant = "bank" }, "south", map[string]string{"home": "south", "regions": "south"}, ""},
+		{"homes without a common region", func(r *api.GenerateRequest) { r.Tenant, r.Home = "bank", "at-north" }, "", map[string]string{"home": "no region"}, api.CodeHomeUnavailable},
+		{"client of another region", func(r *api.GenerateRequest) { r.Client = "near-south" }, "south", map[string]string{"client region": "south"}, ""},
+		{"unknown model", func(r *api.GenerateRequest) { r.Model = "x" }, "", map[string]string{"route": "none"}, api.CodeNotFound},
+	}
+	for _, c := range cases {
+		request := question("q-" + c.name)
+		request.Repeatable = true
+		c.change(&request)
+		before := len(replicas[0].requests()) + len(replicas[1].requests())
+		status, answer := explained(t, north, request)
+		if after := len(replicas[0].requests()) + len(replicas[1].requests()); status != http.StatusOK || after != before {
+			t.Fatalf("%s: status %d, %d requests sent by explaining", c.name, status, after-before)
+		}
+		got := map[string]string{}
+		for _, step := range answer.Steps {
+			if _, wanted := c.steps[step.Step]; wanted {
+				got[step.Step] = step.Result
+			}
+		}
+		if difference := cmp.Diff(c.steps, got); difference != "" {
+			t.Errorf("%s: %s", c.name, difference)
+		}
+		first := ""
+		for _, region := range answer.Regions {
+			if region.Rank == 1 {
+				first = region.Region
+			}
+		}
+		if first != c.region {
+			t.Errorf("%s: explained %q", c.name, first)
+		}
+		ran := north.send(t, request)
+		if ran.answer.Region != c.region {
+			t.Errorf("%s: ran in %q, explained %q", c.name, ran.answer.Region, c.region)
+		}
+		if c.code != "" && (answer.Error == nil || answer.Error.Code != c.code || ran.failure == nil || ran.failure.Code != c.code) {
+			t.Errorf("%s: explained %v, answered %v", c.name, answer.Error, ran.failure)
+		}
+	}
+	if status, _ := explained(t, north, api.GenerateRequest{Model: "m"}); status != http.StatusBadRequest {
+		t.Errorf("without max_tokens: status %d", status)
+	}
+	f.primary.set(func(p *primary) {
+		p.apply(registry.Add(places.DrainRecord("r1", places.Drain{})))
+	})
+	waitFor(t, "the drained replica", func() bool {
+		_, answer := explained(t, north, question("drained"))
+		return len(answer.Replicas) == 1 && answer.Replicas[0].State == "draining"
+	})
+}
--- a/gateway/operator.go
+++ b/gateway/operator.go
@@ -29,6 +29,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(api.PathStatus, g.only(http.MethodGet, g.serveStatus))
 	mux.HandleFunc(api.PathReplicas, g.serveReplicas)
+	mux.HandleFunc(api.PathExplain, g.only(http.MethodPost, g.serveExplain))
 	mux.Handle(api.PathMetrics, promhttp.HandlerFor(g.registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("/debug/pprof/", pprof.Index)
 	mux.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
@@ -63,6 +64,7 @@
 		Version:  status.ActiveVersion,
 		Members:  []api.MemberStatus{g.ownStatus()},
 		Degraded: g.degraded(),
+		Services: g.serviceLoads(),
 	}
 	if status.Lease > 0 {
 		answer.Leases = 1
