Grow the operators' command line to the whole fleet

New: top, route explain, config history, recover (which says how, and does nothing), and a hidden command that writes the man pages.

--- a/cmd/deckpulleyctl/config.go
+++ b/cmd/deckpulleyctl/config.go
@@ -18,7 +18,7 @@
 
 func configCommand(shared *options) *cobra.Command {
 	command := &cobra.Command{Use: "config", Short: "Validate, compare, apply and read the configuration"}
-	command.AddCommand(configValidate(), configDiff(shared), configApply(shared), configGet(shared))
+	command.AddCommand(configValidate(), configDiff(shared), configApply(shared), configGet(shared), configHistory(shared))
 	return command
 }
 
--- a/cmd/deckpulleyctl/fleet.go
+++ b/cmd/deckpulleyctl/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 
 	"github.com/spf13/cobra"
 
@@ -74,26 +73,6 @@
 	return rows
 }
 
-func statusCommand(shared *options) *cobra.Command {
-	return reading(shared, "status", "Show the control plane on one screen", (*client.Client).Status, statusTable)
-}
-
-func statusTable(answer *api.StatusAnswer) *table {
-	rows := &table{header: []string{"FIELD", "VALUE"}}
-	rows.add("node", answer.Node)
-	rows.add("primary", answer.Primary)
-	rows.add("primary address", answer.PrimaryAddress)
-	rows.add("term", answer.Term)
-	rows.add("commit index", answer.CommitIndex)
-	rows.add("applied index", answer.AppliedIndex)
-	rows.add("serial", answer.Serial)
-	rows.add("serial in force", answer.InForceSerial)
-	rows.add("configuration version", answer.Version)
-	rows.add("leases", answer.Leases)
-	rows.add("degraded", strings.Join(answer.Degraded, "; "))
-	return rows
-}
-
 func membersCommand(shared *options) *cobra.Command {
 	command := &cobra.Command{Use: "members", Short: "Show the fleet's own nodes"}
 	command.AddCommand(reading(shared, "list", "List the nodes", (*client.Client).Members, membersTable))
--- a/cmd/deckpulleyctl/main.go
+++ b/cmd/deckpulleyctl/main.go
@@ -9,6 +9,7 @@
 //	3  outraced: the base version is not the current one, or the order id is taken
 //	4  outcome unknown: repeat the command with the printed --order-id
 //	5  no node could be reached: nothing was sent
+//	6  status --check: something is degraded
 package main
 
 import (
@@ -30,6 +31,7 @@
 	exitConflict    = 3
 	exitUnknown     = 4
 	exitUnreachable = 5
+	exitDegraded    = 6
 )
 
 // usageError is a mistake on the command line or in a file.
@@ -56,6 +58,8 @@
 	switch {
 	case err == nil:
 		return exitDone
+	case errors.Is(err, errDegraded):
+		return exitDegraded
 	case !errors.As(err, &problem):
 		return exitUsage
 	case problem.Code == api.CodeVersionConflict || problem.Code == api.CodeOrderConflict:
@@ -80,7 +84,8 @@
 
 Exit statuses: 0 done; 1 refused or failed for certain; 2 wrong usage or an
 invalid file; 3 outraced by another operator; 4 outcome unknown, repeat with the
-printed --order-id; 5 no node could be reached.`,
+printed --order-id; 5 no node could be reached; 6 status --check found something
+degraded.`,
 	}
 	shared.addFlags(command.PersistentFlags())
 	command.AddCommand(
@@ -89,6 +94,10 @@
 		statusCommand(shared),
 		membersCommand(shared),
 		replicasCommand(shared),
+		routeCommand(shared),
+		topCommand(shared),
+		recoverCommand(),
+		manCommand(),
 	)
 	return command
 }
--- a/cmd/deckpulleyctl/main_test.go
+++ b/cmd/deckpulleyctl/main_test.go
@@ -36,7 +36,14 @@
 		json.NewEncoder(w).Encode(map[string]any{
 			api.PathConfiguration: api.ConfigurationAnswer{Version: 4, Serial: 9, Author: "ada", Document: document},
 			api.PathZones:         api.ZonesAnswer{Zones: []api.ZoneStatus{{Zone: "north-1", Region: "north", Evacuated: true}}},
-			api.PathStatus:        api.StatusAnswer{Node: "c1", Primary: "c2", Term: 7, Leases: 8},
+			api.PathStatus: api.StatusAnswer{Node: "c1", Primary: "c2", Term: 7, Leases: 8, CommitIndex: 6, Members: []api.MemberStatus{
+				{Name: "c1", Role: "control", Up: true, Voter: true, MatchIndex: 5},
+				{Name: "g1", Role: "gateway", Up: true, LeaseMS: 900, HeldSerial: 9, ActiveSerial: 9, ActiveVersion: 4},
+			}, Services: []api.ServiceLoad{{Service: "model", Region: "north", Utilization: 0.5, SetPoint: 0.8, Spill: 0.1, Limit: 8, InFlight: 3, Queued: 1, Replicas: 2, Cold: 2}}},
+			api.PathOrders: api.OrdersAnswer{Orders: []api.OrderStatus{
+				{Number: 7, OrderID: "o2", Version: 4, Code: api.CodeVersionConflict, Reason: "the base is 3"},
+				{Number: 6, OrderID: "o1", Accepted: true, Version: 4},
+			}},
 			api.PathMembers: api.MembersAnswer{RepairDone: true, Members: []api.MemberStatus{
 				{Name: "c1", Role: "control", Up: true, Voter: true, MatchIndex: 5},
 				{Name: "g1", Role: "gateway", Up: true, LeaseMS: 900, HeldSerial: 9, ActiveSerial: 9},
@@ -50,6 +57,15 @@
 	}
 	var body bytes.Buffer
 	body.ReadFrom(r.Body)
+	if r.URL.Path == api.PathExplain {
+		json.NewEncoder(w).Encode(api.ExplainAnswer{
+			Gateway: "g1", Region: "north",
+			Steps:    []api.ExplainStep{{Step: "route", Result: "ask", Reason: body.String()}},
+			Regions:  []api.ExplainRegion{{Region: "north", Rank: 1, Load: 0.5, Knowledge: "fresh", Usable: true}, {Region: "south", Knowledge: "stale"}},
+			Replicas: []api.ExplainReplica{{Replica: "r1", State: "usable", Limit: 8, FirstTokenMS: 40}},
+		})
+		return
+	}
 	n.last, n.token = body.Bytes(), r.Header.Get("Authorization")
 	if n.problem != nil {
 		w.WriteHeader(n.problem.Status())
@@ -93,10 +109,11 @@
 func TestTables(t *testing.T) {
 	k := newTool(t)
 	for command, want := range map[string]string{
-		"zone list":     "ZONE     REGION  EVACUATED\nnorth-1  north   yes\n",
-		"members list":  "NAME         ROLE     ZONE  REGION  UP   PEERS  HTTP  DETAIL\nc1           control  -     -       yes  -      -     voter, index 5\ng1           gateway  -     -       yes  -      -     lease 900 ms, serial 9 held, 9 active\nrepair done  -        -     -       yes  -      -     -\n",
-		"replicas list": "REPLICA  SERVICE  ZONE     REGION  ADDRESS      CONDITION  FEEDER  DRAINING\nr1       model    north-1  north   127.0.0.1:1  up         -       no\nr2       model    north-1  north   127.0.0.1:2  cold       g1      no\n",
-		"config get":    document,
+		"zone list":      "ZONE     REGION  EVACUATED\nnorth-1  north   yes\n",
+		"members list":   "NAME         ROLE     ZONE  REGION  UP   PEERS  HTTP  DETAIL\nc1           control  -     -       yes  -      -     voter, index 5\ng1           gateway  -     -       yes  -      -     lease 900 ms, serial 9 held, 9 active\nrepair done  -        -     -       yes  -      -     -\n",
+		"replicas list":  "REPLICA  SERVICE  ZONE     REGION  ADDRESS      CONDITION  FEEDER  DRAINING\nr1       model    north-1  north   127.0.0.1:1  up         -       no\nr2       model    north-1  north   127.0.0.1:2  cold       g1      no\n",
+		"config get":     document,
+		"config history": "NUMBER  ORDER  ACCEPTED  VERSION  REASON\n7       o2     no        4        version_conflict (refused): the base is 3\n6       o1     yes       4        -\n",
 	} {
 		status, output, complaints := k.run(strings.Fields(command)...)
 		if status != exitDone {
@@ -220,3 +237,89 @@
 		t.Error(diff)
 	}
 }
+
+// TestScreens shows the fleet with two gateways, one of which does not answer.
+func TestScreens(t *testing.T) {
+	k := newTool(t)
+	t.Setenv(environmentGateways, k.address+",127.0.0.1:1")
+	loads := `REGION  SERVICE  LOAD  AIM  SPILL  IN FLIGHT  QUEUED  LIMIT  USABLE  COLD  DRAINING  EJECTED
+north   model    50%   80%  10%    3          1       8      0 of 2  2     0         0
+`
+	degraded := `DEGRADED, AND WHAT TO DO
+gateway at 127.0.0.1:1 does not answer its operators' port: restart it or its machine
+service model has no usable replica in region north: look at them with deckpulleyctl replicas list
+`
+	for command, want := range map[string]string{
+		"status": `FIELD                  VALUE
+answered by            c1
+primary                c2
+primary address        -
+term                   7
+committed index        6
+serial                 0
+serial in force        0
+configuration version  0
+leases                 8
+repair done            yes
+
+CONTROL  ZONE  UP   VOTES  LAG  PEERS  IDENTITY
+c1       -     yes  yes    1    -      -
+
+GATEWAY  ZONE  REGION  UP   LEASE MS  HELD  ACTIVE  VERSION  CALLERS
+g1       -     -       yes  900       9     9       4        -
+
+REGION  SERVICE  REPLICAS UP  COLD  DRAINING  DOWN  UNSEEN
+north   model    1            1     0         0     0
+
+` + loads + "\n" + degraded,
+		"top --count 2 --interval 200ms": strings.Repeat("primary c2, term 7, version 0, serial 0, in force 0, leases 8\n"+loads+degraded, 2),
+		"route explain ask --tenant bank --prefix repository=900,file=20": `gateway g1 in region north, configuration version 0, serial 0
+
+STEP   RESULT  REASON
+route  ask     {"request_id":"","tenant":"bank","model":"ask","prefixes":[{"id":"repository","tokens":900},{"id":"file","tokens":20}],"prompt_tokens":0,"max_tokens":1,"repeatable":true}
+
+REGION  RANK             LOAD  KNOWLEDGE  USABLE  TAKES SPILL
+north   1                50%   fresh      yes     no
+south   not a candidate  0%    stale      no      no
+
+REPLICA  STATE   IN FLIGHT  OTHERS  LIMIT  FIRST TOKEN MS
+r1       usable  0          0       8      40
+`,
+	} {
+		status, output, complaints := k.run(strings.Fields(command)...)
+		if status != exitDone {
+			t.Errorf("%s: status %d, %s", command, status, complaints)
+		}
+		if diff := cmp.Diff(want, output); diff != "" {
+			t.Errorf("%s: %s", command, diff)
+		}
+	}
+	for command, want := range map[string]int{
+		"status --check":                  exitDegraded,
+		"top --interval 1ms":              exitUsage,
+		"route explain ask --prefix file": exitUsage,
+		"recover":                         exitDone,
+	} {
+		if status, _, complaints := k.run(strings.Fields(command)...); status != want {
+			t.Errorf("%s: status %d, %s", command, status, complaints)
+		}
+	}
+}
+
+// TestPages finds a man page for every command that is shown.
+func TestPages(t *testing.T) {
+	k := newTool(t)
+	if status, _, complaints := k.run("man", k.folder); status != exitDone {
+		t.Fatal(complaints)
+	}
+	for _, page := range []string{"deckpulleyctl.1", "deckpulleyctl-config-history.1", "deckpulleyctl-route-explain.1", "deckpulleyctl-top.1", "deckpulleyctl-recover.1"} {
+		if text, err := os.ReadFile(filepath.Join(k.folder, page)); err != nil || !bytes.Contains(text, []byte("deckpulleyctl")) {
+			t.Errorf("%s: %v", page, err)
+		}
+	}
+	for _, shell := range []string{"bash", "zsh", "fish"} {
+		if status, output, _ := k.run("completion", shell); status != exitDone || !strings.Contains(output, "deckpulleyctl") {
+			t.Errorf("completion for %s: status %d", shell, status)
+		}
+	}
+}
