--- a/cmd/deckpulleyctl/main_test.go
+++ b/cmd/deckpulleyctl/main_test.go
@@ -26,7 +26,8 @@
 
 // fakeNode answers as a control node would and keeps the last body it was sent.
 type fakeNode struct {
-	problem *api.Error // answers every order with it
+	problem *api.Error          // answers every order with it
+	more    []api.ReplicaStatus // listed after the others
 	last    []byte
 	token   string
 }
@@ -48,10 +49,10 @@
 				{Name: "c1", Role: "control", Up: true, Voter: true, MatchIndex: 5},
 				{Name: "g1", Role: "gateway", Up: true, LeaseMS: 900, HeldSerial: 9, ActiveSerial: 9},
 			}},
-			api.PathReplicas: api.ReplicasAnswer{Replicas: []api.ReplicaStatus{
+			api.PathReplicas: api.ReplicasAnswer{Replicas: append([]api.ReplicaStatus{
 				{ReplicaEntry: api.ReplicaEntry{ID: "r1", Service: "model", Zone: "north-1", Address: "127.0.0.1:1"}, Region: "north", Condition: "up"},
 				{ReplicaEntry: api.ReplicaEntry{ID: "r2", Service: "model", Zone: "north-1", Address: "127.0.0.1:2"}, Region: "north", Condition: "cold", Feeder: "g1"},
-			}},
+			}, n.more...)},
 		}[r.URL.Path])
 		return
 	}
@@ -242,12 +243,14 @@
 func TestScreens(t *testing.T) {
 	k := newTool(t)
 	t.Setenv(environmentGateways, k.address+",127.0.0.1:1")
+	k.node.more = []api.ReplicaStatus{{ReplicaEntry: api.ReplicaEntry{ID: "r3", Service: "model", Zone: "south-1"}, Region: "south", Condition: "down"}}
 	loads := `REGION  SERVICE  LOAD  AIM  SPILL  IN FLIGHT  QUEUED  LIMIT  USABLE  COLD  DRAINING  EJECTED
 north   model    50%   80%  10%    3          1       8      0 of 2  2     0         0
 `
 	degraded := `DEGRADED, AND WHAT TO DO
 gateway at 127.0.0.1:1 does not answer its operators' port: restart it or its machine
 service model has no usable replica in region north: look at them with deckpulleyctl replicas list
+replica r3 of service model in zone south-1 is down: restart it, or take it off the platform's list
 `
 	for command, want := range map[string]string{
 		"status": `FIELD                  VALUE
@@ -270,6 +273,7 @@
 
 REGION  SERVICE  REPLICAS UP  COLD  DRAINING  DOWN  UNSEEN
 north   model    1            1     0         0     0
+south   model    0            0     0         1     0
 
 ` + loads + "\n" + degraded,
 		"top --count 2 --interval 200ms": strings.Repeat("primary c2, term 7, version 0, serial 0, in force 0, leases 8\n"+loads+degraded, 2),
--- a/cmd/deckpulleyctl/status.go
+++ b/cmd/deckpulleyctl/status.go
@@ -14,6 +14,7 @@
 
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/client"
+	"github.com/deckpulley/deckpulley/places"
 )
 
 // gatewayTimeout bounds asking one gateway, so that a lost one does not hold up
@@ -99,6 +100,7 @@
 	asked.Wait()
 	status := &fleetStatus{StatusAnswer: *answer, RepairDone: members.RepairDone, Replicas: replicas.Replicas}
 	status.addGateways(addresses, answers)
+	status.addConditions()
 	return status, nil
 }
 
@@ -145,6 +147,15 @@
 	}
 }
 
+// addConditions adds the replicas that are down to what is degraded.
+func (s *fleetStatus) addConditions() {
+	for _, replica := range s.Replicas {
+		if replica.Condition == string(places.ConditionDown) && !replica.Draining {
+			s.Degraded = append(s.Degraded, fmt.Sprintf("replica %s of service %s in zone %s is down: restart it, or take it off the platform's list", replica.ID, replica.Service, replica.Zone))
+		}
+	}
+}
+
 // addLoad joins what several gateways say of one service in one region: requests
 // add up, the rest is the view of the one that sees most.
 func (s *fleetStatus) addLoad(load api.ServiceLoad) {
@@ -227,31 +238,44 @@
 	return rows
 }
 
-// conditionTable counts the replicas of each region and service by condition, as
-// the registry has them.
-func conditionTable(status *fleetStatus) *table {
-	type key struct{ region, service string }
-	counts := map[key]map[string]int{}
-	var keys []key
-	for _, replica := range status.Replicas {
-		place := key{replica.Region, replica.Service}
-		if counts[place] == nil {
-			counts[place] = map[string]int{}
-			keys = append(keys, place)
-		}
-		state := cmp.Or(replica.Condition, "unseen")
+// conditionUnseen is the condition of a replica of which no gateway wrote one yet.
+const conditionUnseen = "unseen"
+
+// conditionCount counts the replicas of a region and service by condition, as the
+// registry has them.
+type conditionCount struct {
+	region, service string
+	counts          map[string]int
+}
+
+func countConditions(replicas []api.ReplicaStatus) []conditionCount {
+	var counted []conditionCount
+	for _, replica := range replicas {
+		state := cmp.Or(replica.Condition, conditionUnseen)
 		if replica.Draining {
-			state = "draining"
+			state = string(places.ConditionDraining)
+		}
+		place := slices.IndexFunc(counted, func(c conditionCount) bool {
+			return c.region == replica.Region && c.service == replica.Service
+		})
+		if place < 0 {
+			place = len(counted)
+			counted = append(counted, conditionCount{replica.Region, replica.Service, map[string]int{}})
 		}
-		counts[place][state]++
+		counted[place].counts[state]++
 	}
-	slices.SortFunc(keys, func(a, b key) int {
+	slices.SortFunc(counted, func(a, b conditionCount) int {
 		return cmp.Or(cmp.Compare(a.region, b.region), cmp.Compare(a.service, b.service))
 	})
+	return counted
+}
+
+func conditionTable(status *fleetStatus) *table {
 	rows := &table{header: []string{"REGION", "SERVICE", "REPLICAS UP", "COLD", "DRAINING", "DOWN", "UNSEEN"}}
-	for _, place := range keys {
-		count := counts[place]
-		rows.add(place.region, place.service, count["up"], count["cold"], count["draining"], count["down"], count["unseen"])
+	for _, counted := range countConditions(status.Replicas) {
+		of := func(state places.ConditionState) int { return counted.counts[string(state)] }
+		rows.add(counted.region, counted.service, of(places.ConditionUp), of(places.ConditionCold),
+			of(places.ConditionDraining), of(places.ConditionDown), of(conditionUnseen))
 	}
 	return rows
 }
