Plant defects that the fault suite must report

Cause: nothing showed that the fault suite's checker sees a broken promise. Change: internal/planted names 22 deliberate defects. They exist only under the build tag planted, where one environment variable switches one of them on; a plain build has a constant false. deckpulley-fleet planted runs each in a short scenario and holds the report to the promise that the defect breaks. Result: builds with and without the tag; the catalog's tests pass; the variable's name is not in a plain deckpulley-gateway.

--- a/consensus/contact.go
+++ b/consensus/contact.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/deckpulley/deckpulley/internal/planted"
 )
 
 // Rounds. A leader numbers its heartbeats; appends carry the newest number, and
@@ -143,7 +145,7 @@
 	if contact, known := n.QuorumContact(); known {
 		newest = max(newest, contact)
 	}
-	if n.now-newest > n.config.ElectionTimeout {
+	if n.now-newest > n.config.ElectionTimeout && !planted.Active(planted.PrimaryStays) {
 		n.becomeFollower(n.term, None)
 	}
 }
--- a/control/machine.go
+++ b/control/machine.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/deckpulley/deckpulley/consensus"
+	"github.com/deckpulley/deckpulley/internal/planted"
 	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/places"
 	"github.com/deckpulley/deckpulley/registry"
@@ -224,6 +226,9 @@
 		if err != nil {
 			return fmt.Errorf("control: committed entry %d: %w", entry.Index, err)
 		}
+		if planted.Active(planted.ForgetEvacuations) && m.office == nil {
+			update.Changes = slices.DeleteFunc(update.Changes, func(change registry.Record) bool { return change.Type == places.TypeEvacuation })
+		}
 		result = m.table.Apply(&update, permit)
 		m.orders.follow(&update, result)
 		m.metrics.updates.WithLabelValues(result.Code.String()).Inc()
--- a/control/orders.go
+++ b/control/orders.go
@@ -11,6 +11,7 @@
 
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/configuration"
+	"github.com/deckpulley/deckpulley/internal/planted"
 	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/places"
 	"github.com/deckpulley/deckpulley/registry"
@@ -98,6 +99,12 @@
 	if err != nil {
 		return peer.OrderReply{Error: internalError(err)}, true
 	}
+	if planted.Active(planted.AcknowledgeUnwritten) && facts.contents.Version() > 0 {
+		return peer.OrderReply{Answer: orderAnswer(task.id(), plan.answer, observed.serial+1)}, true
+	}
+	if planted.Active(planted.PrimaryStays) && n.clock()-observed.contact > n.options.Lease.Length {
+		return peer.OrderReply{Answer: orderAnswer(task.id(), plan.answer, observed.serial+1)}, true
+	}
 	result, err := n.propose(ctx, plan.update)
 	task.sent = task.sent || !errors.Is(err, ErrNotPrimary)
 	if err != nil {
@@ -130,6 +137,9 @@
 			Field:   "order_id",
 		}}, true
 	}
+	if planted.Active(planted.RefuseResentOrder) {
+		facts.stored.Accepted, facts.stored.Code = false, string(api.CodeVersionConflict)
+	}
 	return n.acknowledge(ctx, task, facts.stored, facts.serial)
 }
 
@@ -316,7 +326,7 @@
 	order := t.request.Configuration
 	base := configuration.BasePrerequisite(facts.contents.View())
 	current := facts.contents.Version()
-	if order.BaseVersion != current {
+	if order.BaseVersion != current && !planted.Active(planted.AcceptOldBase) {
 		reason := fmt.Sprintf("built on version %d, the current version is %d", order.BaseVersion, current)
 		return t.refuse(facts, base, api.CodeVersionConflict, "base_version", reason), nil
 	}
--- a/gateway/agent/agent.go
+++ b/gateway/agent/agent.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/deckpulley/deckpulley/internal/planted"
 	"github.com/deckpulley/deckpulley/lease"
 	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/places"
@@ -89,6 +90,9 @@
 
 // Valid tells whether the gateway may act now.
 func (a *Agent) Valid() bool {
+	if planted.Active(planted.IgnoreLease) || planted.Active(planted.KeepOldConfiguration) {
+		return true
+	}
 	return a.options.Clock() < time.Duration(a.validUntil.Load())
 }
 
--- a/gateway/agent/renew.go
+++ b/gateway/agent/renew.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/deckpulley/deckpulley/internal/planted"
 	"github.com/deckpulley/deckpulley/peer"
 )
 
@@ -67,6 +68,9 @@
 	defer a.mutex.Unlock()
 	now := a.options.Clock()
 	if err != nil {
+		if planted.Active(planted.GiveUpLease) && a.renewals.Load() > 0 {
+			a.holder.Leave()
+		}
 		a.refusals.Add(1)
 		a.contacts.failed(address, now+a.options.Terms.Length/callShare)
 		a.log.Debug("renewal failed", "address", address, "error", err)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/internal/planted"
 	"github.com/deckpulley/deckpulley/routing"
 	"github.com/deckpulley/deckpulley/stream"
 )
@@ -33,6 +34,10 @@
 }
 
 func (r *runner) replicaRequest(slot *routing.Slot) *api.ReplicaRequest {
+	version := slot.Version
+	if planted.Active(planted.StepBack) && r.stale == 0 && version > 1 && r.request.PromptTokens%16 == 0 {
+		version--
+	}
 	return &api.ReplicaRequest{
 		RequestID:    r.request.RequestID,
 		Model:        r.request.Model,
@@ -43,7 +48,7 @@
 		Stream:       r.request.Stream,
 		TimeLeftMS:   max(1, time.Until(r.route.Deadline).Milliseconds()),
 		Stamp: api.Stamp{
-			ConfigurationVersion: slot.Version,
+			ConfigurationVersion: version,
 			Serial:               slot.Serial,
 			Gateway:              r.gateway.options.Info.Name,
 			Incarnation:          r.gateway.options.Info.Incarnation,
@@ -187,7 +192,7 @@
 // piece, the failure is its result.
 func (r *runner) streamBroke(ctx context.Context, slot *routing.Slot, failure *api.Error) verdict {
 	outcome := r.settle(ctx, slot, broken(failure))
-	if !r.execution.pieces() {
+	if !r.execution.pieces() || planted.Active(planted.JoinRuns) {
 		return outcome
 	}
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/internal/planted"
 	"github.com/deckpulley/deckpulley/stream"
 )
 
@@ -157,6 +158,8 @@
 
 func finishAnswer(w http.ResponseWriter, writer *stream.Writer, ended *result) {
 	switch {
+	case ended.failure != nil && writer != nil && planted.Active(planted.CleanEnd):
+		return
 	case ended.failure != nil && writer != nil:
 		writer.Abort(ended.failure)
 	case ended.failure != nil:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/gateway/agent"
+	"github.com/deckpulley/deckpulley/internal/planted"
 	"github.com/deckpulley/deckpulley/lease"
 	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/places"
@@ -342,6 +343,9 @@
 
 // seenVersion is the newest configuration that replicas of a service have seen.
 func (g *Gateway) seenVersion(service string) uint64 {
+	if planted.Active(planted.KeepOldConfiguration) {
+		return 0
+	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	return g.seen[service]
--- a/gateway/offer.go
+++ b/gateway/offer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/internal/planted"
 	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/routing"
 )
@@ -162,7 +163,7 @@
 	if failure := checkGenerate(&asked.Request); failure != nil {
 		return nil, failure
 	}
-	if len(asked.HomeOnly) > 0 && !slices.Contains(asked.HomeOnly, g.region()) {
+	if !planted.Active(planted.IgnoreHome) && len(asked.HomeOnly) > 0 && !slices.Contains(asked.HomeOnly, g.region()) {
 		return nil, failed(api.CodeHomeUnavailable, api.OutcomeRefused, "region %s is not a home of the request", g.region())
 	}
 	active := g.agent.Active()
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/internal/planted"
 	"github.com/deckpulley/deckpulley/routing"
 )
 
@@ -28,6 +29,8 @@
 	displacedPause = 100 * time.Millisecond
 	// comeBack is told with refusals that will pass soon.
 	comeBack = 500 * time.Millisecond
+	// lateRun is the time that planted.RunAfterRefusal adds to a request's own.
+	lateRun = 10 * time.Second
 )
 
 // errStalled is the cause of a cancellation by a stream's gap.
@@ -64,8 +67,14 @@
 
 // run returns when the execution has its result.
 func (r *runner) run(ctx context.Context) {
-	if failure := r.place(ctx); failure != nil {
-		r.fail(ctx, failure)
+	failure := r.place(ctx)
+	if failure == nil {
+		return
+	}
+	r.fail(ctx, failure)
+	if planted.Active(planted.RunAfterRefusal) {
+		r.route.Deadline = r.route.Deadline.Add(lateRun)
+		_ = r.place(r.gateway.work)
 	}
 }
 
@@ -298,7 +307,7 @@
 		r.stale++
 		outcome.standing = stoodNotStarted
 		return r.stale <= maxStale && r.gateway.learnVersion(ctx, r.route.Service, slot)
-	case outcome.standing == stoodBroken && !r.request.Repeatable:
+	case outcome.standing == stoodBroken && !r.request.Repeatable && !planted.Active(planted.RetryAfterFirstByte):
 		return false
 	case outcome.standing == stoodNotStarted && pointless(outcome.failure):
 		return false
--- a/gateway/verdict.go
+++ b/gateway/verdict.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/internal/planted"
 	"github.com/deckpulley/deckpulley/stream"
 )
 
@@ -107,7 +108,7 @@
 	if len(answer.Error) > 0 && string(answer.Error) != "null" {
 		return nil, failed(api.CodeReplicaError, api.OutcomeFailed, "the replica answered success with an error in it")
 	}
-	if answer.RequestID != requestID {
+	if answer.RequestID != requestID && !planted.Active(planted.AcceptWrongID) {
 		return nil, failed(api.CodeReplicaMismatch, api.OutcomeUnknown, "the replica answered another request")
 	}
 	if answer.RunID == "" || answer.Tokens <= 0 {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -34,6 +34,8 @@
 	Cold bool
 	// LogLevel is the level of the daemons' logs.
 	LogLevel string
+	// Environment is added to that of the daemons, as NAME=value.
+	Environment []string
 }
 
 // Fleet is a deployment on one machine. Its methods are safe for concurrent use.
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -181,10 +181,11 @@
 	}
 	node.starts++
 	started, err := process.Start(process.Command{
-		Name:      node.Name,
-		Path:      filepath.Join(f.options.Programs, program),
-		Arguments: []string{"--settings", node.settingsPath},
-		LogPath:   filepath.Join(f.options.Folder, "logs", node.Name+".log"),
+		Name:        node.Name,
+		Path:        filepath.Join(f.options.Programs, program),
+		Arguments:   []string{"--settings", node.settingsPath},
+		Environment: f.options.Environment,
+		LogPath:     filepath.Join(f.options.Folder, "logs", node.Name+".log"),
 	})
 	if err != nil {
 		return err
--- a/internal/fleet/process/process.go
+++ b/internal/fleet/process/process.go
@@ -21,6 +21,8 @@
 	// Path is the program's file.
 	Path      string
 	Arguments []string
+	// Environment is added to that of this program, as NAME=value.
+	Environment []string
 	// LogPath receives standard output and error, appended.
 	LogPath string
 }
@@ -57,6 +59,7 @@
 	}
 	defer output.Close()
 	cmd := exec.Command(command.Path, command.Arguments...)
+	cmd.Env = append(os.Environ(), command.Environment...)
 	cmd.Stdout, cmd.Stderr = output, output
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	started := make(chan error, 1)
--- /dev/null
+++ b/internal/planted/catalog/catalog_test.go
@@ -0,0 +1,70 @@
+package catalog
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/deckpulley/deckpulley/internal/checker"
+	"github.com/deckpulley/deckpulley/internal/planted"
+	"github.com/deckpulley/deckpulley/internal/scenario"
+	"github.com/deckpulley/deckpulley/scenarios"
+)
+
+// TestCasesAreComplete holds every defect to one case, every promise to at least
+// one defect, and every case to a scenario that is for its promise.
+func TestCasesAreComplete(t *testing.T) {
+	files, err := scenario.LoadAll(scenarios.Planted())
+	if err != nil {
+		t.Fatal(err)
+	}
+	promises := map[string]bool{}
+	byName := map[string][]string{}
+	for _, file := range files {
+		byName[file.Name] = file.Promises
+	}
+	var defects []planted.Defect
+	for _, of := range Cases() {
+		defects = append(defects, of.Defect)
+		promises[string(of.Promise)] = true
+		if !slices.Contains(byName[of.Scenario], string(of.Promise)) {
+			t.Errorf("%s: scenario %s is not for %s", of.Defect, of.Scenario, of.Promise)
+		}
+		if (len(of.Also) > 0) != (of.Because != "") {
+			t.Errorf("%s: further promises and their reason go together", of.Defect)
+		}
+	}
+	for _, verdict := range checker.Check(nil, checker.Options{}).Verdicts {
+		if !promises[string(verdict.Promise)] {
+			t.Errorf("no defect breaks %s", verdict.Promise)
+		}
+	}
+	slices.Sort(defects)
+	all := planted.All()
+	slices.Sort(all)
+	if !slices.Equal(defects, all) {
+		t.Errorf("cases for %v, defects %v", defects, all)
+	}
+}
+
+func TestJudge(t *testing.T) {
+	of := Case{Promise: "P6", Also: []checker.Promise{"P5"}}
+	for _, test := range []struct {
+		broken []checker.Promise
+		caught bool
+	}{
+		{nil, false},
+		{[]checker.Promise{"P6"}, true},
+		{[]checker.Promise{"P5", "P6"}, true},
+		{[]checker.Promise{"P5"}, false},
+		{[]checker.Promise{"P6", "P17"}, false},
+	} {
+		report := checker.Report{Verdicts: []checker.Verdict{{Promise: "P1", Examined: 3}}}
+		for _, promise := range test.broken {
+			report.Verdicts = append(report.Verdicts, checker.Verdict{Promise: promise, Violations: make([]checker.Violation, 1)})
+		}
+		broken, caught := of.Judge(report)
+		if caught != test.caught || !slices.Equal(broken, test.broken) {
+			t.Errorf("%v: broken %v, caught %t", test.broken, broken, caught)
+		}
+	}
+}
--- a/internal/scenario/runner.go
+++ b/internal/scenario/runner.go
@@ -22,6 +22,8 @@
 	Folder   string
 	Seed     uint64
 	LogLevel string
+	// Environment is added to that of the daemons, as NAME=value.
+	Environment []string
 	// Progress takes one line for each step; nil discards them.
 	Progress func(format string, arguments ...any)
 }
--- a/internal/scenario/session.go
+++ b/internal/scenario/session.go
@@ -59,6 +59,7 @@
 	running, err := fleet.New(fleet.Options{
 		Deployment: options.Deployment, Programs: options.Programs, Folder: options.Folder, Seed: options.Seed,
 		Relays: of.Relays || of.ReplicaRelays, ReplicaRelays: of.ReplicaRelays, Cold: of.Cold, LogLevel: options.LogLevel,
+		Environment: options.Environment,
 	})
 	if err != nil {
 		return nil, err
--- a/lease/grantor.go
+++ b/lease/grantor.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"github.com/deckpulley/deckpulley/internal/planted"
 )
 
 // HolderID names one incarnation of one holder.
@@ -115,13 +117,20 @@
 	left        map[HolderID]time.Duration // until when late renewals of those that left are ignored
 }
 
+// slowTakeover is what planted.SlowTakeover adds to the window.
+const slowTakeover = 15 * time.Second
+
 // NewGrantor begins a term of office at the monotonic time elected. serial is
 // the table's once every entry of earlier terms is applied.
 func NewGrantor(terms Terms, term uint64, elected time.Duration, serial uint32) *Grantor {
+	windowEnd := elected + terms.Window()
+	if planted.Active(planted.SlowTakeover) {
+		windowEnd += slowTakeover
+	}
 	return &Grantor{
 		terms:     terms,
 		term:      term,
-		windowEnd: elected + terms.Window(),
+		windowEnd: windowEnd,
 		serial:    serial,
 		floor:     serial,
 		leases:    make(map[HolderID]*lease),
--- a/places/contents.go
+++ b/places/contents.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 
+	"github.com/deckpulley/deckpulley/internal/planted"
 	"github.com/deckpulley/deckpulley/registry"
 )
 
@@ -287,7 +288,7 @@
 // Evacuated reports whether a zone is evacuated.
 func (c *Contents) Evacuated(zone string) bool {
 	_, found := c.evacuations[zone]
-	return found
+	return found && !planted.Active(planted.IgnoreEvacuation)
 }
 
 // Evacuations returns all evacuations by zone.
@@ -315,7 +316,7 @@
 // Drained reports whether the platform drains a replica.
 func (c *Contents) Drained(replica string) bool {
 	_, found := c.drains[replica]
-	return found
+	return found && !planted.Active(planted.IgnoreDrainList)
 }
 
 // Condition returns the condition of a replica.
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -3,7 +3,11 @@
 // randomness are inputs.
 package retry
 
-import "time"
+import (
+	"time"
+
+	"github.com/deckpulley/deckpulley/internal/planted"
+)
 
 const (
 	// DefaultRatio is the aim for retries over first attempts.
@@ -65,7 +69,7 @@
 	wanted := float64(retries + 1)
 	within := wanted <= b.ratio*float64(firsts)
 	single := retries == 0 && wanted <= HardCap*float64(firsts)
-	if !within && !single {
+	if !within && !single && !planted.Active(planted.UnboundedRetries) {
 		return false
 	}
 	b.retries[b.slot()]++
--- a/routing/regions.go
+++ b/routing/regions.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/internal/planted"
 	"github.com/deckpulley/deckpulley/placement"
 	"github.com/deckpulley/deckpulley/places"
 )
@@ -67,6 +68,9 @@
 	if !ok {
 		return nil
 	}
+	if planted.Active(planted.IgnoreHome) {
+		home = nil
+	}
 	served := r.servingRegion(&request)
 	work := placement.RegionWork{
 		Key:       placement.Hash(request.ID) ^ r.config.Seed,
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -6,6 +6,7 @@
 	"github.com/deckpulley/deckpulley/admission"
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/detector"
+	"github.com/deckpulley/deckpulley/internal/planted"
 	"github.com/deckpulley/deckpulley/placement"
 	"github.com/deckpulley/deckpulley/places"
 	"github.com/deckpulley/deckpulley/ramp"
@@ -32,6 +33,8 @@
 	holdSmoothing = 0.1
 	// trustSmoothing is the weight of one answer in the trust in expected caches.
 	trustSmoothing = 0.1
+	// swingSeconds is half of the period of planted.SwingingLimit.
+	swingSeconds = 4
 )
 
 // replica is what the gateway knows of one replica of its region.
@@ -115,6 +118,7 @@
 	if report.Replica != t.name || report.Incarnation == "" || report.Incarnation == t.former {
 		return
 	}
+	report.Draining = report.Draining && !planted.Active(planted.IgnoreDrainReport)
 	same := t.reported && report.Incarnation == t.report.Incarnation
 	if same && report.Sequence < t.report.Sequence {
 		return
@@ -165,8 +169,8 @@
 // refresh recomputes whether everything but time admits new work.
 func (t *replica) refresh(now time.Time) {
 	was := t.open
-	t.open = t.allowed && t.reported && !t.unknown && !t.report.Draining &&
-		t.report.ConfigurationVersion <= t.service.router.version && t.doorOpen()
+	current := t.report.ConfigurationVersion <= t.service.router.version || planted.Active(planted.KeepOldConfiguration)
+	t.open = t.allowed && t.reported && !t.unknown && !t.report.Draining && current && t.doorOpen()
 	if was && !t.open {
 		t.closedAt = now
 	}
@@ -187,8 +191,8 @@
 	case places.ConditionUp:
 		return !t.report.Cold
 	case places.ConditionCold:
-		return t.condition.Feeder == t.service.router.config.Gateway &&
-			t.condition.Incarnation == t.report.Incarnation
+		feeds := t.condition.Feeder == t.service.router.config.Gateway || planted.Active(planted.RampPerGateway)
+		return feeds && t.condition.Incarnation == t.report.Incarnation
 	default:
 		return false
 	}
@@ -197,7 +201,7 @@
 // cold reports whether the replica counts as cold: until both its own report
 // and the plan say otherwise.
 func (t *replica) cold() bool {
-	return t.report.Cold || (t.conditioned && t.condition.State == places.ConditionCold)
+	return !planted.Active(planted.RampPerGateway) && (t.report.Cold || t.conditioned && t.condition.State == places.ConditionCold)
 }
 
 // startRamp begins a ramp for a new incarnation, after a long closure, and when
@@ -244,6 +248,9 @@
 
 // ceiling is the limit on the replica's requests from all gateways.
 func (t *replica) ceiling() int {
+	if planted.Active(planted.SwingingLimit) && time.Now().Unix()/swingSeconds%2 == 0 {
+		return 1
+	}
 	ceiling := min(t.limit.Value(), t.bound())
 	if t.ramp != nil {
 		ceiling = min(ceiling, t.ramp.Limit())
--- a/routing/resolve.go
+++ b/routing/resolve.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/internal/planted"
 	"github.com/deckpulley/deckpulley/places"
 )
 
@@ -131,6 +132,9 @@
 // mayRunIn reports whether a request may run in a region: both under the homes
 // found when it was resolved and under those of the present plan.
 func mayRunIn(plan *Plan, request *Request, region string) bool {
+	if planted.Active(planted.IgnoreHome) {
+		return true
+	}
 	if len(request.Home) > 0 && !slices.Contains(request.Home, region) {
 		return false
 	}
