--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/internal/planted"
 	"github.com/deckpulley/deckpulley/stream"
 )
 
@@ -174,6 +175,8 @@
 
 func finishAnswer(w http.ResponseWriter, writer *stream.Writer, ended *result) {
 	switch {
+	case ended.failure != nil && writer != nil && planted.Active(planted.CleanEnd):
+		return
 	case ended.failure != nil && writer != nil:
 		writer.Abort(ended.failure)
 	case ended.failure != nil:
