Test what planted defects slipped through

Cause: a stop that does not wait, and a refusal of what may have run, were seen by no test. Change: TestStop looks whether the gateway is still there; TestRetries and TestRestartedOwner end in refusals after a run.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -144,13 +144,20 @@
 	if ran := len(replica.requests()); ran != 0 {
 		t.Fatalf("ran %d times", ran)
 	}
-	repeatable := question("again")
-	repeatable.Repeatable = true
+	repeatable, refused := question("again"), question("refused")
+	repeatable.Repeatable, refused.Repeatable = true, true
 	repeatable, _ = restarted.where(t, repeatable)
+	refused, _ = restarted.where(t, refused)
 	restarted.stop()
 	if got := other.send(t, repeatable); got.outcome() != "success" {
 		t.Fatalf("repeatable with a dead owner: %s", got.outcome())
 	}
+	replica.behave(func(w http.ResponseWriter, _ *http.Request, request *api.ReplicaRequest) {
+		writeError(w, &api.Error{Code: api.CodeOverloaded, Outcome: api.OutcomeRefused, RequestID: request.RequestID})
+	})
+	if got := other.send(t, refused); got.failure == nil || got.failure.Outcome != api.OutcomeUnknown {
+		t.Fatalf("what the dead owner may have run: %s", got.outcome())
+	}
 }
 
 // TestDrainingIsLearntFromARefusal has a replica drain between two polls.
@@ -334,6 +341,10 @@
 		if attempt == 1 || request.RequestID == "always" {
 			panic(http.ErrAbortHandler)
 		}
+		if request.RequestID == "then refused" {
+			writeError(w, &api.Error{Code: api.CodeOverloaded, Outcome: api.OutcomeRefused, RequestID: request.RequestID})
+			return
+		}
 		answerWhole(w, r, request)
 	}
 	for _, replica := range replicas {
@@ -350,6 +361,7 @@
 		{"after a piece", true, true, 1, "replica_incomplete/failed"},
 		{"first", true, true, 2, "success"},
 		{"always", true, false, 2, "replica_broken/unknown"},
+		{"then refused", true, false, 2, "replica_broken/unknown"},
 	}
 	for _, test := range tests {
 		request := question(test.id)
--- a/gateway/ports_test.go
+++ b/gateway/ports_test.go
@@ -55,8 +55,11 @@
 			return
 		}
 		close(started)
-		<-release
-		answerStream(w, request, 5)
+		select {
+		case <-release:
+			answerStream(w, request, 5)
+		case <-r.Context().Done():
+		}
 	})
 	running := question("running")
 	running.Stream = true
@@ -79,6 +82,11 @@
 	if got := g.send(t, issued); got.outcome() != "success" {
 		t.Errorf("request with a ticket from before: %s", got.outcome())
 	}
+	select {
+	case <-stopped:
+		t.Error("stopped beside a running stream")
+	case <-time.After(10 * honorPause): // a gateway that does not wait is gone by then
+	}
 	close(release)
 	if got := <-done; got.outcome() != "success" || got.pieces != 5 {
 		t.Errorf("running stream: %s with %d pieces", got.outcome(), got.pieces)
