Show how to embed the packages

examples/embedding is a program of three members of a replicated table, leases on it and a holder with a failure detector, without the daemons; its test runs it in virtual time, compares its output with the page's and finds the page's excerpts in it.

--- /dev/null
+++ b/admission/example_test.go
@@ -0,0 +1,31 @@
+package admission_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/deckpulley/deckpulley/admission"
+	"github.com/deckpulley/deckpulley/api"
+)
+
+// A request that cannot make its time is refused when it comes, not when it is late.
+func Example() {
+	now := time.Unix(0, 0)
+	queue := admission.NewQueue[string](2)
+	offer := func(name string, patience time.Duration) admission.Refusal {
+		item := &admission.Item[string]{Tenant: "t", Class: api.ClassQuick, Weight: 1, Cost: 1, Deadline: now.Add(patience), Needs: 500 * time.Millisecond, Payload: name}
+		_, refusal := queue.Offer(now, item, 1)
+		return refusal
+	}
+	fmt.Println(offer("a", time.Minute) == admission.Admitted)
+	fmt.Println(offer("b", 100*time.Millisecond) == admission.RefusedDeadline)
+	fmt.Println(offer("c", time.Minute) == admission.Admitted)
+	fmt.Println(offer("d", time.Minute) == admission.RefusedFull)
+	fmt.Println(queue.Take(func(*admission.Item[string]) bool { return true }).Payload)
+	// Output:
+	// true
+	// true
+	// true
+	// true
+	// a
+}
--- /dev/null
+++ b/detector/example_test.go
@@ -0,0 +1,26 @@
+package detector_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/deckpulley/deckpulley/detector"
+)
+
+// Silence raises the suspicion by degrees.
+func Example() {
+	now := time.Unix(0, 0)
+	watch := detector.New(detector.DefaultConfig(), now)
+	for range 20 {
+		now = now.Add(500 * time.Millisecond)
+		watch.Heard(now)
+	}
+	for _, silence := range []time.Duration{time.Second, 1500 * time.Millisecond, 3 * time.Second} {
+		state := watch.State(now.Add(silence))
+		fmt.Println(state == detector.Alive, state == detector.Suspected, state == detector.Dead)
+	}
+	// Output:
+	// true false false
+	// false true false
+	// false false true
+}
--- /dev/null
+++ b/examples/embedding/main_test.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const page = "../../docs/EMBEDDING.md"
+
+// told is what the program prints.
+const told = `claim: NOERROR, serial 2
+claim: YXDOMAIN, serial 2
+lease: valid, serial 2 in force everywhere: held by anna
+primary lost, lease valid: false
+release at the successor: NOERROR, serial 3
+`
+
+// TestRun runs the program in virtual time.
+func TestRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		defer cancel()
+		var output bytes.Buffer
+		if err := run(ctx, &output); err != nil {
+			t.Fatalf("%v after:\n%s", err, &output)
+		}
+		if difference := cmp.Diff(told, output.String()); difference != "" {
+			t.Error(difference)
+		}
+	})
+}
+
+// TestPage finds the output and every Go excerpt of the page in the program.
+func TestPage(t *testing.T) {
+	text, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(text), told) {
+		t.Error("the page shows another output")
+	}
+	files, err := filepath.Glob("*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var program strings.Builder
+	for _, file := range files {
+		source, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		program.Write(source)
+	}
+	excerpts := regexp.MustCompile("(?s)```go\n(.*?)```").FindAllStringSubmatch(string(text), -1)
+	if len(excerpts) == 0 {
+		t.Error("the page has no excerpt")
+	}
+	for _, excerpt := range excerpts {
+		if !strings.Contains(program.String(), excerpt[1]) {
+			t.Errorf("not in the program:\n%s", excerpt[1])
+		}
+	}
+}
--- /dev/null
+++ b/outlier/example_test.go
@@ -0,0 +1,29 @@
+package outlier_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/deckpulley/deckpulley/outlier"
+)
+
+// A replica that fails again and again is left alone for a while; not all are.
+func Example() {
+	now := time.Unix(0, 0)
+	config := outlier.DefaultConfig()
+	group := outlier.NewGroup(config)
+	group.Keep([]string{"r1", "r2", "r3", "r4"})
+	for range config.Failures {
+		group.Failure(now, "r1")
+	}
+	fmt.Println(group.Ejected(now), group.EjectedUntil("r1").Sub(now) == config.Shortest)
+	for _, name := range []string{"r2", "r3", "r4"} {
+		for range config.Failures {
+			group.Failure(now, name)
+		}
+	}
+	fmt.Println(group.Ejected(now) == group.Allowed(), group.Allowed() < 4)
+	// Output:
+	// 1 true
+	// true true
+}
--- /dev/null
+++ b/retry/example_test.go
@@ -0,0 +1,28 @@
+package retry_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/deckpulley/deckpulley/retry"
+)
+
+// However many requests fail, retries stay a tenth of the first attempts.
+func Example() {
+	now := time.Unix(0, 0)
+	budget := retry.NewBudget(0.1)
+	retries := 0
+	for range 100 {
+		budget.NoteFirst(now)
+		if budget.Allow(now) {
+			retries++
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	aim, measured := budget.Status(now)
+	fmt.Println(retries, aim, measured)
+	fmt.Println(retry.Backoff(1, 0), retry.Backoff(1, 0.5))
+	// Output:
+	// 10 0.1 0.1
+	// 25ms 37.5ms
+}
--- /dev/null
+++ b/setpoint/example_test.go
@@ -0,0 +1,25 @@
+package setpoint_test
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/deckpulley/deckpulley/setpoint"
+)
+
+// The part of the work that is sent elsewhere settles where the load is at its aim.
+func Example() {
+	controller := setpoint.New(setpoint.Config{
+		Name: "utilization", SetPoint: 0.8, Proportional: 0.25, Integral: 0.35, Reverse: true, Maximum: 0.9,
+	})
+	offered := 1.2 // of what the region can carry
+	now := time.Unix(0, 0)
+	for range 600 {
+		controller.Update(now, offered*(1-controller.Output()))
+		now = now.Add(100 * time.Millisecond)
+	}
+	status := controller.Status()
+	fmt.Println(math.Abs(status.Measured-status.SetPoint) < 0.01, math.Abs(status.Output-1.0/3) < 0.01)
+	// Output: true true
+}
--- /dev/null
+++ b/stream/example_test.go
@@ -0,0 +1,30 @@
+package stream_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/stream"
+)
+
+// A stream that stops before its end is a fault, however clean the stop.
+func Example() {
+	var body []byte
+	body = stream.AppendFrame(body, api.EventPiece, []byte(`{"request_id":"q","run_id":"r","sequence":1,"text":"a","tokens":1}`))
+	reader := stream.NewReader(bytes.NewReader(body), stream.Options{RequestID: "q"})
+	defer reader.Close()
+	for {
+		event, err := reader.Next()
+		var fault *stream.Fault
+		if errors.As(err, &fault) {
+			fmt.Println(fault.Code)
+			return
+		}
+		fmt.Println(len(event.Piece) > 0, reader.RunID())
+	}
+	// Output:
+	// true r
+	// replica_incomplete
+}
