--- a/storage/disk.go
+++ b/storage/disk.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"time"
@@ -178,33 +179,40 @@
 }
 
 func deleteFrom(log *bolt.Bucket, index uint64) error {
-	cursor := log.Cursor()
-	for key, _ := cursor.Seek(indexKey(index)); key != nil; key, _ = cursor.Seek(indexKey(index)) {
-		if err := cursor.Delete(); err != nil {
-			return err
-		}
-	}
-	return nil
+	return deleteRange(log, index, math.MaxUint64)
 }
 
 func deleteBefore(log *bolt.Bucket, index uint64) error {
+	return deleteRange(log, 0, index)
+}
+
+// deleteRange deletes the entries from first up to before end. It notes them
+// first: a cursor that is placed anew after each deletion passes over all the
+// pages that are empty by then.
+func deleteRange(log *bolt.Bucket, first, end uint64) error {
+	var doomed []uint64
 	cursor := log.Cursor()
-	for key, _ := cursor.First(); key != nil && keyIndex(key) < index; key, _ = cursor.First() {
-		if err := cursor.Delete(); err != nil {
+	for key, _ := cursor.Seek(indexKey(first)); key != nil && keyIndex(key) < end; key, _ = cursor.Next() {
+		doomed = append(doomed, keyIndex(key))
+	}
+	for _, index := range doomed {
+		if err := log.Delete(indexKey(index)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// saveBounds records the first and last index of the log. Last is asked only of
+// a log that holds something: on one of several pages that was emptied in the
+// same transaction, the library's cursor never returns from it.
 func saveBounds(tx *bolt.Tx) error {
 	cursor := tx.Bucket(logBucket).Cursor()
 	var held bounds
-	if key, _ := cursor.First(); key != nil {
-		held.First = keyIndex(key)
-	}
-	if key, _ := cursor.Last(); key != nil {
-		held.Last = keyIndex(key)
+	if first, _ := cursor.First(); first != nil {
+		last, _ := cursor.Last()
+		held.First = keyIndex(first)
+		held.Last = keyIndex(last)
 	}
 	return put(tx.Bucket(stateBucket), boundsKey, singletonIndex, held)
 }
