Send gateways only the records that they decide by

Cause: of the 10.6 kB that one configuration change cost each gateway, most was the document's text and the stored answer to the order, which gateways never read. Change: transfers to gateways leave both kinds out.

--- a/control/fixture_test.go
+++ b/control/fixture_test.go
@@ -380,6 +380,20 @@
 	return g.holder.Valid(time.Since(g.started))
 }
 
+// surplusRecords counts the records that a gateway has no use for.
+func (g *testGateway) surplusRecords() int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	count := 0
+	g.copy.View().Walk(places.Apex, registry.TypeANY, func(record registry.Record) bool {
+		if record.Type == places.TypeOrder || record.Type == places.TypeDocument {
+			count++
+		}
+		return true
+	})
+	return count
+}
+
 func (g *testGateway) activeSerial() uint32 {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -30,6 +30,9 @@
 			if active := gateway.activeSerial(); gateway.valid() && registry.SerialLess(active, answer.Serial) {
 				t.Errorf("%s has serial %d active at the acknowledgement of %d", name, active, answer.Serial)
 			}
+			if surplus := gateway.surplusRecords(); surplus != 0 {
+				t.Errorf("%s holds %d records of documents and orders", name, surplus)
+			}
 		}
 		for _, node := range f.nodes {
 			var read api.ConfigurationAnswer
--- a/control/leases.go
+++ b/control/leases.go
@@ -341,11 +341,30 @@
 	if transfer, known := m.transfers.byHeld[held]; known {
 		return transfer
 	}
-	transfer := m.table.Difference(held)
+	transfer := forGateways(m.table.Difference(held))
 	m.transfers.byHeld[held] = &transfer
 	return &transfer
 }
 
+// forGateways leaves out what no gateway decides by: the text of the document
+// and the answers to orders. Both are most of a change's octets, and control
+// nodes alone give them to readers.
+func forGateways(transfer registry.Transfer) registry.Transfer {
+	transfer.Removed = gatewayRecords(transfer.Removed)
+	transfer.Added = gatewayRecords(transfer.Added)
+	return transfer
+}
+
+func gatewayRecords(records []registry.Record) []registry.Record {
+	var kept []registry.Record
+	for _, record := range records {
+		if record.Type != places.TypeDocument && record.Type != places.TypeOrder {
+			kept = append(kept, record)
+		}
+	}
+	return kept
+}
+
 // ownUpdate is an update that this node makes for the fleet's own records.
 func (m *machine) ownUpdate(prerequisites, changes []registry.Record) registry.Update {
 	update := registry.NewUpdate(places.Apex, prerequisites, changes)
