Measure the loss and return of 70 gateways at once

Cause: a rack's loss is part of the target size. Change: hollow gateways can be restarted as new incarnations; the measurement times their leases and the next change. Result: go test -race ./cmd/deckpulley-scale ./internal/hollow passes.

--- a/cmd/deckpulley-scale/measure.go
+++ b/cmd/deckpulley-scale/measure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -16,6 +17,7 @@
 	quietTime  = 5 * time.Second
 	changes    = 10
 	burst      = 50
+	restarts   = 70
 	mebibyte   = 1 << 20
 )
 
@@ -35,6 +37,8 @@
 	perGateway   float64         // bytes at one gateway for one change
 	changeCPU    float64         // seconds of the primary's processor for one change
 	kinds        []kindRate      // the primary's frames at rest
+	restart      time.Duration   // for some gateways lost at once until all have leases again
+	restarted    time.Duration   // from that loss until the next change was acknowledged
 	burst        time.Duration   // for a number of changes one after the other
 	failover     time.Duration   // loss of the primary until the next acknowledgement
 }
@@ -99,7 +103,7 @@
 		return result, err
 	}
 	m.follower = (m.primary + 1) % controlCount
-	for _, step := range []func(*reading) error{m.atRest, m.underChanges, m.inBurst, m.afterLoss} {
+	for _, step := range []func(*reading) error{m.atRest, m.underChanges, m.inBurst, m.afterRestarts, m.afterLoss} {
 		if err := step(&result); err != nil {
 			return result, fmt.Errorf("%d gateways, %d replicas: %w", gateways, replicas, err)
 		}
@@ -224,6 +228,23 @@
 	return nil
 }
 
+// afterRestarts loses gateways all at once, as with a rack, and starts them again.
+func (m *measurement) afterRestarts(into *reading) error {
+	began := time.Now()
+	if _, err := m.hollow.ask(order{Restart: restarts}); err != nil {
+		return err
+	}
+	changed := make(chan error, 1)
+	go func() {
+		_, err := m.group.change()
+		into.restarted = time.Since(began)
+		changed <- err
+	}()
+	err := awaitLeases(m.group.ctx, m.hollow, into.gateways)
+	into.restart = time.Since(began)
+	return errors.Join(err, <-changed)
+}
+
 func (m *measurement) afterLoss(into *reading) error {
 	took, err := m.group.killPrimary(m.primary)
 	into.failover = took
--- a/cmd/deckpulley-scale/report.go
+++ b/cmd/deckpulley-scale/report.go
@@ -79,7 +79,7 @@
 	m.WriteString("\n" + title + "\n\n")
 	m.head("gateways", "replicas", "primary: B/s", "frames/s", "core", "heap MiB", "resident MiB",
 		"follower: core", "resident MiB", "gateway: B/s", "frames/s", "core", "heap MiB",
-		"change: B at primary", "ms of its core", "B at gateway", "acknowledged, median", "longest", "active at the last gateway, longest", "50 in a row", "loss of the primary")
+		"change: B at primary", "ms of its core", "B at gateway", "acknowledged, median", "longest", "active at the last gateway, longest", "50 in a row", "up to 70 lost and started: until all have leases", "until a change is in force", "loss of the primary")
 	for _, one := range readings {
 		m.row(
 			fmt.Sprint(one.gateways), fmt.Sprint(one.replicas),
@@ -88,7 +88,7 @@
 			number(one.gateway.bytes), number(one.gateway.messages), percent(one.gateway.cpu), number(one.gateway.heap/mebibyte),
 			number(one.perChange), number(1000*one.changeCPU), number(one.perGateway),
 			millis(median(one.acknowledged)), millis(longest(one.acknowledged)), millis(longest(one.everywhere)),
-			seconds(one.burst), seconds(one.failover),
+			seconds(one.burst), seconds(one.restart), seconds(one.restarted), seconds(one.failover),
 		)
 	}
 }
--- a/cmd/deckpulley-scale/sample.go
+++ b/cmd/deckpulley-scale/sample.go
@@ -22,6 +22,8 @@
 	Setup *setup `json:"setup,omitempty"`
 	// Collect frees unused memory before the report.
 	Collect bool `json:"collect,omitempty"`
+	// Restart is how many hollow gateways to restart before the report.
+	Restart int `json:"restart,omitempty"`
 	// Version is the configuration version to report the activation of.
 	Version uint64 `json:"version,omitempty"`
 }
@@ -134,6 +136,11 @@
 			running = started
 			defer running.close()
 		}
+		if gateways, ok := running.(*gatewaysPart); ok && next.Restart > 0 {
+			if err := gateways.fleet.Restart(next.Restart); err != nil {
+				return err
+			}
+		}
 		report := measureProcess(next.Collect)
 		running.fill(&report, next.Version)
 		if err := encoder.Encode(report); err != nil {
--- a/cmd/deckpulley-scale/scale_test.go
+++ b/cmd/deckpulley-scale/scale_test.go
@@ -127,6 +127,12 @@
 	if len(result.everywhere) != changes || result.perChange <= 0 || result.perGateway <= 0 {
 		t.Errorf("changes left no trace: %+v", result)
 	}
+	if err := m.afterRestarts(&result); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := m.activatedAt(gateways); err != nil {
+		t.Errorf("after the restart: %v", err)
+	}
 	if err := m.afterLoss(&result); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/deckpulley-scale/target.go
+++ b/cmd/deckpulley-scale/target.go
@@ -69,7 +69,7 @@
 	followerBytes, followerCPU, followerMemory     slope
 	gatewayBytes, gatewayCPU, gatewayHeap          slope
 	changeBytes, changeGateway, inForce, failover  slope
-	burstTime, changeCPU                           slope
+	burstTime, changeCPU, restart                  slope
 	primaryPerReplica, gatewayPerReplica, inForceR slope
 	followerPerReplica                             slope
 	relayCPU, relayMemory                          slope
@@ -92,6 +92,7 @@
 		changeCPU:      sloped("primary, processor for one change", "s", perGateway, g, func(one reading) float64 { return one.changeCPU }),
 		inForce:        sloped("change in force everywhere, longest", "s", perGateway, g, longestInForce),
 		burstTime:      sloped("50 changes one after the other", "s", perGateway, g, func(one reading) float64 { return one.burst.Seconds() }),
+		restart:        sloped("up to 70 gateways lost at once, to the next acknowledgement", "s", perGateway, g, func(one reading) float64 { return one.restarted.Seconds() }),
 		failover:       sloped("loss of the primary to the next acknowledgement", "s", perGateway, g, func(one reading) float64 { return one.failover.Seconds() }),
 
 		primaryPerReplica:  sloped("primary, resident memory", "B", perReplica, s, func(one reading) float64 { return one.primary.resident }),
@@ -118,7 +119,7 @@
 	l := r.lines()
 	return []slope{
 		l.primaryBytes, l.primaryCPU, l.primaryMemory, l.followerBytes, l.followerCPU, l.followerMemory,
-		l.gatewayBytes, l.gatewayCPU, l.gatewayHeap, l.changeBytes, l.changeGateway, l.changeCPU, l.inForce, l.burstTime, l.failover,
+		l.gatewayBytes, l.gatewayCPU, l.gatewayHeap, l.changeBytes, l.changeGateway, l.changeCPU, l.inForce, l.burstTime, l.restart, l.failover,
 		l.primaryPerReplica, l.followerPerReplica, l.gatewayPerReplica, l.inForceR, l.relayCPU, l.relayMemory,
 	}
 }
@@ -242,6 +243,8 @@
 			judgeSum(inForce, boundInForce.Seconds()), "two-step activation; notify, then an incremental transfer"},
 		{"fleet", "changes a second, one after the other", fmt.Sprintf("%d in a row at %d gateways", burst, targetGateways), number(burstRate) + "/s", "at least " + number(float64(changesPerDay)/secondsPerDay) + "/s",
 			judge(-burstRate, -float64(changesPerDay)/secondsPerDay, targetGateways, l.burstTime.Highest), "one update a change; each waits for two rounds of all gateways"},
+		{"fleet", "70 gateways lost at once and started again", fmt.Sprintf("to the next acknowledgement at %d gateways", targetGateways), number(l.restart.at(targetGateways)) + " s", number(boundInForce.Seconds()) + " s",
+			judge(l.restart.at(targetGateways), boundInForce.Seconds(), targetGateways, l.restart.Highest), "a lost gateway's lease runs out, once"},
 		{"fleet", "loss of the primary", fmt.Sprintf("to the next acknowledgement at %d gateways", targetGateways), number(l.failover.at(targetGateways)) + " s", "12 s",
 			judge(l.failover.at(targetGateways), 12, targetGateways, l.failover.Highest), "election, then waiting out the leases"},
 		{"gateway", "relaying, each its share", fmt.Sprintf("%s events/s × slope + intercept", number(perGatewayEvents)), percent(relay), "100%",
--- a/internal/hollow/fleet.go
+++ b/internal/hollow/fleet.go
@@ -8,6 +8,8 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
+	"strconv"
 	"sync"
 	"time"
 
@@ -39,17 +41,28 @@
 
 // Fleet is a number of hollow gateways.
 type Fleet struct {
-	gateways []hollowGateway
-	cancel   context.CancelFunc
-	loops    sync.WaitGroup
+	options  FleetOptions
+	started  time.Time
+	gateways []*hollowGateway
+	retired  map[transport.Kind]transport.KindCounters // of gateways that were restarted
 
 	mutex       sync.Mutex
 	activations map[uint64]Activation
 }
 
 type hollowGateway struct {
-	network *transport.Node
-	agent   *agent.Agent
+	network     *transport.Node
+	agent       *agent.Agent
+	incarnation int
+	cancel      context.CancelFunc
+	loop        sync.WaitGroup
+}
+
+// stop ends the gateway without a word to the primary.
+func (g *hollowGateway) stop() {
+	g.cancel()
+	g.network.Close()
+	g.loop.Wait()
 }
 
 // Activation says how many gateways have made a configuration version active,
@@ -59,50 +72,75 @@
 	Last     int64
 }
 
-// Start starts the gateways. Stop them with Close.
+// Start starts the gateways. Stop them with Close. The methods of a Fleet are for
+// one goroutine.
 func Start(options FleetOptions) (*Fleet, error) {
-	ctx, cancel := context.WithCancel(context.Background())
-	fleet := &Fleet{cancel: cancel, activations: make(map[uint64]Activation)}
-	started := time.Now()
+	fleet := &Fleet{
+		options:     options,
+		started:     time.Now(),
+		retired:     make(map[transport.Kind]transport.KindCounters),
+		activations: make(map[uint64]Activation),
+	}
 	for i := range options.Count {
-		if err := fleet.add(ctx, options, i, started); err != nil {
+		member, err := fleet.startGateway(i, 1)
+		if err != nil {
 			fleet.Close()
 			return nil, err
 		}
+		fleet.gateways = append(fleet.gateways, member)
 	}
 	return fleet, nil
 }
 
-func (f *Fleet) add(ctx context.Context, options FleetOptions, index int, started time.Time) error {
-	name := fmt.Sprintf("%s-%d", options.Prefix, index)
-	network, err := transport.Listen(transport.Config{Name: name, Listen: options.Host + ":0", Keys: options.Keys}, nil)
+// Restart ends some gateways as lost machines would and starts each again as a
+// new incarnation at another port.
+func (f *Fleet) Restart(count int) error {
+	for i := range min(count, len(f.gateways)) {
+		lost := f.gateways[i]
+		lost.stop()
+		for kind, counters := range lost.network.Counters() {
+			f.retired[kind] = AddCounters(f.retired[kind], counters)
+		}
+		member, err := f.startGateway(i, lost.incarnation+1)
+		if err != nil {
+			return err
+		}
+		f.gateways[i] = member
+	}
+	return nil
+}
+
+func (f *Fleet) startGateway(index, incarnation int) (*hollowGateway, error) {
+	name := fmt.Sprintf("%s-%d", f.options.Prefix, index)
+	network, err := transport.Listen(transport.Config{Name: name, Listen: f.options.Host + ":0", Keys: f.options.Keys}, nil)
 	if err != nil {
-		return fmt.Errorf("hollow gateway %s: %w", name, err)
+		return nil, fmt.Errorf("hollow gateway %s: %w", name, err)
 	}
-	zone, region := options.Place(index)
-	member := hollowGateway{network: network}
+	zone, region := f.options.Place(index)
+	ctx, cancel := context.WithCancel(context.Background())
+	member := &hollowGateway{network: network, incarnation: incarnation, cancel: cancel}
 	member.agent = agent.New(agent.Options{
 		Gateway: peer.GatewayInfo{
 			Name:        name,
-			Incarnation: "1",
+			Incarnation: strconv.Itoa(incarnation),
 			Zone:        zone,
 			Region:      region,
 			PeerAddress: network.Address(),
 			HTTPAddress: network.Address(),
 		},
-		Seeds:     options.Seeds,
-		Terms:     options.Terms,
+		Seeds:     f.options.Seeds,
+		Terms:     f.options.Terms,
 		Network:   network,
-		Clock:     func() time.Duration { return time.Since(started) },
+		Clock:     func() time.Duration { return time.Since(f.started) },
 		Activated: f.activated(),
 		Logger:    slog.New(slog.DiscardHandler),
 	})
-	f.gateways = append(f.gateways, member)
 	if err := network.Start(); err != nil {
-		return fmt.Errorf("hollow gateway %s: %w", name, err)
+		cancel()
+		return nil, fmt.Errorf("hollow gateway %s: %w", name, err)
 	}
-	f.loops.Go(func() { member.agent.Run(ctx) })
-	return nil
+	member.loop.Go(func() { member.agent.Run(ctx) })
+	return member, nil
 }
 
 // activated returns one gateway's note of what becomes active there.
@@ -139,9 +177,9 @@
 	return valid
 }
 
-// Counters sums the transport's counters of all gateways.
+// Counters sums the transport's counters of all gateways, past ones included.
 func (f *Fleet) Counters() map[transport.Kind]transport.KindCounters {
-	sum := make(map[transport.Kind]transport.KindCounters)
+	sum := maps.Clone(f.retired)
 	for _, member := range f.gateways {
 		for kind, counters := range member.network.Counters() {
 			sum[kind] = AddCounters(sum[kind], counters)
@@ -162,9 +200,7 @@
 
 // Close stops the gateways without a word to the primary.
 func (f *Fleet) Close() {
-	f.cancel()
 	for _, member := range f.gateways {
-		member.network.Close()
+		member.stop()
 	}
-	f.loops.Wait()
 }
