--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -69,6 +69,7 @@
 	quick := []defect.Defect{
 		defect.MissingSync, defect.SnapshotDropsOrders, defect.ReuseSerial,
 		defect.LeaseNotWaitedOut, defect.AcknowledgeProposal, defect.SendBeforeSync,
+		defect.VoteIgnoresLog, defect.TwoMembershipChanges, defect.FreshContact,
 	}
 	Each(len(quick), workers(), func(position int) {
 		if catch := Hunt(quick[position], 1, quickHunt); catch.Violation == nil {
