--- a/stream/fuzz_test.go
+++ b/stream/fuzz_test.go
@@ -23,6 +23,7 @@
 		reader := NewReader(bytes.NewReader(data), Options{RequestID: "r"})
 		defer reader.Close()
 		run := ""
+		tokens := 0
 		ended := false
 		for pieces := 1; ; pieces++ {
 			event, err := reader.Next()
@@ -37,6 +38,9 @@
 				t.Fatal("an event after the last one")
 			}
 			ended = event.Piece == nil
+			if end := event.End; end != nil && (end.Sequence != pieces || end.RunID != run || end.Tokens != tokens || tokens <= 0) {
+				t.Fatalf("ended with %+v after %d pieces of run %q with %d tokens", end, pieces-1, run, tokens)
+			}
 			if ended {
 				continue
 			}
@@ -44,6 +48,7 @@
 			if err := json.Unmarshal(event.Piece, &piece); err != nil {
 				t.Fatalf("passed on a piece that is not JSON: %v", err)
 			}
+			tokens += piece.Tokens
 			if run == "" {
 				run = piece.RunID
 			}
