--- a/control/status.go
+++ b/control/status.go
@@ -164,13 +164,13 @@
 		case member.Voter && !member.Up:
 			notes = append(notes, fmt.Sprintf("control node %s does not answer: restart it, or start a replacement in zone %s", member.Name, member.Zone))
 		case member.Voter && member.MatchIndex < status.Commit:
-			notes = append(notes, fmt.Sprintf("control node %s is %d entries behind", member.Name, status.Commit-member.MatchIndex))
+			notes = append(notes, fmt.Sprintf("control node %s is %d entries behind: usual for a moment, else look at its disk and links", member.Name, status.Commit-member.MatchIndex))
 		case !member.Voter && !member.Up:
 			notes = append(notes, fmt.Sprintf("gateway %s has no lease: restart it or its machine", member.Name))
 		}
 	}
 	for zone := range m.contents.Evacuations() {
-		notes = append(notes, fmt.Sprintf("zone %s is evacuated", zone))
+		notes = append(notes, fmt.Sprintf("zone %s is evacuated: withdraw it when the zone is well (deckpulleyctl zone restore %s)", zone, zone))
 	}
 	if m.contents.Version() == 0 {
 		notes = append(notes, "no configuration yet: send one")
