--- a/cmd/deckpulleyctl/main_test.go
+++ b/cmd/deckpulleyctl/main_test.go
@@ -179,7 +179,7 @@
 func TestExitStatuses(t *testing.T) {
 	k := newTool(t)
 	valid := k.file(t, "valid.yaml", document)
-	invalid := k.file(t, "invalid.yaml", strings.Replace(document, "service: model", "service: modle", 1))
+	invalid := k.file(t, "invalid.yaml", strings.Replace(document, "service: model", "service: modell", 1))
 	apply := []string{"config", "apply", valid, "--order-id", "o", "--author", "ada"}
 	cases := []struct {
 		name      string
--- a/scripts/walk-operations.sh
+++ b/scripts/walk-operations.sh
@@ -17,6 +17,7 @@
     marked && /^```sh$/ { inside = 1; marked = 0; count++; next }
     inside && /^```$/ { inside = 0; next }
     inside { print; next }
+    /^```sh$/ { printf "%s:%d: a shell block without a mark\n", FILENAME, FNR > "/dev/stderr"; exit 1 }
     marked && NF { printf "%s:%d: a mark without a block\n", FILENAME, FNR > "/dev/stderr"; exit 1 }
     END { if (inside || marked || count == 0) { print FILENAME ": an open block, or none" > "/dev/stderr"; exit 1 } }
   ' "$1"
@@ -41,7 +42,7 @@
 {
   # A trap on DEBUG is not inherited by functions: what a person types is shown.
   echo 'set -eEuo pipefail'
-  echo 'trap '\''printf "\n$ %s\n" "$BASH_COMMAND"'\'' DEBUG'
+  echo 'trap '\''printf "\n[%s s] $ %s\n" "$SECONDS" "$BASH_COMMAND"'\'' DEBUG'
   echo 'trap '\''echo "FAILED: $BASH_COMMAND" >&2'\'' ERR'
   marked "$page"
 } > "$folder/walk.sh"
