Let every gateway ramp a cold replica for itself in the planted defect

Cause: ramp-per-gateway was not caught: the replica's room still counted the others' requests by its report, so that six requests at the most were beyond the ramp and eight are allowed. Change: the defect looks at the own requests alone.

--- a/routing/replica.go
+++ b/routing/replica.go
@@ -265,6 +265,9 @@
 // its ceiling binds all.
 func (t *replica) room(now time.Time, class api.Class) bool {
 	ceiling := t.ceiling()
+	if planted.Active(planted.RampPerGateway) {
+		return t.inFlight < ceiling
+	}
 	if t.cold() {
 		return t.busy() < ceiling && (class != api.ClassLong || t.coldRoomForLong(now, ceiling))
 	}
