--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -28,6 +28,7 @@
 	FaultTransfer        FaultKind = "leadership transfer"
 	FaultCrashAfterVote  FaultKind = "crash right after a vote"
 	FaultCrashElected    FaultKind = "crash or cut right after an election"
+	FaultSilenced        FaultKind = "leader cut off at its first commit"
 	FaultSplit           FaultKind = "group split in two"
 	FaultSwap            FaultKind = "planned replacement of a running machine"
 	FaultGatewayFreeze   FaultKind = "gateway frozen"
@@ -59,10 +60,14 @@
 const (
 	quickRestart = 40 * time.Millisecond
 	strikeDelay  = 40 * time.Millisecond
-	// splitChange is the chance that a change of the membership meets a split.
-	splitChange = 0.15
 )
 
+// changeSplits are the chances that a change of the membership meets a split.
+var changeSplits = []float64{0.1, 0.6}
+
+// cutShares are the shares of the others that a struck leader no longer reaches.
+var cutShares = []float64{0.5, 1}
+
 // voteStrikes and officeStrikes are the chances that a vote is followed by a
 // crash of the voter, and an election by a fault of the new leader.
 var (
@@ -79,6 +84,7 @@
 	pace         time.Duration
 	voteStrike   float64
 	officeStrike float64
+	changeSplit  float64
 	// size is the number of voters that the group is to have.
 	size   int
 	ending time.Duration
@@ -99,6 +105,7 @@
 	w.faults.pace = pick(w, paces)
 	w.faults.voteStrike = pick(w, voteStrikes)
 	w.faults.officeStrike = pick(w, officeStrikes)
+	w.faults.changeSplit = pick(w, changeSplits)
 	w.faults.lost = make(map[consensus.ID]bool)
 	w.faults.kind = []weighted{
 		{FaultCrash, 12, w.crashOne},
@@ -113,7 +120,7 @@
 		{FaultReplace, 5, w.replaceOne},
 		{FaultTransfer, 4, w.transfer},
 		{FaultSplit, 6, w.split},
-		{FaultSwap, 6, w.swapOne},
+		{FaultSwap, 14, w.swapOne},
 		{FaultGatewayFreeze, 5, w.freezeGateway},
 		{FaultGatewayRestart, 5, w.restartGateway},
 		{FaultGatewayCut, 5, w.cutGateway},
@@ -310,18 +317,41 @@
 			w.after(w.between(restartLeast, most), m.restart)
 			return
 		}
-		for _, other := range w.machines {
+		w.silence(m)
+	})
+}
+
+// atFirstCommit sometimes silences a leader at the moment at which it learns of
+// its first commit, before anybody else does.
+func (w *world) atFirstCommit(m *machine) {
+	if w.now >= w.faults.ending || !w.chance(w.faults.officeStrike) {
+		return
+	}
+	w.count(FaultSilenced)
+	w.silence(m)
+}
+
+// silence cuts what a machine sends to some or all of the others.
+func (w *world) silence(m *machine) {
+	share := pick(w, cutShares)
+	for _, other := range w.machines {
+		if w.chance(share) {
 			w.network.cut(m.name, other.name)
 		}
-		w.after(w.between(cutLeast, cutMost), func() { w.mendAll(m.name) })
-	})
+	}
+	w.after(w.between(cutLeast, cutMost), func() { w.mendAll(m.name) })
 }
 
 // afterChange sometimes splits the group while a membership is under way.
 func (w *world) afterChange() {
-	if w.now < w.faults.ending && w.chance(splitChange) {
-		w.after(w.between(0, strikeDelay), w.split)
+	if w.now >= w.faults.ending || !w.chance(w.faults.changeSplit) {
+		return
+	}
+	if w.chance(0.5) {
+		w.split() // before anybody has heard of the change
+		return
 	}
+	w.after(w.between(0, strikeDelay), w.split)
 }
 
 func (w *world) mendAll(name string) {
@@ -473,6 +503,7 @@
 // healEverything ends all faults.
 func (w *world) healEverything() {
 	clear(w.network.cuts)
+	w.network.usual = 0
 	w.network.calm()
 	for _, m := range w.present() {
 		if w.broken() {
