Report a repair done only when its last change is committed

Cause: a leader whose promotion of a newcomer was appended and not yet committed could report the repair done; with its disk wiped then, the group could stand still. Change: the leader must be settled, that is have no membership change pending. Result: the new case fails without the check and passes with it.

--- a/control/repair.go
+++ b/control/repair.go
@@ -226,8 +226,13 @@
 }
 
 // done is true if the group is whole: enough voters, each reachable and holding
-// everything committed, and no learner left.
+// everything committed, no learner left, and no change of the membership still
+// on its way. A newcomer that votes only by an uncommitted entry may lose its
+// vote with one disk more.
 func (r *repair) done() bool {
+	if !r.status.Settled {
+		return false
+	}
 	voters := 0
 	for _, member := range r.status.Membership.Members {
 		if member.Learner || !r.answeredLately(member.ID) {
--- a/control/repair_test.go
+++ b/control/repair_test.go
@@ -45,8 +45,10 @@
 		joins   []joinRequest
 		want    []consensus.Member // nil: no step
 		done    bool
+		pending bool // a membership change is not committed
 	}{
 		{name: "a whole group is left alone", members: all, contact: fresh, match: caughtUp, done: true},
+		{name: "a change on its way is no repair done", members: all, contact: fresh, match: caughtUp, pending: true},
 		{name: "a voter behind is no repair done", members: all, contact: fresh, match: map[consensus.ID]uint64{"a": 900, "b": 900, "c": 899}},
 		{name: "a silent voter is no repair done", members: all, contact: lost, match: caughtUp},
 		{name: "two voters are no repair done", members: []consensus.Member{a, b}, contact: fresh, match: caughtUp},
@@ -66,7 +68,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			r := repair{
 				now:          now,
-				status:       consensus.Status{ID: "a", Commit: 900, Match: c.match, Contact: c.contact, Membership: consensus.Membership{Members: c.members}},
+				status:       consensus.Status{ID: "a", Commit: 900, Settled: !c.pending, Match: c.match, Contact: c.contact, Membership: consensus.Membership{Members: c.members}},
 				joins:        c.joins,
 				voters:       3,
 				replaceAfter: defaultReplaceAfter,
