--- a/cmd/deckpulleyctl/fleet.go
+++ b/cmd/deckpulleyctl/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 
 	"github.com/spf13/cobra"
 
@@ -62,6 +63,15 @@
 		},
 	}
 	flags.add(command)
+	command.ValidArgsFunction = shared.complete(1, func(connection *client.Client, ctx context.Context) []string {
+		var names []string
+		if answer, err := connection.Zones(ctx); err == nil {
+			for _, zone := range answer.Zones {
+				names = append(names, zone.Zone)
+			}
+		}
+		return names
+	})
 	return command
 }
 
@@ -150,6 +160,15 @@
 		},
 	}
 	command.Flags().BoolVar(&undo, "undo", false, "no longer draining")
+	command.ValidArgsFunction = shared.complete(math.MaxInt, func(connection *client.Client, ctx context.Context) []string {
+		var names []string
+		if answer, err := connection.Replicas(ctx); err == nil {
+			for _, replica := range answer.Replicas {
+				names = append(names, replica.ID)
+			}
+		}
+		return names
+	})
 	return command
 }
 
--- a/cmd/deckpulleyctl/main_test.go
+++ b/cmd/deckpulleyctl/main_test.go
@@ -321,6 +321,18 @@
 			t.Errorf("%s: %v", page, err)
 		}
 	}
+	for typed, want := range map[string]string{
+		"zone evacuate n":       "north-1\n",
+		"replicas drain r1 r":   "r2\n",
+		"zone restore north-1 ": "",
+	} {
+		t.Setenv(environmentAddress, k.address)
+		var output, complaints bytes.Buffer
+		run(append([]string{"__completeNoDesc"}, strings.Split(typed, " ")...), &output, &complaints)
+		if got, _, _ := strings.Cut(output.String(), ":"); got != want {
+			t.Errorf("%q is completed by %q", typed, got)
+		}
+	}
 	for _, shell := range []string{"bash", "zsh", "fish"} {
 		if status, output, _ := k.run("completion", shell); status != exitDone || !strings.Contains(output, "deckpulleyctl") {
 			t.Errorf("completion for %s: status %d", shell, status)
--- a/cmd/deckpulleyctl/pages.go
+++ b/cmd/deckpulleyctl/pages.go
@@ -1,10 +1,16 @@
 package main
 
 import (
+	"context"
 	"fmt"
+	"slices"
+	"strings"
+	"time"
 
 	"github.com/spf13/cobra"
 	"github.com/spf13/cobra/doc"
+
+	"github.com/deckpulley/deckpulley/client"
 )
 
 // manSection is that of user commands.
@@ -17,7 +23,8 @@
 the machine that has the disk:
 
  1. Stop every control node.
- 2. Read the index of each surviving copy in its log, and choose the highest.
+ 2. If more than one copy survives, choose the one whose
+    deckpulley_control_applied_index was the highest when it was last read.
  3. There: deckpulley-control recover --settings FILE --yes-i-lose-unreplicated-data
  4. Start that node, restart every gateway, then start the other control nodes
     with empty data folders; they join one by one.
@@ -53,3 +60,26 @@
 		},
 	}
 }
+
+// completeTimeout bounds asking a node while a person waits at the shell.
+const completeTimeout = time.Second
+
+// complete completes up to limit arguments by names that a control node knows;
+// without an answer there are none.
+func (o *options) complete(limit int, names func(*client.Client, context.Context) []string) cobra.CompletionFunc {
+	return func(command *cobra.Command, given []string, begun string) ([]cobra.Completion, cobra.ShellCompDirective) {
+		connection, err := o.control()
+		if err != nil || len(given) >= limit {
+			return nil, cobra.ShellCompDirectiveNoFileComp
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), completeTimeout)
+		defer cancel()
+		var completions []cobra.Completion
+		for _, name := range names(connection, ctx) {
+			if strings.HasPrefix(name, begun) && !slices.Contains(given, name) {
+				completions = append(completions, name)
+			}
+		}
+		return completions, cobra.ShellCompDirectiveNoFileComp
+	}
+}
