--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -34,22 +34,40 @@
 	slots := make(chan struct{}, maxPolls)
 	var polls sync.WaitGroup
 	defer polls.Wait()
-	polling := newInProgress()
+	known := make(map[string]bool)
 	for {
+		changed := g.agent.Changed()
+		onlyNew := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-changed:
+			onlyNew = true // a replica that was just listed is not kept waiting
 		}
 		active := g.agent.Active()
 		if active == nil {
 			continue
 		}
-		for _, replica := range g.router.Watched() {
-			g.startPoll(ctx, active, replica, slots, polling, &polls)
+		watched := g.router.Watched()
+		for _, replica := range watched {
+			if !onlyNew || !known[replica] {
+				g.startPoll(ctx, active, replica, slots, &polls)
+			}
 		}
-		g.reportConditions(ctx, time.Now(), &polls)
+		known = setOf(watched)
+		if !onlyNew {
+			g.reportConditions(ctx, time.Now(), &polls)
+		}
+	}
+}
+
+func setOf(names []string) map[string]bool {
+	set := make(map[string]bool, len(names))
+	for _, name := range names {
+		set[name] = true
 	}
+	return set
 }
 
 // inProgress keeps the polls of one replica from overtaking each other.
@@ -76,24 +94,38 @@
 	delete(p.names, name)
 }
 
-func (g *Gateway) startPoll(ctx context.Context, active *places.Contents, replica string, slots chan struct{}, polling *inProgress, polls *sync.WaitGroup) {
+func (g *Gateway) startPoll(ctx context.Context, active *places.Contents, replica string, slots chan struct{}, polls *sync.WaitGroup) {
 	record, listed := active.Replicas()[replica]
-	if !listed || !polling.enter(replica) {
+	if !listed || !g.polling.enter(replica) {
 		return
 	}
 	select {
 	case slots <- struct{}{}:
 	default:
-		polling.leave(replica)
+		g.polling.leave(replica)
 		return
 	}
 	polls.Go(func() {
 		g.poll(ctx, replica, record)
-		polling.leave(replica)
+		g.polling.leave(replica)
 		<-slots
 	})
 }
 
+// pollNow polls one replica out of turn, unless it is being polled.
+func (g *Gateway) pollNow(replica string) {
+	record, listed := g.agent.Active().Replicas()[replica]
+	if !listed || !g.polling.enter(replica) {
+		return
+	}
+	g.running.begin()
+	go func() {
+		defer g.running.end()
+		defer g.polling.leave(replica)
+		g.poll(g.work, replica, record)
+	}()
+}
+
 // poll asks one replica for its report. An answer in the name of another replica
 // is a failure: the address has changed hands.
 func (g *Gateway) poll(ctx context.Context, replica string, record places.Replica) {
