--- a/Makefile
+++ b/Makefile
@@ -65,6 +65,10 @@
 quickstart: build ## the three nodes of the README, checked
 	examples/quickstart/walk.sh
 
+.PHONY: walk-operations
+walk-operations: build ## run every command of docs/OPERATIONS.md against a small fleet
+	scripts/walk-operations.sh
+
 .PHONY: faults-short
 faults-short: build ## the short fault suite on real processes
 	bin/deckpulley-fleet faults --deployment $(DEPLOYMENT) --short
@@ -94,6 +98,14 @@
 capacity: build ## measure the slopes and rewrite the tables of docs/CAPACITY.md
 	bin/deckpulley-scale --write docs/CAPACITY.md
 
+.PHONY: scale
+scale: build ## hollow gateways and replicas beside real nodes: NODES=402 REPLICAS=12000
+	bin/deckpulley-scale --nodes $(NODES) --replicas $(REPLICAS)
+
+.PHONY: bench-control
+bench-control: build ## speed of the control plane, written into docs/BENCHMARKS.md
+	bin/deckpulley-bench control --write docs/BENCHMARKS.md
+
 .PHONY: bench-gateway
-bench-gateway: ## benchmarks of the request path
-	go test -run '^$$' -bench . -benchmem ./gateway/... ./stream/... ./routing/... ./ticket/...
+bench-gateway: build ## speed of a gateway, written into docs/BENCHMARKS.md
+	bin/deckpulley-bench gateway --write docs/BENCHMARKS.md
--- a/cmd/deckpulley-scale/target.go
+++ b/cmd/deckpulley-scale/target.go
@@ -171,12 +171,18 @@
 	memory := l.primaryMemory.at(targetGateways) + l.primaryPerReplica.Slope*targetReplicas
 	cpu := l.primaryCPU.at(targetGateways) + rate*l.changeCPU.at(targetGateways)
 	return []target{
-		{"primary", "traffic", fmt.Sprintf("rest at %d gateways + %s updates/s × one change", targetGateways, number(rate)), number(bytes) + " B/s", number(boundBytes) + " B/s",
-			judgeSum(bytes, boundBytes), "flat fan-out of renewals and incremental transfers; the bound needs relays in a tree, see below"},
-		{"primary", "processor", fmt.Sprintf("rest at %d gateways + %s updates/s × one change", targetGateways, number(rate)), percent(cpu), percent(boundCore),
-			judgeSum(cpu, boundCore), "renewals are decided without a look at the other leases"},
-		{"primary", "resident memory", fmt.Sprintf("at %d gateways + slope × %d replicas", targetGateways, targetReplicas), number(memory/mebibyte) + " MiB", number(boundMemory/mebibyte) + " MiB",
-			judgeSum(memory, boundMemory), "one copy-on-write table; bounded queues that are empty at rest"},
+		{
+			"primary", "traffic", fmt.Sprintf("rest at %d gateways + %s updates/s × one change", targetGateways, number(rate)), number(bytes) + " B/s", number(boundBytes) + " B/s",
+			judgeSum(bytes, boundBytes), "flat fan-out of renewals and incremental transfers; the bound needs relays in a tree, see below",
+		},
+		{
+			"primary", "processor", fmt.Sprintf("rest at %d gateways + %s updates/s × one change", targetGateways, number(rate)), percent(cpu), percent(boundCore),
+			judgeSum(cpu, boundCore), "renewals are decided without a look at the other leases",
+		},
+		{
+			"primary", "resident memory", fmt.Sprintf("at %d gateways + slope × %d replicas", targetGateways, targetReplicas), number(memory/mebibyte) + " MiB", number(boundMemory/mebibyte) + " MiB",
+			judgeSum(memory, boundMemory), "one copy-on-write table; bounded queues that are empty at rest",
+		},
 	}
 }
 
@@ -184,12 +190,18 @@
 	bytes, cpu := l.followerBytes.at(targetGateways), l.followerCPU.at(targetGateways)
 	memory := l.followerMemory.at(targetGateways) + l.followerPerReplica.Slope*targetReplicas
 	return []target{
-		{"other control node", "traffic at rest", fmt.Sprintf("at %d gateways", targetGateways), number(bytes) + " B/s", number(boundBytes) + " B/s",
-			judge(bytes, boundBytes, targetGateways, l.followerBytes.Highest), "heartbeats of the replicated log"},
-		{"other control node", "processor at rest", fmt.Sprintf("at %d gateways", targetGateways), percent(cpu), percent(boundCore),
-			judge(cpu, boundCore, targetGateways, l.followerCPU.Highest), "heartbeats of the replicated log"},
-		{"other control node", "resident memory", fmt.Sprintf("at %d gateways + slope × %d replicas", targetGateways, targetReplicas), number(memory/mebibyte) + " MiB", number(boundMemory/mebibyte) + " MiB",
-			judgeSum(memory, boundMemory), "one table, the log since the last snapshot"},
+		{
+			"other control node", "traffic at rest", fmt.Sprintf("at %d gateways", targetGateways), number(bytes) + " B/s", number(boundBytes) + " B/s",
+			judge(bytes, boundBytes, targetGateways, l.followerBytes.Highest), "heartbeats of the replicated log",
+		},
+		{
+			"other control node", "processor at rest", fmt.Sprintf("at %d gateways", targetGateways), percent(cpu), percent(boundCore),
+			judge(cpu, boundCore, targetGateways, l.followerCPU.Highest), "heartbeats of the replicated log",
+		},
+		{
+			"other control node", "resident memory", fmt.Sprintf("at %d gateways + slope × %d replicas", targetGateways, targetReplicas), number(memory/mebibyte) + " MiB", number(boundMemory/mebibyte) + " MiB",
+			judgeSum(memory, boundMemory), "one table, the log since the last snapshot",
+		},
 	}
 }
 
@@ -202,16 +214,26 @@
 	shared := float64(targetReplicas) / targetGateways
 	polls := shared * pollsPerSecond * r.poll.bytes
 	return []target{
-		{"gateway", "control traffic", fmt.Sprintf("rest at %d gateways + %s updates/s × one change", targetGateways, number(rate)), number(control) + " B/s", number(boundBytes) + " B/s",
-			judgeSum(control, boundBytes), "renewal each 300 ms, incremental transfer"},
-		{"gateway", "control processor", fmt.Sprintf("rest at %d gateways", targetGateways), percent(cpu), percent(boundCore),
-			judge(cpu, boundCore, targetGateways, l.gatewayCPU.Highest), "one renewal loop, incremental reading of the table"},
-		{"gateway", "memory of the copy", fmt.Sprintf("heap at %d gateways + slope × %d replicas", targetGateways, targetReplicas), number(heap/mebibyte) + " MiB", number(boundMemory/mebibyte) + " MiB",
-			judgeSum(heap, boundMemory), "whole copy of the table; watch-by-region would hold a fiftieth"},
-		{"gateway", "resident memory, idle", fmt.Sprintf("intercept of a real gateway + %d × that heap", collectorRoom), number(whole/mebibyte) + " MiB", number(boundMemory/mebibyte) + " MiB",
-			judgeEstimate(whole, boundMemory), "as above; the collector lets the heap double"},
-		{"gateway", "watching of replicas", fmt.Sprintf("%s replicas each × %d polls/s × %s B", number(shared), pollsPerSecond, number(r.poll.bytes)), number(polls) + " B/s", number(boundBytes) + " B/s",
-			judgeEstimate(polls, boundBytes), "one watcher a replica, HTTP polls"},
+		{
+			"gateway", "control traffic", fmt.Sprintf("rest at %d gateways + %s updates/s × one change", targetGateways, number(rate)), number(control) + " B/s", number(boundBytes) + " B/s",
+			judgeSum(control, boundBytes), "renewal each 300 ms, incremental transfer",
+		},
+		{
+			"gateway", "control processor", fmt.Sprintf("rest at %d gateways", targetGateways), percent(cpu), percent(boundCore),
+			judge(cpu, boundCore, targetGateways, l.gatewayCPU.Highest), "one renewal loop, incremental reading of the table",
+		},
+		{
+			"gateway", "memory of the copy", fmt.Sprintf("heap at %d gateways + slope × %d replicas", targetGateways, targetReplicas), number(heap/mebibyte) + " MiB", number(boundMemory/mebibyte) + " MiB",
+			judgeSum(heap, boundMemory), "whole copy of the table; watch-by-region would hold a fiftieth",
+		},
+		{
+			"gateway", "resident memory, idle", fmt.Sprintf("intercept of a real gateway + %d × that heap", collectorRoom), number(whole/mebibyte) + " MiB", number(boundMemory/mebibyte) + " MiB",
+			judgeEstimate(whole, boundMemory), "as above; the collector lets the heap double",
+		},
+		{
+			"gateway", "watching of replicas", fmt.Sprintf("%s replicas each × %d polls/s × %s B", number(shared), pollsPerSecond, number(r.poll.bytes)), number(polls) + " B/s", number(boundBytes) + " B/s",
+			judgeEstimate(polls, boundBytes), "one watcher a replica, HTTP polls",
+		},
 	}
 }
 
@@ -219,8 +241,10 @@
 func (r *measured) relayNode(l lines) target {
 	share := math.Ceil(float64(targetGateways) / relayCount)
 	bytes := share * (l.gatewayBytes.at(targetGateways) + updatesPerSecond()*l.changeGateway.at(targetGateways))
-	return target{"relay (not built)", "traffic towards its gateways", fmt.Sprintf("%.0f gateways × the control traffic of one", share), number(bytes) + " B/s", number(boundBytes) + " B/s",
-		judgeEstimate(bytes, boundBytes), "a tree of two levels; slower renewals and smaller changes, see below"}
+	return target{
+		"relay (not built)", "traffic towards its gateways", fmt.Sprintf("%.0f gateways × the control traffic of one", share), number(bytes) + " B/s", number(boundBytes) + " B/s",
+		judgeEstimate(bytes, boundBytes), "a tree of two levels; slower renewals and smaller changes, see below",
+	}
 }
 
 // judgeEstimate is for figures that no run of the whole shows.
@@ -239,18 +263,30 @@
 	perGatewayEvents := targetEvents / targetGateways
 	relay := l.relayCPU.at(perGatewayEvents)
 	return []target{
-		{"fleet", "a change in force everywhere", fmt.Sprintf("longest at %d gateways + slope × %d replicas", targetGateways, targetReplicas), number(inForce) + " s", number(boundInForce.Seconds()) + " s",
-			judgeSum(inForce, boundInForce.Seconds()), "two-step activation; notify, then an incremental transfer"},
-		{"fleet", "changes a second, one after the other", fmt.Sprintf("%d in a row at %d gateways", burst, targetGateways), number(burstRate) + "/s", "at least " + number(float64(changesPerDay)/secondsPerDay) + "/s",
-			judge(-burstRate, -float64(changesPerDay)/secondsPerDay, targetGateways, l.burstTime.Highest), "one update a change; each waits for two rounds of all gateways"},
-		{"fleet", "70 gateways lost at once and started again", fmt.Sprintf("to the next acknowledgement at %d gateways", targetGateways), number(l.restart.at(targetGateways)) + " s", number(boundInForce.Seconds()) + " s",
-			judge(l.restart.at(targetGateways), boundInForce.Seconds(), targetGateways, l.restart.Highest), "a lost gateway's lease runs out, once"},
-		{"fleet", "loss of the primary", fmt.Sprintf("to the next acknowledgement at %d gateways", targetGateways), number(l.failover.at(targetGateways)) + " s", "12 s",
-			judge(l.failover.at(targetGateways), 12, targetGateways, l.failover.Highest), "election, then waiting out the leases"},
-		{"gateway", "relaying, each its share", fmt.Sprintf("%s events/s × slope + intercept", number(perGatewayEvents)), percent(relay), "100%",
-			judge(relay, 1, perGatewayEvents, l.relayCPU.Highest), "events are checked and passed on one by one; one buffer a stream"},
-		{"fleet", "gateways' cores for 5.5 million events a second", fmt.Sprintf("at %.0f%% use of a core", 100*usableCore), number(gateways) + " cores", fmt.Sprintf("%d machines of one core or more", targetGateways),
-			judgeEstimate(gateways, targetGateways), "streams of one region stay in it"},
+		{
+			"fleet", "a change in force everywhere", fmt.Sprintf("longest at %d gateways + slope × %d replicas", targetGateways, targetReplicas), number(inForce) + " s", number(boundInForce.Seconds()) + " s",
+			judgeSum(inForce, boundInForce.Seconds()), "two-step activation; notify, then an incremental transfer",
+		},
+		{
+			"fleet", "changes a second, one after the other", fmt.Sprintf("%d in a row at %d gateways", burst, targetGateways), number(burstRate) + "/s", "at least " + number(float64(changesPerDay)/secondsPerDay) + "/s",
+			judge(-burstRate, -float64(changesPerDay)/secondsPerDay, targetGateways, l.burstTime.Highest), "one update a change; each waits for two rounds of all gateways",
+		},
+		{
+			"fleet", "70 gateways lost at once and started again", fmt.Sprintf("to the next acknowledgement at %d gateways", targetGateways), number(l.restart.at(targetGateways)) + " s", number(boundInForce.Seconds()) + " s",
+			judge(l.restart.at(targetGateways), boundInForce.Seconds(), targetGateways, l.restart.Highest), "a lost gateway's lease runs out, once",
+		},
+		{
+			"fleet", "loss of the primary", fmt.Sprintf("to the next acknowledgement at %d gateways", targetGateways), number(l.failover.at(targetGateways)) + " s", "12 s",
+			judge(l.failover.at(targetGateways), 12, targetGateways, l.failover.Highest), "election, then waiting out the leases",
+		},
+		{
+			"gateway", "relaying, each its share", fmt.Sprintf("%s events/s × slope + intercept", number(perGatewayEvents)), percent(relay), "100%",
+			judge(relay, 1, perGatewayEvents, l.relayCPU.Highest), "events are checked and passed on one by one; one buffer a stream",
+		},
+		{
+			"fleet", "gateways' cores for 5.5 million events a second", fmt.Sprintf("at %.0f%% use of a core", 100*usableCore), number(gateways) + " cores", fmt.Sprintf("%d machines of one core or more", targetGateways),
+			judgeEstimate(gateways, targetGateways), "streams of one region stay in it",
+		},
 		r.relayNode(l),
 		{"control", "machines", "3 voters of today; with relays 5 voters + 13 relays", "3 today", "18", estimatedOnly, "one replicated log; relays aggregate leases and confirmations"},
 		{"replicas", "first token, between tokens", "depends on the replicas; the gateway's share is measured by the fleet run", "not measured here", "0.92 s, 33 ms", estimatedOnly, "placement by prefix and load, admission by deadline"},
