--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/gateway/agent"
+	"github.com/deckpulley/deckpulley/internal/planted"
 	"github.com/deckpulley/deckpulley/lease"
 	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/places"
@@ -166,6 +167,7 @@
 	work     context.Context
 	stopWork context.CancelCauseFunc
 	running  *activity
+	polling  *inProgress
 	loops    sync.WaitGroup
 
 	mutex    sync.Mutex
@@ -185,6 +187,7 @@
 		offers:   newOfferBook(),
 		bodies:   newByteBudget(maxBodyBytesInFlight),
 		running:  newActivity(),
+		polling:  newInProgress(),
 		failures: rate.NewLimiter(failureLinesPerSecond, failureLinesPerSecond),
 		random:   rand.New(rand.NewPCG(options.Seed, 0x6761746577617921)),
 		seen:     make(map[string]uint64),
@@ -342,6 +345,9 @@
 
 // seenVersion is the newest configuration that replicas of a service have seen.
 func (g *Gateway) seenVersion(service string) uint64 {
+	if planted.Active(planted.KeepOldConfiguration) {
+		return 0
+	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	return g.seen[service]
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -27,7 +27,7 @@
 	kinds := []FaultKind{
 		FaultCrash, FaultCrashAtWrite, FaultCrashAll, FaultFreeze, FaultCutOneWay, FaultIsolate, FaultWeather,
 		FaultWipe, FaultWipeAfterAnswer, FaultReplace, FaultTransfer, FaultGatewayFreeze, FaultGatewayRestart,
-		FaultGatewayCut, FaultCrashAfterVote, FaultCrashElected, FaultStall, FaultSplit, FaultSwap,
+		FaultGatewayCut, FaultCrashAfterVote, FaultCrashElected, FaultSilenced, FaultStall, FaultSplit, FaultSwap,
 	}
 	for _, kind := range kinds {
 		if summary.Total.Faults[kind] == 0 {
@@ -69,6 +69,7 @@
 	quick := []defect.Defect{
 		defect.MissingSync, defect.SnapshotDropsOrders, defect.ReuseSerial,
 		defect.LeaseNotWaitedOut, defect.AcknowledgeProposal, defect.SendBeforeSync,
+		defect.VoteIgnoresLog, defect.TwoMembershipChanges, defect.FreshContact,
 	}
 	Each(len(quick), workers(), func(position int) {
 		if catch := Hunt(quick[position], 1, quickHunt); catch.Violation == nil {
