Give up on silent nodes before the whole time-out

A frozen node takes connections and says nothing: each command that met one first waited 12 s. An answer to a read must now begin within 3 s, and an order is held for 3 s at a node before it is asked about again under its id. The new test passes with the race detector; one comparison of an error in the tests uses errors.Is, as the linter asks.

--- a/client/client.go
+++ b/client/client.go
@@ -27,9 +27,10 @@
 // Defaults and bounds.
 const (
 	DefaultAttemptTimeout = 12 * time.Second
+	DefaultAnswerTimeout  = 3 * time.Second
 	DefaultPause          = 200 * time.Millisecond
 	maxAnswerBytes        = 64 << 20
-	maxOrderWait          = 10 * time.Second
+	maxOrderWait          = 3 * time.Second // then the order is asked about again
 	orderIDBytes          = 12
 )
 
@@ -44,6 +45,10 @@
 	HTTP *http.Client
 	// AttemptTimeout bounds one attempt at one address. Default 12 s.
 	AttemptTimeout time.Duration
+	// AnswerTimeout bounds the wait for a node to begin its answer to a read, or to
+	// an order beyond the time that it may hold the answer: a frozen node takes
+	// connections and says nothing. Default 3 s.
+	AnswerTimeout time.Duration
 	// Pause is the time between two rounds over all addresses. Default 200 ms.
 	Pause time.Duration
 }
@@ -66,6 +71,9 @@
 	if config.AttemptTimeout == 0 {
 		config.AttemptTimeout = DefaultAttemptTimeout
 	}
+	if config.AnswerTimeout == 0 {
+		config.AnswerTimeout = DefaultAnswerTimeout
+	}
 	if config.Pause == 0 {
 		config.Pause = DefaultPause
 	}
@@ -160,7 +168,11 @@
 func (c *Client) attempt(ctx context.Context, address string, request call, into any) *attemptError {
 	ctx, cancel := context.WithTimeout(ctx, c.config.AttemptTimeout)
 	defer cancel()
+	ctx, giveUp := context.WithCancelCause(ctx)
+	defer giveUp(nil)
+	silence := time.AfterFunc(c.answerTimeout(request), func() { giveUp(errSilent) })
 	response, failure := c.send(ctx, address, request)
+	silence.Stop()
 	if failure != nil {
 		return failure
 	}
@@ -175,6 +187,21 @@
 	return decodeFailure(address, response.StatusCode, body)
 }
 
+// errSilent says why an attempt was given up.
+var errSilent = errors.New("the node does not begin to answer")
+
+// answerTimeout is how long the answer to a call may take to begin.
+func (c *Client) answerTimeout(request call) time.Duration {
+	switch {
+	case request.waits:
+		return c.config.AnswerTimeout + maxOrderWait
+	case request.method == http.MethodGet:
+		return c.config.AnswerTimeout
+	default:
+		return c.config.AttemptTimeout
+	}
+}
+
 func (c *Client) send(ctx context.Context, address string, request call) (*http.Response, *attemptError) {
 	target := url.URL{Scheme: "http", Host: address, Path: request.path, RawQuery: request.queryFor(ctx).Encode()}
 	message, err := http.NewRequestWithContext(ctx, request.method, target.String(), bytes.NewReader(request.body))
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -236,7 +236,7 @@
 				t.Errorf("%d pieces", pieces)
 			}
 			if c.want == "" {
-				if err != io.EOF || stream.End().Tokens != 2 {
+				if !errors.Is(err, io.EOF) || stream.End().Tokens != 2 {
 					t.Errorf("ended with %v", err)
 				}
 				return
@@ -248,3 +248,50 @@
 		})
 	}
 }
+
+// TestSilentNodes gives up on a node that takes requests and never answers.
+func TestSilentNodes(t *testing.T) {
+	t.Parallel()
+	released := make(chan struct{})
+	var mutex sync.Mutex
+	var seen []string
+	silent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		var order api.EvacuationOrder
+		json.NewDecoder(r.Body).Decode(&order) // a read has no body
+		mutex.Lock()
+		seen = append(seen, r.Method+" "+order.OrderID)
+		mutex.Unlock()
+		<-released
+	}))
+	defer silent.Close()
+	defer close(released)
+	answering := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var order api.EvacuationOrder
+		json.NewDecoder(r.Body).Decode(&order)
+		json.NewEncoder(w).Encode(api.OrderAnswer{OrderID: order.OrderID, Accepted: true, Version: 7})
+	}))
+	defer answering.Close()
+	connect := func() *Client {
+		connection, err := New(Config{
+			Addresses:     []string{silent.Listener.Addr().String(), answering.Listener.Addr().String()},
+			AnswerTimeout: 50 * time.Millisecond,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return connection
+	}
+	if answer, err := connect().Configuration(t.Context(), true); err != nil || answer.Version != 7 {
+		t.Errorf("read: %+v, %v", answer, err)
+	}
+	order := api.EvacuationOrder{Zone: "north-1"}
+	if answer, err := connect().Evacuate(t.Context(), &order); err != nil || answer.OrderID != order.OrderID {
+		t.Errorf("order: %+v, %v", answer, err)
+	}
+	mutex.Lock()
+	defer mutex.Unlock()
+	want := []string{"GET ", "POST " + order.OrderID}
+	if difference := cmp.Diff(want, seen); difference != "" {
+		t.Error(difference)
+	}
+}
