--- a/scripts/walk-operations.sh
+++ b/scripts/walk-operations.sh
@@ -52,6 +52,7 @@
 timeout --signal=TERM --kill-after=5 "$limit" bash "$folder/walk.sh" || status=$?
 if [ "$status" != 0 ]; then
   echo "walk of $page failed with status $status (124: not done in $limit s)"
+  tail -n 3 "$folder"/*.log
   exit 1
 fi
 echo "walk: every marked command of $page ran, in $SECONDS s"
