Run planted defects beside clean controls and keep results as a page

Cause: a report of a planted defect proves nothing if its scenario is not clean without it; and nothing kept the tables of whole runs. A whole run of faults fails if a promise is left unexercised. Targets build-planted, faults-planted and results; build-planted fails if a plain daemon holds the name of the variable that switches defects on.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,8 @@
 RUN_SECONDS := 20
 endif
 SCENARIO ?=
+# Records of whole runs, for the page of results.
+RECORDS := out/records
 SEEDS ?= 20000
 FIRST_SEED ?= 1
 NAME ?= placement
@@ -78,6 +80,35 @@
 	bin/deckpulley-fleet faults --deployment $(DEPLOYMENT) --scenario $(SCENARIO)
 endif
 
+# The daemons with planted defects live beside the plain ones. No plain program
+# may even know the name of the variable that switches a defect on.
+PLANTED_VARIABLE := DECKPULLEY_PLANTED_DEFECT
+DAEMONS := deckpulley-control deckpulley-gateway
+
+.PHONY: build-planted
+build-planted: build ## put daemons with switchable planted defects into bin/planted/
+	mkdir -p bin/planted
+	go build -tags planted -o bin/planted/ $(addprefix ./cmd/,$(DAEMONS) standin-replica standin-platform)
+	@for daemon in $(DAEMONS); do \
+		if grep -q $(PLANTED_VARIABLE) bin/$$daemon; then echo "bin/$$daemon holds planted defects"; exit 1; fi; \
+		grep -q $(PLANTED_VARIABLE) bin/planted/$$daemon || { echo "bin/planted/$$daemon holds no planted defects"; exit 1; }; \
+	done
+
+.PHONY: faults-planted
+faults-planted: build-planted ## each planted defect of the daemons and the promise that caught it
+	go test -tags planted ./internal/planted/...
+	bin/deckpulley-fleet planted --deployment $(DEPLOYMENT) --record $(RECORDS)/planted-$(DEPLOYMENT).json
+
+.PHONY: results
+results: build-planted ## the whole fault suite at both deployments and the planted defects, into docs/RESULTS.md
+	status=0; \
+	for deployment in kodovka georgia; do \
+		bin/deckpulley-fleet faults --deployment $$deployment --record $(RECORDS)/faults-$$deployment.json || status=1; \
+	done; \
+	bin/deckpulley-fleet planted --record $(RECORDS)/planted-kodovka.json || status=1; \
+	bin/deckpulley-fleet results --write docs/RESULTS.md $(RECORDS)/faults-kodovka.json $(RECORDS)/faults-georgia.json $(RECORDS)/planted-kodovka.json; \
+	exit $$status
+
 .PHONY: simulate
 simulate: build ## more histories of the replicated log: SEEDS=20000 FIRST_SEED=1
 	bin/deckpulley-simulate --seeds $(SEEDS) --first-seed $(FIRST_SEED)
--- a/cmd/deckpulley-fleet/faults.go
+++ b/cmd/deckpulley-fleet/faults.go
@@ -18,6 +18,7 @@
 	"github.com/deckpulley/deckpulley/internal/eventlog"
 	"github.com/deckpulley/deckpulley/internal/fleet"
 	"github.com/deckpulley/deckpulley/internal/report"
+	"github.com/deckpulley/deckpulley/internal/results"
 	"github.com/deckpulley/deckpulley/internal/scenario"
 	"github.com/deckpulley/deckpulley/scenarios"
 )
@@ -37,6 +38,7 @@
 	short    bool
 	parallel int
 	files    string
+	record   string
 }
 
 func newFaultsCommand() *cobra.Command {
@@ -63,6 +65,7 @@
 	set.StringSliceVar(&flags.names, "scenario", nil, "run these alone")
 	set.BoolVar(&flags.short, "short", false, "run the short suite")
 	set.IntVar(&flags.parallel, "parallel", defaultParallel, "fleets side by side")
+	set.StringVar(&flags.record, recordFlag, "", "file that keeps the result for the page of results")
 	set.StringVar(&flags.files, "scenarios", "", "folder of scenario files in place of the shipped ones")
 	return command
 }
@@ -116,20 +119,39 @@
 	if err != nil {
 		return invalidError{err}
 	}
-	start := time.Now()
+	record := newRecord(results.KindFaults, deployment.Name)
+	record.Partial = flags.short || len(flags.names) > 0
 	outcomes := runAll(ctx, flags, deployment, list)
 	writeOutcomes(out, outcomes)
 	merged, names := merge(outcomes)
 	report.WriteVerdicts(out, merged, names)
-	fmt.Fprintf(out, "%d scenarios on %s in %.0f s\n", len(outcomes), deployment.Name, time.Since(start).Seconds())
+	fmt.Fprintf(out, "%d scenarios on %s in %.0f s\n", len(outcomes), deployment.Name, time.Since(record.Began).Seconds())
+	record.Scenarios, record.Promises = faultScenarios(outcomes), results.Promises(merged, names)
+	if err := saveRecord(flags.record, record); err != nil {
+		return err
+	}
 	for _, of := range outcomes {
 		if !of.good() {
 			return errBroken
 		}
 	}
+	if !record.Partial && len(unexercised(merged)) > 0 {
+		return fmt.Errorf("%w: not exercised: %v", errBroken, unexercised(merged))
+	}
 	return nil
 }
 
+// unexercised lists the promises of which a whole run examined nothing.
+func unexercised(of checker.Report) []checker.Promise {
+	var list []checker.Promise
+	for i := range of.Verdicts {
+		if of.Verdicts[i].Status() == checker.StatusNotExercised {
+			list = append(list, of.Verdicts[i].Promise)
+		}
+	}
+	return list
+}
+
 func runAll(ctx context.Context, flags faultFlags, deployment fleet.Deployment, list []*scenario.Scenario) []outcome {
 	outcomes := make([]outcome, len(list))
 	next := make(chan int)
--- a/cmd/deckpulley-fleet/main.go
+++ b/cmd/deckpulley-fleet/main.go
@@ -73,7 +73,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	command.AddCommand(newRunCommand(), newFaultsCommand(), newCheckCommand(), newListCommand(), newPlantedCommand())
+	command.AddCommand(newRunCommand(), newFaultsCommand(), newCheckCommand(), newListCommand(), newPlantedCommand(), newResultsCommand())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer stop()
 	if err := command.ExecuteContext(ctx); err != nil {
--- a/cmd/deckpulley-fleet/planted.go
+++ b/cmd/deckpulley-fleet/planted.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -18,6 +19,7 @@
 	"github.com/deckpulley/deckpulley/internal/checker"
 	"github.com/deckpulley/deckpulley/internal/fleet"
 	"github.com/deckpulley/deckpulley/internal/planted/catalog"
+	"github.com/deckpulley/deckpulley/internal/results"
 	"github.com/deckpulley/deckpulley/internal/scenario"
 	"github.com/deckpulley/deckpulley/scenarios"
 )
@@ -35,6 +37,7 @@
 	common
 	names    []string
 	parallel int
+	record   string
 }
 
 func newPlantedCommand() *cobra.Command {
@@ -44,7 +47,7 @@
 		Short: "Run each planted defect and see which promise catches it",
 		Long: "Run each planted defect in the short scenario that shows it. The daemons must be built with the tag\n" +
 			"\"planted\". A defect is caught if the checker reports its promise broken, and no other than those that\n" +
-			"it breaks by what it is.",
+			"it breaks by what it is. Without --defect each scenario runs once more without a defect, and must then be clean.",
 		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			if flags.parallel < 1 || flags.parallel > mostParallel {
@@ -61,6 +64,7 @@
 	flags.programs = filepath.Join(programFolder(), plantedPrograms)
 	set.Lookup("programs").DefValue = flags.programs
 	set.StringSliceVar(&flags.names, "defect", nil, "run these alone")
+	set.StringVar(&flags.record, recordFlag, "", "file that keeps the result for the page of results")
 	set.IntVar(&flags.parallel, "parallel", defaultParallel, "fleets side by side")
 	return command
 }
@@ -77,7 +81,7 @@
 
 func selectCases(names []string) ([]catalog.Case, error) {
 	if len(names) == 0 {
-		return catalog.Cases(), nil
+		return append(catalog.Cases(), catalog.Controls()...), nil
 	}
 	var list []catalog.Case
 	for _, name := range names {
@@ -108,7 +112,8 @@
 	if err != nil {
 		return invalidError{err}
 	}
-	start := time.Now()
+	record := newRecord(results.KindPlanted, deployment.Name)
+	record.Partial = len(flags.names) > 0
 	outcomes := make([]plantedOutcome, len(cases))
 	lanes := make(chan struct{}, flags.parallel)
 	var all sync.WaitGroup
@@ -123,7 +128,11 @@
 	}
 	all.Wait()
 	writePlanted(out, outcomes)
-	fmt.Fprintf(out, "%d defects on %s in %.0f s\n", len(outcomes), deployment.Name, time.Since(start).Seconds())
+	fmt.Fprintf(out, "%d runs on %s in %.0f s\n", len(outcomes), deployment.Name, time.Since(record.Began).Seconds())
+	record.Defects = plantedDefects(outcomes)
+	if err := saveRecord(flags.record, record); err != nil {
+		return err
+	}
 	if slices.ContainsFunc(outcomes, func(of plantedOutcome) bool { return !of.caught }) {
 		return errBroken
 	}
@@ -132,7 +141,7 @@
 
 func runCase(ctx context.Context, flags common, deployment fleet.Deployment, of catalog.Case) plantedOutcome {
 	done := plantedOutcome{of: of}
-	name := string(of.Defect)
+	name := cmp.Or(string(of.Defect), "none-"+of.Scenario)
 	file, err := loadPlanted(of.Scenario)
 	if err != nil {
 		done.err = err
@@ -146,12 +155,15 @@
 	done.result, done.err = scenario.Run(ctx, scenario.Options{
 		Scenario: file, Deployment: deployment, Programs: flags.programs, Folder: folder,
 		Seed: flags.seed, LogLevel: flags.logLevel, Progress: progress(os.Stderr, fmt.Sprintf("%-22s ", name)),
-		Environment: []string{plantedVariable + "=" + name},
+		Environment: []string{plantedVariable + "=" + string(of.Defect)},
 	})
 	if done.err != nil {
 		return done
 	}
 	done.broken, done.caught = of.Judge(done.result.Report)
+	if of.Control() {
+		done.caught = done.result.Good()
+	}
 	if verdict, ok := done.result.Report.Verdict(of.Promise); ok && len(verdict.Violations) > 0 {
 		done.evidence = verdict.Violations[0].Summary
 	}
@@ -159,22 +171,33 @@
 	return done
 }
 
+// verdict is the end in one word or two.
+func (o plantedOutcome) verdict() string {
+	switch {
+	case o.of.Control() && o.caught:
+		return "clean"
+	case o.of.Control():
+		return "not clean"
+	case o.caught:
+		return "caught"
+	default:
+		return "not caught"
+	}
+}
+
 func writePlanted(out io.Writer, outcomes []plantedOutcome) {
 	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(table, "defect\tscenario\tseconds\tpromise\tbroken too\treported\tcaught\tfirst violation")
+	fmt.Fprintln(table, "defect\tscenario\tseconds\tpromise\tbroken too\treported\tverdict\tfirst violation")
 	for _, of := range outcomes {
-		caught, took := "no", "-"
-		if of.caught {
-			caught = "yes"
-		}
+		took := "-"
 		if of.result != nil {
 			took = fmt.Sprintf("%.0f", of.result.Took.Seconds())
 		}
 		if of.err != nil {
 			of.evidence = firstLine(of.err)
 		}
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", of.of.Defect, of.of.Scenario, took, of.of.Promise,
-			orDash(texts(of.of.Also)), orDash(texts(of.broken)), caught, of.evidence)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", cmp.Or(string(of.of.Defect), "none"), of.of.Scenario, took,
+			cmp.Or(string(of.of.Promise), "-"), orDash(texts(of.of.Also)), orDash(texts(of.broken)), of.verdict(), of.evidence)
 	}
 	table.Flush()
 	for _, of := range outcomes {
@@ -189,7 +212,10 @@
 
 // writeUnexpected tells what else a run reported.
 func writeUnexpected(out io.Writer, of plantedOutcome) {
-	fmt.Fprintf(out, "%s: not caught by %s alone; logs in %s\n", of.of.Defect, of.of.Promise, of.result.Folder)
+	fmt.Fprintf(out, "%s in %s: %s; logs in %s\n", cmp.Or(string(of.of.Defect), "none"), of.of.Scenario, of.verdict(), of.result.Folder)
+	if unexercised := of.result.Unexercised(); len(unexercised) > 0 {
+		fmt.Fprintf(out, "  not exercised: %s\n", strings.Join(unexercised, " "))
+	}
 	for _, promise := range of.broken {
 		if verdict, ok := of.result.Report.Verdict(promise); ok {
 			fmt.Fprintf(out, "  %s: %s\n", promise, verdict.Violations[0].Summary)
--- a/internal/planted/catalog/catalog.go
+++ b/internal/planted/catalog/catalog.go
@@ -53,6 +53,21 @@
 	}
 }
 
+// Controls lists one case without a defect for each scenario of the cases: it
+// must break nothing, or what it reports of a defect would prove nothing.
+func Controls() []Case {
+	var list []Case
+	for _, of := range Cases() {
+		if !slices.ContainsFunc(list, func(control Case) bool { return control.Scenario == of.Scenario }) {
+			list = append(list, Case{Scenario: of.Scenario})
+		}
+	}
+	return list
+}
+
+// Control tells that the case has no defect.
+func (c Case) Control() bool { return c.Defect == "" }
+
 // Find returns the case of a defect.
 func Find(name string) (Case, error) {
 	for _, of := range Cases() {
@@ -64,7 +79,8 @@
 }
 
 // Judge tells whether a report caught the defect: its promise is broken, and
-// nothing else than what the defect breaks too.
+// nothing else than what the defect breaks too. A control is as it should be if
+// nothing is broken.
 func (c Case) Judge(report checker.Report) (broken []checker.Promise, caught bool) {
 	caught = true
 	for i := range report.Verdicts {
@@ -75,5 +91,5 @@
 		broken = append(broken, verdict.Promise)
 		caught = caught && (verdict.Promise == c.Promise || slices.Contains(c.Also, verdict.Promise))
 	}
-	return broken, caught && slices.Contains(broken, c.Promise)
+	return broken, caught && (c.Control() || slices.Contains(broken, c.Promise))
 }
--- a/internal/planted/catalog/catalog_test.go
+++ b/internal/planted/catalog/catalog_test.go
@@ -47,7 +47,7 @@
 }
 
 func TestJudge(t *testing.T) {
-	of := Case{Promise: "P6", Also: []checker.Promise{"P5"}}
+	of := Case{Defect: planted.StepBack, Promise: "P6", Also: []checker.Promise{"P5"}}
 	for _, test := range []struct {
 		broken []checker.Promise
 		caught bool
@@ -66,5 +66,8 @@
 		if caught != test.caught || !slices.Equal(broken, test.broken) {
 			t.Errorf("%v: broken %v, caught %t", test.broken, broken, caught)
 		}
+		if _, clean := (Case{}).Judge(report); clean != (len(test.broken) == 0) {
+			t.Errorf("%v: clean without a defect is %t", test.broken, clean)
+		}
 	}
 }
--- a/internal/planted/off_test.go
+++ b/internal/planted/off_test.go
@@ -12,11 +12,14 @@
 // environment and looks for a defect that is active.
 func TestPlainBuildHasNoSwitch(t *testing.T) {
 	for _, defect := range All() {
-		again := exec.Command(os.Args[0], "-test.run=^TestNothingIsActive$", "-test.count=1")
-		again.Env = append(os.Environ(), "DECKPULLEY_PLANTED_DEFECT="+string(defect))
-		if output, err := again.CombinedOutput(); err != nil {
-			t.Errorf("%s: %v\n%s", defect, err, output)
-		}
+		t.Run(string(defect), func(t *testing.T) {
+			t.Parallel()
+			again := exec.Command(os.Args[0], "-test.run=^TestNothingIsActive$", "-test.count=1")
+			again.Env = append(os.Environ(), "DECKPULLEY_PLANTED_DEFECT="+string(defect))
+			if output, err := again.CombinedOutput(); err != nil {
+				t.Errorf("%v\n%s", err, output)
+			}
+		})
 	}
 }
 
