--- a/cmd/deckpulley-fleet/planted.go
+++ b/cmd/deckpulley-fleet/planted.go
@@ -127,7 +127,9 @@
 		}()
 	}
 	all.Wait()
-	writePlanted(out, outcomes)
+	if err := writePlanted(out, outcomes); err != nil {
+		return err
+	}
 	fmt.Fprintf(out, "%d runs on %s in %.0f s\n", len(outcomes), deployment.Name, time.Since(record.Began).Seconds())
 	record.Defects = plantedDefects(outcomes)
 	if err := saveRecord(flags.record, record); err != nil {
@@ -185,7 +187,7 @@
 	}
 }
 
-func writePlanted(out io.Writer, outcomes []plantedOutcome) {
+func writePlanted(out io.Writer, outcomes []plantedOutcome) error {
 	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(table, "defect\tscenario\tseconds\tpromise\tbroken too\treported\tverdict\tfirst violation")
 	for _, of := range outcomes {
@@ -199,7 +201,9 @@
 		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", cmp.Or(string(of.of.Defect), "none"), of.of.Scenario, took,
 			cmp.Or(string(of.of.Promise), "-"), orDash(texts(of.of.Also)), orDash(texts(of.broken)), of.verdict(), of.evidence)
 	}
-	table.Flush()
+	if err := table.Flush(); err != nil {
+		return fmt.Errorf("writing the table: %w", err)
+	}
 	for _, of := range outcomes {
 		if of.of.Because != "" {
 			fmt.Fprintf(out, "%s breaks %s too: %s\n", of.of.Defect, strings.Join(texts(of.of.Also), " "), of.of.Because)
@@ -208,6 +212,7 @@
 			writeUnexpected(out, of)
 		}
 	}
+	return nil
 }
 
 // writeUnexpected tells what else a run reported.
