Close the replicas' limits wholly in the planted defect of P18

Cause: with a limit of one in its closed phase, swinging-limit was caught in one run and missed in another (settled after 25 s of the 30 s allowed): the work in flight only swung between 22 and 81 requests. Change: the closed phase lets nothing in; a defect named twice runs once, since both runs had the same folder.

--- a/cmd/deckpulley-fleet/planted.go
+++ b/cmd/deckpulley-fleet/planted.go
@@ -84,7 +84,10 @@
 		return append(catalog.Cases(), catalog.Controls()...), nil
 	}
 	var list []catalog.Case
-	for _, name := range names {
+	for i, name := range names {
+		if slices.Contains(names[:i], name) {
+			continue // two runs of one name would share a folder
+		}
 		of, err := catalog.Find(name)
 		if err != nil {
 			return nil, fmt.Errorf("--defect: %w", err)
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -249,7 +249,7 @@
 // ceiling is the limit on the replica's requests from all gateways.
 func (t *replica) ceiling() int {
 	if planted.Active(planted.SwingingLimit) && time.Now().Unix()/swingSeconds%2 == 0 {
-		return 1
+		return 0
 	}
 	ceiling := min(t.limit.Value(), t.bound())
 	if t.ramp != nil {
