--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 SCENARIO ?=
 # Records of whole runs, for the page of results.
 RECORDS := out/records
+COMMIT = $(shell git describe --always --dirty --abbrev=12 --exclude='*')
 SEEDS ?= 20000
 FIRST_SEED ?= 1
 NAME ?= placement
@@ -101,15 +102,15 @@
 .PHONY: faults-planted
 faults-planted: build-planted ## each planted defect of the daemons and the promise that caught it
 	go test -tags planted ./internal/planted/...
-	bin/deckpulley-fleet planted --deployment $(DEPLOYMENT) --record $(RECORDS)/planted-$(DEPLOYMENT).json
+	bin/deckpulley-fleet planted --deployment $(DEPLOYMENT) --record $(RECORDS)/planted-$(DEPLOYMENT).json --commit $(COMMIT)
 
 .PHONY: results
 results: build-planted ## the whole fault suite at both deployments and the planted defects, into docs/RESULTS.md
 	status=0; \
 	for deployment in kodovka georgia; do \
-		bin/deckpulley-fleet faults --deployment $$deployment --record $(RECORDS)/faults-$$deployment.json || status=1; \
+		bin/deckpulley-fleet faults --deployment $$deployment --record $(RECORDS)/faults-$$deployment.json --commit $(COMMIT) || status=1; \
 	done; \
-	bin/deckpulley-fleet planted --record $(RECORDS)/planted-kodovka.json || status=1; \
+	bin/deckpulley-fleet planted --record $(RECORDS)/planted-kodovka.json --commit $(COMMIT) || status=1; \
 	bin/deckpulley-fleet results --write docs/RESULTS.md $(RECORDS)/faults-kodovka.json $(RECORDS)/faults-georgia.json $(RECORDS)/planted-kodovka.json; \
 	exit $$status
 
--- a/cmd/deckpulley-fleet/faults.go
+++ b/cmd/deckpulley-fleet/faults.go
@@ -38,7 +38,7 @@
 	short    bool
 	parallel int
 	files    string
-	record   string
+	record   recordFlags
 }
 
 func newFaultsCommand() *cobra.Command {
@@ -65,7 +65,7 @@
 	set.StringSliceVar(&flags.names, "scenario", nil, "run these alone")
 	set.BoolVar(&flags.short, "short", false, "run the short suite")
 	set.IntVar(&flags.parallel, "parallel", defaultParallel, "fleets side by side")
-	set.StringVar(&flags.record, recordFlag, "", "file that keeps the result for the page of results")
+	flags.record.register(command)
 	set.StringVar(&flags.files, "scenarios", "", "folder of scenario files in place of the shipped ones")
 	return command
 }
@@ -119,7 +119,7 @@
 	if err != nil {
 		return invalidError{err}
 	}
-	record := newRecord(results.KindFaults, deployment.Name)
+	record := flags.record.begin(results.KindFaults, deployment.Name)
 	record.Partial = flags.short || len(flags.names) > 0
 	outcomes := runAll(ctx, flags, deployment, list)
 	writeOutcomes(out, outcomes)
@@ -127,7 +127,7 @@
 	report.WriteVerdicts(out, merged, names)
 	fmt.Fprintf(out, "%d scenarios on %s in %.0f s\n", len(outcomes), deployment.Name, time.Since(record.Began).Seconds())
 	record.Scenarios, record.Promises = faultScenarios(outcomes), results.Promises(merged, names)
-	if err := saveRecord(flags.record, record); err != nil {
+	if err := flags.record.save(record); err != nil {
 		return err
 	}
 	for _, of := range outcomes {
--- a/cmd/deckpulley-fleet/planted.go
+++ b/cmd/deckpulley-fleet/planted.go
@@ -37,7 +37,7 @@
 	common
 	names    []string
 	parallel int
-	record   string
+	record   recordFlags
 }
 
 func newPlantedCommand() *cobra.Command {
@@ -64,7 +64,7 @@
 	flags.programs = filepath.Join(programFolder(), plantedPrograms)
 	set.Lookup("programs").DefValue = flags.programs
 	set.StringSliceVar(&flags.names, "defect", nil, "run these alone")
-	set.StringVar(&flags.record, recordFlag, "", "file that keeps the result for the page of results")
+	flags.record.register(command)
 	set.IntVar(&flags.parallel, "parallel", defaultParallel, "fleets side by side")
 	return command
 }
@@ -115,7 +115,7 @@
 	if err != nil {
 		return invalidError{err}
 	}
-	record := newRecord(results.KindPlanted, deployment.Name)
+	record := flags.record.begin(results.KindPlanted, deployment.Name)
 	record.Partial = len(flags.names) > 0
 	outcomes := make([]plantedOutcome, len(cases))
 	lanes := make(chan struct{}, flags.parallel)
@@ -135,7 +135,7 @@
 	}
 	fmt.Fprintf(out, "%d runs on %s in %.0f s\n", len(outcomes), deployment.Name, time.Since(record.Began).Seconds())
 	record.Defects = plantedDefects(outcomes)
-	if err := saveRecord(flags.record, record); err != nil {
+	if err := flags.record.save(record); err != nil {
 		return err
 	}
 	if slices.ContainsFunc(outcomes, func(of plantedOutcome) bool { return !of.caught }) {
--- a/cmd/deckpulley-fleet/results.go
+++ b/cmd/deckpulley-fleet/results.go
@@ -42,24 +42,37 @@
 	return command
 }
 
-// recordFlag is that of the commands that run a suite.
-const recordFlag = "record"
+// recordFlags are those of the commands that run a suite.
+type recordFlags struct {
+	path   string
+	commit string
+}
+
+func (r *recordFlags) register(command *cobra.Command) {
+	flags := command.Flags()
+	flags.StringVar(&r.path, "record", "", "file that keeps the result for the page of results")
+	flags.StringVar(&r.commit, "commit", "", "commit to record, if the program was built without it")
+}
 
-// newRecord begins a record of this run.
-func newRecord(kind results.Kind, deployment string) results.Record {
+// begin begins a record of this run.
+func (r *recordFlags) begin(kind results.Kind, deployment string) results.Record {
+	build := results.ThisBuild()
+	if r.commit != "" {
+		build = results.Build{Commit: r.commit}
+	}
 	return results.Record{
 		Kind: kind, Deployment: deployment, Command: strings.Join(os.Args, " "),
-		Build: results.ThisBuild(), Machine: results.ThisMachine(), Began: time.Now(),
+		Build: build, Machine: results.ThisMachine(), Began: time.Now(),
 	}
 }
 
-// saveRecord ends a record and writes it, if there is a file for it.
-func saveRecord(path string, record results.Record) error {
-	if path == "" {
+// save ends a record and writes it, if there is a file for it.
+func (r *recordFlags) save(record results.Record) error {
+	if r.path == "" {
 		return nil
 	}
 	record.Seconds = time.Since(record.Began).Seconds()
-	return results.Save(path, record)
+	return results.Save(r.path, record)
 }
 
 // faultScenarios condenses the outcomes of the suite.
