--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -10,7 +10,7 @@
 	cuts map[direction]bool
 	// most is the longest delay without a tail.
 	most time.Duration
-	// usual is the loss in calm weather, loss that at present.
+	// usual is the loss while no fault is injected, loss that at present.
 	usual, loss float64
 	// doubling is the probability that a message arrives twice.
 	doubling float64
@@ -23,29 +23,29 @@
 }
 
 const (
-	leastDelay  = 200 * time.Microsecond
-	calmTail    = 5 * time.Millisecond
-	calmDouble  = 0.01
-	calmTailUse = 0.2
+	leastDelay    = 200 * time.Microsecond
+	usualTail     = 5 * time.Millisecond
+	usualDoubling = 0.01
+	tailShare     = 0.2
 )
 
 // farthest are the longest usual delays, one drawn for each history.
 var farthest = []time.Duration{3 * time.Millisecond, 3 * time.Millisecond, 40 * time.Millisecond}
 
-// usualLosses are the losses in calm weather, one drawn for each history.
+// usualLosses are the losses while no fault is injected, one drawn for each history.
 var usualLosses = []float64{0, 0, 0.15}
 
 func newNetwork(w *world) network {
 	n := network{world: w, cuts: make(map[direction]bool), most: pick(w, farthest), usual: pick(w, usualLosses)}
-	n.calm()
+	n.setUsual()
 	return n
 }
 
-// calm ends the bad weather, but not the cuts.
-func (n *network) calm() {
+// setUsual ends loss, doubling and reordering beyond the usual, but not the cuts.
+func (n *network) setUsual() {
 	n.loss = n.usual
-	n.doubling = calmDouble
-	n.tail = calmTail
+	n.doubling = usualDoubling
+	n.tail = usualTail
 }
 
 func (n *network) cut(from, to string) {
@@ -70,7 +70,7 @@
 
 func (n *network) delay() time.Duration {
 	delay := n.world.between(leastDelay, n.most)
-	if n.world.chance(calmTailUse) {
+	if n.world.chance(tailShare) {
 		delay += n.world.between(0, n.tail)
 	}
 	return delay
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -25,7 +25,7 @@
 		t.Errorf("seed %d: %v", failure.Seed, failure.Violation)
 	}
 	kinds := []FaultKind{
-		FaultCrash, FaultCrashAtWrite, FaultCrashAll, FaultFreeze, FaultCutOneWay, FaultIsolate, FaultWeather,
+		FaultCrash, FaultCrashAtWrite, FaultCrashAll, FaultFreeze, FaultCutOneWay, FaultIsolate, FaultLossyNetwork,
 		FaultWipe, FaultWipeAfterAnswer, FaultReplace, FaultTransfer, FaultGatewayFreeze, FaultGatewayRestart,
 		FaultGatewayCut, FaultCrashAfterVote, FaultCrashElected, FaultSilenced, FaultStall, FaultSplit, FaultSwap,
 	}
