Let the programs of the stand-ins share one package

Cause: standin-platform and standin-replica each had the same root command, signals, exit statuses and closing of the event log. Change: internal/standin/command holds them once.

--- a/cmd/standin-platform/main.go
+++ b/cmd/standin-platform/main.go
@@ -15,21 +15,11 @@
 	"syscall"
 	"time"
 
-	"github.com/spf13/cobra"
-
 	"github.com/deckpulley/deckpulley/internal/eventlog"
 	"github.com/deckpulley/deckpulley/internal/standin"
+	"github.com/deckpulley/deckpulley/internal/standin/command"
 )
 
-// Exit statuses.
-const (
-	statusFailed  = 1
-	statusInvalid = 2
-)
-
-// readHeaderTimeout bounds a slow client of the control port.
-const readHeaderTimeout = 5 * time.Second
-
 // options are the flags.
 type options struct {
 	control   []string
@@ -44,15 +34,9 @@
 
 func main() {
 	var flags options
-	command := &cobra.Command{
-		Use:           "standin-platform",
-		Short:         "List the replicas of a fleet to its control nodes",
-		Args:          cobra.NoArgs,
-		SilenceUsage:  true,
-		SilenceErrors: true,
-		RunE:          func(command *cobra.Command, _ []string) error { return run(command.Context(), flags) },
-	}
-	set := command.Flags()
+	root := command.New("standin-platform", "List the replicas of a fleet to its control nodes",
+		func(ctx context.Context) error { return run(ctx, flags) })
+	set := root.Flags()
 	set.StringSliceVar(&flags.control, "control", nil, "operators' addresses (host:port) of nodes, tried in turn")
 	set.StringVar(&flags.replicas, "replicas", "", "file (YAML or JSON) with the replica list")
 	set.StringVar(&flags.token, "token", "", "token of the platform")
@@ -61,28 +45,7 @@
 	set.StringVar(&flags.log, "log", "", "file to append events to")
 	set.StringVar(&flags.name, "name", "platform", "name in the event log")
 	set.BoolVar(&flags.verbose, "verbose", false, "say why nodes did not acknowledge")
-	for _, name := range []string{"control", "replicas"} {
-		if err := command.MarkFlagRequired(name); err != nil {
-			panic(err)
-		}
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := command.ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "standin-platform:", err)
-		os.Exit(exitStatus(err))
-	}
-}
-
-// servingError marks an error that is not one of flags or files.
-type servingError struct{ error }
-
-func exitStatus(err error) int {
-	var serving servingError
-	if errors.As(err, &serving) {
-		return statusFailed
-	}
-	return statusInvalid
+	command.Execute(root, "control", "replicas")
 }
 
 func run(ctx context.Context, flags options) error {
@@ -101,15 +64,15 @@
 		if err != nil {
 			return err
 		}
-		defer closeLog(writer, config.Logger)
+		defer command.CloseLog(writer, config.Logger)
 		config.Log = writer
 	}
 	platform := standin.NewPlatform(config)
 	listener, err := net.Listen("tcp", flags.listen)
 	if err != nil {
-		return servingError{fmt.Errorf("listening: %w", err)}
+		return command.ServingError{Err: fmt.Errorf("listening: %w", err)}
 	}
-	server := &http.Server{Handler: platform, ReadHeaderTimeout: readHeaderTimeout}
+	server := command.NewServer(platform)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			config.Logger.Error("serving", "error", err)
@@ -120,12 +83,6 @@
 	return server.Close()
 }
 
-func closeLog(writer *eventlog.Writer, logger *slog.Logger) {
-	if err := writer.Close(); err != nil {
-		logger.Error("the event log is not whole", "error", err)
-	}
-}
-
 // resendPause is the time between attempts while no node acknowledges the list.
 const resendPause = time.Second
 
--- a/cmd/standin-replica/main.go
+++ b/cmd/standin-replica/main.go
@@ -4,36 +4,23 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
-	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"github.com/spf13/cobra"
-
 	"github.com/deckpulley/deckpulley/internal/emulator"
 	"github.com/deckpulley/deckpulley/internal/eventlog"
 	"github.com/deckpulley/deckpulley/internal/standin"
+	"github.com/deckpulley/deckpulley/internal/standin/command"
 )
 
-// Exit statuses.
-const (
-	statusFailed  = 1
-	statusInvalid = 2
-	// statusCrash is that of the told crash.
-	statusCrash = 137
-)
+// statusCrash is the exit status of the told crash.
+const statusCrash = 137
 
-// Time limits of the HTTP server.
-const (
-	readHeaderTimeout = 5 * time.Second
-	shutdownTimeout   = 5 * time.Second
-)
+// shutdownTimeout bounds the draining at the end.
+const shutdownTimeout = 5 * time.Second
 
 // options are the flags.
 type options struct {
@@ -48,15 +35,9 @@
 
 func main() {
 	var flags options
-	command := &cobra.Command{
-		Use:           "standin-replica",
-		Short:         "Serve one emulated replica",
-		Args:          cobra.NoArgs,
-		SilenceUsage:  true,
-		SilenceErrors: true,
-		RunE:          func(command *cobra.Command, _ []string) error { return run(command.Context(), flags) },
-	}
-	set := command.Flags()
+	root := command.New("standin-replica", "Serve one emulated replica",
+		func(ctx context.Context) error { return run(ctx, flags) })
+	set := root.Flags()
 	set.StringVar(&flags.id, "id", "", "name of the replica")
 	set.StringVar(&flags.service, "service", "", "service that the replica belongs to")
 	set.StringVar(&flags.zone, "zone", "", "availability zone")
@@ -67,28 +48,7 @@
 	set.StringVar(&flags.kind, "kind", string(emulator.KindModel), "model or web")
 	set.Uint64Var(&flags.seed, "seed", 1, "seed of the replica's randomness")
 	set.BoolVar(&flags.cold, "cold", false, "start cold")
-	for _, name := range []string{"id", "service"} {
-		if err := command.MarkFlagRequired(name); err != nil {
-			panic(err)
-		}
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := command.ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "standin-replica:", err)
-		os.Exit(exitStatus(err))
-	}
-}
-
-// servingError marks an error that is not one of flags or files.
-type servingError struct{ error }
-
-func exitStatus(err error) int {
-	var serving servingError
-	if errors.As(err, &serving) {
-		return statusFailed
-	}
-	return statusInvalid
+	command.Execute(root, "id", "service")
 }
 
 func run(ctx context.Context, flags options) error {
@@ -111,16 +71,16 @@
 		if err != nil {
 			return err
 		}
-		defer closeLog(writer)
+		defer command.CloseLog(writer, slog.Default())
 		config.Log = writer
 		config.Exit = func() {
-			closeLog(writer)
+			command.CloseLog(writer, slog.Default())
 			os.Exit(statusCrash)
 		}
 	}
 	listener, err := net.Listen("tcp", flags.listen)
 	if err != nil {
-		return servingError{fmt.Errorf("listening: %w", err)}
+		return command.ServingError{Err: fmt.Errorf("listening: %w", err)}
 	}
 	replica := standin.NewServer(config)
 	defer replica.Close()
@@ -128,12 +88,6 @@
 	return serve(ctx, listener, replica)
 }
 
-func closeLog(writer *eventlog.Writer) {
-	if err := writer.Close(); err != nil {
-		slog.Error("the event log is not whole", "error", err)
-	}
-}
-
 func loadParameters(flags options) (emulator.Parameters, error) {
 	kind := emulator.Kind(flags.kind)
 	if flags.parameters != "" {
@@ -145,12 +99,12 @@
 
 // serve answers until ctx ends, then drains for a bounded time.
 func serve(ctx context.Context, listener net.Listener, replica *standin.Server) error {
-	server := &http.Server{Handler: replica, ReadHeaderTimeout: readHeaderTimeout}
+	server := command.NewServer(replica)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	select {
 	case err := <-failed:
-		return servingError{fmt.Errorf("serving: %w", err)}
+		return command.ServingError{Err: fmt.Errorf("serving: %w", err)}
 	case <-ctx.Done():
 	}
 	replica.SetDraining(true)
