Say leadership instead of office

No behaviour changes. Measured: go vet of all packages; go test -race passes in consensus, control, lease, internal/simulation, examples/embedding and gateway/agent.

--- a/consensus/consensus_test.go
+++ b/consensus/consensus_test.go
@@ -119,7 +119,7 @@
 }
 
 // TestMuteLeaderStepsDown cuts a leader's outgoing side: the others replace it,
-// and it leaves office by itself within an election timeout.
+// and it steps down by itself within an election timeout.
 func TestMuteLeaderStepsDown(t *testing.T) {
 	c := newCluster(t, "a", "b", "c")
 	old := c.leader()
@@ -127,7 +127,7 @@
 	c.block = func(message Message) bool { return message.From == old.config.ID }
 	c.run(testElection + 2*testHeartbeat)
 	if old.role == Leader {
-		t.Fatal("a leader without a majority is still in office")
+		t.Fatal("a leader without a majority still leads")
 	}
 	if _, _, err := old.Propose(c.now, nil); !errors.Is(err, ErrNotLeader) {
 		t.Fatalf("it took a proposal: %v", err)
@@ -323,7 +323,7 @@
 		})
 		c.run(3 * time.Second)
 		if c.nodes[pair[0]].role == Leader {
-			t.Fatalf("removed %s is still in office", pair[0])
+			t.Fatalf("removed %s still leads", pair[0])
 		}
 		delete(c.nodes, pair[0])
 		c.change(func(m Membership) Membership {
--- a/consensus/contact.go
+++ b/consensus/contact.go
@@ -14,8 +14,8 @@
 // Only send times on the leader's own clock count: answers that waited in a
 // buffer while the leader was frozen prove nothing newer.
 
-// office is what a leader knows, from its election to its end.
-type office struct {
+// leadership is what a leader knows, from its election to its end.
+type leadership struct {
 	elected       time.Duration
 	nextHeartbeat time.Duration
 	round         uint64
@@ -26,35 +26,35 @@
 	transferDeadline time.Duration
 }
 
-func newOffice(n *Node) *office {
-	o := &office{
+func newLeadership(n *Node) *leadership {
+	l := &leadership{
 		elected:   n.now,
 		roundSent: make(map[uint64]time.Duration),
 		progress:  make(map[ID]*progress),
 	}
-	o.follow(n)
-	return o
+	l.follow(n)
+	return l
 }
 
 // follow makes the set of watched members that of the newest membership.
-func (o *office) follow(n *Node) {
+func (l *leadership) follow(n *Node) {
 	membership := n.membership()
-	for id := range o.progress {
+	for id := range l.progress {
 		if !membership.has(id) {
-			delete(o.progress, id)
+			delete(l.progress, id)
 		}
 	}
 	for _, member := range membership.Members {
-		if member.ID != n.config.ID && o.progress[member.ID] == nil {
-			o.progress[member.ID] = newProgress(n.log.last() + 1)
+		if member.ID != n.config.ID && l.progress[member.ID] == nil {
+			l.progress[member.ID] = newProgress(n.log.last() + 1)
 		}
 	}
 }
 
-func (o *office) report(n *Node) (map[ID]uint64, map[ID]time.Duration) {
+func (l *leadership) report(n *Node) (map[ID]uint64, map[ID]time.Duration) {
 	match := map[ID]uint64{n.config.ID: n.log.stable}
 	contact := map[ID]time.Duration{n.config.ID: n.now}
-	for id, member := range o.progress {
+	for id, member := range l.progress {
 		match[id] = member.match
 		if member.answered {
 			contact[id] = member.lastAnswer
@@ -65,13 +65,13 @@
 
 // beginRound starts a heartbeat round.
 func (n *Node) beginRound() {
-	o := n.office
-	o.round++
-	o.roundSent[o.round] = n.now
-	o.nextHeartbeat = n.now + n.config.HeartbeatInterval
-	for round, sent := range o.roundSent {
+	l := n.leadership
+	l.round++
+	l.roundSent[l.round] = n.now
+	l.nextHeartbeat = n.now + n.config.HeartbeatInterval
+	for round, sent := range l.roundSent {
 		if n.now-sent > roundMemoryTimeouts*n.config.ElectionTimeout {
-			delete(o.roundSent, round)
+			delete(l.roundSent, round)
 		}
 	}
 	for _, member := range n.membership().Members {
@@ -82,24 +82,24 @@
 }
 
 func (n *Node) sendHeartbeat(to ID) {
-	match := n.office.progress[to].match
+	match := n.leadership.progress[to].match
 	n.send(Message{
 		Kind:   MessageHeartbeat,
 		To:     to,
 		Commit: min(n.commit, match), // the member may hold something else beyond
-		Round:  n.office.round,
+		Round:  n.leadership.round,
 	})
 }
 
 // noteAnswer records that a member answered a round.
 func (n *Node) noteAnswer(from ID, round uint64) *progress {
-	member := n.office.progress[from]
+	member := n.leadership.progress[from]
 	if member == nil {
 		return nil
 	}
 	member.answered = true
 	member.lastAnswer = n.now
-	if sent, known := n.office.roundSent[round]; known && round > member.round {
+	if sent, known := n.leadership.roundSent[round]; known && round > member.round {
 		member.round = round
 		member.roundSent = sent
 		if n.defects.Has(defectFreshContact) {
@@ -112,12 +112,12 @@
 // QuorumContact returns the send time of the newest round that a majority of
 // voters has acknowledged in this term, and false if there is none or the node
 // is not the leader. Its age is the longest time for which a successor may
-// already be in office.
+// already lead.
 func (n *Node) QuorumContact() (time.Duration, bool) {
 	if n.role != Leader {
 		return 0, false
 	}
-	o := n.office
+	l := n.leadership
 	var acknowledged []time.Duration
 	voters := 0
 	for _, member := range n.membership().Members {
@@ -126,8 +126,8 @@
 		}
 		voters++
 		if member.ID == n.config.ID {
-			acknowledged = append(acknowledged, o.roundSent[o.round])
-		} else if other := o.progress[member.ID]; other.round > 0 {
+			acknowledged = append(acknowledged, l.roundSent[l.round])
+		} else if other := l.progress[member.ID]; other.round > 0 {
 			acknowledged = append(acknowledged, other.roundSent)
 		}
 	}
@@ -139,9 +139,9 @@
 	return acknowledged[len(acknowledged)-quorum], true
 }
 
-// checkQuorum ends the office of a leader without a recent majority.
+// checkQuorum ends the leadership of a leader without a recent majority.
 func (n *Node) checkQuorum() {
-	newest := n.office.elected
+	newest := n.leadership.elected
 	if contact, known := n.QuorumContact(); known {
 		newest = max(newest, contact)
 	}
@@ -156,7 +156,7 @@
 		return
 	}
 	n.expireTransfer()
-	if n.now >= n.office.nextHeartbeat {
+	if n.now >= n.leadership.nextHeartbeat {
 		n.beginRound()
 	}
 }
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -16,7 +16,7 @@
 	n.electionDeadline = n.now + n.config.ElectionTimeout + spread
 }
 
-// hearsLeader tells whether this member knows a leader in office.
+// hearsLeader tells whether this member knows a present leader.
 func (n *Node) hearsLeader() bool {
 	if n.role == Leader {
 		n.checkQuorum()
@@ -32,7 +32,7 @@
 	}
 	n.role = Follower
 	n.leader = leader
-	n.office = nil
+	n.leadership = nil
 	n.ballots = nil
 	n.resetElectionDeadline()
 }
@@ -157,13 +157,13 @@
 	}
 }
 
-// becomeLeader takes office and appends the entry that lets earlier terms'
+// becomeLeader begins to lead and appends the entry that lets earlier terms'
 // entries be committed (Raft, section 5.4.2).
 func (n *Node) becomeLeader() {
 	n.role = Leader
 	n.leader = n.config.ID
 	n.ballots = nil
-	n.office = newOffice(n)
+	n.leadership = newLeadership(n)
 	n.appendOwn(EntryNoop, nil)
 	n.beginRound()
 }
--- a/consensus/errors.go
+++ b/consensus/errors.go
@@ -6,7 +6,7 @@
 var (
 	// ErrNotLeader means that only the leader can do this, and the node is not it.
 	ErrNotLeader = errors.New("consensus: not the leader")
-	// ErrTransferring means that the leader is handing its office over.
+	// ErrTransferring means that a transfer of the leadership is under way.
 	ErrTransferring = errors.New("consensus: leadership is being transferred")
 	// ErrMembershipPending means that the previous change is not committed, or
 	// that the leader has not committed an entry of its own term yet.
--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -184,7 +184,7 @@
 	}
 	index = n.appendOwn(EntryMembership, data)
 	n.configurations = append(n.configurations, configuration{index, membership.clone()})
-	n.office.follow(n)
+	n.leadership.follow(n)
 	return index, n.term, nil
 }
 
@@ -211,7 +211,7 @@
 	return term == n.term
 }
 
-// leaveIfRemoved ends the office of a leader that the committed membership no
+// leaveIfRemoved ends the leadership of a leader that the committed membership no
 // longer counts among the voters. It tells the others the commit first, and
 // calls on the most complete voter to take over.
 func (n *Node) leaveIfRemoved() {
@@ -230,7 +230,7 @@
 	best := None
 	var match uint64
 	for _, member := range n.membership().Members {
-		other := n.office.progress[member.ID]
+		other := n.leadership.progress[member.ID]
 		if member.Learner || other == nil {
 			continue
 		}
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -63,7 +63,7 @@
 	heardLeader      time.Duration
 	ballots          map[ID]bool
 
-	office *office
+	leadership *leadership
 }
 
 // New restores a member from its disk, or makes a new one that belongs to no
@@ -286,14 +286,14 @@
 		Membership: n.membership().clone(),
 	}
 	if n.role == Leader {
-		status.Match, status.Contact = n.office.report(n)
+		status.Match, status.Contact = n.leadership.report(n)
 		status.Settled = n.settled()
 	}
 	return status
 }
 
-// Office returns the present term, and whether the node leads in it. It is
+// Leadership returns the present term, and whether the node leads in it. It is
 // cheaper than Status.
-func (n *Node) Office() (term uint64, leading bool) {
+func (n *Node) Leadership() (term uint64, leading bool) {
 	return n.term, n.role == Leader
 }
--- a/consensus/replication.go
+++ b/consensus/replication.go
@@ -85,7 +85,7 @@
 		return ErrNotLeader
 	}
 	n.expireTransfer()
-	if n.office.transferTo != None {
+	if n.leadership.transferTo != None {
 		return ErrTransferring
 	}
 	return nil
@@ -103,7 +103,7 @@
 		return
 	}
 	for _, member := range n.membership().Members {
-		if other := n.office.progress[member.ID]; other != nil {
+		if other := n.leadership.progress[member.ID]; other != nil {
 			n.replicate(member.ID, other)
 		}
 	}
@@ -140,7 +140,7 @@
 		LogTerm: previousTerm,
 		Commit:  n.commit,
 		Entries: entries,
-		Round:   n.office.round,
+		Round:   n.leadership.round,
 	})
 	member.sentCommit = n.commit
 	if member.state == progressProbe {
@@ -279,7 +279,7 @@
 		if member.ID == n.config.ID {
 			matches = append(matches, n.log.stable)
 		} else {
-			matches = append(matches, n.office.progress[member.ID].match)
+			matches = append(matches, n.leadership.progress[member.ID].match)
 		}
 	}
 	return quorumValue(matches)
--- a/consensus/snapshot.go
+++ b/consensus/snapshot.go
@@ -44,7 +44,7 @@
 	n.send(Message{
 		Kind:     MessageSnapshot,
 		To:       to,
-		Round:    n.office.round,
+		Round:    n.leadership.round,
 		Snapshot: &snapshot,
 	})
 }
--- a/consensus/transfer.go
+++ b/consensus/transfer.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// TransferLeadership hands the office over to a voter as soon as that voter
+// TransferLeadership hands the leadership over to a voter as soon as that voter
 // holds the whole log. Proposals are refused meanwhile. It is given up after
 // one ElectionTimeout.
 func (n *Node) TransferLeadership(now time.Duration, to ID) error {
@@ -10,12 +10,12 @@
 	if err := n.acceptsProposals(); err != nil {
 		return err
 	}
-	member := n.office.progress[to]
+	member := n.leadership.progress[to]
 	if member == nil || !n.membership().votes(to) {
 		return ErrNotVoter
 	}
-	n.office.transferTo = to
-	n.office.transferDeadline = n.now + n.config.ElectionTimeout
+	n.leadership.transferTo = to
+	n.leadership.transferDeadline = n.now + n.config.ElectionTimeout
 	n.flush = true
 	n.finishTransfer(to)
 	return nil
@@ -23,17 +23,17 @@
 
 // finishTransfer calls the successor to an election once it holds everything.
 func (n *Node) finishTransfer(id ID) {
-	if n.role != Leader || n.office.transferTo != id {
+	if n.role != Leader || n.leadership.transferTo != id {
 		return
 	}
-	if n.office.progress[id].match == n.log.last() {
+	if n.leadership.progress[id].match == n.log.last() {
 		n.send(Message{Kind: MessageTimeoutNow, To: id})
 	}
 }
 
 func (n *Node) expireTransfer() {
-	if n.office.transferTo != None && n.now >= n.office.transferDeadline {
-		n.office.transferTo = None
+	if n.leadership.transferTo != None && n.now >= n.leadership.transferDeadline {
+		n.leadership.transferTo = None
 	}
 }
 
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -190,7 +190,7 @@
 		cluster := f.primary().observe().cluster
 		for round, name := range append(controlNames, controlNames[0]) {
 			f.await("a whole group", func() bool { return f.members(f.primary()).RepairDone })
-			time.Sleep(2 * learnerPatience) // a primary long in office counts a newcomer's time from its coming
+			time.Sleep(2 * learnerPatience) // a primary long leading counts a newcomer's time from its coming
 			f.mustSend(f.primary(), "order-"+string(rune('a'+round)), base)
 			base++
 			f.stop(name)
--- a/control/leases.go
+++ b/control/leases.go
@@ -11,9 +11,9 @@
 	"github.com/deckpulley/deckpulley/registry"
 )
 
-// office is what this node keeps for one term of leading. It is discarded whole
+// leadership is what this node keeps for one term of leading. It is discarded whole
 // when the term ends.
-type office struct {
+type leadership struct {
 	term    uint64
 	elected time.Duration
 	// ready is true once everything that was committed before the election is
@@ -57,18 +57,18 @@
 	pending       bool // an update of its member record is on its way
 }
 
-// followOffice takes office up and lays it down as the replicated log says.
-func (m *machine) followOffice(now time.Duration) {
+// followLeadership begins and ends the leadership as the replicated log says.
+func (m *machine) followLeadership(now time.Duration) {
 	status := m.group.Status()
-	if m.office != nil && (status.Role != consensus.Leader || status.Term != m.office.term) {
-		m.log.Warn("no longer primary", "term", m.office.term, "newest_term", status.Term)
-		m.office = nil
+	if m.leadership != nil && (status.Role != consensus.Leader || status.Term != m.leadership.term) {
+		m.log.Warn("no longer primary", "term", m.leadership.term, "newest_term", status.Term)
+		m.leadership = nil
 		m.loseWaiters(ErrLeadershipLost)
 	}
-	if m.office == nil && status.Role == consensus.Leader {
+	if m.leadership == nil && status.Role == consensus.Leader {
 		m.log.Info("elected", "term", status.Term)
 		m.metrics.elections.Inc()
-		m.office = &office{
+		m.leadership = &leadership{
 			term:     status.Term,
 			elected:  now,
 			gateways: make(map[string]*gatewayState),
@@ -78,23 +78,23 @@
 	}
 }
 
-// openOffice begins to serve once an entry of the own term is applied, and with
+// startServing begins to serve once an entry of the own term is applied, and with
 // it everything that was committed before.
-func (m *machine) openOffice(entry consensus.Entry) {
-	if m.office == nil || m.office.ready || entry.Term != m.office.term || m.table == nil {
+func (m *machine) startServing(entry consensus.Entry) {
+	if m.leadership == nil || m.leadership.ready || entry.Term != m.leadership.term || m.table == nil {
 		return
 	}
-	m.office.ready = true
-	m.office.grantor = lease.NewGrantor(m.options.Lease, m.office.term, m.office.elected, m.table.Serial())
-	m.log.Info("primary", "term", m.office.term, "serial", m.table.Serial())
+	m.leadership.ready = true
+	m.leadership.grantor = lease.NewGrantor(m.options.Lease, m.leadership.term, m.leadership.elected, m.table.Serial())
+	m.log.Info("primary", "term", m.leadership.term, "serial", m.table.Serial())
 }
 
-// serving returns the office if this node is a primary that may answer.
-func (m *machine) serving() (*office, bool) {
-	if m.office == nil || !m.office.ready {
+// serving returns the leadership if this node is a primary that may answer.
+func (m *machine) serving() (*leadership, bool) {
+	if m.leadership == nil || !m.leadership.ready {
 		return nil, false
 	}
-	return m.office, true
+	return m.leadership, true
 }
 
 // serveRenew answers a gateway's renewal.
@@ -121,13 +121,13 @@
 	status := m.group.Status()
 	grant.Term = status.Term
 	grant.Control = addressesOf(status.Membership)
-	office, serving := m.serving()
+	leadership, serving := m.serving()
 	if !serving || m.foreign(renew, status.Term) {
 		grant.Primary = m.addressOf(status.Membership, status.Leader)
 		return grant
 	}
 	contact, known := m.group.QuorumContact()
-	decision := office.grantor.Renew(now, contact, known, lease.Request{
+	decision := leadership.grantor.Renew(now, contact, known, lease.Request{
 		Holder:      renew.Gateway.Name,
 		Incarnation: renew.Gateway.Incarnation,
 		Held:        renew.Held,
@@ -167,10 +167,10 @@
 
 // noteGateway remembers who renewed, for its member record and for Notify.
 func (m *machine) noteGateway(now time.Duration, renew peer.Renew) {
-	state, known := m.office.gateways[renew.Gateway.Name]
+	state, known := m.leadership.gateways[renew.Gateway.Name]
 	if !known {
 		state = &gatewayState{since: now}
-		m.office.gateways[renew.Gateway.Name] = state
+		m.leadership.gateways[renew.Gateway.Name] = state
 	}
 	restarted := state.info.Incarnation != renew.Gateway.Incarnation
 	lapsed := now-state.renewed > m.options.Lease.Length
@@ -178,7 +178,7 @@
 		state.since = now
 	}
 	if restarted || lapsed || state.held != renew.Held || state.active != renew.Active {
-		m.office.leasesChanged = true
+		m.leadership.leasesChanged = true
 	}
 	state.info = renew.Gateway
 	state.held = renew.Held
@@ -219,7 +219,7 @@
 	if known {
 		prerequisite = registry.Equals(places.GatewayRecord(name, old))
 	}
-	m.log.Info("gateway member record", "gateway", name, "up", wanted.Up, "incarnation", wanted.Incarnation, "term", m.office.term)
+	m.log.Info("gateway member record", "gateway", name, "up", wanted.Up, "incarnation", wanted.Incarnation, "term", m.leadership.term)
 	update := m.ownUpdate([]registry.Record{prerequisite}, []registry.Record{registry.Add(places.GatewayRecord(name, wanted))})
 	m.propose(now, update, func(registry.Result, error) { done() })
 }
@@ -227,8 +227,8 @@
 // forgetLapsedLeases drops leases that have run out, so that restarted gateways
 // leave nothing behind.
 func (m *machine) forgetLapsedLeases(now time.Duration) {
-	for _, holder := range m.office.grantor.Expired(now) {
-		m.log.Warn("lease ran out", "gateway", holder.Holder, "incarnation", holder.Incarnation, "term", m.office.term)
+	for _, holder := range m.leadership.grantor.Expired(now) {
+		m.log.Warn("lease ran out", "gateway", holder.Holder, "incarnation", holder.Incarnation, "term", m.leadership.term)
 	}
 }
 
@@ -237,10 +237,10 @@
 func (m *machine) markLapsedGateways(now time.Duration) {
 	patience := m.options.Lease.Length + m.options.Lease.Margin + m.options.GatewayGrace
 	for name, record := range m.contents.Gateways() {
-		state, known := m.office.gateways[name]
+		state, known := m.leadership.gateways[name]
 		if !known {
-			state = &gatewayState{renewed: m.office.elected + m.options.Lease.Window()}
-			m.office.gateways[name] = state
+			state = &gatewayState{renewed: m.leadership.elected + m.options.Lease.Window()}
+			m.leadership.gateways[name] = state
 		}
 		if !record.Up || state.pending || now-state.renewed <= patience {
 			continue
@@ -253,43 +253,43 @@
 }
 
 // reviewLeases works out what may become active and what is in force. Both
-// follow from the serial, the proof of office and what gateways report; a renewal
+// follow from the serial, the proof of leadership and what gateways report; a renewal
 // that reports nothing new changes neither.
 func (m *machine) reviewLeases(now time.Duration) {
-	office, serving := m.serving()
+	leadership, serving := m.serving()
 	if !serving {
 		return
 	}
 	contact, known := m.group.QuorumContact()
 	serial := m.table.Serial()
-	if !office.leasesChanged && contact == office.contact && known == office.contactKnown && serial == office.serial {
+	if !leadership.leasesChanged && contact == leadership.contact && known == leadership.contactKnown && serial == leadership.serial {
 		return
 	}
-	office.leasesChanged = false
-	office.contact, office.contactKnown = contact, known
-	office.serial = serial
+	leadership.leasesChanged = false
+	leadership.contact, leadership.contactKnown = contact, known
+	leadership.serial = serial
 	if known {
-		office.grantor.SetContact(contact)
+		leadership.grantor.SetContact(contact)
 	}
-	office.activate = office.grantor.Activate(now)
-	office.inForce, office.inForceKnown = office.grantor.InForce(now)
-	m.notifyGateways(office)
+	leadership.activate = leadership.grantor.Activate(now)
+	leadership.inForce, leadership.inForceKnown = leadership.grantor.InForce(now)
+	m.notifyGateways(leadership)
 }
 
 // notifyGateways tells the gateways that there is something to renew for: a new
 // serial, a new activation or a new primary.
-func (m *machine) notifyGateways(office *office) {
-	if office.serial == office.notifiedSerial && office.activate == office.notifiedActivate {
+func (m *machine) notifyGateways(leadership *leadership) {
+	if leadership.serial == leadership.notifiedSerial && leadership.activate == leadership.notifiedActivate {
 		return
 	}
-	office.notifiedSerial = office.serial
-	office.notifiedActivate = office.activate
+	leadership.notifiedSerial = leadership.serial
+	leadership.notifiedActivate = leadership.activate
 	notify := peer.Notify{
 		Cluster:  m.cluster,
-		Term:     office.term,
+		Term:     leadership.term,
 		Primary:  m.options.PeerAddress,
-		Serial:   office.serial,
-		Activate: office.activate,
+		Serial:   leadership.serial,
+		Activate: leadership.activate,
 	}
 	for _, address := range m.gatewayAddresses() {
 		m.network.Send(address, peer.KindNotify, &notify)
@@ -307,7 +307,7 @@
 			addresses = append(addresses, address)
 		}
 	}
-	for _, state := range m.office.gateways {
+	for _, state := range m.leadership.gateways {
 		include(state.info.PeerAddress)
 	}
 	for _, record := range m.contents.Gateways() {
--- a/control/machine.go
+++ b/control/machine.go
@@ -38,8 +38,8 @@
 	// snapshotIndex is the index of the newest snapshot on disk.
 	snapshotIndex uint64
 
-	waiters map[uint64]waiter // by log index
-	office  *office           // nil unless this node leads
+	waiters    map[uint64]waiter // by log index
+	leadership *leadership       // nil unless this node leads
 
 	// heard holds addresses of members that other nodes told.
 	heard     map[consensus.ID]string
@@ -122,7 +122,7 @@
 		return
 	}
 	m.group.Tick(now)
-	m.followOffice(now)
+	m.followLeadership(now)
 }
 
 // step hands one message of the group to the replicated log.
@@ -134,7 +134,7 @@
 	if err := m.group.Step(now, wrapped.Message); err != nil {
 		m.log.Debug("message refused by the log", "from", string(wrapped.Message.From), "error", err)
 	}
-	m.followOffice(now)
+	m.followLeadership(now)
 }
 
 // settle carries out what the inputs caused: writes, then messages, then
@@ -149,7 +149,7 @@
 			return err
 		}
 	}
-	m.followOffice(now)
+	m.followLeadership(now)
 	m.reviewLeases(now)
 	return m.failure
 }
@@ -226,7 +226,7 @@
 		if err != nil {
 			return fmt.Errorf("control: committed entry %d: %w", entry.Index, err)
 		}
-		if planted.Active(planted.ForgetEvacuations) && m.office == nil {
+		if planted.Active(planted.ForgetEvacuations) && m.leadership == nil {
 			update.Changes = slices.DeleteFunc(update.Changes, func(change registry.Record) bool { return change.Type == places.TypeEvacuation })
 		}
 		result = m.table.Apply(&update, permit)
@@ -237,7 +237,7 @@
 	}
 	m.applied = entry.Index
 	m.answer(entry, result)
-	m.openOffice(entry)
+	m.startServing(entry)
 	return nil
 }
 
@@ -254,8 +254,8 @@
 		return fmt.Errorf("control: reading the table: %w", err)
 	}
 	m.contents = contents
-	if office, serving := m.serving(); serving {
-		office.grantor.SetSerial(m.table.Serial())
+	if leadership, serving := m.serving(); serving {
+		leadership.grantor.SetSerial(m.table.Serial())
 	}
 	return nil
 }
@@ -285,13 +285,13 @@
 		o.view = m.table.View()
 		o.serial = m.table.Serial()
 	}
-	office, serving := m.serving()
+	leadership, serving := m.serving()
 	if !serving {
 		return o
 	}
 	o.primary = true
-	o.contact, o.contactKnown = office.contact, office.contactKnown
-	o.inForce, o.inForceKnown = office.inForce, office.inForceKnown
+	o.contact, o.contactKnown = leadership.contact, leadership.contactKnown
+	o.inForce, o.inForceKnown = leadership.inForce, leadership.inForceKnown
 	return o
 }
 
--- a/control/proposal.go
+++ b/control/proposal.go
@@ -59,7 +59,7 @@
 
 // propose appends an update to the log of a primary. done runs once.
 func (m *machine) propose(now time.Duration, update registry.Update, done func(registry.Result, error)) {
-	if m.office == nil || !m.office.ready {
+	if m.leadership == nil || !m.leadership.ready {
 		done(registry.Result{}, ErrNotPrimary)
 		return
 	}
--- a/control/repair.go
+++ b/control/repair.go
@@ -42,13 +42,13 @@
 	status := m.group.Status()
 	reply.Members = status.Membership.Members
 	reply.Primary = m.addressOf(status.Membership, status.Leader)
-	office, serving := m.serving()
+	leadership, serving := m.serving()
 	if !serving {
 		return reply
 	}
 	member.Learner = false
 	request := joinRequest{member: member, asked: now}
-	office.noteJoin(request)
+	leadership.noteJoin(request)
 	_, known := findMember(status.Membership, member.ID)
 	repair := m.repairOf(now, status)
 	reply.Accepted = known || repair.hasPlaceFor(request)
@@ -57,30 +57,30 @@
 
 // noteJoin keeps the newest request from an address: an older one came from a
 // disk that is no longer there.
-func (o *office) noteJoin(request joinRequest) {
-	for id, other := range o.joins {
+func (l *leadership) noteJoin(request joinRequest) {
+	for id, other := range l.joins {
 		if other.member.Address == request.member.Address {
-			delete(o.joins, id)
+			delete(l.joins, id)
 		}
 	}
-	o.joins[request.member.ID] = request
+	l.joins[request.member.ID] = request
 }
 
 // maintain is what a primary does at intervals. While a node asks to join, the
 // repair goes on without waiting for them: until it is done, one more loss can
 // cost the majority.
 func (m *machine) maintain(now time.Duration) {
-	office, serving := m.serving()
+	leadership, serving := m.serving()
 	if !serving {
 		return
 	}
-	if now < office.nextMaintenance {
-		if len(office.joins) > 0 {
+	if now < leadership.nextMaintenance {
+		if len(leadership.joins) > 0 {
 			m.repairGroup(now)
 		}
 		return
 	}
-	office.nextMaintenance = now + maintenanceInterval
+	leadership.nextMaintenance = now + maintenanceInterval
 	m.recordHead(now)
 	m.recordMembers(now)
 	m.forgetLapsedLeases(now)
@@ -91,20 +91,20 @@
 // recordHead puts this node into the head record as the primary.
 func (m *machine) recordHead(now time.Duration) {
 	head := m.table.Head()
-	if m.office.headPending || head.Primary == m.options.Name {
+	if m.leadership.headPending || head.Primary == m.options.Name {
 		return
 	}
 	head.Primary = m.options.Name
 	head.Serial = registry.NextSerial(head.Serial)
-	m.office.headPending = true
-	office := m.office
+	m.leadership.headPending = true
+	leadership := m.leadership
 	update := m.ownUpdate(nil, []registry.Record{registry.Add(registry.HeadRecord(places.Apex, head))})
-	m.propose(now, update, func(registry.Result, error) { office.headPending = false })
+	m.propose(now, update, func(registry.Result, error) { leadership.headPending = false })
 }
 
 // recordMembers brings the member (NS) records in line with the voters.
 func (m *machine) recordMembers(now time.Duration) {
-	if m.office.membersPending {
+	if m.leadership.membersPending {
 		return
 	}
 	wanted := make(map[string]bool)
@@ -128,25 +128,25 @@
 	if len(changes)+len(added) == 0 {
 		return
 	}
-	m.office.membersPending = true
-	office := m.office
+	m.leadership.membersPending = true
+	leadership := m.leadership
 	update := m.ownUpdate(nil, append(added, changes...)) // added first: the last member record stays
-	m.propose(now, update, func(registry.Result, error) { office.membersPending = false })
+	m.propose(now, update, func(registry.Result, error) { leadership.membersPending = false })
 }
 
 // repairGroup takes the next step toward a whole group, one change at a time.
 func (m *machine) repairGroup(now time.Duration) {
-	office := m.office
-	for id, request := range office.joins {
+	leadership := m.leadership
+	for id, request := range leadership.joins {
 		if now-request.asked > joinPatience {
-			delete(office.joins, id)
+			delete(leadership.joins, id)
 		}
 	}
 	status := m.group.Status()
-	office.notice(now, status.Membership)
+	leadership.notice(now, status.Membership)
 	self := consensus.Member{ID: m.identity, Name: m.options.Name, Address: m.options.PeerAddress, Zone: m.options.Zone}
 	if known, found := findMember(status.Membership, m.identity); found && known != self {
-		office.joins[m.identity] = joinRequest{member: self, asked: now}
+		leadership.joins[m.identity] = joinRequest{member: self, asked: now}
 	}
 	repair := m.repairOf(now, status)
 	next, reason := repair.next()
@@ -164,31 +164,31 @@
 }
 
 // notice remembers since when each member is known.
-func (o *office) notice(now time.Duration, membership consensus.Membership) {
-	for id := range o.noticed {
+func (l *leadership) notice(now time.Duration, membership consensus.Membership) {
+	for id := range l.noticed {
 		if _, found := findMember(membership, id); !found {
-			delete(o.noticed, id)
+			delete(l.noticed, id)
 		}
 	}
 	for _, member := range membership.Members {
-		if _, known := o.noticed[member.ID]; !known {
-			o.noticed[member.ID] = now
+		if _, known := l.noticed[member.ID]; !known {
+			l.noticed[member.ID] = now
 		}
 	}
 }
 
 func (m *machine) repairOf(now time.Duration, status consensus.Status) repair {
-	joins := make([]joinRequest, 0, len(m.office.joins))
-	for _, request := range m.office.joins {
+	joins := make([]joinRequest, 0, len(m.leadership.joins))
+	for _, request := range m.leadership.joins {
 		joins = append(joins, request)
 	}
 	slices.SortFunc(joins, func(a, b joinRequest) int { return strings.Compare(string(a.member.ID), string(b.member.ID)) })
 	return repair{
 		now:          now,
-		elected:      m.office.elected,
+		elected:      m.leadership.elected,
 		status:       status,
 		joins:        joins,
-		noticed:      m.office.noticed,
+		noticed:      m.leadership.noticed,
 		voters:       m.voters,
 		replaceAfter: m.options.ReplaceAfter,
 	}
--- a/control/status.go
+++ b/control/status.go
@@ -83,7 +83,7 @@
 
 // overview is the loop's part: leases, replication and the state of the repair.
 func (m *machine) overview(now time.Duration, alive map[consensus.ID]bool) overview {
-	office, serving := m.serving()
+	leadership, serving := m.serving()
 	if !serving {
 		return overview{}
 	}
@@ -99,7 +99,7 @@
 	view.Status.Members = append(view.Status.Members, gateways...)
 	view.Status.Primary = m.options.Name
 	view.Status.Leases = leases
-	view.Status.InForceSerial, _ = office.grantor.InForce(now)
+	view.Status.InForceSerial, _ = leadership.grantor.InForce(now)
 	view.Status.Degraded = m.degraded(view, status)
 	return view
 }
@@ -133,7 +133,7 @@
 			Up:          record.Up,
 		}
 	}
-	holders := m.office.grantor.Holders(now)
+	holders := m.leadership.grantor.Holders(now)
 	for _, holder := range holders {
 		member, known := byName[holder.Holder]
 		if !known || member.Incarnation != holder.Incarnation {
@@ -142,7 +142,7 @@
 		member.LeaseMS = holder.Remaining.Milliseconds()
 		member.HeldSerial = holder.Held
 		member.ActiveSerial = holder.Active
-		if state := m.office.gateways[holder.Holder]; state != nil {
+		if state := m.leadership.gateways[holder.Holder]; state != nil {
 			member.ActiveVersion = state.activeVersion
 		}
 		byName[holder.Holder] = member
--- a/examples/embedding/member.go
+++ b/examples/embedding/member.go
@@ -170,7 +170,7 @@
 		}
 		m.group.Advance(ready)
 	}
-	m.keepOffice()
+	m.keepLeadership()
 	return nil
 }
 
@@ -188,18 +188,18 @@
 		}
 	}
 	// The first own entry tells that everything from before is in the table.
-	if term, leading := m.group.Office(); leading && entry.Term == term && m.grantor == nil {
+	if term, leading := m.group.Leadership(); leading && entry.Term == term && m.grantor == nil {
 		m.grantor = lease.NewGrantor(terms(), term, m.now(), m.table.Serial())
 	}
 	return nil
 }
 
-// keepOffice ends the office with its term, and tells the leases what is new.
-func (m *member) keepOffice() {
+// keepLeadership ends the leadership with its term, and tells the leases what is new.
+func (m *member) keepLeadership() {
 	if m.grantor == nil {
 		return
 	}
-	if term, leading := m.group.Office(); !leading || term != m.grantor.Term() {
+	if term, leading := m.group.Leadership(); !leading || term != m.grantor.Term() {
 		m.grantor = nil
 		return
 	}
--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -32,7 +32,7 @@
 	FreshContact
 	// AcknowledgeProposal answers an order when it is proposed, not when it is committed.
 	AcknowledgeProposal
-	// GrantWithoutContact grants leases without a proof of office.
+	// GrantWithoutContact grants leases without a proof of leadership.
 	GrantWithoutContact
 	// LeaseFromArrival counts a lease from the grant's arrival at the holder.
 	LeaseFromArrival
@@ -83,7 +83,7 @@
 		"wiped disk keeps its identity",
 		"contact counted from the arrival",
 		"order acknowledged before the commit",
-		"lease granted without proof of office",
+		"lease granted without proof of leadership",
 		"lease counted from the grant's arrival",
 	}[d]
 }
--- a/internal/simulation/checks.go
+++ b/internal/simulation/checks.go
@@ -108,9 +108,9 @@
 	return hash.Sum64()
 }
 
-// afterStep checks a machine's office.
+// afterStep checks a machine's leadership.
 func (c *checks) afterStep(m *machine) {
-	term, leading := m.node.Office()
+	term, leading := m.node.Leadership()
 	if !leading {
 		return
 	}
@@ -207,7 +207,7 @@
 		c.world.violate(RuleAgreement, "%s applied index %d after %d", m.name, entry.Index, c.committed())
 		return
 	}
-	term, _ := m.node.Office()
+	term, _ := m.node.Leadership()
 	previous := c.ledger[c.committed()]
 	if digest != previous.digest && m.state.serial() <= previous.serial {
 		c.world.violate(RuleSerial, "index %d changed the state, serial %d after %d", entry.Index, m.state.serial(), previous.serial)
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -169,7 +169,7 @@
 		if m.node == nil {
 			continue
 		}
-		if term, leading := m.node.Office(); leading && term > bestTerm {
+		if term, leading := m.node.Leadership(); leading && term > bestTerm {
 			best, bestTerm = m, term
 		}
 	}
--- a/internal/simulation/machine.go
+++ b/internal/simulation/machine.go
@@ -55,8 +55,8 @@
 	// asked holds the orders that wait for their answer here, by id.
 	asked map[string][]waiting
 	joins map[consensus.ID]joining
-	// office is nil unless the machine leads.
-	office *primary
+	// leadership is nil unless the machine leads.
+	leadership *primary
 }
 
 // place is where a proposal stands in the log.
@@ -153,7 +153,7 @@
 	m.stall = 0
 	m.asked = make(map[string][]waiting)
 	m.joins = make(map[consensus.ID]joining)
-	m.office = nil
+	m.leadership = nil
 	m.restoreState(held.Snapshot)
 	node.Tick(m.clock())
 	m.tickLater(m.process)
@@ -252,7 +252,7 @@
 
 // work does what the node asks for, in the order that Ready prescribes.
 func (m *machine) work() {
-	m.checkOffice()
+	m.checkLeadership()
 	for m.up() && m.node.HasReady() && !m.world.broken() {
 		ready := m.node.Ready()
 		if m.world.has(defect.SendBeforeSync) {
@@ -266,7 +266,7 @@
 			m.stop(ready)
 			return
 		}
-		if len(ready.Committed) > 0 && m.office != nil && m.office.grantor == nil {
+		if len(ready.Committed) > 0 && m.leadership != nil && m.leadership.grantor == nil {
 			m.world.atFirstCommit(m)
 		}
 		m.finish(ready)
@@ -285,7 +285,7 @@
 	m.node.Advance(ready)
 	m.compact()
 	if m.node != nil {
-		m.checkOffice()
+		m.checkLeadership()
 	}
 }
 
--- a/internal/simulation/primary.go
+++ b/internal/simulation/primary.go
@@ -39,26 +39,26 @@
 	forwarded bool
 }
 
-// checkOffice notices that the machine has become or ceased to be the leader.
-func (m *machine) checkOffice() {
-	term, leading := m.node.Office()
+// checkLeadership notices that the machine has become or ceased to be the leader.
+func (m *machine) checkLeadership() {
+	term, leading := m.node.Leadership()
 	if !leading {
-		m.office = nil
+		m.leadership = nil
 		return
 	}
-	if m.office == nil || m.office.term != term {
-		m.office = &primary{term: term, elected: m.clock(), proposed: make(map[string]uint64)}
+	if m.leadership == nil || m.leadership.term != term {
+		m.leadership = &primary{term: term, elected: m.clock(), proposed: make(map[string]uint64)}
 	}
 }
 
 // beginGranting is called once the first entry of the own term is applied: the
 // table then holds everything that earlier primaries may have reported.
 func (m *machine) beginGranting() {
-	elected := m.office.elected
+	elected := m.leadership.elected
 	if m.world.has(defect.LeaseNotWaitedOut) {
 		elected -= notWaited
 	}
-	m.office.grantor = lease.NewGrantor(lease.DefaultTerms(), m.office.term, elected, m.state.serial())
+	m.leadership.grantor = lease.NewGrantor(lease.DefaultTerms(), m.leadership.term, elected, m.state.serial())
 	m.propose(m.state.claim(m.name))
 }
 
@@ -73,7 +73,7 @@
 
 // lead does a leader's periodic work.
 func (m *machine) lead() {
-	if m.office == nil {
+	if m.leadership == nil {
 		return
 	}
 	m.repair()
@@ -83,7 +83,7 @@
 // askOrder takes an operator's order in. Only a leader proposes; the others
 // forward it once.
 func (m *machine) askOrder(asked order, from waiting) {
-	if m.office == nil {
+	if m.leadership == nil {
 		m.forwardOrder(asked, from)
 		return
 	}
@@ -91,14 +91,14 @@
 	if _, known := m.state.answer(asked.ID); known {
 		return // answerOrders replies once it is in force
 	}
-	if _, open := m.office.proposed[asked.ID]; open || m.office.grantor == nil {
+	if _, open := m.leadership.proposed[asked.ID]; open || m.leadership.grantor == nil {
 		return
 	}
 	index, proposed := m.propose(m.state.decide(asked))
 	if !proposed {
 		return
 	}
-	m.office.proposed[asked.ID] = index
+	m.leadership.proposed[asked.ID] = index
 	if m.world.has(defect.AcknowledgeProposal) {
 		m.acknowledgeEarly(asked)
 	}
@@ -131,40 +131,40 @@
 	m.reply(asked.ID, given)
 }
 
-// noteApplied tells the office of an applied entry.
+// noteApplied tells the leadership of an applied entry.
 func (m *machine) noteApplied(entry consensus.Entry) {
-	if m.office == nil {
+	if m.leadership == nil {
 		return
 	}
-	if m.office.grantor == nil && entry.Term == m.office.term {
+	if m.leadership.grantor == nil && entry.Term == m.leadership.term {
 		m.beginGranting()
 	}
-	if m.office.grantor != nil {
-		m.office.grantor.SetSerial(m.state.serial())
+	if m.leadership.grantor != nil {
+		m.leadership.grantor.SetSerial(m.state.serial())
 	}
-	for id, index := range m.office.proposed {
+	for id, index := range m.leadership.proposed {
 		if index <= entry.Index {
-			delete(m.office.proposed, id)
+			delete(m.leadership.proposed, id)
 		}
 	}
 }
 
 // inForce returns the serial that every gateway with a lease decides by.
 func (m *machine) inForce() (uint32, bool) {
-	if m.office == nil || m.office.grantor == nil {
+	if m.leadership == nil || m.leadership.grantor == nil {
 		return 0, false
 	}
 	if contact, known := m.contact(); known {
-		m.office.grantor.SetContact(contact)
+		m.leadership.grantor.SetContact(contact)
 	}
-	serial, known := m.office.grantor.InForce(m.clock())
+	serial, known := m.leadership.grantor.InForce(m.clock())
 	if known {
 		m.world.checks.reportedInForce(m, serial)
 	}
 	return serial, known
 }
 
-// contact is the proof of office.
+// contact is the proof of leadership.
 func (m *machine) contact() (time.Duration, bool) {
 	if m.world.has(defect.GrantWithoutContact) {
 		return m.clock(), true
@@ -206,14 +206,14 @@
 
 // notifyGateways tells them that there is something to renew for.
 func (m *machine) notifyGateways() {
-	if m.office == nil || m.office.grantor == nil {
+	if m.leadership == nil || m.leadership.grantor == nil {
 		return
 	}
-	now := notice{serial: m.state.serial(), activate: m.office.grantor.Activate(m.clock())}
-	if now == m.office.notified {
+	now := notice{serial: m.state.serial(), activate: m.leadership.grantor.Activate(m.clock())}
+	if now == m.leadership.notified {
 		return
 	}
-	m.office.notified = now
+	m.leadership.notified = now
 	for _, g := range m.world.gateways {
 		m.world.network.send(m.name, g.name, func() {
 			g.receive(func() { g.renew(m) })
@@ -224,11 +224,11 @@
 // grant answers a gateway's renewal.
 func (m *machine) grant(g *gateway, asked renewal) {
 	reply := grant{from: m}
-	if m.office != nil && m.office.grantor != nil {
+	if m.leadership != nil && m.leadership.grantor != nil {
 		contact, known := m.contact()
-		decision := m.office.grantor.Renew(m.clock(), contact, known, asked.request)
+		decision := m.leadership.grantor.Renew(m.clock(), contact, known, asked.request)
 		reply.decision = decision
-		reply.term = m.office.term
+		reply.term = m.leadership.term
 		if decision.Granted && registry.SerialLess(asked.request.Held, m.state.serial()) {
 			transfer := m.state.table.Difference(asked.request.Held)
 			reply.transfer = &transfer
--- a/internal/simulation/repair.go
+++ b/internal/simulation/repair.go
@@ -82,7 +82,7 @@
 }
 
 func (m *machine) noteJoin(request joining) {
-	if m.office == nil {
+	if m.leadership == nil {
 		return
 	}
 	request.heard = m.clock()
@@ -127,7 +127,7 @@
 // whose late request to join came after its removal.
 func (m *machine) dropSilentLearner(status consensus.Status) bool {
 	for position, member := range status.Membership.Members {
-		heard := max(m.office.elected, status.Contact[member.ID], m.joins[member.ID].heard)
+		heard := max(m.leadership.elected, status.Contact[member.ID], m.joins[member.ID].heard)
 		if !member.Learner || m.clock()-heard < learnerPatience {
 			continue
 		}
--- a/lease/example_test.go
+++ b/lease/example_test.go
@@ -7,7 +7,7 @@
 	"github.com/deckpulley/deckpulley/lease"
 )
 
-// A primary grants from its first proof of office on; what is in force it knows
+// A primary grants from its first proof of leadership on; what is in force it knows
 // only once every lease of an earlier primary is over.
 func Example() {
 	terms := lease.DefaultTerms()
--- a/lease/grantor.go
+++ b/lease/grantor.go
@@ -32,7 +32,7 @@
 
 // Decision answers one renewal.
 type Decision struct {
-	// Granted says that the grantor is in office: the transfer and Activate may be
+	// Granted says that the grantor leads: the transfer and Activate may be
 	// taken from it. Without it nothing else holds.
 	Granted bool
 	// Length of the lease from the sending of the request. Zero is no lease yet:
@@ -57,7 +57,7 @@
 	held    uint32
 	active  uint32 // newest reported
 	// proven is the newest active serial that was reported before the proof of
-	// office; the later reports wait for a newer proof.
+	// leadership; the later reports wait for a newer proof.
 	proven  uint32
 	waiting []report
 	told    bool // Expired has reported it
@@ -78,7 +78,7 @@
 	l.waiting = append(l.waiting, report{at: now, active: active})
 }
 
-// prove moves the reports up to the proof of office.
+// prove moves the reports up to the proof of leadership.
 func (l *lease) prove(contact time.Duration) {
 	for len(l.waiting) > 0 && l.waiting[0].at <= contact {
 		l.proven = l.waiting[0].active
@@ -97,11 +97,11 @@
 	until    time.Duration
 	held     uint32 // oldest held serial, the table's without leases
 	proven   uint32 // oldest proven active serial, the table's without leases; 0 if one has none
-	unproven bool   // some reports wait for a newer proof of office
+	unproven bool   // some reports wait for a newer proof of leadership
 }
 
-// Grantor is the primary's side for one term of office. It is not safe for
-// concurrent use. Discard it when the office is lost.
+// Grantor is the primary's side for one term of leadership. It is not safe for
+// concurrent use. Discard it when the leadership is lost.
 type Grantor struct {
 	terms       Terms
 	term        uint64
@@ -120,7 +120,7 @@
 // slowTakeover is what planted.SlowTakeover adds to the window.
 const slowTakeover = 15 * time.Second
 
-// NewGrantor begins a term of office at the monotonic time elected. serial is
+// NewGrantor begins a term at the monotonic time elected. serial is
 // the table's once every entry of earlier terms is applied.
 func NewGrantor(terms Terms, term uint64, elected time.Duration, serial uint32) *Grantor {
 	windowEnd := elected + terms.Window()
@@ -138,7 +138,7 @@
 	}
 }
 
-// Term returns the term of office.
+// Term returns the term.
 func (g *Grantor) Term() uint64 { return g.term }
 
 // SetSerial tells the newest serial of the table.
@@ -149,7 +149,7 @@
 	}
 }
 
-// SetContact tells the newest proof of office: the sending time of the newest
+// SetContact tells the newest proof of leadership: the sending time of the newest
 // heartbeat round that a majority acknowledged in this term. Call it whenever it
 // changes and before InForce, since leases are judged as run out only up to it.
 func (g *Grantor) SetContact(contact time.Duration) {
@@ -174,7 +174,7 @@
 		g.leave(now, id)
 		return Decision{Activate: g.Activate(now)}
 	}
-	if !g.inOffice(now) {
+	if !g.provenLeader(now) {
 		return Decision{}
 	}
 	if now < g.left[id] {
@@ -188,7 +188,7 @@
 	return Decision{Granted: true, Length: length, Activate: g.activation(request.Active)}
 }
 
-func (g *Grantor) inOffice(now time.Duration) bool {
+func (g *Grantor) provenLeader(now time.Duration) bool {
 	return g.contactSeen && now-g.contact <= g.terms.QuorumAge
 }
 
@@ -221,7 +221,7 @@
 	entry.told = false
 }
 
-// leave ends the lease now, as seen once there is a proof of office from after
+// leave ends the lease now, as seen once there is a proof of leadership from after
 // now: until then another primary may have let others in.
 func (g *Grantor) leave(now time.Duration, id HolderID) {
 	if entry, known := g.leases[id]; known {
@@ -238,7 +238,7 @@
 }
 
 // windowOver says whether every lease of earlier primaries has run out, as far
-// as the proof of office reaches.
+// as the proof of leadership reaches.
 func (g *Grantor) windowOver() bool {
 	return g.contactSeen && g.contact >= g.windowEnd
 }
@@ -278,7 +278,7 @@
 }
 
 // live says that the lease may be valid at its holder, as far as the proof of
-// office reaches.
+// leadership reaches.
 func (g *Grantor) live(entry *lease) bool {
 	return entry.expires > g.contact
 }
@@ -291,7 +291,7 @@
 }
 
 // InForce returns the newest serial that every live lease holder reports as
-// active, as of the newest proof of office: call SetContact first. It is unknown
+// active, as of the newest proof of leadership: call SetContact first. It is unknown
 // (false) until the leases of earlier primaries have run out, or while a live
 // lease has no active serial as of that proof and nothing was known before. What
 // it returns never falls.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -10,8 +10,8 @@
 //   - A holder counts its lease from the sending of the renewal; the grantor
 //     counts Length+Margin from its own, later, granting.
 //   - A grantor grants, and judges that a lease ran out, only up to the newest
-//     moment for which it has proof of office: the sending of a heartbeat round
-//     that a majority acknowledged. No other primary was in office before it.
+//     moment for which it has proof of leadership: the sending of a heartbeat round
+//     that a majority acknowledged. No other primary led before it.
 //   - A lease is granted only to a holder whose reported active serial is not
 //     older than what may have been reported in force. To any other holder the
 //     grantor answers with a Length of zero: it may take the transfer and make
@@ -39,7 +39,7 @@
 	Length time.Duration
 	// Margin covers the drift of two monotonic clocks over a lease. Default 200 ms.
 	Margin time.Duration
-	// QuorumAge is the oldest proof of office (consensus.Node.QuorumContact) with
+	// QuorumAge is the oldest proof of leadership (consensus.Node.QuorumContact) with
 	// which a primary may still grant. Default 400 ms.
 	QuorumAge time.Duration
 	// Renewal is the interval between a holder's renewals. Default 300 ms.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -87,7 +87,7 @@
 	}
 }
 
-func TestWithoutProofOfOfficeNothingIsGrantedNorExpired(t *testing.T) {
+func TestWithoutProofOfLeadershipNothingIsGrantedNorExpired(t *testing.T) {
 	grantor, now := settled()
 	grantor.Renew(now, now, true, ask("a", 5, 5))
 	grantor.SetSerial(6)
@@ -96,7 +96,7 @@
 		t.Fatalf("granted on an old proof: %+v", got)
 	}
 	if serial, known := grantor.InForce(late); serial != 5 || !known {
-		t.Fatalf("in force %d (%v): judged beyond the proof of office", serial, known)
+		t.Fatalf("in force %d (%v): judged beyond the proof of leadership", serial, known)
 	}
 	unknown := NewGrantor(DefaultTerms(), 1, 0, 1)
 	if got := unknown.Renew(0, 0, false, ask("a", 1, 1)); got != (Decision{}) {
@@ -105,7 +105,7 @@
 }
 
 // Another primary may let a holder in that is behind, after the newest proof of
-// office of this one. So what is reported later must not raise what is in force.
+// leadership of this one. So what is reported later must not raise what is in force.
 func TestReportsAndLeavesCountOnlyWithALaterProof(t *testing.T) {
 	grantor, now := settled()
 	grantor.Renew(now, now, true, ask("a", 5, 5))
--- a/lease/simulation_test.go
+++ b/lease/simulation_test.go
@@ -44,7 +44,7 @@
 type simulatedPrimary struct {
 	clock   clock
 	grantor *Grantor
-	// contact is the newest proof of office in real time; it stops at the election
+	// contact is the newest proof of leadership in real time; it stops at the election
 	// of the next primary, of which this one may not know.
 	contact time.Duration
 	known   bool
@@ -162,7 +162,7 @@
 	return serial
 }
 
-// elect makes a new primary. The old one goes on without proof of office.
+// elect makes a new primary. The old one goes on without proof of leadership.
 func (s *simulation) elect() {
 	primary := &simulatedPrimary{clock: chooseClock(s.choose)}
 	term := uint64(len(s.primaries) + 1)
@@ -304,7 +304,7 @@
 	}
 }
 
-// report lets a primary, in office or not, say what is in force.
+// report lets a primary, leading or not, say what is in force.
 func (s *simulation) report(index int) {
 	primary := s.primaries[index]
 	contact, known := s.refreshContact(index)
@@ -389,7 +389,7 @@
 		"the margin does not cover the drift": func(s *simulation) {
 			s.defect = func(g *Grantor) { g.terms.Margin = -100 * time.Millisecond }
 		},
-		"office is assumed without proof": func(s *simulation) {
+		"leadership is assumed without proof": func(s *simulation) {
 			s.blind = true
 		},
 		"holders that are behind get leases": func(s *simulation) {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -104,7 +104,7 @@
 	Valid bool `cbor:"7,keyasint,omitempty"`
 }
 
-// Grant answers Renew. Only a primary that knows itself in office grants.
+// Grant answers Renew. Only a primary with proof of its leadership grants.
 type Grant struct {
 	// Granted says that Activate and Transfer are to be taken, and the lease if
 	// LeaseMS is above zero.
