Keep the strict CBOR modes in one package

Cause: registry, places and ticket each built the same deterministic encoder and the same strict decoder. Change: internal/canonical builds them; bounds stay each package's own. A sealer no longer carries modes of its own.

--- a/places/records.go
+++ b/places/records.go
@@ -3,36 +3,15 @@
 import (
 	"fmt"
 
+	"github.com/deckpulley/deckpulley/internal/canonical"
 	"github.com/deckpulley/deckpulley/registry"
-	"github.com/fxamacker/cbor/v2"
 )
 
 var (
-	encoding = mustEncoding()
-	decoding = mustDecoding()
+	encoding = canonical.Encoding()
+	decoding = canonical.Decoding(canonical.Bounds{})
 )
 
-func mustEncoding() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(fmt.Sprintf("places: encoding mode: %v", err))
-	}
-	return mode
-}
-
-func mustDecoding() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-	}.DecMode()
-	if err != nil {
-		panic(fmt.Sprintf("places: decoding mode: %v", err))
-	}
-	return mode
-}
-
 // Schema returns the kinds of records of this package.
 func Schema() *registry.Schema {
 	schema, err := registry.NewSchema(
--- a/registry/codec.go
+++ b/registry/codec.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"unicode/utf8"
 
-	"github.com/fxamacker/cbor/v2"
+	"github.com/deckpulley/deckpulley/internal/canonical"
 )
 
 // Bounds of what is decoded and applied. An update or transfer beyond one is
@@ -40,34 +40,14 @@
 }
 
 var (
-	encoding = mustEncoding()
-	decoding = mustDecoding()
+	encoding = canonical.Encoding()
+	decoding = canonical.Decoding(canonical.Bounds{
+		NestingLevels: maxNestingLevels,
+		ArrayElements: MaxTableRecords,
+		MapPairs:      maxFieldsOfOneRecord,
+	})
 )
 
-func mustEncoding() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(fmt.Sprintf("registry: encoding mode: %v", err))
-	}
-	return mode
-}
-
-func mustDecoding() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		MaxNestedLevels:   maxNestingLevels,
-		MaxArrayElements:  MaxTableRecords,
-		MaxMapPairs:       maxFieldsOfOneRecord,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-	}.DecMode()
-	if err != nil {
-		panic(fmt.Sprintf("registry: decoding mode: %v", err))
-	}
-	return mode
-}
-
 // encode is for values that cannot fail to encode.
 func encode(value any) []byte {
 	data, err := encoding.Marshal(value)
--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -13,9 +13,8 @@
 	"fmt"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/internal/canonical"
 )
 
 // Sizes of a ticket, in bytes.
@@ -76,12 +75,15 @@
 	return nil
 }
 
+var (
+	encoding = canonical.Encoding()
+	decoding = canonical.Decoding(canonical.Bounds{})
+)
+
 // Sealer turns tickets into authenticated text and back. It is immutable and
 // safe for concurrent use.
 type Sealer struct {
-	keys   [][]byte
-	decode cbor.DecMode
-	encode cbor.EncMode
+	keys [][]byte
 }
 
 // NewSealer uses the keys, newest first: the first one seals, all open.
@@ -94,20 +96,7 @@
 			return nil, fmt.Errorf("%w: key %d is shorter than %d bytes", ErrKeys, i+1, MinKeyBytes)
 		}
 	}
-	decode, err := cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-	}.DecMode()
-	if err != nil {
-		return nil, fmt.Errorf("ticket: decoder: %w", err)
-	}
-	encode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		return nil, fmt.Errorf("ticket: encoder: %w", err)
-	}
-	return &Sealer{keys: keys, decode: decode, encode: encode}, nil
+	return &Sealer{keys: keys}, nil
 }
 
 // Seal returns the text form of the ticket.
@@ -115,7 +104,7 @@
 	if err := t.Check(); err != nil {
 		return "", err
 	}
-	body, err := s.encode.Marshal(&t)
+	body, err := encoding.Marshal(&t)
 	if err != nil {
 		return "", fmt.Errorf("ticket: encoding: %w", err)
 	}
@@ -141,7 +130,7 @@
 		return Ticket{}, ErrNotAuthentic
 	}
 	var t Ticket
-	if err := s.decode.Unmarshal(body, &t); err != nil {
+	if err := decoding.Unmarshal(body, &t); err != nil {
 		return Ticket{}, ErrMalformed
 	}
 	if err := t.Check(); err != nil {
