Hold the sets of a reading of the registry as one generic type

Cause: places.Contents named its eight kinds of sets in three switches, for copying, putting and dropping, with the same body for each. Change: objects[T] copies, puts and drops; one switch chooses the set.

--- a/places/contents.go
+++ b/places/contents.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 
 	"github.com/deckpulley/deckpulley/internal/planted"
 	"github.com/deckpulley/deckpulley/registry"
@@ -16,29 +15,29 @@
 	configuration Configuration
 	configured    bool
 	limits        Limits
-	services      map[string]Service
-	regions       map[string]Region
-	zones         map[string]Zone
-	evacuations   map[string]Evacuation
-	listed        map[string]Replica // as in the records
+	services      objects[Service]
+	regions       objects[Region]
+	zones         objects[Zone]
+	evacuations   objects[Evacuation]
+	listed        objects[Replica]   // as in the records
 	replicas      map[string]Replica // with the regions of their zones
-	drains        map[string]Drain
-	conditions    map[string]Condition
-	gateways      map[string]Gateway
+	drains        objects[Drain]
+	conditions    objects[Condition]
+	gateways      objects[Gateway]
 }
 
 // Read decodes a whole view. It costs in proportion to the small sets.
 func Read(view registry.View) (*Contents, error) {
 	contents := &Contents{
 		view:        view,
-		services:    map[string]Service{},
-		regions:     map[string]Region{},
-		zones:       map[string]Zone{},
-		evacuations: map[string]Evacuation{},
-		listed:      map[string]Replica{},
-		drains:      map[string]Drain{},
-		conditions:  map[string]Condition{},
-		gateways:    map[string]Gateway{},
+		services:    objects[Service]{},
+		regions:     objects[Region]{},
+		zones:       objects[Zone]{},
+		evacuations: objects[Evacuation]{},
+		listed:      objects[Replica]{},
+		drains:      objects[Drain]{},
+		conditions:  objects[Condition]{},
+		gateways:    objects[Gateway]{},
 	}
 	under := []registry.Name{ConfigurationName, servicesName, regionsName, zonesName, replicasName, gatewaysName}
 	for _, name := range under {
@@ -110,23 +109,8 @@
 		return
 	}
 	copied[recordType] = true
-	switch recordType {
-	case TypeService:
-		c.services = maps.Clone(c.services)
-	case TypeRegion:
-		c.regions = maps.Clone(c.regions)
-	case TypeZone:
-		c.zones = maps.Clone(c.zones)
-	case TypeEvacuation:
-		c.evacuations = maps.Clone(c.evacuations)
-	case TypeReplica:
-		c.listed = maps.Clone(c.listed)
-	case TypeDrain:
-		c.drains = maps.Clone(c.drains)
-	case TypeCondition:
-		c.conditions = maps.Clone(c.conditions)
-	case TypeGateway:
-		c.gateways = maps.Clone(c.gateways)
+	if set := c.set(recordType); set != nil {
+		set.copy()
 	}
 }
 
@@ -138,22 +122,9 @@
 		return into(record, &c.configuration)
 	case TypeLimits:
 		return into(record, &c.limits)
-	case TypeService:
-		return putObject(c.services, record)
-	case TypeRegion:
-		return putObject(c.regions, record)
-	case TypeZone:
-		return putObject(c.zones, record)
-	case TypeEvacuation:
-		return putObject(c.evacuations, record)
-	case TypeReplica:
-		return putObject(c.listed, record)
-	case TypeDrain:
-		return putObject(c.drains, record)
-	case TypeCondition:
-		return putObject(c.conditions, record)
-	case TypeGateway:
-		return putObject(c.gateways, record)
+	}
+	if set := c.set(record.Type); set != nil {
+		return set.put(record)
 	}
 	return nil
 }
@@ -166,22 +137,33 @@
 		c.configuration = Configuration{}
 	case TypeLimits:
 		c.limits = Limits{}
+	}
+	if set := c.set(record.Type); set != nil {
+		return set.drop(record)
+	}
+	return nil
+}
+
+// set returns the decoded objects of a kind, nil for a kind that is not a set or
+// that is looked up on demand.
+func (c *Contents) set(recordType registry.Type) objectSet {
+	switch recordType {
 	case TypeService:
-		return dropObject(c.services, record)
+		return &c.services
 	case TypeRegion:
-		return dropObject(c.regions, record)
+		return &c.regions
 	case TypeZone:
-		return dropObject(c.zones, record)
+		return &c.zones
 	case TypeEvacuation:
-		return dropObject(c.evacuations, record)
+		return &c.evacuations
 	case TypeReplica:
-		return dropObject(c.listed, record)
+		return &c.listed
 	case TypeDrain:
-		return dropObject(c.drains, record)
+		return &c.drains
 	case TypeCondition:
-		return dropObject(c.conditions, record)
+		return &c.conditions
 	case TypeGateway:
-		return dropObject(c.gateways, record)
+		return &c.gateways
 	}
 	return nil
 }
@@ -196,28 +178,6 @@
 	return nil
 }
 
-func putObject[T any](objects map[string]T, record registry.Record) error {
-	object, err := ObjectName(record.Name)
-	if err != nil {
-		return err
-	}
-	value, err := decodeAs[T](record)
-	if err != nil {
-		return err
-	}
-	objects[object] = value
-	return nil
-}
-
-func dropObject[T any](objects map[string]T, record registry.Record) error {
-	object, err := ObjectName(record.Name)
-	if err != nil {
-		return err
-	}
-	delete(objects, object)
-	return nil
-}
-
 // lookup decodes the one record of a type at a name.
 func lookup[T any](view registry.View, name registry.Name, recordType registry.Type) (T, bool) {
 	var none T
