--- a/control/repair.go
+++ b/control/repair.go
@@ -279,8 +279,8 @@
 	if !caughtUp {
 		return consensus.Membership{}, ""
 	}
-	if victim, found := r.victim(r.requestOf(learner)); found {
-		return r.without(victim.ID), "voter " + victim.Name + " replaced"
+	if replaced, found := r.replacedVoter(r.requestOf(learner)); found {
+		return r.without(replaced.ID), "voter " + replaced.Name + " replaced"
 	}
 	if r.countVoters() >= r.voters {
 		return consensus.Membership{}, ""
@@ -316,14 +316,14 @@
 	if r.countVoters() < r.voters {
 		return true
 	}
-	_, found := r.victim(request)
+	_, found := r.replacedVoter(request)
 	return found
 }
 
-// victim is the voter that a node replaces: one at its own address that has not
-// answered since the node asked, so its disk is gone from there; else one of its
-// name, else one of its zone, that has been unreachable for long enough.
-func (r *repair) victim(request joinRequest) (consensus.Member, bool) {
+// replacedVoter is the voter that a node replaces: one at its own address that
+// has not answered since the node asked, so its disk is gone from there; else one
+// of its name, else one of its zone, that has been unreachable for long enough.
+func (r *repair) replacedVoter(request joinRequest) (consensus.Member, bool) {
 	member := request.member
 	whole := r.countVoters() >= r.voters
 	matches := []func(voter consensus.Member) bool{
--- /dev/null
+++ b/control/task.go
@@ -0,0 +1,116 @@
+package control
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/configuration"
+	"github.com/deckpulley/deckpulley/peer"
+	"github.com/deckpulley/deckpulley/places"
+)
+
+// task is one order on its way through this node.
+type task struct {
+	request  peer.OrderRequest
+	document *configuration.Document
+	digest   uint64
+	// sent is true once the order may have been carried out.
+	sent bool
+}
+
+// newTask checks the form of an order.
+func newTask(request peer.OrderRequest) (*task, *api.Error) {
+	t := &task{request: request}
+	switch {
+	case request.Configuration != nil:
+		return t, t.checkConfiguration(request.Configuration)
+	case request.Evacuation != nil:
+		return t, t.checkEvacuation(request.Evacuation)
+	case request.Replicas != nil:
+		return t, checkReplicas(request.Replicas)
+	default:
+		return nil, invalid("", "the request carries no order")
+	}
+}
+
+func (t *task) id() string {
+	switch {
+	case t.request.Configuration != nil:
+		return t.request.Configuration.OrderID
+	case t.request.Evacuation != nil:
+		return t.request.Evacuation.OrderID
+	default:
+		return ""
+	}
+}
+
+// unfinished answers an order whose time ran out.
+func (t *task) unfinished() *api.Error {
+	if !t.sent {
+		return noPrimary("no primary was reached in time; the order was not carried out", api.OutcomeRefused)
+	}
+	return &api.Error{
+		Code:         api.CodePending,
+		Outcome:      api.OutcomeUnknown,
+		Message:      "the order is not yet known to be in force everywhere; send it again with the same order id",
+		Retry:        true,
+		RetryAfterMS: noPrimaryRetryAfter.Milliseconds(),
+	}
+}
+
+func (t *task) checkConfiguration(order *api.ConfigurationOrder) *api.Error {
+	if problem := checkOrderID(order.OrderID, order.Author); problem != nil {
+		return problem
+	}
+	document, err := configuration.Load(order.Document)
+	if err != nil {
+		return invalidDocument(err)
+	}
+	t.document = document
+	t.digest = digestOf("configuration", order.BaseVersion, order.Document)
+	return nil
+}
+
+// invalidDocument names the first problem's field; the message has all of them.
+func invalidDocument(err error) *api.Error {
+	answer := invalid("document", err.Error())
+	var problems *configuration.Problems
+	if errors.As(err, &problems) && len(problems.List) > 0 && problems.List[0].Field != "" {
+		answer.Field = "document." + problems.List[0].Field
+	}
+	return answer
+}
+
+func (t *task) checkEvacuation(order *api.EvacuationOrder) *api.Error {
+	if problem := checkOrderID(order.OrderID, order.Author); problem != nil {
+		return problem
+	}
+	if places.CheckObjectName(order.Zone) != nil {
+		return invalid("zone", fmt.Sprintf("must have 1 to %d bytes", places.MaxObjectNameBytes))
+	}
+	t.digest = digestOf("evacuation", order.Zone, order.Withdraw)
+	return nil
+}
+
+func checkOrderID(id, author string) *api.Error {
+	if places.CheckObjectName(id) != nil {
+		return invalid("order_id", fmt.Sprintf("must have 1 to %d bytes", places.MaxObjectNameBytes))
+	}
+	if len(author) > api.MaxNameBytes {
+		return invalid("author", fmt.Sprintf("must have at most %d bytes", api.MaxNameBytes))
+	}
+	return nil
+}
+
+// digestOf hashes what an order asks for, its author apart.
+func digestOf(parts ...any) uint64 {
+	encoded, err := cbor.Marshal(parts)
+	if err != nil {
+		panic(fmt.Sprintf("control: encoding an order: %v", err))
+	}
+	return xxhash.Sum64(encoded)
+}
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -23,6 +23,7 @@
 	Detail string
 }
 
+// String names the rule and what broke it.
 func (v Violation) String() string {
 	return fmt.Sprintf("%s at %v: %s", v.Rule, v.At, v.Detail)
 }
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -170,7 +170,7 @@
 func (t *replica) refresh(now time.Time) {
 	was := t.open
 	current := t.report.ConfigurationVersion <= t.service.router.version || planted.Active(planted.KeepOldConfiguration)
-	t.open = t.allowed && t.reported && !t.unknown && !t.report.Draining && current && t.doorOpen()
+	t.open = t.allowed && t.reported && !t.unknown && !t.report.Draining && current && t.conditionAllows()
 	if was && !t.open {
 		t.closedAt = now
 	}
@@ -180,10 +180,10 @@
 	t.startRamp(now, was)
 }
 
-// doorOpen judges the condition record against the report. A cold replica is
+// conditionAllows judges the condition record against the report. A cold replica is
 // open to the one feeder that the plan names for this incarnation, and to
 // nobody while the plan does not name one.
-func (t *replica) doorOpen() bool {
+func (t *replica) conditionAllows() bool {
 	if !t.conditioned {
 		return !t.report.Cold
 	}
--- a/storage/errors.go
+++ b/storage/errors.go
@@ -17,6 +17,7 @@
 	Reason string
 }
 
+// Error names the damaged record and what is wrong with it.
 func (e *CorruptError) Error() string {
 	return fmt.Sprintf("storage: corrupt record in %s at index %d: %s", e.Bucket, e.Index, e.Reason)
 }
@@ -28,6 +29,7 @@
 	Err       error
 }
 
+// Error is the text of the failure that ended writing.
 func (e *FinalError) Error() string {
 	return fmt.Sprintf("storage: %s failed, disk state is in doubt: %v", e.Operation, e.Err)
 }
