--- a/gateway/operator.go
+++ b/gateway/operator.go
@@ -97,10 +97,10 @@
 		reasons = append(reasons, "the gateway is leaving")
 	}
 	if !g.agent.Valid() {
-		reasons = append(reasons, "no lease from the primary: requests are refused")
+		reasons = append(reasons, "no lease from the primary, requests are refused: see that there is a primary and that this machine reaches it")
 	}
 	if g.agent.Active() == nil {
-		reasons = append(reasons, "no copy of the registry yet")
+		reasons = append(reasons, "no copy of the registry yet: see that this machine reaches a control node")
 	} else if !g.mayOwn() {
 		reasons = append(reasons, "the zone is evacuated: no tickets are issued here")
 	}
--- a/scripts/walk-operations.sh
+++ b/scripts/walk-operations.sh
@@ -8,7 +8,7 @@
 
 readonly page=docs/OPERATIONS.md
 readonly folder=out/operations
-readonly limit=60 # seconds for the whole walk
+readonly limit=120 # seconds until the walk counts as hung
 
 # marked prints the marked blocks of a page.
 marked() {
@@ -29,7 +29,9 @@
   for file in "$folder"/*.pid; do
     [ -s "$file" ] || continue
     process=$(cat "$file")
-    # The id may be another process's by now: end it only if it is one of bin/.
+    # The id may be another process's by now: end only a program of bin/ that was
+    # started here.
+    [ "$(readlink "/proc/$process/cwd")" = "$PWD" ] || continue
     if [[ $({ tr '\0' ' ' < "/proc/$process/cmdline"; } 2> /dev/null) == bin/* ]]; then
       kill -KILL "$process" 2> /dev/null || true
     fi
