Refuse at the replica what was placed on its predecessor

Cause: a replica that crashed and came back cold got the requests of gateways that had not polled it since, up to one poll interval's worth from each, as if it were its warm predecessor. A broken connection to it changed nothing until the next poll either.

Change: the stamp carries the incarnation that the placement was decided for. A replica of another one answers 409 replica_restarted, refused; the stand-in does. The gateway places the request anew without spending retry budget. On that answer, a failed dial, a reset, or an answer or stream that stopped with its connection, the replica counts as unknown (Router.Suspect) until it has reported, and is polled at once; a poll under way is followed by another.

--- a/api/error.go
+++ b/api/error.go
@@ -42,6 +42,7 @@
 	CodeNoLease           Code = "no_lease"            // the gateway may not place requests now
 	CodeNotReady          Code = "not_ready"           // the node is starting or draining
 	CodeStale             Code = "stale_configuration" // the replica has seen a newer configuration
+	CodeRestarted         Code = "replica_restarted"   // the replica is of another incarnation than was placed on
 	CodeReplicaDraining   Code = "replica_draining"    // the replica takes nothing new
 	CodeReplicaError      Code = "replica_error"       // the replica answered an error
 	CodeReplicaBroken     Code = "replica_broken"      // the connection or stream broke
@@ -99,7 +100,7 @@
 		return http.StatusUnauthorized
 	case CodeNotFound:
 		return http.StatusNotFound
-	case CodeDuplicate, CodeVersionConflict, CodeOrderConflict, CodeStale:
+	case CodeDuplicate, CodeVersionConflict, CodeOrderConflict, CodeStale, CodeRestarted:
 		return http.StatusConflict
 	case CodeTicketExpired, CodeTicketOrphaned:
 		return http.StatusGone
--- a/api/replica.go
+++ b/api/replica.go
@@ -44,7 +44,11 @@
 	// Gateway and Incarnation name the process that placed the request.
 	Gateway     string `json:"gateway"`
 	Incarnation string `json:"incarnation"`
-	Attempt     int    `json:"attempt"`
+	// ReplicaIncarnation is the incarnation of the replica that the placement was
+	// decided for. A replica of another one answers CodeRestarted and runs
+	// nothing; an empty one is not checked.
+	ReplicaIncarnation string `json:"replica_incarnation,omitempty"`
+	Attempt            int    `json:"attempt"`
 }
 
 // ReplicaRequest is what a gateway sends to a replica. A replica that answers
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -47,6 +47,7 @@
 			Serial:               slot.Serial,
 			Gateway:              r.gateway.options.Info.Name,
 			Incarnation:          r.gateway.options.Info.Incarnation,
+			ReplicaIncarnation:   slot.Incarnation,
 			Attempt:              r.before + r.sent + 1,
 		},
 	}
@@ -77,6 +78,8 @@
 	verdictResult := routing.ResultFailed
 	if ctx.Err() != nil {
 		verdictResult = routing.ResultCanceled
+	} else {
+		r.gateway.suspect(slot)
 	}
 	slot.Finish(verdictResult, nil, time.Now())
 	failure := refusedLater(api.CodeNoCapacity, comeBack, "no replica could be reached")
@@ -89,6 +92,7 @@
 		slot.Finish(routing.ResultCanceled, nil, time.Now())
 		return r.broken(failed(api.CodeDeadline, api.OutcomeUnknown, "the replica did not answer in time"))
 	}
+	r.gateway.suspect(slot)
 	slot.Finish(routing.ResultFailed, nil, time.Now())
 	return r.broken(failed(api.CodeReplicaBroken, api.OutcomeUnknown, "the connection to the replica broke before its answer"))
 }
@@ -122,7 +126,10 @@
 func (r *runner) settle(ctx context.Context, slot *routing.Slot, outcome verdict) verdict {
 	accounted := routing.ResultFailed
 	switch {
-	case outcome.standing == stoodNotStarted || outcome.standing == stoodStale:
+	case outcome.standing == stoodStale || outcome.standing == stoodRestarted:
+		accounted = routing.ResultNotStarted
+		r.voided++
+	case outcome.standing == stoodNotStarted:
 		accounted = routing.ResultNotStarted
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled):
 		accounted = routing.ResultCanceled
@@ -130,6 +137,9 @@
 	if outcome.standing == stoodBroken {
 		outcome = r.broken(outcome.failure)
 	}
+	if outcome.standing == stoodRestarted || (ctx.Err() == nil && connectionBroke(outcome)) {
+		r.gateway.suspect(slot)
+	}
 	slot.Finish(accounted, nil, time.Now())
 	r.gateway.metrics.noteAttempt(outcome.failure)
 	return outcome
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -140,12 +140,14 @@
 	answer  atomic.Pointer[answerFunc]
 	version atomic.Uint64 // reported
 
-	mutex    sync.Mutex
-	received []api.ReplicaRequest
+	mutex       sync.Mutex
+	received    []api.ReplicaRequest
+	incarnation string
+	reports     chan struct{} // reports wait until it is closed, if it is set
 }
 
 func newFakeReplica(t testing.TB, name string) *fakeReplica {
-	f := &fakeReplica{name: name}
+	f := &fakeReplica{name: name, incarnation: "1"}
 	f.behave(answerWhole)
 	f.server = httptest.NewServer(f)
 	t.Cleanup(f.server.Close)
@@ -156,8 +158,14 @@
 
 func (f *fakeReplica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == api.PathReplicaReport {
+		f.mutex.Lock()
+		incarnation, held := f.incarnation, f.reports
+		f.mutex.Unlock()
+		if held != nil {
+			<-held
+		}
 		writeJSON(w, http.StatusOK, api.ReplicaReport{
-			Replica: f.name, Incarnation: "1", Service: "explain", Slots: 64, PrefillTokensPerSecond: 1e6,
+			Replica: f.name, Incarnation: incarnation, Service: "explain", Slots: 64, PrefillTokensPerSecond: 1e6,
 			ConfigurationVersion: f.version.Load(), Sequence: uint64(time.Now().UnixNano()),
 		})
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,7 @@
 	SetPlan(*routing.Plan)
 	Observe(replica string, report api.ReplicaReport, at time.Time)
 	PollFailed(replica string, at time.Time)
+	Suspect(replica, incarnation string, at time.Time) bool
 	Resolve(api.GenerateRequest, time.Time) (routing.Request, *api.Error)
 	Regions(routing.Request) []string
 	Refusal(routing.Request) *api.Error
@@ -166,6 +167,7 @@
 	work     context.Context
 	stopWork context.CancelCauseFunc
 	running  *activity
+	suspects *suspects
 	loops    sync.WaitGroup
 
 	mutex    sync.Mutex
@@ -185,6 +187,7 @@
 		offers:   newOfferBook(),
 		bodies:   newByteBudget(maxBodyBytesInFlight),
 		running:  newActivity(),
+		suspects: newSuspects(),
 		failures: rate.NewLimiter(failureLinesPerSecond, failureLinesPerSecond),
 		random:   rand.New(rand.NewPCG(options.Seed, 0x6761746577617921)),
 		seen:     make(map[string]uint64),
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -49,6 +49,7 @@
 	// before is the number of attempts made in the region that the request came from.
 	before int
 	sent   int // attempts of which a byte may have left
+	voided int // those of them that a replica refused for what placed them
 	hops   int // runs in other regions that may have reached a replica
 	unsent int
 	stale  int
@@ -143,7 +144,7 @@
 // displaced tells that nothing was sent, that the own region takes nothing, and
 // that another one may soon have room.
 func (r *runner) displaced(failure *api.Error) bool {
-	if r.spilled || r.ran || r.sent+r.hops > 0 {
+	if r.spilled || r.ran || r.tried() {
 		return false
 	}
 	if failure.Code != api.CodeOverloaded && failure.Code != api.CodeNoCapacity {
@@ -164,7 +165,7 @@
 	}
 	var last *api.Error
 	for _, region := range regions {
-		if ctx.Err() != nil || (r.sent+r.hops > 0 && !r.mayRetry()) {
+		if ctx.Err() != nil || (r.tried() && !r.mayRetry()) {
 			break
 		}
 		outcome := r.placeIn(ctx, region)
@@ -185,6 +186,9 @@
 	return last
 }
 
+// tried tells that there was an attempt that counts: another one is a retry.
+func (r *runner) tried() bool { return r.sent-r.voided+r.hops > 0 }
+
 // mayRetry spends the retry budget. A retry is never retried.
 func (r *runner) mayRetry() bool {
 	if r.spare {
@@ -225,8 +229,8 @@
 			return elsewhere
 		}
 		outcome := r.attempt(ctx, slot)
-		if outcome.standing == stoodDone || !r.again(ctx, slot, &outcome) {
-			return outcome
+		if outcome.standing == stoodDone || !r.again(ctx, slot, outcome) {
+			return outcome.settled()
 		}
 	}
 }
@@ -286,7 +290,7 @@
 
 // again decides whether another attempt in this region follows an outcome, and
 // waits before it as long as it must.
-func (r *runner) again(ctx context.Context, slot *routing.Slot, outcome *verdict) bool {
+func (r *runner) again(ctx context.Context, slot *routing.Slot, outcome verdict) bool {
 	if ctx.Err() != nil {
 		return false
 	}
@@ -296,8 +300,10 @@
 		return r.unsent < maxUnsent && r.gateway.mayPlace() == nil
 	case outcome.standing == stoodStale:
 		r.stale++
-		outcome.standing = stoodNotStarted
 		return r.stale <= maxStale && r.gateway.learnVersion(ctx, r.route.Service, slot)
+	case outcome.standing == stoodRestarted:
+		r.unsent++
+		return r.unsent < maxUnsent
 	case outcome.standing == stoodBroken && !r.request.Repeatable:
 		return false
 	case outcome.standing == stoodNotStarted && pointless(outcome.failure):
--- a/gateway/verdict.go
+++ b/gateway/verdict.go
@@ -24,6 +24,9 @@
 	stoodNotStarted
 	// stoodStale is stoodNotStarted by a replica that has seen a newer configuration.
 	stoodStale
+	// stoodRestarted is stoodNotStarted by a replica of another incarnation than
+	// the one placed on.
+	stoodRestarted
 	// stoodBroken means that the attempt may have run; the caller has seen nothing of it.
 	stoodBroken
 )
@@ -38,6 +41,15 @@
 	unsent bool
 }
 
+// settled is the verdict on a whole region: why an attempt was not started does
+// not matter there.
+func (v verdict) settled() verdict {
+	if v.standing == stoodStale || v.standing == stoodRestarted {
+		v.standing = stoodNotStarted
+	}
+	return v
+}
+
 func failed(code api.Code, outcome api.Outcome, format string, arguments ...any) *api.Error {
 	return &api.Error{Code: code, Outcome: outcome, Message: fmt.Sprintf(format, arguments...)}
 }
@@ -54,6 +66,14 @@
 	return verdict{standing: stoodBroken, failure: failure}
 }
 
+// connectionBroke tells that an answer may have stopped because its replica did.
+func connectionBroke(outcome verdict) bool {
+	if outcome.standing != stoodBroken {
+		return false
+	}
+	return outcome.failure.Code == api.CodeReplicaBroken || outcome.failure.Code == api.CodeReplicaIncomplete
+}
+
 // decodeOne reads exactly one JSON value.
 func decodeOne(body []byte, into any) error {
 	decoder := json.NewDecoder(bytes.NewReader(body))
@@ -132,8 +152,11 @@
 		return broken(failed(api.CodeReplicaMismatch, api.OutcomeUnknown, "the replica answered another request with status %d", response.StatusCode))
 	}
 	if failure.Outcome == api.OutcomeRefused && response.StatusCode >= http.StatusBadRequest {
-		if failure.Code == api.CodeStale {
+		switch failure.Code {
+		case api.CodeStale:
 			return verdict{standing: stoodStale, failure: failure}
+		case api.CodeRestarted:
+			return verdict{standing: stoodRestarted, failure: failure}
 		}
 		return verdict{standing: stoodNotStarted, failure: failure}
 	}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -36,26 +37,72 @@
 	defer polls.Wait()
 	polling := newInProgress()
 	for {
+		var due []string
+		suspected := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			due = g.router.Watched()
+		case <-g.suspects.wake:
+			due, suspected = g.suspects.take(), true
 		}
 		active := g.agent.Active()
 		if active == nil {
 			continue
 		}
-		for _, replica := range g.router.Watched() {
-			g.startPoll(ctx, active, replica, slots, polling, &polls)
+		for _, replica := range due {
+			if !g.startPoll(ctx, active, replica, slots, polling, &polls) && suspected {
+				polling.again(replica)
+			}
 		}
-		g.reportConditions(ctx, time.Now(), &polls)
+		if !suspected {
+			g.reportConditions(ctx, time.Now(), &polls)
+		}
+	}
+}
+
+// suspects are replicas to be polled at once.
+type suspects struct {
+	mutex sync.Mutex
+	names map[string]bool
+	wake  chan struct{}
+}
+
+func newSuspects() *suspects {
+	return &suspects{names: make(map[string]bool), wake: make(chan struct{}, 1)}
+}
+
+func (s *suspects) add(name string) {
+	s.mutex.Lock()
+	s.names[name] = true
+	s.mutex.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default: // it is awake for another one
+	}
+}
+
+func (s *suspects) take() []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	names := slices.Collect(maps.Keys(s.names))
+	clear(s.names)
+	return names
+}
+
+// suspect stops new requests to the replica of a slot until it has reported, and
+// has it polled at once. One of the incarnation placed on goes on as before.
+func (g *Gateway) suspect(slot *routing.Slot) {
+	if g.router.Suspect(slot.Replica, slot.Incarnation, time.Now()) {
+		g.suspects.add(slot.Replica)
 	}
 }
 
 // inProgress keeps the polls of one replica from overtaking each other.
 type inProgress struct {
 	mutex sync.Mutex
-	names map[string]bool
+	names map[string]bool // true if another poll is to follow
 }
 
 func newInProgress() *inProgress { return &inProgress{names: make(map[string]bool)} }
@@ -63,35 +110,54 @@
 func (p *inProgress) enter(name string) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.names[name] {
+	if _, busy := p.names[name]; busy {
 		return false
 	}
-	p.names[name] = true
+	p.names[name] = false
 	return true
 }
 
-func (p *inProgress) leave(name string) {
+// again has another poll follow the one in progress, if there is one.
+func (p *inProgress) again(name string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if _, busy := p.names[name]; busy {
+		p.names[name] = true
+	}
+}
+
+// leave reports whether another poll is to follow at once; the place is then kept.
+func (p *inProgress) leave(name string) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if p.names[name] {
+		p.names[name] = false
+		return true
+	}
 	delete(p.names, name)
+	return false
 }
 
-func (g *Gateway) startPoll(ctx context.Context, active *places.Contents, replica string, slots chan struct{}, polling *inProgress, polls *sync.WaitGroup) {
+// startPoll reports whether a poll of its own was started.
+func (g *Gateway) startPoll(ctx context.Context, active *places.Contents, replica string, slots chan struct{}, polling *inProgress, polls *sync.WaitGroup) bool {
 	record, listed := active.Replicas()[replica]
 	if !listed || !polling.enter(replica) {
-		return
+		return false
 	}
 	select {
 	case slots <- struct{}{}:
 	default:
 		polling.leave(replica)
-		return
+		return false
 	}
 	polls.Go(func() {
+		defer func() { <-slots }()
 		g.poll(ctx, replica, record)
-		polling.leave(replica)
-		<-slots
+		for polling.leave(replica) {
+			g.poll(ctx, replica, record)
+		}
 	})
+	return true
 }
 
 // poll asks one replica for its report. An answer in the name of another replica
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -355,7 +355,8 @@
 	return fmt.Sprintf("%s/%s/%d", s.config.ID, s.config.Incarnation, s.runs)
 }
 
-// checkStamp refuses a request that an older configuration has placed here.
+// checkStamp refuses a request that an older configuration, or one for another
+// incarnation, has placed here.
 func (s *Server) checkStamp(request *api.ReplicaRequest) *api.Error {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -365,6 +366,11 @@
 		return refusal(request, api.CodeStale, message)
 	}
 	s.version = version
+	placedOn := request.Stamp.ReplicaIncarnation
+	if placedOn != "" && placedOn != s.config.Incarnation {
+		message := fmt.Sprintf("placed on incarnation %s, but this is %s", placedOn, s.config.Incarnation)
+		return refusal(request, api.CodeRestarted, message)
+	}
 	return nil
 }
 
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -276,6 +276,7 @@
 		code    api.Code
 	}{
 		{"older configuration", func(_ *Server, r *api.ReplicaRequest) { r.Stamp.ConfigurationVersion = 4 }, 409, api.CodeStale},
+		{"another incarnation", func(_ *Server, r *api.ReplicaRequest) { r.Stamp.ReplicaIncarnation = "earlier" }, 409, api.CodeRestarted},
 		{"draining", func(s *Server, _ *api.ReplicaRequest) { s.SetDraining(true) }, 503, api.CodeReplicaDraining},
 		{"queue full", func(*Server, *api.ReplicaRequest) {}, 429, api.CodeOverloaded},
 		{"no time left", func(_ *Server, r *api.ReplicaRequest) { r.TimeLeftMS = 0 }, 504, api.CodeDeadline},
--- a/routing/router.go
+++ b/routing/router.go
@@ -132,6 +132,23 @@
 	target.service.judgeQueue(at)
 }
 
+// Suspect records that a replica's connection broke, or that it said to be of
+// another incarnation than the given one: nothing new goes to it until it
+// reports. It does nothing and returns false if another incarnation has reported
+// meanwhile, since the suspicion is about its predecessor.
+func (r *Router) Suspect(replica, incarnation string, at time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	target := r.replicas[replica]
+	if target == nil || target.report.Incarnation != incarnation {
+		return false
+	}
+	target.unknown = true
+	target.refresh(at)
+	target.service.judgeQueue(at)
+	return true
+}
+
 // Watched names the replicas that this gateway polls, sorted: every replica of
 // its own region, so that it need not trust another gateway's word.
 func (r *Router) Watched() []string {
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -177,6 +177,11 @@
 		begin: func(_ *fleet, r *Router) { r.PollFailed("r1", time.Now()) },
 		end:   func(_ *fleet, r *Router) { r.Observe("r1", report("r1"), time.Now()) },
 	},
+	{
+		name:  "connection broke",
+		begin: func(_ *fleet, r *Router) { r.Suspect("r1", report("r1").Incarnation, time.Now()) },
+		end:   func(_ *fleet, r *Router) { r.Observe("r1", report("r1"), time.Now()) },
+	},
 	{
 		name: "replica has seen a newer configuration",
 		begin: func(_ *fleet, r *Router) {
@@ -208,6 +213,27 @@
 	},
 }
 
+// TestSuspicionOfPredecessor breaks a connection to an incarnation after the next
+// one has reported: that one goes on.
+func TestSuspicionOfPredecessor(t *testing.T) {
+	f := newFleet(t)
+	f.replica("r1", "east-a", "east")
+	router := newRouter("east", "g1")
+	router.SetPlan(f.plan())
+	router.Observe("r1", report("r1"), time.Now())
+	early := mustReserve(t, router, request("early"))
+	next := report("r1")
+	next.Incarnation = "r1-2"
+	router.Observe("r1", next, time.Now())
+	if router.Suspect("r1", early.Incarnation, time.Now()) {
+		t.Error("the successor is suspected for its predecessor")
+	}
+	early.Finish(ResultFailed, nil, time.Now())
+	if late := mustReserve(t, router, request("late")); late.Incarnation != "r1-2" {
+		t.Errorf("placed on incarnation %q", late.Incarnation)
+	}
+}
+
 // TestNothingNew goes through every reason why a replica gets nothing new, each
 // alone, and sees it return once the reason is gone.
 func TestNothingNew(t *testing.T) {
