Spill toward the common load when all regions are beyond the set point

Cause: the gate to a region closes at the set point of utilization, so once the others were past it the smallest region kept all of its overload: the others at 1.3, it at 2 and more. And an offer is taken at once or declined, so a region with a queue takes none at all, however short its queue.

Change: gates and the spill controller hold a level: the set point or, if it is higher, the mean load by capacity of the own region and its spill list. A region at or above it takes nothing, one below it sends nothing. Headroom in the draw is counted up to the own load. A service fed by other gateways tells a load that no sender mistakes for a measured one, and such loads are not smoothed.

TestPlacementMeetsItsTarget passes.

--- a/internal/experiment/live.go
+++ b/internal/experiment/live.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -279,12 +280,16 @@
 	return candidates[random.IntN(len(candidates))]
 }
 
-// acquire tries the regions in the order that the router gives: the own one by
-// its queue, others by an offer that is taken at once or not at all.
+// spillWait is how long a spilled request may wait in the other region's queue.
+const spillWait = 2 * time.Second
+
+// acquire tries the regions in the order that the router gives, as a gateway
+// does: the own one by its queue, one that the request is spilled to by a bounded
+// wait in that queue, others by an offer that is taken at once or not at all.
 func (l *live) acquire(ctx context.Context, entry *liveGateway, request routing.Request, random *rand.Rand) (*routing.Slot, string, *api.Error) {
 	regions := entry.router.Regions(request)
 	refused := entry.router.Refusal(request)
-	for _, region := range regions {
+	for position, region := range regions {
 		if region == entry.region {
 			slot, failure := entry.router.Acquire(ctx, request)
 			if failure == nil {
@@ -296,7 +301,16 @@
 		if l.isLost(region) {
 			continue
 		}
-		slot, failure := l.entry(region, random).router.Reserve(request)
+		other := l.entry(region, random).router
+		var slot *routing.Slot
+		var failure *api.Error
+		if position == 0 && slices.Contains(regions, entry.region) {
+			waiting, cancel := context.WithTimeout(ctx, spillWait)
+			slot, failure = other.Acquire(waiting, request)
+			cancel()
+		} else {
+			slot, failure = other.Reserve(request)
+		}
 		if failure == nil {
 			return slot, region, nil
 		}
--- a/placement/region.go
+++ b/placement/region.go
@@ -22,6 +22,9 @@
 	leastHeadroom = 0.02
 	// unheardLoad is assumed of a region that has not reported yet.
 	unheardLoad = 0.5
+	// mostLoad bounds the loads that are compared: one above it says that the
+	// region cannot serve, not how much it has to do.
+	mostLoad = 10
 )
 
 // Region is what is known of one region for one service.
@@ -60,7 +63,8 @@
 //
 // The preferred region comes first unless the request is drawn to be spilled or
 // the region is recovering. Overflow regions follow, drawn in proportion to
-// capacity and headroom; regions that fell silent come last.
+// capacity and headroom, which is counted up to full or, if that is more, up to
+// the preferred region's load; regions that fell silent come last.
 func Order(work RegionWork, regions map[string]*Region) []string {
 	candidates := candidatesOf(work, regions)
 	if len(candidates) == 0 {
@@ -71,7 +75,11 @@
 	if hasPreferred {
 		overflow = candidates[1:]
 	}
-	sortOverflow(work.Key, overflow)
+	full := 1.0
+	if hasPreferred && candidates[0].Load < mostLoad {
+		full = max(full, candidates[0].Load)
+	}
+	sortOverflow(work.Key, full, overflow)
 	order := make([]string, 0, len(candidates))
 	for _, region := range overflow {
 		order = append(order, region.Name)
@@ -103,13 +111,13 @@
 	return candidates
 }
 
-func sortOverflow(key uint64, overflow []*Region) {
+func sortOverflow(key uint64, full float64, overflow []*Region) {
 	score := func(region *Region) float64 {
 		load := region.Load
 		if region.Knowledge != Fresh {
 			load = unheardLoad
 		}
-		weight := max(region.Capacity, leastHeadroom) * max(1-load, leastHeadroom) * region.Recovery
+		weight := max(region.Capacity, leastHeadroom) * max(full-load, leastHeadroom) * region.Recovery
 		return weightedScore(Score(key, region.Hash), max(weight, 1e-9))
 	}
 	slices.SortStableFunc(overflow, func(a, b *Region) int {
@@ -164,7 +172,7 @@
 )
 
 const (
-	// gateMargin is how far below the set point a region's load must be before
+	// gateMargin is how far below the level a region's load must be before
 	// it starts to take spill.
 	gateMargin = 0.15
 	// gateLead is how far below the sender's load it must be as well, so that
@@ -172,19 +180,42 @@
 	gateLead = 0.1
 )
 
+// CommonLoad is the mean load of the named regions, by capacity: what each would
+// have if they shared all work. Regions whose load is not known count as absent;
+// it is 0 if none is left.
+func CommonLoad(names []string, regions map[string]*Region) float64 {
+	work, capacity := 0.0, 0.0
+	for _, name := range names {
+		region := regions[name]
+		if region == nil || !region.Usable || region.Knowledge != Fresh || region.Load >= mostLoad {
+			continue
+		}
+		weight := max(region.Capacity, leastHeadroom) * region.Recovery
+		work += weight * region.Load
+		capacity += weight
+	}
+	if capacity == 0 {
+		return 0
+	}
+	return work / capacity
+}
+
 // Gate says with hysteresis whether a region takes spill from this one.
 type Gate struct {
 	open bool
 }
 
-// Update takes the remote and the own load and the set point of utilization.
-// The gate opens when the remote load is clearly below the set point and the
-// own load, and closes when it has reached either.
-func (g *Gate) Update(remote, own, setPoint float64) bool {
+// Update takes the remote and the own load and the level that loads are held
+// at: the set point of utilization or, once all regions together are beyond it,
+// their common load. The gate opens when the remote load is clearly below the
+// level and the own load, and closes when it has reached either. So a region at
+// or above the common load takes no spill, and of two regions at most the one
+// with the lower load does.
+func (g *Gate) Update(remote, own, level float64) bool {
 	if g.open {
-		g.open = remote < setPoint && remote < own
+		g.open = remote < level && remote < own
 		return g.open
 	}
-	g.open = remote < setPoint-gateMargin && remote < own-gateLead
+	g.open = remote < level-gateMargin && remote < own-gateLead
 	return g.open
 }
--- a/routing/regions.go
+++ b/routing/regions.go
@@ -131,7 +131,7 @@
 	known.hear(at)
 	for name, value := range load {
 		before, had := known.loads[name]
-		if had {
+		if had && before < fedElsewhere && value < fedElsewhere {
 			value = before + loadSmoothing*(value-before)
 		}
 		known.loads[name] = value
@@ -230,31 +230,43 @@
 // refreshRegions brings what is known of the regions' loads up to date.
 func (s *service) refreshRegions(now time.Time) {
 	own := s.router.config.Region
-	setPoint := s.spill.Status().SetPoint
 	for name, region := range s.regions {
 		if name == own {
 			s.refreshOwn(now, region)
-			continue
+		} else {
+			s.refreshRemote(now, region)
 		}
-		known := s.router.remotes[name]
-		if known == nil {
-			region.Knowledge = placement.Unheard
+	}
+	sharing := append([]string{own}, s.router.plan.Regions()[own].Spill...)
+	level := max(s.target, placement.CommonLoad(sharing, s.regions))
+	s.spill.SetSetPoint(level)
+	for name, region := range s.regions {
+		if name == own {
+			region.TakesSpill = s.gates[name].Update(s.utilization, unservable, level)
 			continue
 		}
-		load, reported := known.loads[s.name]
-		switch {
-		case known.silent(now):
-			region.Knowledge = placement.Stale
-		case !reported:
-			region.Knowledge = placement.Unheard
-		default:
-			region.Knowledge = placement.Fresh
-		}
-		region.Load = load
-		region.Recovery = recovered(now, known.recovering)
-		fresh := region.Knowledge == placement.Fresh
-		region.TakesSpill = s.gates[name].Update(load, s.utilization, setPoint) && fresh
+		open := s.gates[name].Update(region.Load, s.utilization, level)
+		region.TakesSpill = open && region.Knowledge == placement.Fresh
+	}
+}
+
+func (s *service) refreshRemote(now time.Time, region *placement.Region) {
+	known := s.router.remotes[region.Name]
+	if known == nil {
+		region.Knowledge = placement.Unheard
+		return
+	}
+	load, reported := known.loads[s.name]
+	switch {
+	case known.silent(now):
+		region.Knowledge = placement.Stale
+	case !reported:
+		region.Knowledge = placement.Unheard
+	default:
+		region.Knowledge = placement.Fresh
 	}
+	region.Load = load
+	region.Recovery = recovered(now, known.recovering)
 }
 
 // refreshOwn judges the own region by what this gateway sees itself. Without a
@@ -263,7 +275,6 @@
 	region.Load = s.utilization
 	region.Knowledge = placement.Fresh
 	region.Recovery = recovered(now, s.recovering)
-	region.TakesSpill = s.gates[region.Name].Update(s.utilization, unservable, s.spill.Status().SetPoint)
 	if s.unusableFor(now) >= unusableWait {
 		region.Knowledge = placement.Stale
 	}
--- a/routing/service.go
+++ b/routing/service.go
@@ -15,7 +15,7 @@
 	unservable = 100
 	// fedElsewhere is the utilization told of a service whose only replicas are
 	// cold ones that other gateways feed: it serves, and has nothing to spare.
-	fedElsewhere = 1
+	fedElsewhere = unservable / 2
 	// expectedSmoothing is the weight of one answer in the expected durations.
 	expectedSmoothing = 0.05
 )
@@ -54,6 +54,7 @@
 	delay       float64   // seconds to the first token without own prefill, smoothed
 
 	spill       *setpoint.Controller
+	target      float64 // utilization to hold while all regions together can
 	utilization float64
 	regions     map[string]*placement.Region
 	gates       map[string]*placement.Gate
@@ -90,7 +91,7 @@
 	s.coldConcurrency = limits.ColdConcurrency
 	s.queueLength = limits.QueueLength
 	s.queue.SetLength(limits.QueueLength)
-	s.spill.SetSetPoint(limits.TargetUtilization)
+	s.target = limits.TargetUtilization
 }
 
 func (s *service) add(name string, listed places.Replica, now time.Time) *replica {
@@ -168,8 +169,8 @@
 func (s *service) tick(now time.Time) {
 	s.unusableFor(now)
 	s.utilization = s.measureUtilization(now)
-	s.spill.Update(now, s.utilization)
 	s.refreshRegions(now)
+	s.spill.Update(now, s.utilization)
 	s.boundStanding(now)
 	s.sweep(now)
 }
--- a/routing/spill_test.go
+++ b/routing/spill_test.go
@@ -1,9 +1,13 @@
 package routing
 
 import (
+	"context"
 	"fmt"
 	"maps"
+	"math"
+	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -206,3 +210,119 @@
 		}
 	})
 }
+
+// queueingRegions play arrivals that wait in queues, as a gateway has them do: in
+// the own region without a bound, in one that they are spilled to for spillWait.
+type queueingRegions struct {
+	regions map[string]*spillRegion
+	names   []string
+	random  *rand.Rand
+	mutex   sync.Mutex                // of what follows and the replicas
+	ran     map[string]map[string]int // by own region, then by the one that ran it
+	running sync.WaitGroup
+}
+
+const spillWait = 2 * time.Second
+
+// play lets arrivals come for some seconds in rounds of 20 ms.
+func (q *queueingRegions) play(t *testing.T, seconds int) {
+	for round := range seconds * 50 {
+		for _, name := range q.names {
+			region := q.regions[name]
+			if round%10 == 0 {
+				q.locked(func() { gossip(q.regions, q.names, name) })
+			}
+			region.credit += region.arrivals / 50
+			for ; region.credit >= 1; region.credit-- {
+				asked := request(fmt.Sprint(name, q.random.Uint64()))
+				asked.Class = api.ClassQuick
+				q.running.Go(func() { q.run(t.Context(), name, asked) })
+				synctest.Wait()
+			}
+			region.measured = append(region.measured, region.router.Load()["large"])
+		}
+		time.Sleep(20 * time.Millisecond)
+		synctest.Wait()
+	}
+}
+
+func (q *queueingRegions) run(ctx context.Context, name string, asked Request) {
+	regions := q.regions[name].router.Regions(asked)
+	for position, target := range regions {
+		slot := q.acquire(ctx, name, target, asked, position)
+		if slot == nil {
+			continue
+		}
+		replica := q.regions[target].replicas[slot.Replica]
+		q.locked(func() {
+			replica.running++
+			q.ran[name][target]++
+		})
+		time.Sleep(spillHold)
+		q.locked(func() { replica.running-- })
+		slot.Finish(ResultSuccess, nil, time.Now())
+		return
+	}
+	q.locked(func() { q.regions[name].refused++ })
+}
+
+func (q *queueingRegions) locked(work func()) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	work()
+}
+
+func (q *queueingRegions) acquire(ctx context.Context, name, target string, asked Request, position int) *Slot {
+	router := q.regions[target].router
+	if target != name && position > 0 {
+		slot, _ := router.Reserve(asked)
+		return slot
+	}
+	if target != name {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, spillWait)
+		defer cancel()
+	}
+	slot, _ := router.Acquire(ctx, asked)
+	return slot
+}
+
+// TestUnequalRegionsShareOverload gives every region the same load, 1.25 times
+// what all of them carry together, so that the smallest has nearly twice what it
+// can do. Their utilizations must come together, and no two may trade.
+func TestUnequalRegionsShareOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := &queueingRegions{random: rand.New(rand.NewPCG(3, 1)), ran: map[string]map[string]int{}}
+		q.regions, q.names = spillFleet(t)
+		for _, name := range q.names {
+			q.ran[name] = map[string]int{}
+			q.regions[name].arrivals = 50
+		}
+		q.play(t, 10)
+		for _, name := range q.names {
+			q.locked(func() {
+				q.regions[name].forget()
+				clear(q.ran[name])
+			})
+		}
+		q.play(t, 20)
+		q.running.Wait()
+		least, most := math.Inf(1), 0.0
+		for _, name := range q.names {
+			load := mean(q.regions[name].measured)
+			least, most = min(least, load), max(most, load)
+			t.Logf("%s: load %.2f, ran %v, refused %d", name, load, q.ran[name], q.regions[name].refused)
+		}
+		if most > 1.25*least {
+			t.Errorf("utilizations from %.2f to %.2f", least, most)
+		}
+		for i, a := range q.names {
+			for _, b := range q.names[i+1:] {
+				traded := min(q.ran[a][b], q.ran[b][a])
+				if traded*20 > q.ran[a][a]+q.ran[b][b] {
+					t.Errorf("%s and %s trade %d requests", a, b, traded)
+				}
+			}
+		}
+	})
+}
