Let offers wait in the other region's queue instead of repeating them

Cause: a request whose own region takes nothing was offered again every 50 to 100 ms for up to 5 s. With 12,000 such requests a second that is up to 60,000 waiting ones and 800,000 offers a second by arithmetic; who got the slot was left to chance, and as every free slot goes to the region's own queue first, seldom one of them. A request drawn to be spilled to a fuller queue than none was always declined.

Change: an offer names how long it may wait (peer.Offer.WaitMS). It waits in the receiver's queue like the region's own requests, quick before long. Bounds: 256 offers waiting in a receiver, 512 displaced requests waiting in a sender, 5 s. Beyond them, or if no queue takes it, the refusal goes out at once with a time to come back. A waiting offer is withdrawn when its sender gives up.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -168,7 +168,9 @@
 	stopWork context.CancelCauseFunc
 	running  *activity
 	suspects *suspects
-	loops    sync.WaitGroup
+	// displaced counts the requests that wait in other regions' queues.
+	displaced *bound
+	loops     sync.WaitGroup
 
 	mutex    sync.Mutex
 	random   *rand.Rand
@@ -188,10 +190,12 @@
 		bodies:   newByteBudget(maxBodyBytesInFlight),
 		running:  newActivity(),
 		suspects: newSuspects(),
-		failures: rate.NewLimiter(failureLinesPerSecond, failureLinesPerSecond),
-		random:   rand.New(rand.NewPCG(options.Seed, 0x6761746577617921)),
-		seen:     make(map[string]uint64),
-		reported: make(map[string]time.Time),
+
+		displaced: &bound{most: maxDisplaced},
+		failures:  rate.NewLimiter(failureLinesPerSecond, failureLinesPerSecond),
+		random:    rand.New(rand.NewPCG(options.Seed, 0x6761746577617921)),
+		seen:      make(map[string]uint64),
+		reported:  make(map[string]time.Time),
 	}
 	if err := g.SetKeys(options.Keys); err != nil {
 		return nil, err
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -113,17 +113,20 @@
 
 // spill hands the request to a gateway of another region: an offer first, then
 // the run.
-func (r *runner) spill(ctx context.Context, region string) verdict {
+//
+// With a wait the request may stand in the other region's queue for so long.
+func (r *runner) spill(ctx context.Context, region string, wait time.Duration) verdict {
 	last := verdict{
 		standing: stoodNotStarted,
 		failure:  refusedLater(api.CodeNoCapacity, comeBack, "no gateway of region %s can be reached", region),
 	}
 	for _, member := range r.gateway.peersIn(region, maxPeersTried) {
-		outcome := r.offer(ctx, member)
+		outcome := r.offer(ctx, member, wait)
 		if outcome.standing != stoodNotStarted || ctx.Err() != nil {
 			return outcome
 		}
 		last = outcome
+		wait = 0 // spent on a gateway that did not answer
 		if !outcome.unsent {
 			break // the region has answered
 		}
@@ -133,15 +136,19 @@
 
 // offer asks one gateway and, if it grants, runs the request there. Nothing runs
 // for an offer alone, so that one without an answer can be left to die.
-func (r *runner) offer(ctx context.Context, member places.Gateway) verdict {
+func (r *runner) offer(ctx context.Context, member places.Gateway, wait time.Duration) verdict {
 	g := r.gateway
 	offer := r.newOffer()
-	asking, cancel := context.WithTimeout(ctx, offerTimeout)
+	offer.WaitMS = wait.Milliseconds()
+	asking, cancel := context.WithTimeout(ctx, offerTimeout+wait)
 	var reply peer.OfferReply
 	err := g.options.Network.Call(asking, member.PeerAddress, peer.KindOffer, offer, &reply)
 	cancel()
 	if err != nil {
 		g.metrics.spills.WithLabelValues("unanswered").Inc()
+		if wait > 0 {
+			g.abandonOffer(member.PeerAddress, offer.OfferID, member.Incarnation)
+		}
 		return verdict{
 			standing: stoodNotStarted,
 			failure:  refusedLater(api.CodeNoCapacity, comeBack, "the other region does not answer"),
--- a/gateway/offer.go
+++ b/gateway/offer.go
@@ -19,6 +19,10 @@
 	grantLife = time.Second
 	// maxOffers bounds the offers remembered.
 	maxOffers = 8 << 10
+	// maxWaitingOffers bounds the offers that wait for room.
+	maxWaitingOffers = 256
+	// maxOfferWait bounds the wait of one, whatever its sender asks for.
+	maxOfferWait = 5 * time.Second
 	// offerMemory is how long an offer is remembered after its request's time.
 	offerMemory = 30 * time.Second
 )
@@ -46,11 +50,40 @@
 
 // offerBook remembers the offers of other regions.
 type offerBook struct {
-	mutex  sync.Mutex
-	offers map[string]*offer
+	mutex   sync.Mutex
+	offers  map[string]*offer
+	waiting map[string]*waitingOffer
 }
 
-func newOfferBook() *offerBook { return &offerBook{offers: make(map[string]*offer)} }
+// waitingOffer is one that waits for room.
+type waitingOffer struct {
+	cancel    context.CancelFunc
+	withdrawn bool
+}
+
+func newOfferBook() *offerBook {
+	return &offerBook{offers: make(map[string]*offer), waiting: make(map[string]*waitingOffer)}
+}
+
+// wait notes that an offer waits until cancel is called; false if too many do.
+func (b *offerBook) wait(id string, cancel context.CancelFunc) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if _, twice := b.waiting[id]; twice || len(b.waiting) >= maxWaitingOffers {
+		return false
+	}
+	b.waiting[id] = &waitingOffer{cancel: cancel}
+	return true
+}
+
+// waited notes the end of the wait; false if the offer was withdrawn meanwhile.
+func (b *offerBook) waited(id string) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	withdrawn := b.waiting[id].withdrawn
+	delete(b.waiting, id)
+	return !withdrawn
+}
 
 // add remembers a granted offer; false if there is no room.
 func (b *offerBook) add(id string, o *offer) bool {
@@ -107,6 +140,11 @@
 func (b *offerBook) withdraw(id string) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	if waiting, ok := b.waiting[id]; ok {
+		waiting.withdrawn = true
+		waiting.cancel()
+		return true
+	}
 	o, ok := b.offers[id]
 	if !ok {
 		return false
@@ -138,8 +176,8 @@
 	}
 }
 
-// serveOffer reserves a place for another region's request, without waiting.
-func (g *Gateway) serveOffer(_ context.Context, _ string, decode func(any) error) (any, error) {
+// serveOffer reserves a place for another region's request.
+func (g *Gateway) serveOffer(ctx context.Context, _ string, decode func(any) error) (any, error) {
 	var asked peer.Offer
 	if err := decode(&asked); err != nil {
 		return nil, err
@@ -147,14 +185,14 @@
 	if reply, ok := g.offers.known(asked.OfferID); ok {
 		return &reply, nil
 	}
-	reply, failure := g.grant(&asked)
+	reply, failure := g.grant(ctx, &asked)
 	if failure != nil {
 		return &peer.OfferReply{Error: failure, Incarnation: g.options.Info.Incarnation}, nil
 	}
 	return reply, nil
 }
 
-func (g *Gateway) grant(asked *peer.Offer) (*peer.OfferReply, *api.Error) {
+func (g *Gateway) grant(ctx context.Context, asked *peer.Offer) (*peer.OfferReply, *api.Error) {
 	if failure := g.mayAccept(); failure != nil {
 		return nil, failure
 	}
@@ -173,13 +211,36 @@
 	if failure != nil {
 		return nil, failure
 	}
-	slot, failure := g.router.Reserve(route)
+	slot, failure := g.reserve(ctx, asked, route)
 	if failure != nil {
 		return nil, failure
 	}
 	return g.remember(asked, route, slot)
 }
 
+// reserve finds room for an offer, at once or, if it asks for that and not too
+// many do, by a place in the queue.
+func (g *Gateway) reserve(ctx context.Context, asked *peer.Offer, route routing.Request) (*routing.Slot, *api.Error) {
+	wait := min(time.Duration(asked.WaitMS)*time.Millisecond, maxOfferWait)
+	if wait <= 0 {
+		return g.router.Reserve(route)
+	}
+	waiting, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	if !g.offers.wait(asked.OfferID, cancel) {
+		return g.router.Reserve(route)
+	}
+	slot, failure := g.router.Acquire(waiting, route)
+	if !g.offers.waited(asked.OfferID) && slot != nil {
+		slot.Finish(routing.ResultCanceled, nil, time.Now())
+		return nil, failed(api.CodeCanceled, api.OutcomeRefused, "the offer was withdrawn")
+	}
+	if failure != nil && failure.Code == api.CodeCanceled {
+		return nil, refusedLater(api.CodeOverloaded, comeBack, "region %s had no room in time", g.region())
+	}
+	return slot, failure
+}
+
 func (g *Gateway) remember(asked *peer.Offer, route routing.Request, slot *routing.Slot) (*peer.OfferReply, *api.Error) {
 	now := g.options.Clock()
 	left := time.Duration(asked.TimeLeft) * time.Millisecond
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -21,11 +21,12 @@
 	// Backoff before a repeated attempt: doubled each time, with full jitter.
 	firstBackoff = 20 * time.Millisecond
 	lastBackoff  = 500 * time.Millisecond
-	// displacedWait bounds how long a request is offered to other regions while
-	// its own takes nothing, and displacedPause is the longest time between two
-	// rounds of offers.
-	displacedWait  = 5 * time.Second
-	displacedPause = 100 * time.Millisecond
+	// displacedWait bounds how long a request waits for room in other regions
+	// while its own takes nothing, and maxDisplaced how many do so at once.
+	displacedWait = 5 * time.Second
+	maxDisplaced  = 512
+	// spillWait bounds the wait in a less loaded region's queue.
+	spillWait = 2 * time.Second
 	// comeBack is told with refusals that will pass soon.
 	comeBack = 500 * time.Millisecond
 )
@@ -124,21 +125,18 @@
 
 // place returns nil once the result is delivered, otherwise why there is none.
 // A request that cannot wait in the queue of its own region, which is evacuated
-// or has lost its replicas, is offered to the others until one has room.
+// or has lost its replicas, waits in those of the others if none has room at
+// once. Whoever finds no place in any queue has his answer at once.
 func (r *runner) place(ctx context.Context) *api.Error {
-	waited := time.Duration(0)
-	patience := min(displacedWait, time.Until(r.route.Deadline)/2)
-	for {
-		failure := r.placeOnce(ctx)
-		if failure == nil || waited >= patience || !r.displaced(failure) {
-			return failure
-		}
-		pause := displacedPause/2 + r.gateway.jitter(displacedPause/2)
-		if !sleep(ctx, pause) {
-			return failure
-		}
-		waited += pause
+	failure := r.placeOnce(ctx, 0)
+	if failure == nil || !r.displaced(failure) {
+		return failure
+	}
+	if !r.gateway.displaced.enter() {
+		return failure
 	}
+	defer r.gateway.displaced.leave()
+	return r.placeOnce(ctx, min(displacedWait, time.Until(r.route.Deadline)/2))
 }
 
 // displaced tells that nothing was sent, that the own region takes nothing, and
@@ -154,8 +152,10 @@
 	return len(regions) > 0 && !slices.Contains(regions, r.gateway.region())
 }
 
-// placeOnce tries the regions in order.
-func (r *runner) placeOnce(ctx context.Context) *api.Error {
+// placeOnce tries the regions in order, and waits for room in the others for the
+// given time at most.
+func (r *runner) placeOnce(ctx context.Context, patience time.Duration) *api.Error {
+	end := time.Now().Add(patience)
 	regions := []string{r.gateway.region()}
 	if !r.spilled {
 		regions = r.gateway.router.Regions(r.route)
@@ -164,11 +164,15 @@
 		return r.gateway.router.Refusal(r.route)
 	}
 	var last *api.Error
-	for _, region := range regions {
+	for position, region := range regions {
 		if ctx.Err() != nil || (r.tried() && !r.mayRetry()) {
 			break
 		}
-		outcome := r.placeIn(ctx, region)
+		wait := max(0, time.Until(end)) / time.Duration(len(regions)-position)
+		if patience == 0 && position == 0 {
+			wait = r.drawnWait(regions)
+		}
+		outcome := r.placeIn(ctx, region, wait)
 		if outcome.standing == stoodDone {
 			return nil
 		}
@@ -186,6 +190,16 @@
 	return last
 }
 
+// drawnWait is how long a request that was drawn to be spilled, because the first
+// region has less to do than its own, may wait there before its own queue.
+func (r *runner) drawnWait(regions []string) time.Duration {
+	own := r.gateway.region()
+	if regions[0] == own || !slices.Contains(regions, own) {
+		return 0
+	}
+	return min(spillWait, time.Until(r.route.Deadline)/4)
+}
+
 // tried tells that there was an attempt that counts: another one is a retry.
 func (r *runner) tried() bool { return r.sent-r.voided+r.hops > 0 }
 
@@ -205,12 +219,12 @@
 	return allowed
 }
 
-func (r *runner) placeIn(ctx context.Context, region string) verdict {
+func (r *runner) placeIn(ctx context.Context, region string, wait time.Duration) verdict {
 	if failure := r.gateway.mayPlace(); failure != nil {
 		return verdict{standing: stoodNotStarted, failure: failure}
 	}
 	if region != r.gateway.region() {
-		return r.spill(ctx, region)
+		return r.spill(ctx, region, wait)
 	}
 	return r.local(ctx)
 }
@@ -280,7 +294,7 @@
 		if !known || !member.Up {
 			continue
 		}
-		outcome := r.offer(ctx, member)
+		outcome := r.offer(ctx, member, 0)
 		if outcome.standing != stoodNotStarted || ctx.Err() != nil {
 			return outcome, true
 		}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -192,6 +192,9 @@
 	Version   uint64              `cbor:"6,keyasint"` // sender's active configuration version
 	Attempt   int                 `cbor:"7,keyasint"`
 	Incarnate string              `cbor:"8,keyasint"` // sender's incarnation
+	// WaitMS is how long the request may wait there for room, in the queue and in
+	// turn with the region's own requests; 0 asks for room at once.
+	WaitMS int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // OfferReply grants a reservation that lives GrantMS, or declines.
