Bound the utilization that regions compare

Cause: a region of ramping replicas with a queue measures utilizations of 50 and more, which the common load takes for a region that cannot serve, so its own gates would be judged without it.

Change: a measured utilization is at most placement.MostLoad, 10; more than that says that nothing is usable or that others feed the service. CommonLoad has a test of its own.

--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -243,6 +243,30 @@
 	})
 }
 
+// TestCommonLoad weighs what is known of regions that serve.
+func TestCommonLoad(t *testing.T) {
+	regions := map[string]*Region{
+		"large":  {Capacity: 6, Usable: true, Load: 1, Knowledge: Fresh, Recovery: 1},
+		"small":  {Capacity: 2, Usable: true, Load: 2, Knowledge: Fresh, Recovery: 1},
+		"silent": {Capacity: 90, Usable: true, Load: 0.1, Knowledge: Stale, Recovery: 1},
+		"empty":  {Capacity: 90, Usable: true, Load: 100, Knowledge: Fresh, Recovery: 1},
+		"closed": {Capacity: 90, Load: 0.1, Knowledge: Fresh, Recovery: 1},
+	}
+	for _, c := range []struct {
+		names []string
+		want  float64
+	}{
+		{[]string{"large", "small", "silent", "empty", "closed", "unlisted"}, 1.25},
+		{[]string{"small"}, 2},
+		{[]string{"silent"}, 0},
+		{nil, 0},
+	} {
+		if got := CommonLoad(c.names, regions); got != c.want {
+			t.Errorf("%v: %v, want %v", c.names, got, c.want)
+		}
+	}
+}
+
 // TestOverflowFollowsCapacity spills a third of the requests to two regions of
 // unequal capacity and headroom.
 func TestOverflowFollowsCapacity(t *testing.T) {
--- a/placement/region.go
+++ b/placement/region.go
@@ -22,9 +22,9 @@
 	leastHeadroom = 0.02
 	// unheardLoad is assumed of a region that has not reported yet.
 	unheardLoad = 0.5
-	// mostLoad bounds the loads that are compared: one above it says that the
-	// region cannot serve, not how much it has to do.
-	mostLoad = 10
+	// MostLoad is the highest load that is compared with others. One above it says
+	// that the region cannot serve, not how much it has to do.
+	MostLoad = 10
 )
 
 // Region is what is known of one region for one service.
@@ -76,7 +76,7 @@
 		overflow = candidates[1:]
 	}
 	full := 1.0
-	if hasPreferred && candidates[0].Load < mostLoad {
+	if hasPreferred && candidates[0].Load <= MostLoad {
 		full = max(full, candidates[0].Load)
 	}
 	sortOverflow(work.Key, full, overflow)
@@ -187,7 +187,7 @@
 	work, capacity := 0.0, 0.0
 	for _, name := range names {
 		region := regions[name]
-		if region == nil || !region.Usable || region.Knowledge != Fresh || region.Load >= mostLoad {
+		if region == nil || !region.Usable || region.Knowledge != Fresh || region.Load > MostLoad {
 			continue
 		}
 		weight := max(region.Capacity, leastHeadroom) * region.Recovery
--- a/routing/service.go
+++ b/routing/service.go
@@ -177,7 +177,8 @@
 
 // measureUtilization is the work on the usable replicas and in the queues over
 // their ceilings; the other gateways of the region are taken to queue as much
-// as this one. A cold replica that another gateway feeds is left out.
+// as this one. It is bounded by placement.MostLoad unless nothing is usable, which
+// is unservable. A cold replica that another gateway feeds is left out.
 func (s *service) measureUtilization(now time.Time) float64 {
 	busy := float64(s.queue.Len() * max(1, len(s.router.gateways)))
 	ceilings := 0.0
@@ -191,7 +192,7 @@
 	if ceilings == 0 {
 		return unservable
 	}
-	return busy / ceilings
+	return min(busy/ceilings, placement.MostLoad)
 }
 
 // regionLoad is the utilization to be told to other regions.
