--- a/Makefile
+++ b/Makefile
@@ -71,6 +71,11 @@
 walk-operations: build ## run every command of docs/OPERATIONS.md against a small fleet
 	scripts/walk-operations.sh
 
+.PHONY: man
+man: build ## write the command line's man pages to out/man
+	mkdir -p out/man
+	bin/deckpulleyctl man out/man
+
 .PHONY: faults-short
 faults-short: build ## the short fault suite on real processes
 	bin/deckpulley-fleet faults --deployment $(DEPLOYMENT) --short
