--- a/cmd/deckpulleyctl/main_test.go
+++ b/cmd/deckpulleyctl/main_test.go
@@ -265,6 +265,7 @@
 const loadScreen = `REGION  SERVICE  LOAD  AIM  SPILL  IN FLIGHT  QUEUED  LIMIT  USABLE  COLD  DRAINING  EJECTED
 north   model    50%   80%  10%    3          1       8      0 of 2  2     0         0
 `
+
 const degradedScreen = `DEGRADED, AND WHAT TO DO
 gateway at 127.0.0.1:1 does not answer its operators' port: restart it or its machine
 service model has no usable replica in region north: look at them with deckpulleyctl replicas list
