--- a/cmd/deckpulley-scale/scale_test.go
+++ b/cmd/deckpulley-scale/scale_test.go
@@ -38,15 +38,16 @@
 
 func TestVerdicts(t *testing.T) {
 	for _, c := range []struct {
-		value, bound, size, measuredTo float64
-		want                           verdict
+		value, bound, residual, size, measuredTo float64
+		want                                     verdict
 	}{
-		{2, 1, 10, 10, notMet},
-		{1, 1, 10, 10, metMeasured},
-		{1, 1, 10, 9, metExtrapolated},
-		{math.NaN(), 1, 10, 10, notMet},
+		{2, 1, 0, 10, 10, notMet},
+		{1, 1, 0, 10, 10, metMeasured},
+		{1, 1, 0, 10, 9, metExtrapolated},
+		{0.8, 1, 0.3, 10, 10, undecided},
+		{math.NaN(), 1, 0, 10, 10, notMet},
 	} {
-		if got := judge(c.value, c.bound, c.size, c.measuredTo); got != c.want {
+		if got := judge(c.value, c.bound, c.residual, c.size, c.measuredTo); got != c.want {
 			t.Errorf("%+v: %s", c, got)
 		}
 	}
--- a/cmd/deckpulley-scale/target.go
+++ b/cmd/deckpulley-scale/target.go
@@ -31,6 +31,7 @@
 const (
 	metMeasured     verdict = "met by measurement"
 	metExtrapolated verdict = "met by extrapolation"
+	undecided       verdict = "undecided: closer to the bound than the points to the line"
 	notMet          verdict = "**not met**"
 	estimatedOnly   verdict = "estimated only"
 )
@@ -135,12 +136,15 @@
 	mechanism string
 }
 
-// judge compares a value with its bound. measuredTo is the largest size that was
-// measured, of the size that the value is for.
-func judge(value, bound, size, measuredTo float64) verdict {
+// judge compares a value with its bound. residual is the largest distance of a
+// point from the lines that the value comes from, and measuredTo the largest size
+// that was measured, of the size that the value is for.
+func judge(value, bound, residual, size, measuredTo float64) verdict {
 	switch {
 	case !(value <= bound): // also of a value that could not be worked out
 		return notMet
+	case value+residual > bound:
+		return undecided
 	case measuredTo >= size:
 		return metMeasured
 	default:
@@ -149,8 +153,8 @@
 }
 
 // judgeSum compares a sum of lines, which no one run had together.
-func judgeSum(value, bound float64) verdict {
-	return judge(value, bound, 1, 0)
+func judgeSum(value, bound, residual float64) verdict {
+	return judge(value, bound, residual, 1, 0)
 }
 
 // updatesPerSecond is the rate of changes of the table at the target size.
@@ -172,11 +176,11 @@
 	cpu := l.primaryCPU.at(targetGateways) + rate*l.changeCPU.at(targetGateways)
 	return []target{
 		{"primary", "traffic", fmt.Sprintf("rest at %d gateways + %s updates/s × one change", targetGateways, number(rate)), number(bytes) + " B/s", number(boundBytes) + " B/s",
-			judgeSum(bytes, boundBytes), "flat fan-out of renewals and incremental transfers; the bound needs relays in a tree, see below"},
+			judgeSum(bytes, boundBytes, l.primaryBytes.Residual+rate*l.changeBytes.Residual), "flat fan-out of renewals and incremental transfers; the bound needs relays in a tree, see below"},
 		{"primary", "processor", fmt.Sprintf("rest at %d gateways + %s updates/s × one change", targetGateways, number(rate)), percent(cpu), percent(boundCore),
-			judgeSum(cpu, boundCore), "renewals are decided without a look at the other leases"},
+			judgeSum(cpu, boundCore, l.primaryCPU.Residual+rate*l.changeCPU.Residual), "renewals are decided without a look at the other leases"},
 		{"primary", "resident memory", fmt.Sprintf("at %d gateways + slope × %d replicas", targetGateways, targetReplicas), number(memory/mebibyte) + " MiB", number(boundMemory/mebibyte) + " MiB",
-			judgeSum(memory, boundMemory), "one copy-on-write table; bounded queues that are empty at rest"},
+			judgeSum(memory, boundMemory, l.primaryMemory.Residual+l.primaryPerReplica.Residual), "one copy-on-write table; bounded queues that are empty at rest"},
 	}
 }
 
@@ -185,11 +189,11 @@
 	memory := l.followerMemory.at(targetGateways) + l.followerPerReplica.Slope*targetReplicas
 	return []target{
 		{"other control node", "traffic at rest", fmt.Sprintf("at %d gateways", targetGateways), number(bytes) + " B/s", number(boundBytes) + " B/s",
-			judge(bytes, boundBytes, targetGateways, l.followerBytes.Highest), "heartbeats of the replicated log"},
+			judge(bytes, boundBytes, l.followerBytes.Residual, targetGateways, l.followerBytes.Highest), "heartbeats of the replicated log"},
 		{"other control node", "processor at rest", fmt.Sprintf("at %d gateways", targetGateways), percent(cpu), percent(boundCore),
-			judge(cpu, boundCore, targetGateways, l.followerCPU.Highest), "heartbeats of the replicated log"},
+			judge(cpu, boundCore, l.followerCPU.Residual, targetGateways, l.followerCPU.Highest), "heartbeats of the replicated log"},
 		{"other control node", "resident memory", fmt.Sprintf("at %d gateways + slope × %d replicas", targetGateways, targetReplicas), number(memory/mebibyte) + " MiB", number(boundMemory/mebibyte) + " MiB",
-			judgeSum(memory, boundMemory), "one table, the log since the last snapshot"},
+			judgeSum(memory, boundMemory, l.followerMemory.Residual+l.followerPerReplica.Residual), "one table, the log since the last snapshot"},
 	}
 }
 
@@ -203,11 +207,11 @@
 	polls := shared * pollsPerSecond * r.poll.bytes
 	return []target{
 		{"gateway", "control traffic", fmt.Sprintf("rest at %d gateways + %s updates/s × one change", targetGateways, number(rate)), number(control) + " B/s", number(boundBytes) + " B/s",
-			judgeSum(control, boundBytes), "renewal each 300 ms, incremental transfer"},
+			judgeSum(control, boundBytes, l.gatewayBytes.Residual+rate*l.changeGateway.Residual), "renewal each 300 ms, incremental transfer"},
 		{"gateway", "control processor", fmt.Sprintf("rest at %d gateways", targetGateways), percent(cpu), percent(boundCore),
-			judge(cpu, boundCore, targetGateways, l.gatewayCPU.Highest), "one renewal loop, incremental reading of the table"},
+			judge(cpu, boundCore, l.gatewayCPU.Residual, targetGateways, l.gatewayCPU.Highest), "one renewal loop, incremental reading of the table"},
 		{"gateway", "memory of the copy", fmt.Sprintf("heap at %d gateways + slope × %d replicas", targetGateways, targetReplicas), number(heap/mebibyte) + " MiB", number(boundMemory/mebibyte) + " MiB",
-			judgeSum(heap, boundMemory), "whole copy of the table; watch-by-region would hold a fiftieth"},
+			judgeSum(heap, boundMemory, l.gatewayHeap.Residual+l.gatewayPerReplica.Residual), "whole copy of the table; watch-by-region would hold a fiftieth"},
 		{"gateway", "resident memory, idle", fmt.Sprintf("intercept of a real gateway + %d × that heap", collectorRoom), number(whole/mebibyte) + " MiB", number(boundMemory/mebibyte) + " MiB",
 			judgeEstimate(whole, boundMemory), "as above; the collector lets the heap double"},
 		{"gateway", "watching of replicas", fmt.Sprintf("%s replicas each × %d polls/s × %s B", number(shared), pollsPerSecond, number(r.poll.bytes)), number(polls) + " B/s", number(boundBytes) + " B/s",
@@ -240,15 +244,15 @@
 	relay := l.relayCPU.at(perGatewayEvents)
 	return []target{
 		{"fleet", "a change in force everywhere", fmt.Sprintf("longest at %d gateways + slope × %d replicas", targetGateways, targetReplicas), number(inForce) + " s", number(boundInForce.Seconds()) + " s",
-			judgeSum(inForce, boundInForce.Seconds()), "two-step activation; notify, then an incremental transfer"},
+			judgeSum(inForce, boundInForce.Seconds(), l.inForce.Residual+l.inForceR.Residual), "two-step activation; notify, then an incremental transfer"},
 		{"fleet", "changes a second, one after the other", fmt.Sprintf("%d in a row at %d gateways", burst, targetGateways), number(burstRate) + "/s", "at least " + number(float64(changesPerDay)/secondsPerDay) + "/s",
-			judge(-burstRate, -float64(changesPerDay)/secondsPerDay, targetGateways, l.burstTime.Highest), "one update a change; each waits for two rounds of all gateways"},
+			judge(l.burstTime.at(targetGateways), burst*secondsPerDay/float64(changesPerDay), l.burstTime.Residual, targetGateways, l.burstTime.Highest), "one update a change; each waits for two rounds of all gateways"},
 		{"fleet", "70 gateways lost at once and started again", fmt.Sprintf("to the next acknowledgement at %d gateways", targetGateways), number(l.restart.at(targetGateways)) + " s", number(boundInForce.Seconds()) + " s",
-			judge(l.restart.at(targetGateways), boundInForce.Seconds(), targetGateways, l.restart.Highest), "a lost gateway's lease runs out, once"},
+			judge(l.restart.at(targetGateways), boundInForce.Seconds(), l.restart.Residual, targetGateways, l.restart.Highest), "a lost gateway's lease runs out, once"},
 		{"fleet", "loss of the primary", fmt.Sprintf("to the next acknowledgement at %d gateways", targetGateways), number(l.failover.at(targetGateways)) + " s", "12 s",
-			judge(l.failover.at(targetGateways), 12, targetGateways, l.failover.Highest), "election, then waiting out the leases"},
+			judge(l.failover.at(targetGateways), 12, l.failover.Residual, targetGateways, l.failover.Highest), "election, then waiting out the leases"},
 		{"gateway", "relaying, each its share", fmt.Sprintf("%s events/s × slope + intercept", number(perGatewayEvents)), percent(relay), "100%",
-			judge(relay, 1, perGatewayEvents, l.relayCPU.Highest), "events are checked and passed on one by one; one buffer a stream"},
+			judge(relay, 1, l.relayCPU.Residual, perGatewayEvents, l.relayCPU.Highest), "events are checked and passed on one by one; one buffer a stream"},
 		{"fleet", "gateways' cores for 5.5 million events a second", fmt.Sprintf("at %.0f%% use of a core", 100*usableCore), number(gateways) + " cores", fmt.Sprintf("%d machines of one core or more", targetGateways),
 			judgeEstimate(gateways, targetGateways), "streams of one region stay in it"},
 		r.relayNode(l),
