--- a/cmd/deckpulleyctl/main_test.go
+++ b/cmd/deckpulleyctl/main_test.go
@@ -179,7 +179,7 @@
 func TestExitStatuses(t *testing.T) {
 	k := newTool(t)
 	valid := k.file(t, "valid.yaml", document)
-	invalid := k.file(t, "invalid.yaml", strings.Replace(document, "service: model", "service: modle", 1))
+	invalid := k.file(t, "invalid.yaml", strings.Replace(document, "service: model", "service: modell", 1))
 	apply := []string{"config", "apply", valid, "--order-id", "o", "--author", "ada"}
 	cases := []struct {
 		name      string
@@ -321,6 +321,18 @@
 			t.Errorf("%s: %v", page, err)
 		}
 	}
+	for typed, want := range map[string]string{
+		"zone evacuate n":       "north-1\n",
+		"replicas drain r1 r":   "r2\n",
+		"zone restore north-1 ": "",
+	} {
+		t.Setenv(environmentAddress, k.address)
+		var output, complaints bytes.Buffer
+		run(append([]string{"__completeNoDesc"}, strings.Split(typed, " ")...), &output, &complaints)
+		if got, _, _ := strings.Cut(output.String(), ":"); got != want {
+			t.Errorf("%q is completed by %q", typed, got)
+		}
+	}
 	for _, shell := range []string{"bash", "zsh", "fish"} {
 		if status, output, _ := k.run("completion", shell); status != exitDone || !strings.Contains(output, "deckpulleyctl") {
 			t.Errorf("completion for %s: status %d", shell, status)
