--- a/cmd/deckpulley-scale/main.go
+++ b/cmd/deckpulley-scale/main.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -36,12 +37,17 @@
 	baseGateways int
 	streams      []int
 	page         string
+	// nodes asks for one size alone, with the one number in replicas.
+	nodes int
 }
 
 // minimumSizes is how many sizes a line with a residual needs.
 const minimumSizes = 3
 
 func (p plan) check() error {
+	if p.nodes > 0 {
+		return p.checkOne()
+	}
 	for name, sizes := range map[string][]int{"gateways": p.gateways, "replicas": p.replicas, "streams": p.streams} {
 		if len(sizes) < minimumSizes {
 			return fmt.Errorf("--%s: %d sizes given, %d at least", name, len(sizes), minimumSizes)
@@ -53,6 +59,17 @@
 	return nil
 }
 
+func (p plan) checkOne() error {
+	switch {
+	case len(p.replicas) != 1 || p.replicas[0] < 1:
+		return errors.New("--replicas: exactly one number, above zero, goes with --nodes")
+	case p.page != "":
+		return errors.New("--write: one size makes no lines, leave --nodes out")
+	default:
+		return nil
+	}
+}
+
 func main() {
 	if len(os.Args) == 2 && os.Args[1] == childArgument {
 		if err := serveOrders(os.Stdin, os.Stdout); err != nil {
@@ -89,6 +106,9 @@
 			defer stop()
 			ctx, cancel := context.WithTimeout(ctx, runLimit)
 			defer cancel()
+			if chosen.nodes > 0 {
+				return measureOne(ctx, chosen, command.OutOrStdout())
+			}
 			return measureAll(ctx, chosen, command.OutOrStdout(), command.ErrOrStderr())
 		},
 	}
@@ -98,10 +118,21 @@
 	flags.IntVar(&chosen.baseReplicas, "base-replicas", 100, "listed replicas while the gateways grow")
 	flags.IntVar(&chosen.baseGateways, "base-gateways", 25, "hollow gateways while the replicas grow")
 	flags.IntSliceVar(&chosen.streams, "streams", []int{50, 150, 300, 600}, "numbers of streams through one real gateway")
+	flags.IntVar(&chosen.nodes, "nodes", 0, "measure this one number of hollow gateways, with one number of --replicas")
 	flags.StringVar(&chosen.page, "write", "", "page to put the tables into, between its markers")
 	return command
 }
 
+// measureOne measures one size and sets it against the bounds.
+func measureOne(ctx context.Context, chosen plan, output io.Writer) error {
+	one, err := measureSize(ctx, chosen.nodes, chosen.replicas[0])
+	if err != nil {
+		return err
+	}
+	_, err = io.WriteString(output, one.againstBounds())
+	return err
+}
+
 // measureAll runs the plan and reports.
 func measureAll(ctx context.Context, chosen plan, output, progress io.Writer) error {
 	results := measured{began: time.Now()}
--- a/cmd/deckpulley-scale/parts.go
+++ b/cmd/deckpulley-scale/parts.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/deckpulley/deckpulley/control"
@@ -69,10 +70,15 @@
 	return nil
 }
 
+// hollowCollector keeps a process with hundreds of copies of the table from
+// taking twice their size.
+const hollowCollector = 25
+
 // gatewaysPart is a number of hollow gateways.
 type gatewaysPart struct{ fleet *hollow.Fleet }
 
 func startGateways(what setup) (*gatewaysPart, error) {
+	debug.SetGCPercent(hollowCollector)
 	fleet, err := hollow.Start(hollow.FleetOptions{
 		Count:  what.Gateways,
 		Prefix: what.Name,
--- a/cmd/deckpulley-scale/report.go
+++ b/cmd/deckpulley-scale/report.go
@@ -66,8 +66,8 @@
 	m := &markdown{}
 	m.paragraph("Measured on %s on a machine of %d cores shared with other work, in %.0f s, over the loopback interface. Processor time is that of the process, user and system, so that other work disturbs it little; times of day are disturbed more.",
 		r.began.Format("2006-01-02"), runtime.NumCPU(), r.took.Seconds())
-	r.sizes(m, "### By the number of gateways", r.byGateways)
-	r.sizes(m, "### By the number of listed replicas", r.byReplicas)
+	sizesTable(m, "### By the number of gateways", r.byGateways)
+	sizesTable(m, "### By the number of listed replicas", r.byReplicas)
 	r.kindTable(m)
 	r.relayTable(m)
 	r.slopeTable(m)
@@ -75,7 +75,7 @@
 	return m.String()
 }
 
-func (r *measured) sizes(m *markdown, title string, readings []reading) {
+func sizesTable(m *markdown, title string, readings []reading) {
 	m.WriteString("\n" + title + "\n\n")
 	m.head("gateways", "replicas", "primary: B/s", "frames/s", "core", "heap MiB", "resident MiB",
 		"follower: core", "resident MiB", "gateway: B/s", "frames/s", "core", "heap MiB",
--- a/cmd/deckpulley-scale/scale_test.go
+++ b/cmd/deckpulley-scale/scale_test.go
@@ -155,6 +155,9 @@
 	if strings.Contains(text, "NaN") || strings.Contains(text, "%!") {
 		t.Errorf("the report has holes:\n%s", text)
 	}
+	if single := one(3, 9).againstBounds(); strings.Count(single, "\n| ") < 14 || strings.Contains(single, "NaN") {
+		t.Errorf("one size:\n%s", single)
+	}
 	for _, row := range results.targets() {
 		if !strings.Contains(text, "| "+row.role+" | "+row.figure+" |") || row.mechanism == "" || row.verdict == "" {
 			t.Errorf("row %+v is missing or incomplete", row)
@@ -177,9 +180,15 @@
 	if err := good.check(); err != nil {
 		t.Error(err)
 	}
+	one := plan{nodes: 402, replicas: []int{12000}}
+	if err := one.check(); err != nil {
+		t.Error(err)
+	}
+	two, page := one, one
+	two.replicas, page.page = []int{1, 2}, "page"
 	short, zero := good, good
 	short.streams, zero.gateways = []int{1, 2}, []int{0, 1, 2}
-	for _, bad := range []plan{short, zero} {
+	for _, bad := range []plan{short, zero, two, page} {
 		if bad.check() == nil {
 			t.Errorf("accepted %+v", bad)
 		}
--- a/cmd/deckpulley-scale/target.go
+++ b/cmd/deckpulley-scale/target.go
@@ -18,6 +18,7 @@
 	boundBytes      = 14 << 10
 	boundMemory     = 32 << 20
 	boundInForce    = 8 * time.Second
+	boundFailover   = 12 * time.Second
 	pollsPerSecond  = 2 // of one replica by one gateway
 	updatesPerStart = 4 // registry updates for one restart: down, up, and both member records
 	usableCore      = 0.6
@@ -280,8 +281,8 @@
 			judge(l.restart.at(targetGateways), boundInForce.Seconds(), l.restart.Residual, targetGateways, l.restart.Highest), "a lost gateway's lease runs out, once",
 		},
 		{
-			"fleet", "loss of the primary", fmt.Sprintf("to the next acknowledgement at %d gateways", targetGateways), number(l.failover.at(targetGateways)) + " s", "12 s",
-			judge(l.failover.at(targetGateways), 12, l.failover.Residual, targetGateways, l.failover.Highest), "election, then waiting out the leases",
+			"fleet", "loss of the primary", fmt.Sprintf("to the next acknowledgement at %d gateways", targetGateways), number(l.failover.at(targetGateways)) + " s", number(boundFailover.Seconds()) + " s",
+			judge(l.failover.at(targetGateways), boundFailover.Seconds(), l.failover.Residual, targetGateways, l.failover.Highest), "election, then waiting out the leases",
 		},
 		{
 			"gateway", "relaying, each its share", fmt.Sprintf("%s events/s × slope + intercept", number(perGatewayEvents)), percent(relay), "100%",
@@ -296,3 +297,30 @@
 		{"replicas", "first token, between tokens", "depends on the replicas; the gateway's share is measured by the fleet run", "not measured here", "0.92 s, 33 ms", estimatedOnly, "placement by prefix and load, admission by deadline"},
 	}
 }
+
+// againstBounds sets one measured size against the bounds of the target.
+func (r reading) againstBounds() string {
+	m := &markdown{}
+	sizesTable(m, "### One size", []reading{r})
+	m.WriteString("\n")
+	m.head("role", "figure", "measured", "bound", "verdict")
+	compare := func(role, figure string, value, bound float64, show func(float64) string) {
+		m.row(role, figure, show(value), show(bound), string(judge(value, bound, 0, 1, 1)))
+	}
+	rate := func(value float64) string { return number(value) + " B/s" }
+	memory := func(value float64) string { return number(value/mebibyte) + " MiB" }
+	duration := func(value float64) string { return number(value) + " s" }
+	compare("primary", "traffic at rest", r.primary.bytes, boundBytes, rate)
+	compare("primary", "processor at rest", r.primary.cpu, boundCore, percent)
+	compare("primary", "resident memory", r.primary.resident, boundMemory, memory)
+	compare("other control node", "traffic at rest", r.follower.bytes, boundBytes, rate)
+	compare("other control node", "processor at rest", r.follower.cpu, boundCore, percent)
+	compare("other control node", "resident memory", r.follower.resident, boundMemory, memory)
+	compare("gateway", "control traffic at rest", r.gateway.bytes, boundBytes, rate)
+	compare("gateway", "control processor at rest", r.gateway.cpu, boundCore, percent)
+	compare("gateway", "memory of the copy", r.gateway.heap, boundMemory, memory)
+	compare("fleet", "a change in force everywhere, longest", longestInForce(r), boundInForce.Seconds(), duration)
+	compare("fleet", "up to 70 gateways lost and started, to the next change", r.restarted.Seconds(), boundInForce.Seconds(), duration)
+	compare("fleet", "loss of the primary, to the next change", r.failover.Seconds(), boundFailover.Seconds(), duration)
+	return m.String()
+}
