Judge an unusable slot alike each time it is asked

Cause: Slot.Usable took the new plan's serial over before it judged the request by that plan. A slot whose home or service the plan had changed was unusable at the first question and usable at the second.

Ruled out as reached today: the gateway asks once at the grant and once at the first byte and drops the slot at the first no, so nothing was sent outside its home by this. The promise is the slot's own, not its callers'.

--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -72,7 +72,13 @@
 
 func (f *fleet) plan() *Plan {
 	f.t.Helper()
-	table, err := registry.New(places.Apex, places.Schema(), registry.Head{Primary: "c1", Serial: 1}, []string{"c1"})
+	return f.planAfter(1)
+}
+
+// planAfter is plan with the serial that follows the given one.
+func (f *fleet) planAfter(serial uint32) *Plan {
+	f.t.Helper()
+	table, err := registry.New(places.Apex, places.Schema(), registry.Head{Primary: "c1", Serial: serial}, []string{"c1"})
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/routing/slot.go
+++ b/routing/slot.go
@@ -79,8 +79,11 @@
 	if l.Serial == l.router.serial {
 		return true
 	}
+	if l.router.planError(&l.request) != nil || l.request.Service != l.target.service.name {
+		return false
+	}
 	l.Version, l.Serial = l.router.version, l.router.serial
-	return l.router.planError(&l.request) == nil && l.request.Service == l.target.service.name
+	return true
 }
 
 // FirstToken records when the first event of a stream arrived. A whole answer
