Never answer an order refused while an earlier attempt is open

Cause: a node that forwards an order passed a node's 'no primary, not carried out' on as its own answer if its time had just run out. That refusal is true of the node that sent it; an earlier attempt, whose answer was lost, may have been carried out by another primary.

Ruled out: while time is left the refusal was not passed on, and unfinished() already tells pending (unknown) from refused by whether anything was sent.

Change: a forwarded no-primary answer is never final. What the operator hears is unfinished().

Before: TestForwardedOrderIsNotRefusedOnceItsFateIsOpen got no_primary (refused). After: it passes, and so does go test -race ./control.

--- a/control/orders.go
+++ b/control/orders.go
@@ -78,8 +78,8 @@
 		n.log.Debug("order not forwarded", "order", task.id(), "primary", primary, "error", err)
 		return peer.OrderReply{}, false
 	}
-	if reply.Error != nil && reply.Error.Code == api.CodeNoPrimary && ctx.Err() == nil {
-		return peer.OrderReply{}, false
+	if reply.Error != nil && reply.Error.Code == api.CodeNoPrimary {
+		return peer.OrderReply{}, false // it speaks for that node alone, not for earlier attempts
 	}
 	return reply, true
 }
