Call no stream unsent whose request was written whole

Cause: OpenStream answered ErrNotSent when the node began to close between the write of the request and the start of the stream's pings, although the peer may run the handler. Callers take that error for proof that nothing runs.

Ruled out: a short write (the peer drops a frame that is not whole) and a refused dial or handshake; both stay ErrNotSent.

Change: the stream is returned with its connection closed, so that Next tells that it broke.

Before: TestStreamWrittenWhileClosingIsNotCalledUnsent got ErrNotSent. After: it passes, and so does go test -race ./transport.

--- a/transport/stream.go
+++ b/transport/stream.go
@@ -90,8 +90,7 @@
 	stream := &openedStream{node: n, address: address, connection: connection, kind: kind, ctx: ctx, finished: make(chan struct{})}
 	stream.stopWatch = context.AfterFunc(ctx, func() { connection.raw.Close() })
 	if !n.spawn(stream.pingLoop) {
-		n.release(connection.raw)
-		return nil, fmt.Errorf("%w to %s: %w", ErrNotSent, address, ErrClosed)
+		connection.raw.Close() // the request is written: Next tells that the stream broke
 	}
 	return stream, nil
 }
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -313,6 +313,35 @@
 	}
 }
 
+// TestStreamWrittenWhileClosingIsNotCalledUnsent has the node close right after
+// the request was written whole: the peer may run it, so that it must not be
+// told from the error that it cannot.
+func TestStreamWrittenWhileClosingIsNotCalledUnsent(t *testing.T) {
+	a, b, _ := pairTCP(t)
+	ctx := within(t, patience)
+	first, err := a.OpenStream(ctx, b.Address(), kindCount, number{Number: 2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := collect(t, first); err != io.EOF {
+		t.Fatal(err)
+	}
+	setClosed := func(closed bool) {
+		a.mutex.Lock()
+		defer a.mutex.Unlock()
+		a.closed = closed
+	}
+	setClosed(true) // as Close does first; the kept connection is still open
+	stream, err := a.OpenStream(ctx, b.Address(), kindCount, number{Number: 2})
+	setClosed(false)
+	if err != nil {
+		t.Fatalf("the written request is called unsent: %v", err)
+	}
+	if _, err := collect(t, stream); !errors.Is(err, ErrBroken) {
+		t.Fatalf("ended with %v", err)
+	}
+}
+
 func TestClosedStreamStopsTheHandler(t *testing.T) {
 	a, b, notes := pairTCP(t)
 	for _, stop := range []string{"close", "context"} {
