Blame no replica for its caller's slowness

Cause: the timer of a stream's gap ran on while the gateway waited for a slow caller to take what it had. A caller that paused for longer than the gap with 256 KiB outstanding ended its stream as replica_stalled, and the attempt counted as a failure of the replica, up to its ejection.

Ruled out: letting streams run without a bound. A caller that takes nothing is still cut off by the write timeout, and the request by its deadline.

Change: the timer stands still between two calls of Next.

Before: TestReaderGapIsTheSourcesAlone was interrupted at its second event, all of them being ready. After: it passes; go test -race ./stream ./gateway passes.

--- a/stream/reader.go
+++ b/stream/reader.go
@@ -137,7 +137,8 @@
 type Options struct {
 	// RequestID is the request that the stream must answer.
 	RequestID string
-	// Gap is the longest wait for an event; 0 is no bound.
+	// Gap is the longest wait for an event; 0 is no bound. The time that the
+	// events' user takes between two calls of Next is not a part of it.
 	Gap time.Duration
 	// Interrupt is called once when the gap is over. It must make the source's
 	// Read return, for instance by canceling the request.
@@ -153,6 +154,7 @@
 	hasData bool
 	gap     time.Duration
 	timer   *time.Timer
+	paused  bool // the timer stands still until the next wait
 	stalled atomic.Bool
 }
 
@@ -193,6 +195,7 @@
 // Next returns the next event. After an End or an Error there are no more. Its
 // error is always a *Fault.
 func (r *Reader) Next() (Event, error) {
+	r.resumeTimer()
 	for {
 		done, err := r.line()
 		if err != nil {
@@ -202,13 +205,25 @@
 			continue
 		}
 		event, err := r.event()
-		if err == nil && r.timer != nil {
-			r.timer.Reset(r.gap)
-		}
+		r.pauseTimer()
 		return event, err
 	}
 }
 
+func (r *Reader) pauseTimer() {
+	if r.timer != nil {
+		r.timer.Stop()
+		r.paused = true
+	}
+}
+
+func (r *Reader) resumeTimer() {
+	if r.paused {
+		r.timer.Reset(r.gap)
+		r.paused = false
+	}
+}
+
 func (r *Reader) readFault(err error) error {
 	var known *Fault
 	if errors.As(err, &known) {
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -87,6 +88,38 @@
 	}
 }
 
+// TestReaderGapIsTheSourcesAlone takes far longer than the gap over each event
+// of a source that has them all ready, and then waits for one that has none.
+func TestReaderGapIsTheSourcesAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const gap = time.Second
+		source, events := io.Pipe()
+		interrupted := false
+		reader := NewReader(source, Options{RequestID: "r", Gap: gap, Interrupt: func() {
+			interrupted = true
+			events.CloseWithError(errors.New("canceled"))
+		}})
+		defer reader.Close()
+		go func() {
+			for sequence := 1; sequence <= 3; sequence++ {
+				_, _ = io.WriteString(events, pieceFrame("r", "run", sequence, 1, "a"))
+			}
+		}()
+		for range 3 {
+			if _, err := reader.Next(); err != nil || interrupted {
+				t.Fatalf("interrupted %t, %v", interrupted, err)
+			}
+			time.Sleep(5 * gap)
+		}
+		start := time.Now()
+		_, err := reader.Next()
+		var broken *Fault
+		if !errors.As(err, &broken) || broken.Code != api.CodeReplicaStalled || time.Since(start) != gap {
+			t.Fatalf("a silent source: %v after %v", err, time.Since(start))
+		}
+	})
+}
+
 func TestReaderGap(t *testing.T) {
 	source, sink := io.Pipe()
 	defer sink.Close()
