Count the attempts that another region made

Cause: a run in another region that ended refused counted as no attempt at all, also when a replica there had been sent the request and had refused it. The next region was then tried without asking the retry budget, stamped as attempt 1 and counted as a first attempt, which earned budget for more. After a hop that broke, the attempt in the own region was budgeted but stamped and counted as a first one too. So with replicas that refuse, spilled requests were sent to as many replicas as there are regions outside the bound on retries.

Ruled out: counting every refused run. One that found its reservation gone has sent nothing, and costs nothing.

Change: the last event of a run says how many attempts may have reached a replica; the sender adds them to its own.

Before: TestRefusedHopCountsAsAttempt saw one retry without budget, and attempt 1 where 2 was due. After: it passes, and so does go test -race ./gateway/... ./internal/simulation ./internal/benchmark.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -52,7 +52,7 @@
 			Serial:               slot.Serial,
 			Gateway:              r.gateway.options.Info.Name,
 			Incarnation:          r.gateway.options.Info.Incarnation,
-			Attempt:              r.before + r.sent + 1,
+			Attempt:              r.made() + 1,
 		},
 	}
 }
@@ -60,8 +60,8 @@
 func (r *runner) noteSent() {
 	r.sent++
 	r.spare = false
-	r.route.Attempt = r.before + r.sent + 1
-	if r.before+r.sent == 1 {
+	r.route.Attempt = r.made() + 1
+	if r.made() == 1 {
 		r.gateway.router.NoteAttempt()
 	}
 	r.gateway.metrics.attempts.Inc()
--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -25,11 +25,13 @@
 // errAbandoned is the cause of a cancellation after the last reader left.
 var errAbandoned = errors.New("gateway: the caller went away")
 
-// result is how an execution ended. Exactly one field is set.
+// result is how an execution ended. Exactly one of its pointers is set.
 type result struct {
 	answer  *api.GenerateAnswer
 	end     *api.StreamEnd
 	failure *api.Error
+	// attempts is the number of attempts that may have reached a replica.
+	attempts int
 }
 
 // state is what the owner's ledger keeps of the result.
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -58,11 +58,11 @@
 				return nil, err
 			}
 		case event.End != nil:
-			return &result{end: event.End}, order.End(event.End)
+			return &result{end: event.End, attempts: event.Attempts}, order.End(event.End)
 		case event.Answer != nil && event.Answer.RequestID == run.requestID && order.Pieces() == 0:
-			return &result{answer: event.Answer}, nil
+			return &result{answer: event.Answer, attempts: event.Attempts}, nil
 		case event.Error != nil:
-			return &result{failure: event.Error}, nil
+			return &result{failure: event.Error, attempts: event.Attempts}, nil
 		default:
 			return nil, errNotAnswer
 		}
@@ -77,7 +77,7 @@
 			return err
 		}
 		if ended != nil {
-			return send(&peer.RunEvent{Answer: ended.answer, End: ended.end, Error: ended.failure})
+			return send(&peer.RunEvent{Answer: ended.answer, End: ended.end, Error: ended.failure, Attempts: ended.attempts})
 		}
 		err = eachPiece(frames, func(data []byte) error {
 			piece := new(api.StreamPiece)
@@ -180,7 +180,7 @@
 		Request:   request,
 		HomeOnly:  r.route.Home,
 		TimeLeft:  left,
-		Attempt:   r.before + r.sent + r.hops + 1,
+		Attempt:   r.made() + 1,
 		Incarnate: info.Incarnation,
 	}
 	if active := g.agent.Active(); active != nil {
@@ -241,6 +241,7 @@
 		return verdict{standing: stoodDone}
 	}
 	r.gateway.metrics.spills.WithLabelValues("failed").Inc()
+	r.hops += final.attempts
 	if r.execution.pieces() {
 		copied := *failure
 		copied.Outcome = api.OutcomeFailed
@@ -250,7 +251,9 @@
 	if failure.Outcome == api.OutcomeRefused {
 		return verdict{standing: stoodNotStarted, failure: failure}
 	}
-	r.hops++
+	if final.attempts == 0 {
+		r.hops++
+	}
 	return r.broken(failure)
 }
 
--- a/gateway/hop_test.go
+++ b/gateway/hop_test.go
@@ -61,6 +61,47 @@
 	}
 }
 
+// TestRefusedHopCountsAsAttempt has a replica of another region refuse what was
+// sent to it. Trying the own region next is a retry: it needs budget for one,
+// and its stamp is the second attempt's.
+func TestRefusedHopCountsAsAttempt(t *testing.T) {
+	f := newFleet(t)
+	f.primary.set(func(p *primary) {
+		p.apply(registry.Add(places.ClientRecord("southerner", places.Client{Region: "south"})))
+	})
+	far, near := f.replica("far", "south"), f.replica("near", "north")
+	north := f.gateway("g1", "north", "a", nil)
+	south := f.gateway("g2", "south", "b", nil)
+	f.ready(north, south)
+	far.behave(func(w http.ResponseWriter, _ *http.Request, request *api.ReplicaRequest) {
+		writeError(w, &api.Error{Code: api.CodeOverloaded, Outcome: api.OutcomeRefused, RequestID: request.RequestID})
+	})
+	ask := func(id, client string) *reply {
+		request := question(id)
+		request.Repeatable, request.Client = true, client
+		return north.send(t, request)
+	}
+	if got := ask("without budget", "southerner"); got.outcome() != "overloaded/refused" {
+		t.Errorf("without budget: %s", got.outcome())
+	}
+	if attempts := len(near.requests()); attempts != 0 {
+		t.Errorf("retried %d times without budget", attempts)
+	}
+	for range 60 { // earns budget
+		if got := ask("warm", ""); got.outcome() != "success" {
+			t.Fatal(got.outcome())
+		}
+	}
+	if got := ask("with budget", "southerner"); got.outcome() != "success" {
+		t.Fatalf("with budget: %s", got.outcome())
+	}
+	reached := near.requests()
+	last := reached[len(reached)-1]
+	if last.RequestID != "with budget" || last.Stamp.Attempt != 2 {
+		t.Fatalf("%s is attempt %d", last.RequestID, last.Stamp.Attempt)
+	}
+}
+
 // TestDisplacedRequestsWaitForRoom sends a request to a gateway whose region
 // takes nothing while the other region's one replica is full.
 func TestDisplacedRequestsWaitForRoom(t *testing.T) {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -52,7 +52,7 @@
 	// before is the number of attempts made in the region that the request came from.
 	before int
 	sent   int // attempts of which a byte may have left
-	hops   int // runs in other regions that may have reached a replica
+	hops   int // attempts in other regions that may have reached a replica
 	unsent int
 	stale  int
 	// retried means that the request's one retry was asked for; spare that it
@@ -107,7 +107,11 @@
 	}
 }
 
+// made is the number of attempts so far that may have reached a replica.
+func (r *runner) made() int { return r.before + r.sent + r.hops }
+
 func (r *runner) deliver(final *result) {
+	final.attempts = r.sent + r.hops
 	if final.failure != nil {
 		final.failure.RequestID = r.request.RequestID
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -236,11 +236,14 @@
 	Request api.GenerateRequest `cbor:"1,keyasint"`
 }
 
-// RunEvent is one step of an answer. Exactly one field is set. Answer, End and
-// Error are the last of their stream.
+// RunEvent is one step of an answer. Exactly one of its pointers is set. Answer,
+// End and Error are the last of their stream.
 type RunEvent struct {
 	Answer *api.GenerateAnswer `cbor:"1,keyasint,omitempty"`
 	Piece  *api.StreamPiece    `cbor:"2,keyasint,omitempty"`
 	End    *api.StreamEnd      `cbor:"3,keyasint,omitempty"`
 	Error  *api.Error          `cbor:"4,keyasint,omitempty"`
+	// Attempts is the number of attempts that may have reached a replica, told
+	// with the last event.
+	Attempts int `cbor:"5,keyasint,omitempty"`
 }
