Advise no retry of a request that must not be repeated

Cause: a request that ended by its deadline or by the gateway's stop got the refusal of one that never ran, with retry and retry_after_ms; if an attempt may have run, its outcome was turned into unknown and the advice stayed. A caller of a request that must not be repeated was told to send it again.

Ruled out: the advice in outwaited(), for a joiner whose own time is over: the run goes on and a resend with the same ticket joins it.

Before: TestRetryIsAdvisedOnlyWhereItIsSafe got unknown with retry after 500 ms for a request that is not repeatable. After: it passes, and so does go test -race ./gateway.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -97,12 +97,16 @@
 	r.deliver(&result{failure: &copied})
 }
 
-// adviseRetry tells the caller when to come back, if that may help.
+// adviseRetry tells the caller when to come back, if that may help and cannot
+// repeat what must not be.
 func (r *runner) adviseRetry(failure *api.Error) {
-	if r.request.Repeatable && failure.Outcome != api.OutcomeRefused {
-		failure.Retry = true
+	if failure.Outcome != api.OutcomeRefused {
+		failure.Retry = r.request.Repeatable
 	}
-	if failure.Retry && failure.RetryAfterMS == 0 {
+	switch {
+	case !failure.Retry:
+		failure.RetryAfterMS = 0
+	case failure.RetryAfterMS == 0:
 		failure.RetryAfterMS = comeBack.Milliseconds()
 	}
 }
