--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -53,7 +53,7 @@
 			Gateway:              r.gateway.options.Info.Name,
 			Incarnation:          r.gateway.options.Info.Incarnation,
 			ReplicaIncarnation:   slot.Incarnation,
-			Attempt:              r.before + r.sent + 1,
+			Attempt:              r.made() + 1,
 		},
 	}
 }
@@ -61,8 +61,8 @@
 func (r *runner) noteSent() {
 	r.sent++
 	r.spare = false
-	r.route.Attempt = r.before + r.sent + 1
-	if r.before+r.sent == 1 {
+	r.route.Attempt = r.made() + 1
+	if r.made() == 1 {
 		r.gateway.router.NoteAttempt()
 	}
 	r.gateway.metrics.attempts.Inc()
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -54,7 +54,7 @@
 	before int
 	sent   int // attempts of which a byte may have left
 	voided int // those of them that a replica refused for what placed them
-	hops   int // runs in other regions that may have reached a replica
+	hops   int // attempts in other regions that may have reached a replica
 	unsent int
 	stale  int
 	// retried means that the request's one retry was asked for; spare that it
@@ -99,17 +99,25 @@
 	r.deliver(&result{failure: &copied})
 }
 
-// adviseRetry tells the caller when to come back, if that may help.
+// adviseRetry tells the caller when to come back, if that may help and cannot
+// repeat what must not be.
 func (r *runner) adviseRetry(failure *api.Error) {
-	if r.request.Repeatable && failure.Outcome != api.OutcomeRefused {
-		failure.Retry = true
+	if failure.Outcome != api.OutcomeRefused {
+		failure.Retry = r.request.Repeatable
 	}
-	if failure.Retry && failure.RetryAfterMS == 0 {
+	switch {
+	case !failure.Retry:
+		failure.RetryAfterMS = 0
+	case failure.RetryAfterMS == 0:
 		failure.RetryAfterMS = comeBack.Milliseconds()
 	}
 }
 
+// made is the number of attempts so far that may have reached a replica.
+func (r *runner) made() int { return r.before + r.sent + r.hops }
+
 func (r *runner) deliver(final *result) {
+	final.attempts = r.sent + r.hops
 	if final.failure != nil {
 		final.failure.RequestID = r.request.RequestID
 	}
