--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -73,7 +73,7 @@
 // inProgress keeps the polls of one replica from overtaking each other.
 type inProgress struct {
 	mutex sync.Mutex
-	names map[string]bool
+	names map[string]bool // true if another poll is to follow
 }
 
 func newInProgress() *inProgress { return &inProgress{names: make(map[string]bool)} }
@@ -81,51 +81,85 @@
 func (p *inProgress) enter(name string) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.names[name] {
+	if _, busy := p.names[name]; busy {
 		return false
 	}
-	p.names[name] = true
+	p.names[name] = false
 	return true
 }
 
-func (p *inProgress) leave(name string) {
+// enterOrRepeat is enter, but has another poll follow the one in progress.
+func (p *inProgress) enterOrRepeat(name string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	_, busy := p.names[name]
+	p.names[name] = busy
+	return !busy
+}
+
+// leave reports whether another poll is to follow at once; the place is then kept.
+func (p *inProgress) leave(name string) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if p.names[name] {
+		p.names[name] = false
+		return true
+	}
 	delete(p.names, name)
+	return false
 }
 
 func (g *Gateway) startPoll(ctx context.Context, active *places.Contents, replica string, slots chan struct{}, polls *sync.WaitGroup) {
 	record, listed := active.Replicas()[replica]
-	if !listed || !g.polling.enter(replica) {
+	if !listed {
 		return
 	}
 	select {
 	case slots <- struct{}{}:
 	default:
-		g.polling.leave(replica)
+		return
+	}
+	if !g.polling.enter(replica) {
+		<-slots
 		return
 	}
 	polls.Go(func() {
-		g.poll(ctx, replica, record)
-		g.polling.leave(replica)
+		g.pollEntered(ctx, replica, record)
 		<-slots
 	})
 }
 
-// pollNow polls one replica out of turn, unless it is being polled.
+// pollEntered polls a replica, and again as long as that is asked for meanwhile.
+func (g *Gateway) pollEntered(ctx context.Context, replica string, record places.Replica) {
+	g.poll(ctx, replica, record)
+	for g.polling.leave(replica) {
+		g.poll(ctx, replica, record)
+	}
+}
+
+// pollNow polls one replica out of turn; if it is being polled, once more after
+// that, since the answer under way may tell of before.
 func (g *Gateway) pollNow(replica string) {
 	record, listed := g.agent.Active().Replicas()[replica]
-	if !listed || !g.polling.enter(replica) {
+	if !listed || !g.polling.enterOrRepeat(replica) {
 		return
 	}
 	g.running.begin()
 	go func() {
 		defer g.running.end()
-		defer g.polling.leave(replica)
-		g.poll(g.work, replica, record)
+		g.pollEntered(g.work, replica, record)
 	}()
 }
 
+// suspect stops new requests to the replica of a slot until it has reported, and
+// has it polled at once. One that has reported another incarnation than the
+// slot's goes on.
+func (g *Gateway) suspect(slot *routing.Slot) {
+	if g.router.Suspect(slot.Replica, slot.Incarnation, time.Now()) {
+		g.pollNow(slot.Replica)
+	}
+}
+
 // poll asks one replica for its report. An answer in the name of another replica
 // is a failure: the address has changed hands.
 func (g *Gateway) poll(ctx context.Context, replica string, record places.Replica) {
