--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -325,7 +325,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	//nolint:errorlint // as above
+	//nolint:errorlint // the end of a stream is io.EOF itself, as of an io.Reader
 	if _, err := collect(t, first); err != io.EOF {
 		t.Fatal(err)
 	}
