Move the fixture of the routing tests into a file of its own

Cause: router_test.go had 515 lines, a third of them used by all tests of the package, and five tests repeated the same five lines of set-up. Change: fixture_test.go with oneReplica. No check is changed.

--- /dev/null
+++ b/routing/fixture_test.go
@@ -0,0 +1,140 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/registry"
+)
+
+// fleet builds plans for tests from a real registry table.
+type fleet struct {
+	t       testing.TB
+	records []registry.Record
+}
+
+func newFleet(t testing.TB) *fleet {
+	f := &fleet{t: t}
+	f.set(
+		places.ConfigurationRecord(places.Configuration{Version: 1}),
+		places.LimitsRecord(places.Limits{QueueLength: 8}),
+		places.ServiceRecord("large", places.Service{Kind: "model", MaxConcurrency: 4}),
+		places.RouteRecord("large-1", places.Route{Service: "large"}),
+		places.RegionRecord("east", places.Region{Spill: []string{"west"}, Capacity: 5}),
+		places.RegionRecord("west", places.Region{Spill: []string{"east"}, Capacity: 4}),
+		places.ZoneRecord("east-a", places.Zone{Region: "east"}),
+		places.ZoneRecord("west-a", places.Zone{Region: "west"}),
+		places.HomeRecord("east-only", places.Home{Regions: []string{"east"}}),
+		places.HomeRecord("west-only", places.Home{Regions: []string{"west"}}),
+		places.TenantRecord("bound", places.Tenant{Home: "east-only"}),
+		places.ClientRecord("westerners", places.Client{Region: "west"}),
+	)
+	f.gateway("g1", "east-a", "east", true)
+	f.gateway("g2", "west-a", "west", true)
+	return f
+}
+
+// set adds records or replaces those of the same name and type.
+func (f *fleet) set(records ...registry.Record) {
+	for _, record := range records {
+		f.remove(record.Name, record.Type)
+		f.records = append(f.records, record)
+	}
+}
+
+func (f *fleet) remove(name registry.Name, recordType registry.Type) {
+	for index, record := range f.records {
+		if record.Name == name && record.Type == recordType {
+			f.records = append(f.records[:index], f.records[index+1:]...)
+			return
+		}
+	}
+}
+
+func (f *fleet) gateway(name, zone, region string, up bool) {
+	f.set(places.GatewayRecord(name, places.Gateway{Incarnation: "1", Zone: zone, Region: region, Up: up}))
+}
+
+func (f *fleet) replica(name, zone, region string) {
+	f.set(places.ReplicaRecord(name, places.Replica{
+		Service: "large", Zone: zone, Region: region, Address: name + ":80",
+	}))
+}
+
+func (f *fleet) condition(name string, state places.ConditionState, feeder string) {
+	f.set(places.ConditionRecord(name, places.Condition{State: state, Incarnation: name + "-1", Feeder: feeder}))
+}
+
+func (f *fleet) plan() *Plan {
+	f.t.Helper()
+	return f.planAfter(1)
+}
+
+// planAfter is plan with the serial that follows the given one.
+func (f *fleet) planAfter(serial uint32) *Plan {
+	f.t.Helper()
+	table, err := registry.New(places.Apex, places.Schema(), registry.Head{Primary: "c1", Serial: serial}, []string{"c1"})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	changes := make([]registry.Record, 0, len(f.records))
+	for _, record := range f.records {
+		changes = append(changes, registry.Add(record))
+	}
+	update := registry.NewUpdate(places.Apex, nil, changes)
+	if result := table.Apply(&update, nil); result.Code != registry.NoError {
+		f.t.Fatalf("table: %v", result)
+	}
+	contents, err := places.Read(table.View())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return contents
+}
+
+func report(name string) api.ReplicaReport {
+	return api.ReplicaReport{
+		Replica: name, Incarnation: name + "-1", Service: "large",
+		Slots: 4, PrefillTokensPerSecond: 1000, Sequence: 1, ConfigurationVersion: 1,
+	}
+}
+
+func request(id string) Request {
+	return Request{
+		ID: id, Model: "large-1", Service: "large", Class: api.ClassQuick,
+		PromptTokens: 10, Deadline: time.Now().Add(10 * time.Second), Attempt: 1,
+	}
+}
+
+func newRouter(region, gateway string) *Router {
+	return New(Config{Region: region, Gateway: gateway, Seed: 1})
+}
+
+// oneReplica returns a fleet with one replica and a router that has heard of it.
+func oneReplica(t testing.TB) (*fleet, *Router) {
+	f := newFleet(t)
+	f.replica("r1", "east-a", "east")
+	router := newRouter("east", "g1")
+	router.SetPlan(f.plan())
+	router.Observe("r1", report("r1"), time.Now())
+	return f, router
+}
+
+func mustReserve(t *testing.T, router *Router, request Request) *Slot {
+	t.Helper()
+	slot, failure := router.Reserve(request)
+	if failure != nil {
+		t.Fatalf("reserve %s: %v", request.ID, failure)
+	}
+	return slot
+}
+
+func wantRefused(t *testing.T, router *Router, request Request, code api.Code) {
+	t.Helper()
+	slot, failure := router.Reserve(request)
+	if slot != nil || failure == nil || failure.Code != code || failure.Outcome != api.OutcomeRefused {
+		t.Fatalf("reserve %s: slot %v, %v; want refused with %s", request.ID, slot, failure, code)
+	}
+}
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -9,129 +9,8 @@
 
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/places"
-	"github.com/deckpulley/deckpulley/registry"
 )
 
-// fleet builds plans for tests from a real registry table.
-type fleet struct {
-	t       testing.TB
-	records []registry.Record
-}
-
-func newFleet(t testing.TB) *fleet {
-	f := &fleet{t: t}
-	f.set(
-		places.ConfigurationRecord(places.Configuration{Version: 1}),
-		places.LimitsRecord(places.Limits{QueueLength: 8}),
-		places.ServiceRecord("large", places.Service{Kind: "model", MaxConcurrency: 4}),
-		places.RouteRecord("large-1", places.Route{Service: "large"}),
-		places.RegionRecord("east", places.Region{Spill: []string{"west"}, Capacity: 5}),
-		places.RegionRecord("west", places.Region{Spill: []string{"east"}, Capacity: 4}),
-		places.ZoneRecord("east-a", places.Zone{Region: "east"}),
-		places.ZoneRecord("west-a", places.Zone{Region: "west"}),
-		places.HomeRecord("east-only", places.Home{Regions: []string{"east"}}),
-		places.HomeRecord("west-only", places.Home{Regions: []string{"west"}}),
-		places.TenantRecord("bound", places.Tenant{Home: "east-only"}),
-		places.ClientRecord("westerners", places.Client{Region: "west"}),
-	)
-	f.gateway("g1", "east-a", "east", true)
-	f.gateway("g2", "west-a", "west", true)
-	return f
-}
-
-// set adds records or replaces those of the same name and type.
-func (f *fleet) set(records ...registry.Record) {
-	for _, record := range records {
-		f.remove(record.Name, record.Type)
-		f.records = append(f.records, record)
-	}
-}
-
-func (f *fleet) remove(name registry.Name, recordType registry.Type) {
-	for index, record := range f.records {
-		if record.Name == name && record.Type == recordType {
-			f.records = append(f.records[:index], f.records[index+1:]...)
-			return
-		}
-	}
-}
-
-func (f *fleet) gateway(name, zone, region string, up bool) {
-	f.set(places.GatewayRecord(name, places.Gateway{Incarnation: "1", Zone: zone, Region: region, Up: up}))
-}
-
-func (f *fleet) replica(name, zone, region string) {
-	f.set(places.ReplicaRecord(name, places.Replica{
-		Service: "large", Zone: zone, Region: region, Address: name + ":80",
-	}))
-}
-
-func (f *fleet) condition(name string, state places.ConditionState, feeder string) {
-	f.set(places.ConditionRecord(name, places.Condition{State: state, Incarnation: name + "-1", Feeder: feeder}))
-}
-
-func (f *fleet) plan() *Plan {
-	f.t.Helper()
-	return f.planAfter(1)
-}
-
-// planAfter is plan with the serial that follows the given one.
-func (f *fleet) planAfter(serial uint32) *Plan {
-	f.t.Helper()
-	table, err := registry.New(places.Apex, places.Schema(), registry.Head{Primary: "c1", Serial: serial}, []string{"c1"})
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	changes := make([]registry.Record, 0, len(f.records))
-	for _, record := range f.records {
-		changes = append(changes, registry.Add(record))
-	}
-	update := registry.NewUpdate(places.Apex, nil, changes)
-	if result := table.Apply(&update, nil); result.Code != registry.NoError {
-		f.t.Fatalf("table: %v", result)
-	}
-	contents, err := places.Read(table.View())
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	return contents
-}
-
-func report(name string) api.ReplicaReport {
-	return api.ReplicaReport{
-		Replica: name, Incarnation: name + "-1", Service: "large",
-		Slots: 4, PrefillTokensPerSecond: 1000, Sequence: 1, ConfigurationVersion: 1,
-	}
-}
-
-func request(id string) Request {
-	return Request{
-		ID: id, Model: "large-1", Service: "large", Class: api.ClassQuick,
-		PromptTokens: 10, Deadline: time.Now().Add(10 * time.Second), Attempt: 1,
-	}
-}
-
-func newRouter(region, gateway string) *Router {
-	return New(Config{Region: region, Gateway: gateway, Seed: 1})
-}
-
-func mustReserve(t *testing.T, router *Router, request Request) *Slot {
-	t.Helper()
-	slot, failure := router.Reserve(request)
-	if failure != nil {
-		t.Fatalf("reserve %s: %v", request.ID, failure)
-	}
-	return slot
-}
-
-func wantRefused(t *testing.T, router *Router, request Request, code api.Code) {
-	t.Helper()
-	slot, failure := router.Reserve(request)
-	if slot != nil || failure == nil || failure.Code != code || failure.Outcome != api.OutcomeRefused {
-		t.Fatalf("reserve %s: slot %v, %v; want refused with %s", request.ID, slot, failure, code)
-	}
-}
-
 // nothingNew lists the reasons why a replica gets nothing new, and their ends.
 var nothingNew = []struct {
 	name  string
@@ -222,11 +101,7 @@
 // TestSuspicionOfPredecessor breaks a connection to an incarnation after the next
 // one has reported: that one goes on.
 func TestSuspicionOfPredecessor(t *testing.T) {
-	f := newFleet(t)
-	f.replica("r1", "east-a", "east")
-	router := newRouter("east", "g1")
-	router.SetPlan(f.plan())
-	router.Observe("r1", report("r1"), time.Now())
+	_, router := oneReplica(t)
 	early := mustReserve(t, router, request("early"))
 	next := report("r1")
 	next.Incarnation = "r1-2"
@@ -246,11 +121,7 @@
 	for _, c := range nothingNew {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newFleet(t)
-				f.replica("r1", "east-a", "east")
-				router := newRouter("east", "g1")
-				router.SetPlan(f.plan())
-				router.Observe("r1", report("r1"), time.Now())
+				f, router := oneReplica(t)
 				early := mustReserve(t, router, request("early"))
 				c.begin(f, router)
 				router.SetPlan(f.plan())
@@ -272,11 +143,7 @@
 // away by a new plan: each gets its refusal at once, not at its deadline.
 func TestQueuedRequestsAreJudgedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t)
-		f.replica("r1", "east-a", "east")
-		router := newRouter("east", "g1")
-		router.SetPlan(f.plan())
-		router.Observe("r1", report("r1"), time.Now())
+		f, router := oneReplica(t)
 		mustReserve(t, router, request("holds the first step of the ramp"))
 		answers := make(chan *api.Error, 2)
 		for index := range 2 {
@@ -306,11 +173,7 @@
 // refusal when no replica is left usable, and a caller that goes away.
 func TestAcquire(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t)
-		f.replica("r1", "east-a", "east")
-		router := newRouter("east", "g1")
-		router.SetPlan(f.plan())
-		router.Observe("r1", report("r1"), time.Now())
+		_, router := oneReplica(t)
 		held := mustReserve(t, router, request("holder"))
 		ctx, cancel := context.WithCancel(context.Background())
 		gone := make(chan *api.Error, 1)
@@ -441,11 +304,7 @@
 // tried: the refusal comes at once.
 func TestExcludedEverywhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t)
-		f.replica("r1", "east-a", "east")
-		router := newRouter("east", "g1")
-		router.SetPlan(f.plan())
-		router.Observe("r1", report("r1"), time.Now())
+		_, router := oneReplica(t)
 		again := request("again")
 		again.Exclude = map[string]bool{"r1": true}
 		start := time.Now()
