Take no time where the grantor reads none

Cause: Grantor.Activate and InForce had a time parameter that they ignored: both are judged as of the newest proof of leadership (SetContact). Change: the parameter goes, callers and tests follow. No behaviour changes.

--- a/control/leases.go
+++ b/control/leases.go
@@ -271,8 +271,8 @@
 	if known {
 		leadership.grantor.SetContact(contact)
 	}
-	leadership.activate = leadership.grantor.Activate(now)
-	leadership.inForce, leadership.inForceKnown = leadership.grantor.InForce(now)
+	leadership.activate = leadership.grantor.Activate()
+	leadership.inForce, leadership.inForceKnown = leadership.grantor.InForce()
 	m.notifyGateways(leadership)
 }
 
--- a/control/status.go
+++ b/control/status.go
@@ -99,7 +99,7 @@
 	view.Status.Members = append(view.Status.Members, gateways...)
 	view.Status.Primary = m.options.Name
 	view.Status.Leases = leases
-	view.Status.InForceSerial, _ = leadership.grantor.InForce(now)
+	view.Status.InForceSerial, _ = leadership.grantor.InForce()
 	view.Status.Degraded = m.degraded(view, status)
 	return view
 }
--- a/examples/embedding/member.go
+++ b/examples/embedding/member.go
@@ -281,7 +281,7 @@
 		return nil
 	}
 	answer := &grant{Term: m.grantor.Term(), Length: decision.Length, Activate: decision.Activate}
-	if serial, known := m.grantor.InForce(now); known {
+	if serial, known := m.grantor.InForce(); known {
 		answer.InForce = serial
 	}
 	if request.Held != m.table.Serial() {
--- a/internal/simulation/primary.go
+++ b/internal/simulation/primary.go
@@ -157,7 +157,7 @@
 	if contact, known := m.contact(); known {
 		m.leadership.grantor.SetContact(contact)
 	}
-	serial, known := m.leadership.grantor.InForce(m.clock())
+	serial, known := m.leadership.grantor.InForce()
 	if known {
 		m.world.checks.reportedInForce(m, serial)
 	}
@@ -209,7 +209,7 @@
 	if m.leadership == nil || m.leadership.grantor == nil {
 		return
 	}
-	now := notice{serial: m.state.serial(), activate: m.leadership.grantor.Activate(m.clock())}
+	now := notice{serial: m.state.serial(), activate: m.leadership.grantor.Activate()}
 	if now == m.leadership.notified {
 		return
 	}
--- a/lease/example_test.go
+++ b/lease/example_test.go
@@ -22,7 +22,7 @@
 		}
 	}
 	renew(0)
-	_, known := grantor.InForce(0)
+	_, known := grantor.InForce()
 	fmt.Println(holder.Remaining(0), known)
 
 	for now := time.Duration(0); now <= terms.Window(); now += terms.Renewal {
@@ -30,7 +30,7 @@
 	}
 	now := terms.Window()
 	grantor.SetContact(now)
-	serial, known := grantor.InForce(now)
+	serial, known := grantor.InForce()
 	fmt.Println(holder.Valid(now), serial, known)
 	fmt.Println(holder.Valid(now + terms.Length))
 	// Output:
--- a/lease/grantor.go
+++ b/lease/grantor.go
@@ -172,13 +172,13 @@
 	}
 	if request.Leaving {
 		g.leave(now, id)
-		return Decision{Activate: g.Activate(now)}
+		return Decision{Activate: g.Activate()}
 	}
 	if !g.provenLeader(now) {
 		return Decision{}
 	}
 	if now < g.left[id] {
-		return Decision{Granted: true, Activate: g.Activate(now)}
+		return Decision{Granted: true, Activate: g.Activate()}
 	}
 	length := time.Duration(0)
 	if g.mayHold(request) {
@@ -199,7 +199,7 @@
 		return false
 	}
 	bound := g.floor
-	if serial, known := g.InForce(g.contact); known {
+	if serial, known := g.InForce(); known {
 		bound = serial
 	}
 	continued := !g.windowOver() && request.Valid && request.Term == g.term
@@ -286,7 +286,7 @@
 // Activate returns the newest serial that holders may make active: the newest
 // one held by all of them, and never older than one that a holder reported as
 // active. 0 is none yet.
-func (g *Grantor) Activate(time.Duration) uint32 {
+func (g *Grantor) Activate() uint32 {
 	return g.activation(0)
 }
 
@@ -295,7 +295,7 @@
 // (false) until the leases of earlier primaries have run out, or while a live
 // lease has no active serial as of that proof and nothing was known before. What
 // it returns never falls.
-func (g *Grantor) InForce(time.Duration) (uint32, bool) {
+func (g *Grantor) InForce() (uint32, bool) {
 	if !g.windowOver() {
 		return 0, false
 	}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -28,7 +28,7 @@
 func wantInForce(t *testing.T, grantor *Grantor, now time.Duration, want uint32, wantKnown bool) {
 	t.Helper()
 	grantor.SetContact(now)
-	if serial, known := grantor.InForce(now); serial != want || known != wantKnown {
+	if serial, known := grantor.InForce(); serial != want || known != wantKnown {
 		t.Fatalf("in force at %v: %d (%v), want %d (%v)", now, serial, known, want, wantKnown)
 	}
 }
@@ -69,7 +69,7 @@
 		t.Fatalf("expired too early: %v", expired)
 	}
 	wantInForce(t, grantor, end, 5, true) // a has not reported 6 yet
-	if activate := grantor.Activate(end); activate != 6 {
+	if activate := grantor.Activate(); activate != 6 {
 		t.Fatalf("activate %d, want 6", activate)
 	}
 	if diff := cmp.Diff([]HolderID{{Holder: "gone", Incarnation: "1"}}, grantor.Expired(end)); diff != "" {
@@ -95,7 +95,7 @@
 	if got := grantor.Renew(late, now, true, ask("b", 6, 6)); got != (Decision{}) {
 		t.Fatalf("granted on an old proof: %+v", got)
 	}
-	if serial, known := grantor.InForce(late); serial != 5 || !known {
+	if serial, known := grantor.InForce(); serial != 5 || !known {
 		t.Fatalf("in force %d (%v): judged beyond the proof of leadership", serial, known)
 	}
 	unknown := NewGrantor(DefaultTerms(), 1, 0, 1)
@@ -116,7 +116,7 @@
 	leaving := ask("b", 5, 5)
 	leaving.Leaving = true
 	grantor.Renew(later, now, true, leaving)
-	if serial, _ := grantor.InForce(later); serial != 5 {
+	if serial, _ := grantor.InForce(); serial != 5 {
 		t.Fatalf("in force %d on a proof from before the reports", serial)
 	}
 	wantInForce(t, grantor, later, 6, true)
--- a/lease/simulation_test.go
+++ b/lease/simulation_test.go
@@ -292,7 +292,7 @@
 	if h.holder.Observe(primary.grantor.Term(), "cluster") != nil {
 		return
 	}
-	h.activateUpTo(primary.grantor.Activate(primary.clock.read(s.real)))
+	h.activateUpTo(primary.grantor.Activate())
 }
 
 func (h *simulatedHolder) activateUpTo(activate uint32) {
@@ -310,7 +310,7 @@
 	if known {
 		primary.grantor.SetContact(contact)
 	}
-	serial, sure := primary.grantor.InForce(primary.clock.read(s.real))
+	serial, sure := primary.grantor.InForce()
 	if sure && serialLess(s.inForce, serial) {
 		s.inForce = serial
 		s.advances++
