Poll a listed replica at once, whenever the watch looks

Cause: a replica that became active before the watch's first look, or between the router's plan and the agent's copy, waited for the next tick; a test with ticks an hour apart failed three times on a busy machine (load 37 to 39) waiting for it. Change: each look polls what is listed and not known yet, and knows only what the active copy lists.

--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -36,38 +36,38 @@
 	defer polls.Wait()
 	known := make(map[string]bool)
 	for {
+		// Asked for before the look at what is active, so that no change is missed.
 		changed := g.agent.Changed()
-		onlyNew := false
+		known = g.pollListed(ctx, known, slots, &polls)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
 		case <-changed:
-			onlyNew = true // a replica that was just listed is not kept waiting
-		}
-		active := g.agent.Active()
-		if active == nil {
-			continue
-		}
-		watched := g.router.Watched()
-		for _, replica := range watched {
-			if !onlyNew || !known[replica] {
-				g.startPoll(ctx, active, replica, slots, &polls)
-			}
-		}
-		known = setOf(watched)
-		if !onlyNew {
+		case <-ticker.C:
+			known = g.pollListed(ctx, nil, slots, &polls)
 			g.reportConditions(ctx, time.Now(), &polls)
 		}
 	}
 }
 
-func setOf(names []string) map[string]bool {
-	set := make(map[string]bool, len(names))
-	for _, name := range names {
-		set[name] = true
+// pollListed polls the listed replicas of the region that are not known yet, so
+// that one that was just listed is not kept waiting. It returns all that are.
+func (g *Gateway) pollListed(ctx context.Context, known map[string]bool, slots chan struct{}, polls *sync.WaitGroup) map[string]bool {
+	active := g.agent.Active()
+	if active == nil {
+		return known
+	}
+	listed := make(map[string]bool)
+	for _, replica := range g.router.Watched() {
+		if _, ok := active.Replicas()[replica]; !ok {
+			continue // the router has the next activation already
+		}
+		listed[replica] = true
+		if !known[replica] {
+			g.startPoll(ctx, active, replica, slots, polls)
+		}
 	}
-	return set
+	return listed
 }
 
 // inProgress keeps the polls of one replica from overtaking each other.
