Let the client call refused only what never ran

Cause: Generate returned the last exchange's problem alone. If the first one broke off, where the request may have run, and the alternate could not be reached or was another gateway that refused a request without a ticket, the program was told refused.

Ruled out: making a ticket's refusal unknown. With a ticket the refusal is the owner's word on every exchange and stands.

Before: two cases of TestGenerateRefusesOnlyWhatNeverRan got refused. After: it passes, and so does go test -race ./client.

--- a/client/caller.go
+++ b/client/caller.go
@@ -39,6 +39,7 @@
 	exchange := call{method: http.MethodPost, path: api.PathRequests, body: body}
 	var answer api.GenerateAnswer
 	var failure *attemptError
+	open := false // whether an earlier exchange may have run the request
 	for _, address := range append([]string{gateway}, alternates...) {
 		failure = c.requestOnce(ctx, address, exchange, &answer)
 		if failure == nil {
@@ -48,8 +49,10 @@
 		if !failure.again || !resendable || ctx.Err() != nil {
 			break
 		}
+		open = open || failure.sent
 	}
-	return nil, failure.problem
+	ownersWord := failure.typed && request.Ticket != ""
+	return nil, unanswered(*failure, open && !ownersWord)
 }
 
 // requestOnce is attempt without a time-out of its own and without resends of
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -193,6 +193,30 @@
 	}
 }
 
+// TestGenerateRefusesOnlyWhatNeverRan breaks the first exchange off, which may
+// have run, and has the alternate refuse in one way or another.
+func TestGenerateRefusesOnlyWhatNeverRan(t *testing.T) {
+	overloaded := &script{answers: []func(http.ResponseWriter){refusal(api.Error{Code: api.CodeOverloaded, Outcome: api.OutcomeRefused})}}
+	addresses := serve(t, &script{answers: []func(http.ResponseWriter){breakOff}}, overloaded)
+	cases := []struct {
+		name      string
+		request   api.GenerateRequest
+		alternate string
+		code      api.Code
+		outcome   api.Outcome
+	}{
+		{"nobody there", api.GenerateRequest{Ticket: "t"}, nobody(t), api.CodeNoPrimary, api.OutcomeUnknown},
+		{"the owner refused", api.GenerateRequest{Ticket: "t"}, addresses[1], api.CodeOverloaded, api.OutcomeRefused},
+		{"another gateway refused", api.GenerateRequest{Repeatable: true}, addresses[1], api.CodeOverloaded, api.OutcomeUnknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := newClient(t, "unused").Generate(patient(t), c.request, addresses[0], c.alternate)
+			wantProblem(t, err, c.code, c.outcome)
+		})
+	}
+}
+
 func TestStream(t *testing.T) {
 	const (
 		one   = "event: piece\ndata: {\"run_id\":\"r\",\"sequence\":1,\"text\":\"a\"}\n\n"
