Call an unread request unknown, not refused

Cause: a gateway without room for another request body answered refused (overloaded, retry). It had not read whose request it was: a resend, with its ticket, of one that had run was told that it never ran, and a first sending was told so although its resend, which the answer asks for, runs.

Ruled out: bodies that are malformed or too large. They are refused at every gateway and never run.

Before: TestUnreadResendIsNotCalledRefused got overloaded/refused. After: it passes, and so does go test -race ./gateway.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -106,6 +106,8 @@
 	failure := g.readRequest(w, r, &request)
 	if failure == nil {
 		failure = checkGenerate(&request)
+	} else if failure.Retry {
+		failure.Outcome = api.OutcomeUnknown // it may be the resend of one that ran
 	}
 	var reader *follower
 	if failure == nil {
--- a/gateway/ports_test.go
+++ b/gateway/ports_test.go
@@ -260,6 +260,30 @@
 	}
 }
 
+// TestUnreadResendIsNotCalledRefused resends a request that has run while the
+// gateway has no room for another body: nobody has looked whose request it is.
+func TestUnreadResendIsNotCalledRefused(t *testing.T) {
+	f := newFleet(t)
+	f.replica("r1", "north")
+	g := f.gateway("g1", "north", "a", nil)
+	f.ready(g)
+	request, _ := g.where(t, question("ran"))
+	if got := g.send(t, request); got.outcome() != "success" {
+		t.Fatal(got.outcome())
+	}
+	if !g.bodies.take(maxBodyBytesInFlight) {
+		t.Fatal("room is taken already")
+	}
+	got := g.send(t, request)
+	if got.outcome() != "overloaded/unknown" || !got.failure.Retry {
+		t.Errorf("without room: %s", got.outcome())
+	}
+	g.bodies.give(maxBodyBytesInFlight)
+	if got := g.send(t, request); got.outcome() != "success" {
+		t.Errorf("with room again: %s", got.outcome())
+	}
+}
+
 // TestConnectionsGiveWay opens more connections than are allowed: silent ones,
 // ones that never end their header and ones that never end their body.
 func TestConnectionsGiveWay(t *testing.T) {
