--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -293,6 +293,13 @@
 		{"one serial with two versions", "P10", func(r *run) {
 			r.add(freezeAt+9000, eventlog.Event{Kind: eventlog.ReplicaReceived, Replica: "replica-north-3", Gateway: "gateway-7", Version: 1, Serial: 20, Attempt: 1})
 		}},
+		{"an order accepted by a node that is cut off", "P10", func(r *run) {
+			r.add(-10, eventlog.Event{Kind: eventlog.Inventory, Class: TargetControl, Target: "control-east", Gateway: "10.0.0.1:1"})
+			r.addFault(crowdAt, FaultCut, TargetControl, "control-east")
+			r.add(crowdAt+5000, eventlog.Event{Kind: eventlog.OrderSent, Order: "alone", Detail: DetailWithdraw, Gateway: "10.0.0.1:1"})
+			r.add(crowdAt+5100, eventlog.Event{Kind: eventlog.OrderAnswered, Order: "alone", Outcome: OrderAccepted, Gateway: "10.0.0.1:1", Serial: 31, Version: 3})
+			r.addFault(crowdAt+24_000, FaultHeal, TargetControl, "control-east")
+		}},
 		{"a success of a run that never began", "P3", func(r *run) {
 			r.change(func(e eventlog.Event) bool { return e.Kind == eventlog.CallerAnswered && e.Request == "request-1" },
 				func(e *eventlog.Event) { e.Run = "invented" })
@@ -361,6 +368,19 @@
 			r.addFault(lossAt+500, FaultFreeze, TargetControl, "control-south")
 			r.remove(between(lossAt+400, lossAt+15_000))
 		}, StatusBroken},
+		{"an outage that begins when the leases run out", func(r *run) {
+			r.remove(func(e eventlog.Event) bool {
+				return e.Kind == eventlog.FaultInjected && e.Detail == FaultStart && milliseconds(e) < startAt
+			})
+			for at := int64(lossAt) + 1800; at < lossAt+20_000; at += 50 {
+				r.add(at, eventlog.Event{Kind: eventlog.CallerAnswered, Request: fmt.Sprintf("outage-%d", at), Outcome: "refused", Code: "no_lease"})
+			}
+		}, StatusBroken},
+		{"single refusals after the return", func(r *run) {
+			for at := int64(lossAt) + 2000; at < lossAt+20_000; at += 1000 {
+				r.add(at, eventlog.Event{Kind: eventlog.CallerAnswered, Request: fmt.Sprintf("single-%d", at), Outcome: "refused", Code: "overloaded"})
+			}
+		}, StatusKept},
 		{"callers of a region that is cut off", func(r *run) {
 			r.remove(func(e eventlog.Event) bool { return e.Kind == eventlog.FaultInjected && milliseconds(e) == lossAt })
 			r.events = append(r.events, eventlog.Event{At: (lossAt + 1_000_000) * int64(time.Millisecond), Kind: eventlog.FaultInjected, Detail: FaultCut, Class: TargetRegion, Target: "region:south", Region: "south"})
--- a/internal/checker/log.go
+++ b/internal/checker/log.go
@@ -102,6 +102,7 @@
 	losses   []*loss
 	zone     map[string]string // by replica
 	region   map[string]string // by replica
+	controls []eventlog.Event  // inventory lines of control nodes
 	end      int64
 }
 
@@ -129,6 +130,10 @@
 func (l *log) add(event eventlog.Event) {
 	switch event.Kind {
 	case eventlog.Inventory:
+		if event.Class == TargetControl {
+			l.controls = append(l.controls, event)
+			return
+		}
 		l.zone[event.Replica] = event.Zone
 		l.region[event.Replica] = event.Region
 	case eventlog.ReplicaReceived:
--- a/internal/checker/orders.go
+++ b/internal/checker/orders.go
@@ -73,17 +73,54 @@
 }
 
 // checkSuccession looks for two histories of the registry around the silence of
-// a control node: one serial with two versions in replicas' stamps, two accepted
-// orders with one serial, or an order answered with an older serial or version
-// than one that had been answered before it was sent.
+// a control node: one serial with two versions in replicas' stamps, an order
+// answered with a serial no newer than one that had been answered before it was
+// sent, or an order that a node accepted while it was cut off.
 func checkSuccession(l *log, _ Options, verdict *Verdict) {
 	for _, silence := range l.silences() {
 		from, to := silence.start.At, silence.end.At+int64(successionWindow)
 		checkStampedSerials(l, from, to, verdict)
 		checkAcceptedSerials(l, from, to, verdict)
+		checkAcceptedInSilence(l, silence, verdict)
 	}
 }
 
+// checkAcceptedInSilence examines the orders sent to a node that is cut off from
+// all others.
+func checkAcceptedInSilence(l *log, silence silence, verdict *Verdict) {
+	if silence.start.Detail != FaultCut {
+		return
+	}
+	silent := map[string]bool{}
+	for _, node := range l.controls {
+		if node.Target == silence.start.Target || (silence.start.Region != "" && node.Region == silence.start.Region) {
+			silent[node.Gateway] = true
+		}
+	}
+	for _, of := range l.orders {
+		for _, sent := range of.sends {
+			if silent[sent.Gateway] && sent.At > silence.start.At && sent.At < silence.end.At {
+				verdict.Examined++
+			}
+		}
+		for _, answer := range of.answers {
+			if answer.Outcome == OrderAccepted && silent[answer.Gateway] && firstSent(of, answer.Gateway) > silence.start.At && answer.At < silence.end.At {
+				verdict.violate(fmt.Sprintf("order %s was accepted by %s while it was cut off", of.id, silence.start.Target), silence.start, answer)
+			}
+		}
+	}
+}
+
+// firstSent is the stamp of the first send of an order to a node.
+func firstSent(of *order, address string) int64 {
+	for _, sent := range of.sends {
+		if sent.Gateway == address {
+			return sent.At
+		}
+	}
+	return 0
+}
+
 func checkStampedSerials(l *log, from, to int64, verdict *Verdict) {
 	first := map[uint32]eventlog.Event{}
 	for _, received := range l.receivedAfter(from) {
--- a/internal/checker/recovery.go
+++ b/internal/checker/recovery.go
@@ -95,29 +95,41 @@
 	return during, next
 }
 
-// firstCleanSecond is the time from at to the first second, counted from at and
-// over before limit, in which requests began and none was refused or lost.
-func (l *log) firstCleanSecond(at, limit int64, losses []*loss) (time.Duration, bool) {
+// service is the time from at to the first clean second after which no outage
+// begins within the bound. A second, counted from at, is clean if requests began
+// in it and none was refused or lost, and an outage if at least half were: a
+// lease that is still valid for a moment after its grantor is gone is no return.
+func (l *log) service(at, limit int64, losses []*loss) (time.Duration, bool) {
+	clean, found := time.Duration(0), false
 	for from := at; from+int64(bucket) <= min(l.end, limit); from += int64(bucket) {
-		if cleanSecond(l.requestsBetween(from, from+int64(bucket)), losses) {
-			return time.Duration(from - at), true
+		since := time.Duration(from - at)
+		if found && since > returnBound {
+			break
+		}
+		counted, disturbed := count(l.requestsBetween(from, from+int64(bucket)), losses)
+		switch {
+		case !found && counted > 0 && disturbed == 0:
+			clean, found = since, true
+		case found && counted > 0 && 2*disturbed >= counted:
+			found = false
 		}
 	}
-	return 0, false
+	return clean, found
 }
 
-func cleanSecond(requests []*request, losses []*loss) bool {
-	counted := 0
+// count returns how many of the requests the losses do not explain away, and how
+// many of these were refused or lost.
+func count(requests []*request, losses []*loss) (counted, disturbed int) {
 	for _, of := range requests {
 		if borne(of, losses) {
 			continue
 		}
 		counted++
 		if of.disturbed() {
-			return false
+			disturbed++
 		}
 	}
-	return counted > 0
+	return counted, disturbed
 }
 
 func borne(of *request, losses []*loss) bool {
@@ -173,7 +185,7 @@
 // checkServing judges one fault. A run that ends, or a second loss that begins,
 // before the bound and before any clean second says nothing.
 func (l *log) checkServing(fault eventlog.Event, next int64, losses []*loss, verdict *Verdict) {
-	took, ok := l.firstCleanSecond(fault.At, next, losses)
+	took, ok := l.service(fault.At, next, losses)
 	if !ok && min(l.end, next)-fault.At < int64(returnBound+bucket) {
 		return
 	}
--- a/internal/eventlog/read.go
+++ b/internal/eventlog/read.go
@@ -16,7 +16,7 @@
 const (
 	ConfigurationRead Kind = "configuration_read" // Version, Target (digest of the document), Gateway (node asked)
 	ZonesRead         Kind = "zones_read"         // Zone, Detail evacuated|open, Gateway (node asked)
-	Inventory         Kind = "inventory"          // Replica, Zone, Region, Service: where a replica stands
+	Inventory         Kind = "inventory"          // Replica, Zone, Region, Service: where a replica stands; or Class control, Target, Gateway: a control node's operator address
 )
 
 // logPattern matches the event logs of a run folder.
--- a/internal/fleet/faults.go
+++ b/internal/fleet/faults.go
@@ -80,6 +80,7 @@
 	if err := f.writeSettings(successor); err != nil {
 		return nil, err
 	}
+	f.noteControl(successor)
 	return successor, f.startNode(successor)
 }
 
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/internal/checker"
 	"github.com/deckpulley/deckpulley/internal/eventlog"
 	"github.com/deckpulley/deckpulley/internal/fleet/process"
 )
@@ -83,6 +84,9 @@
 		list.Replicas = append(list.Replicas, api.ReplicaEntry{ID: replica.ID, Service: replica.Service, Zone: replica.Zone, Address: replica.Address})
 		f.Log.Write(eventlog.Event{Kind: eventlog.Inventory, Replica: replica.ID, Zone: replica.Zone, Region: replica.Region, Service: replica.Service})
 	}
+	for _, node := range f.controls() {
+		f.noteControl(node)
+	}
 	text, err := json.Marshal(list)
 	if err != nil {
 		return fmt.Errorf("writing the replica list: %w", err)
@@ -93,6 +97,14 @@
 	return nil
 }
 
+// noteControl logs where operators reach a control node.
+func (f *Fleet) noteControl(node *Node) {
+	f.Log.Write(eventlog.Event{
+		Kind: eventlog.Inventory, Class: checker.TargetControl, Target: node.Name, Gateway: node.OperatorAddress,
+		Zone: node.Zone, Region: node.Region,
+	})
+}
+
 func (f *Fleet) startPlatform() error {
 	var controls []string
 	for _, node := range f.controls() {
--- a/internal/scenario/orders.go
+++ b/internal/scenario/orders.go
@@ -13,7 +13,7 @@
 func (r *runner) performOrder(ctx context.Context, step Step) error {
 	switch step.Do {
 	case Configure:
-		return r.configure(ctx)
+		return r.configure(ctx, step.Target)
 	case ConfigureBad:
 		return r.configureBad(ctx)
 	case Outrace:
@@ -41,7 +41,9 @@
 	return r.options.Deployment.WithRoute(fmt.Sprintf("extra-%d", r.routes))
 }
 
-func (r *runner) configure(ctx context.Context) error {
+// configure sends one more configuration, first to the named node if there is
+// one, then to any.
+func (r *runner) configure(ctx context.Context, first string) error {
 	r.configuring.Lock()
 	defer r.configuring.Unlock()
 	document, err := r.nextDocument()
@@ -49,7 +51,22 @@
 		return err
 	}
 	by := r.operators[0]
-	answer, err := r.send(ctx, by, by.Configuration(r.version, document))
+	order := by.Configuration(r.version, document)
+	if first == "" {
+		answer, err := r.send(ctx, by, order)
+		return r.take(answer, err)
+	}
+	on, err := r.resolve(ctx, first)
+	if err != nil {
+		return err
+	}
+	if len(on.nodes) != 1 {
+		return fmt.Errorf("target: %s is not one node", first)
+	}
+	answer, err := by.SendTo(ctx, on.nodes[0].OperatorAddress, order)
+	if err != nil {
+		answer, err = r.send(ctx, by, order)
+	}
 	return r.take(answer, err)
 }
 
@@ -86,7 +103,7 @@
 
 // outrace sends a configuration on the version before the present one.
 func (r *runner) outrace(ctx context.Context) error {
-	if err := r.configure(ctx); err != nil {
+	if err := r.configure(ctx, ""); err != nil {
 		return err
 	}
 	r.configuring.Lock()
