Check every write, close and end of the fleet tool

Cause: the linter named unchecked errors of flushes, closes, ends of processes and histogram values, and two unused functions. Change: they are returned or handled; a direction of a relay that cannot be closed ends its connection.

--- a/cmd/deckpulley-fleet/faults.go
+++ b/cmd/deckpulley-fleet/faults.go
@@ -122,9 +122,13 @@
 	record := newRecord(results.KindFaults, deployment.Name)
 	record.Partial = flags.short || len(flags.names) > 0
 	outcomes := runAll(ctx, flags, deployment, list)
-	writeOutcomes(out, outcomes)
+	if err := writeOutcomes(out, outcomes); err != nil {
+		return err
+	}
 	merged, names := merge(outcomes)
-	report.WriteVerdicts(out, merged, names)
+	if err := report.WriteVerdicts(out, merged, names); err != nil {
+		return err
+	}
 	fmt.Fprintf(out, "%d scenarios on %s in %.0f s\n", len(outcomes), deployment.Name, time.Since(record.Began).Seconds())
 	record.Scenarios, record.Promises = faultScenarios(outcomes), results.Promises(merged, names)
 	if err := saveRecord(flags.record, record); err != nil {
@@ -194,7 +198,7 @@
 	return done
 }
 
-func writeOutcomes(out io.Writer, outcomes []outcome) {
+func writeOutcomes(out io.Writer, outcomes []outcome) error {
 	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(table, "scenario\tverdict\trequests\tsucceeded\tseconds\tbroken\tnot exercised\treport")
 	for _, of := range outcomes {
@@ -210,7 +214,9 @@
 			100*of.summary.SuccessRatio(), of.result.Took.Seconds(), orDash(brokenPromises(of.result.Report)),
 			orDash(of.result.Unexercised()), of.page)
 	}
-	table.Flush()
+	if err := table.Flush(); err != nil {
+		return err
+	}
 	for _, of := range outcomes {
 		if of.result == nil {
 			fmt.Fprintf(out, "%s: %v\n", of.scenario.Name, of.err)
@@ -220,6 +226,7 @@
 			fmt.Fprintf(out, "%s: %v\n", of.scenario.Name, problem)
 		}
 	}
+	return nil
 }
 
 func firstLine(err error) string {
@@ -275,8 +282,12 @@
 				return err
 			}
 			checked := checker.Check(events, options)
-			report.WriteSummary(command.OutOrStdout(), report.Summarize(events))
-			report.WriteVerdicts(command.OutOrStdout(), checked, nil)
+			if err := report.WriteSummary(command.OutOrStdout(), report.Summarize(events)); err != nil {
+				return err
+			}
+			if err := report.WriteVerdicts(command.OutOrStdout(), checked, nil); err != nil {
+				return err
+			}
 			if checked.Broken() {
 				return errBroken
 			}
--- a/cmd/deckpulley-fleet/run.go
+++ b/cmd/deckpulley-fleet/run.go
@@ -86,9 +86,15 @@
 		return err
 	}
 	summary := report.Summarize(result.Events)
-	report.WriteSummary(out, summary)
-	writeUsage(out, result.Usage)
-	report.WriteVerdicts(out, result.Report, nil)
+	if err := report.WriteSummary(out, summary); err != nil {
+		return err
+	}
+	if err := writeUsage(out, result.Usage); err != nil {
+		return err
+	}
+	if err := report.WriteVerdicts(out, result.Report, nil); err != nil {
+		return err
+	}
 	page, err := writePage(result, summary)
 	if err != nil {
 		return err
@@ -131,7 +137,7 @@
 	megabyte = 1 << 20
 )
 
-func writeUsage(out io.Writer, usage []scenario.NodeUsage) {
+func writeUsage(out io.Writer, usage []scenario.NodeUsage) error {
 	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(table, "node\tresident MiB\tCPU\tread KiB/s\twritten KiB/s")
 	for _, of := range usage {
@@ -139,5 +145,5 @@
 		fmt.Fprintf(table, "  %s\t%.1f\t%.1f%%\t%.1f\t%.1f\n", of.Name, float64(of.Usage.Resident)/megabyte,
 			100*of.Usage.CPU.Seconds()/length, float64(of.Usage.Read)/kilobyte/length, float64(of.Usage.Written)/kilobyte/length)
 	}
-	table.Flush()
+	return table.Flush()
 }
--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -4,7 +4,6 @@
 package checker
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/deckpulley/deckpulley/internal/eventlog"
@@ -218,8 +217,3 @@
 func seconds(nanoseconds int64) float64 {
 	return float64(nanoseconds) / float64(time.Second)
 }
-
-// describe names a replica event's place for a summary.
-func describe(event eventlog.Event) string {
-	return fmt.Sprintf("%s at %.3f s", replicaOf(event), seconds(event.At))
-}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -80,8 +81,7 @@
 	}
 	f := &Fleet{options: options, block: block, Links: relay.New()}
 	if err := f.prepare(); err != nil {
-		f.Close()
-		return nil, err
+		return nil, errors.Join(err, f.Close())
 	}
 	return f, nil
 }
@@ -296,28 +296,30 @@
 // stopPatience is how long a node may take to leave when it is asked to.
 const stopPatience = 8 * time.Second
 
-// Close ends every process that the fleet started and frees its addresses.
-func (f *Fleet) Close() {
+// Close ends every process that the fleet started and frees its addresses. It
+// may be called again.
+func (f *Fleet) Close() error {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if f.closed {
-		return
+		return nil
 	}
 	f.closed = true
-	var ending sync.WaitGroup
-	for _, running := range f.processesLocked() {
-		ending.Add(1)
-		go func() {
-			defer ending.Done()
-			running.Kill()
-		}()
+	running := f.processesLocked()
+	ended := make(chan error, len(running))
+	for _, one := range running {
+		go func() { ended <- one.Kill() }()
+	}
+	var all []error
+	for range running {
+		all = append(all, <-ended)
 	}
-	ending.Wait()
 	f.Links.Close()
 	f.block.release()
 	if f.Log != nil {
-		f.Log.Close()
+		all = append(all, f.Log.Close())
 	}
+	return errors.Join(all...)
 }
 
 func (f *Fleet) processesLocked() []*process.Process {
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -14,6 +15,9 @@
 
 var healthClient = &http.Client{Timeout: healthTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 
+// errEnded means that a process is gone that should run.
+var errEnded = errors.New("it runs no longer")
+
 // get expects status 200.
 func get(ctx context.Context, address, path string) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
@@ -63,7 +67,7 @@
 	err := waitFor(ctx, func() error {
 		if !node.Running() {
 			cancel()
-			return fmt.Errorf("process ended: %v", node.process.ExitError())
+			return fmt.Errorf("process ended: %w", errors.Join(errEnded, node.process.ExitError()))
 		}
 		return get(ctx, node.HealthAddress(), path)
 	})
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -40,14 +39,6 @@
 	return n.OperatorAddress
 }
 
-func (n *Node) host() string {
-	host, _, err := net.SplitHostPort(n.PeerAddress)
-	if err != nil {
-		panic(fmt.Sprintf("fleet: node %s without a peers' address: %v", n.Name, err))
-	}
-	return host
-}
-
 // Running reports whether the node's process runs.
 func (n *Node) Running() bool { return n.process != nil && n.process.Running() }
 
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -164,7 +164,9 @@
 			return
 		}
 		if piece.last {
-			closeWrite(to)
+			if closeWrite(to) != nil {
+				abort()
+			}
 			return
 		}
 		if _, err := to.Write(piece.bytes); err != nil {
@@ -215,10 +217,11 @@
 	}
 }
 
-func closeWrite(connection net.Conn) {
+func closeWrite(connection net.Conn) error {
 	if half, ok := connection.(interface{ CloseWrite() error }); ok {
-		half.CloseWrite()
+		return half.CloseWrite()
 	}
+	return connection.Close()
 }
 
 // gate is the state of one direction.
--- a/internal/report/page.go
+++ b/internal/report/page.go
@@ -323,7 +323,9 @@
 func WritePage(out io.Writer, page Page) error {
 	seconds, markers := page.Summary.seconds(), page.Summary.markers()
 	var figures strings.Builder
-	WriteSummary(&figures, page.Summary)
+	if err := WriteSummary(&figures, page.Summary); err != nil {
+		return fmt.Errorf("writing the report: %w", err)
+	}
 	data := struct {
 		Page
 		Rows    []verdictRow
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -87,7 +87,9 @@
 func TestVerdictsShowTheirEvidence(t *testing.T) {
 	events := append(course(), eventlog.Event{At: 3e9, Kind: eventlog.ReplicaExecuted, Request: "three", Replica: "south-replica", Version: 1})
 	var out bytes.Buffer
-	WriteVerdicts(&out, checker.Check(events, checker.Options{}), map[checker.Promise][]string{"P2": {"a-scenario"}})
+	if err := WriteVerdicts(&out, checker.Check(events, checker.Options{}), map[checker.Promise][]string{"P2": {"a-scenario"}}); err != nil {
+		t.Fatal(err)
+	}
 	for _, want := range []string{"request three was refused (code) and ran", `"kind":"replica_executed"`, "a-scenario"} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("the text lacks %q:\n%s", want, out.String())
--- a/internal/report/summary.go
+++ b/internal/report/summary.go
@@ -179,7 +179,7 @@
 func (s *Summary) addPiece(event eventlog.Event) {
 	key := pieceKey{event.Request, event.Attempt}
 	if last, ok := s.lastPiece[key]; ok {
-		s.latency(event.Class).Between.RecordValue(max(lowestMicros, (event.At-last)/int64(time.Microsecond)))
+		record(s.latency(event.Class).Between, (event.At-last)/int64(time.Microsecond))
 	}
 	s.lastPiece[key] = event.At
 }
@@ -204,14 +204,22 @@
 	}
 	latency := s.latency(of.Class)
 	if of.Stream {
-		latency.FirstToken.RecordValue(micros(of.FirstTokenMS))
+		record(latency.FirstToken, micros(of.FirstTokenMS))
 	}
-	latency.Elapsed.RecordValue(micros(of.ElapsedMS))
+	record(latency.Elapsed, micros(of.ElapsedMS))
 	s.CachedTokens += of.CachedTokens
 	s.PromptTokens += of.PromptTokens
 }
 
-func micros(milliseconds float64) int64 { return max(lowestMicros, int64(milliseconds*1000)) }
+func micros(milliseconds float64) int64 { return int64(milliseconds * 1000) }
+
+// record puts a value, in microseconds, into a histogram; one beyond its bounds
+// counts as the bound.
+func record(histogram *hdrhistogram.Histogram, value int64) {
+	if err := histogram.RecordValue(min(highestMicros, max(lowestMicros, value))); err != nil {
+		panic("report: a value within the bounds of a histogram was not taken: " + err.Error())
+	}
+}
 
 func (s *Summary) latency(class string) *Latency {
 	of, ok := s.Latency[class]
--- a/internal/report/text.go
+++ b/internal/report/text.go
@@ -17,13 +17,13 @@
 var quantiles = []float64{50, 90, 99, 100}
 
 // WriteSummary prints the figures of a run.
-func WriteSummary(out io.Writer, s *Summary) {
+func WriteSummary(out io.Writer, s *Summary) error {
 	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	writeRequests(table, s)
 	writeLatency(table, s)
 	writePlacement(table, s)
 	writeOrders(table, s)
-	table.Flush()
+	return table.Flush()
 }
 
 func sortedKeys[Value any](values map[string]Value) []string {
@@ -128,7 +128,7 @@
 
 // WriteVerdicts prints one line for each promise, and the violations below.
 // Scenarios names for each promise the runs that examined it; nil leaves it out.
-func WriteVerdicts(out io.Writer, report checker.Report, scenarios map[checker.Promise][]string) {
+func WriteVerdicts(out io.Writer, report checker.Report, scenarios map[checker.Promise][]string) error {
 	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprint(table, "promise\t\tverdict\texamined\tviolations\tworst\tallowed")
 	if scenarios != nil {
@@ -143,8 +143,11 @@
 		}
 		fmt.Fprintln(table)
 	}
-	table.Flush()
+	if err := table.Flush(); err != nil {
+		return fmt.Errorf("writing verdicts: %w", err)
+	}
 	writeViolations(out, report)
+	return nil
 }
 
 func boundText(verdict checker.Verdict) (worst, allowed string) {
--- a/internal/scenario/runner.go
+++ b/internal/scenario/runner.go
@@ -92,20 +92,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("scenario %s: %w", options.Scenario.Name, err)
 	}
-	defer opened.close()
 	r := &runner{session: opened, scenario: options.Scenario, begun: time.Now(), frozen: map[string]bool{}}
 	r.runSteps(ctx)
 	usage := r.usage()
 	if ctx.Err() != nil {
-		opened.fleet.Close() // so that the callers end at once
+		err := opened.fleet.Close() // so that the callers end at once
 		r.endLoad()
-		return nil, fmt.Errorf("scenario %s: %w", options.Scenario.Name, ctx.Err())
+		return nil, fmt.Errorf("scenario %s: %w", options.Scenario.Name, errors.Join(ctx.Err(), err, opened.close()))
 	}
 	r.endLoad()
 	if err := r.read(ctx); err != nil {
 		r.problem(fmt.Errorf("reading back at the end: %w", err))
 	}
-	opened.close()
+	if err := opened.close(); err != nil {
+		r.problem(fmt.Errorf("ending the fleet: %w", err))
+	}
 	events, err := eventlog.ReadFolder(opened.fleet.EventFolder())
 	if err != nil {
 		return nil, err
--- a/internal/scenario/session.go
+++ b/internal/scenario/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -66,8 +67,7 @@
 	}
 	s := &session{options: options, fleet: running, profile: profile.Scale(of.Load), progress: progress}
 	if err := s.start(ctx); err != nil {
-		s.close()
-		return nil, err
+		return nil, errors.Join(err, s.close())
 	}
 	return s, nil
 }
@@ -261,12 +261,14 @@
 	return err
 }
 
-func (s *session) close() {
-	s.fleet.Close()
+// close ends the fleet and its logs. It may be called again.
+func (s *session) close() error {
+	all := []error{s.fleet.Close()}
 	for _, log := range s.logs {
-		log.Close()
+		all = append(all, log.Close())
 	}
 	s.logs = nil
+	return errors.Join(all...)
 }
 
 // conditionStep is the pause between two looks at a condition.
