Say which errors of tearing down are not looked at

Cause: the linter found 26 unchecked closes in the measuring programs, a shadowed field and an unused function. Change: what is thrown away is said so; nothing else.

--- a/cmd/deckpulley-scale/fleet.go
+++ b/cmd/deckpulley-scale/fleet.go
@@ -145,7 +145,7 @@
 			child.stop()
 		}
 	}
-	os.RemoveAll(g.folder)
+	_ = os.RemoveAll(g.folder)
 }
 
 // startHollow starts a process of hollow gateways and waits for their leases.
--- a/cmd/deckpulley-scale/parts.go
+++ b/cmd/deckpulley-scale/parts.go
@@ -56,8 +56,8 @@
 func (p *controlPart) fill(report *sample, _ uint64) { report.Frames = p.network.Counters() }
 
 func (p *controlPart) close() {
-	p.server.Close()
-	p.node.Stop()
+	_ = p.server.Close()
+	_ = p.node.Stop()
 }
 
 // serveHTTP binds the address and serves until the server is closed.
@@ -66,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	go server.Serve(listener)
+	go func() { _ = server.Serve(listener) }()
 	return nil
 }
 
@@ -149,8 +149,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	p.gateway.Stop(ctx)
-	p.callers.Close()
-	p.network.Close()
+	_ = p.callers.Close()
+	_ = p.network.Close()
 }
 
 // replicaPart is one hollow replica.
@@ -170,4 +170,4 @@
 
 func (p *replicaPart) fill(*sample, uint64) {}
 
-func (p *replicaPart) close() { p.server.Close() }
+func (p *replicaPart) close() { _ = p.server.Close() }
--- a/cmd/deckpulley-scale/relay.go
+++ b/cmd/deckpulley-scale/relay.go
@@ -119,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	defer stream.Close()
+	defer func() { _ = stream.Close() }()
 	for {
 		if _, err := stream.Next(); err != nil {
 			return err
@@ -145,7 +145,7 @@
 	if err := serveHTTP(server, addresses[0]); err != nil {
 		return pollReading{}, err
 	}
-	defer server.Close()
+	defer func() { _ = server.Close() }()
 	var bytes atomic.Int64
 	transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 		raw, err := new(net.Dialer).DialContext(ctx, network, address)
--- a/internal/benchmark/capacity.go
+++ b/internal/benchmark/capacity.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer s.close()
+	defer func() { _ = s.close() }()
 	if _, err := s.child.ask(commandStartProfile); err != nil {
 		return nil, err
 	}
--- a/internal/benchmark/gateway_job.go
+++ b/internal/benchmark/gateway_job.go
@@ -54,7 +54,7 @@
 		return nil, err
 	}
 	j := &gatewayJob{gateway: created, network: network, callers: created.CallersServer(), address: address}
-	go j.callers.Serve(listener)
+	go func() { _ = j.callers.Serve(listener) }()
 	return j, nil
 }
 
@@ -69,6 +69,6 @@
 	ended, cancel := context.WithCancel(context.Background())
 	cancel() // nobody waits for requests any more
 	j.gateway.Stop(ended)
-	j.callers.Close()
-	j.network.Close()
+	_ = j.callers.Close()
+	_ = j.network.Close()
 }
--- a/internal/benchmark/group.go
+++ b/internal/benchmark/group.go
@@ -134,11 +134,11 @@
 		}
 	}
 	if g.client != nil {
-		g.client.Close()
+		_ = g.client.Close()
 	}
 	g.http.CloseIdleConnections()
 	if g.folder != "" {
-		os.RemoveAll(g.folder)
+		_ = os.RemoveAll(g.folder)
 	}
 }
 
@@ -169,7 +169,7 @@
 		return err
 	}
 	m.server = m.node.Server()
-	go m.server.Serve(listener)
+	go func() { _ = m.server.Serve(listener) }()
 	return nil
 }
 
@@ -196,12 +196,12 @@
 func (m *member) stop() error {
 	if m.node == nil {
 		if m.network != nil {
-			m.network.Close()
+			_ = m.network.Close()
 		}
 		return nil
 	}
 	err := m.node.Stop()
-	m.server.Close()
+	_ = m.server.Close()
 	m.node, m.network = nil, nil
 	return err
 }
--- a/internal/benchmark/holders.go
+++ b/internal/benchmark/holders.go
@@ -99,6 +99,6 @@
 	h.cancel()
 	h.running.Wait()
 	for _, network := range h.networks {
-		network.Close()
+		_ = network.Close()
 	}
 }
--- a/internal/benchmark/latency.go
+++ b/internal/benchmark/latency.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer s.close()
+	defer func() { _ = s.close() }()
 	var tables []Table
 	for _, stream := range []bool{true, false} {
 		table, err := latencyTable(o, s, watch, stream)
@@ -85,8 +85,8 @@
 	late := newLateness()
 	arrive(pick(o, 20*time.Second, 1500*time.Millisecond), stream, through, &direct.path)
 	table.Note += fmt.Sprintf(" Meanwhile a timer of the measuring process fired up to %s ms late in 99 of 100 cases, for want of a core.", milliseconds(late.stop().at(99)))
-	gatewayTimes, directTimes := through.times(), direct.path.times()
-	if err := errors.Join(through.failures, direct.path.failures); err != nil {
+	gatewayTimes, directTimes := through.times(), direct.times()
+	if err := errors.Join(through.failures, direct.failures); err != nil {
 		return table, err
 	}
 	table.Rows = append(table.Rows, directTimes.row("direct", stream), gatewayTimes.row("gateway", stream))
--- a/internal/benchmark/replicas.go
+++ b/internal/benchmark/replicas.go
@@ -53,12 +53,12 @@
 	stand := standin.NewServer(standin.Config{ID: id, Service: service, Zone: "north-1", Region: "north", Parameters: parameters, Seed: 1})
 	r := &replica{id: id, service: service, address: listener.Addr().String(), stand: stand, observer: watch}
 	r.server = &http.Server{Handler: r}
-	go r.server.Serve(listener)
+	go func() { _ = r.server.Serve(listener) }()
 	return r, nil
 }
 
 func (r *replica) stop() {
-	r.server.Close()
+	_ = r.server.Close()
 	r.stand.Close()
 }
 
--- a/internal/benchmark/table.go
+++ b/internal/benchmark/table.go
@@ -96,10 +96,6 @@
 	return fmt.Sprintf("%.2f", float64(length)/float64(time.Millisecond))
 }
 
-func microseconds(length time.Duration) string {
-	return fmt.Sprintf("%.1f", float64(length)/float64(time.Microsecond))
-}
-
 func whole(value float64) string { return fmt.Sprintf("%.0f", value) }
 
 func decimal(value float64) string { return fmt.Sprintf("%.2f", value) }
--- a/internal/benchmark/updates.go
+++ b/internal/benchmark/updates.go
@@ -117,12 +117,12 @@
 	if err != nil {
 		return updateRun{}, fmt.Errorf("making a folder: %w", err)
 	}
-	defer os.RemoveAll(folder)
+	defer func() { _ = os.RemoveAll(folder) }()
 	disk, err := storage.Open(filepath.Join(folder, "disk"))
 	if err != nil {
 		return updateRun{}, err
 	}
-	defer disk.Close()
+	defer func() { _ = disk.Close() }()
 	const entryBytes = 128
 	run := updateRun{latencies: newQuantiles()}
 	started := time.Now()
--- a/internal/benchmark/worker.go
+++ b/internal/benchmark/worker.go
@@ -191,7 +191,7 @@
 // enough.
 func (w *worker) stop() error {
 	w.input.Close()
-	kill := time.AfterFunc(stopPatience, func() { w.command.Process.Kill() })
+	kill := time.AfterFunc(stopPatience, func() { _ = w.command.Process.Kill() })
 	defer kill.Stop()
 	if err := w.command.Wait(); err != nil {
 		return fmt.Errorf("ending a worker: %w", err)
--- a/internal/hollow/fleet.go
+++ b/internal/hollow/fleet.go
@@ -61,7 +61,7 @@
 // stop ends the gateway without a word to the primary.
 func (g *hollowGateway) stop() {
 	g.cancel()
-	g.network.Close()
+	_ = g.network.Close()
 	g.loop.Wait()
 }
 
