--- a/internal/experiment/live.go
+++ b/internal/experiment/live.go
@@ -250,22 +250,46 @@
 	}
 	ctx, cancel := context.WithDeadline(run, resolved.Deadline)
 	defer cancel()
-	slot, region, refused := l.acquire(ctx, entry, resolved, random)
-	if run.Err() != nil {
-		if slot != nil {
-			slot.Finish(routing.ResultNotStarted, nil, time.Now())
+	for range mostRestarts {
+		slot, placing, refused := l.acquire(ctx, entry, resolved, random)
+		if run.Err() != nil {
+			if slot != nil {
+				slot.Finish(routing.ResultNotStarted, nil, time.Now())
+			}
+			return // the experiment is over
 		}
-		return // the experiment is over
-	}
-	if refused != nil {
-		l.meter.refused(refused.Code)
+		if refused != nil {
+			l.meter.refused(refused.Code)
+			return
+		}
+		if l.restarted(slot, placing) {
+			continue
+		}
+		if placing.region != request.Region {
+			l.meter.spilled()
+		}
+		entry.router.NoteAttempt()
+		l.execute(run, ctx, slot, placing.region, request, start)
 		return
 	}
-	if region != request.Region {
-		l.meter.spilled()
+	l.meter.refused(api.CodeRestarted)
+}
+
+// mostRestarts bounds the replicas that refuse one request for their predecessor.
+const mostRestarts = 8
+
+// restarted does what a gateway does with the refusal of a replica that is of
+// another incarnation than the one placed on: it asks for a report at once.
+func (l *live) restarted(slot *routing.Slot, placing *liveGateway) bool {
+	report := l.replica(slot.Replica).Report()
+	if report.Incarnation == slot.Incarnation {
+		return false
 	}
-	entry.router.NoteAttempt()
-	l.execute(run, ctx, slot, region, request, start)
+	now := time.Now()
+	placing.router.Suspect(slot.Replica, slot.Incarnation, now)
+	slot.Finish(routing.ResultNotStarted, nil, now)
+	placing.router.Observe(slot.Replica, *report, now)
+	return true
 }
 
 // entry is a gateway of the client's region, or of another if that is lost.
@@ -286,14 +310,14 @@
 // acquire tries the regions in the order that the router gives, as a gateway
 // does: the own one by its queue, one that the request is spilled to by a bounded
 // wait in that queue, others by an offer that is taken at once or not at all.
-func (l *live) acquire(ctx context.Context, entry *liveGateway, request routing.Request, random *rand.Rand) (*routing.Slot, string, *api.Error) {
+func (l *live) acquire(ctx context.Context, entry *liveGateway, request routing.Request, random *rand.Rand) (*routing.Slot, *liveGateway, *api.Error) {
 	regions := entry.router.Regions(request)
 	refused := entry.router.Refusal(request)
 	for position, region := range regions {
 		if region == entry.region {
 			slot, failure := entry.router.Acquire(ctx, request)
 			if failure == nil {
-				return slot, region, nil
+				return slot, entry, nil
 			}
 			refused = failure
 			continue
@@ -301,22 +325,22 @@
 		if l.isLost(region) {
 			continue
 		}
-		other := l.entry(region, random).router
+		other := l.entry(region, random)
 		var slot *routing.Slot
 		var failure *api.Error
 		if position == 0 && slices.Contains(regions, entry.region) {
 			waiting, cancel := context.WithTimeout(ctx, spillWait)
-			slot, failure = other.Acquire(waiting, request)
+			slot, failure = other.router.Acquire(waiting, request)
 			cancel()
 		} else {
-			slot, failure = other.Reserve(request)
+			slot, failure = other.router.Reserve(request)
 		}
 		if failure == nil {
-			return slot, region, nil
+			return slot, other, nil
 		}
 		refused = failure
 	}
-	return nil, "", refused
+	return nil, nil, refused
 }
 
 func (l *live) execute(run, ctx context.Context, slot *routing.Slot, region string, request workload.Request, start time.Time) {
@@ -325,7 +349,7 @@
 	answer, err := replica.Generate(ctx, &api.ReplicaRequest{
 		RequestID: generate.RequestID, Model: generate.Model, Class: generate.Class,
 		Prefixes: generate.Prefixes, PromptTokens: generate.PromptTokens, MaxTokens: generate.MaxTokens,
-		TimeLeftMS: generate.WaitMS, Stamp: api.Stamp{ConfigurationVersion: slot.Version, Attempt: 1},
+		TimeLeftMS: generate.WaitMS, Stamp: api.Stamp{ConfigurationVersion: slot.Version, ReplicaIncarnation: slot.Incarnation, Attempt: 1},
 	}, func() {
 		now := time.Now()
 		slot.FirstToken(now)
