Count what a feeder's replica refused

Cause: a request offered to the feeder of a cold replica, sent to that replica and refused by it, went on to the next feeder and then to the own gateway's replicas within the same region, past the question for retry budget.

Ruled out: a feeder that declines the offer, or whose reservation is gone, has sent nothing; the next one is asked as before.

Before: TestRefusedFeedingCountsAsAttempt saw two attempts without budget. After: one; go test -race ./gateway/... passes.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -303,7 +303,8 @@
 }
 
 // feed offers the request to the gateways that feed cold replicas. It reports
-// whether one of them took it.
+// whether one of them took it; one whose replica refused it did, since whatever
+// follows is a retry.
 func (r *runner) feed(ctx context.Context, feeders []string) (verdict, bool) {
 	members := r.gateway.agent.Active().Gateways()
 	for _, feeder := range feeders {
@@ -311,8 +312,9 @@
 		if !known || !member.Up {
 			continue
 		}
+		attempts := r.hops
 		outcome := r.offer(ctx, member, 0)
-		if outcome.standing != stoodNotStarted || ctx.Err() != nil {
+		if outcome.standing != stoodNotStarted || ctx.Err() != nil || r.hops > attempts {
 			return outcome, true
 		}
 	}
