Test that a failed dial closes a replica

Cause: the tests broke connections after the request, none while dialing.

Change: a test whose replica stops listening between two polls.

--- a/gateway/suspect_test.go
+++ b/gateway/suspect_test.go
@@ -120,3 +120,23 @@
 		})
 	}
 }
+
+// TestFailedDialClosesReplica loses a replica between two polls: the first
+// request that cannot reach it is the last one that tries.
+func TestFailedDialClosesReplica(t *testing.T) {
+	f := newFleet(t)
+	replica := f.replica("r1", "north")
+	g := f.unpolled()
+	replica.server.Listener.Close()
+	replica.server.CloseClientConnections()
+	request, _ := g.where(t, question("unreachable"))
+	if got := g.send(t, request); got.failure == nil || got.failure.Outcome != api.OutcomeRefused {
+		t.Errorf("got %s", got.outcome())
+	}
+	if usable := g.usableReplicas(); usable != 0 {
+		t.Errorf("%d replicas are usable", usable)
+	}
+	if reached := len(replica.requests()); reached != 0 {
+		t.Errorf("reached the replica %d times", reached)
+	}
+}
