End a scenario at once when it is interrupted

Cause: an interrupt during the wait for a step still began the step. Change: the runner looks again after the wait.

--- a/internal/scenario/runner.go
+++ b/internal/scenario/runner.go
@@ -187,6 +187,9 @@
 		if err := r.await(ctx, step); err != nil {
 			r.problem(fmt.Errorf("steps[%d] (%s %s): %w", i, step.Do, step.Target, err))
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		r.do(ctx, i, step)
 	}
 	r.background.Wait()
