--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 .PHONY: test
 test: ## unit, property and simulation tests with the race detector
 	go test -race -timeout 10m ./...
+	go test -timeout 5m ./internal/simulation # the whole set of 2,000 histories, too slow under the race detector
 
 .PHONY: tools
 tools: ## install the pinned formatter and linter into .tools/
@@ -71,6 +72,11 @@
 walk-operations: build ## run every command of docs/OPERATIONS.md against a small fleet
 	scripts/walk-operations.sh
 
+.PHONY: man
+man: build ## write the command line's man pages to out/man
+	mkdir -p out/man
+	bin/deckpulleyctl man out/man
+
 .PHONY: faults-short
 faults-short: build ## the short fault suite on real processes
 	bin/deckpulley-fleet faults --deployment $(DEPLOYMENT) --short
--- a/cmd/deckpulley-scale/parts.go
+++ b/cmd/deckpulley-scale/parts.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/deckpulley/deckpulley/control"
@@ -55,8 +56,8 @@
 func (p *controlPart) fill(report *sample, _ uint64) { report.Frames = p.network.Counters() }
 
 func (p *controlPart) close() {
-	p.server.Close()
-	p.node.Stop()
+	_ = p.server.Close()
+	_ = p.node.Stop()
 }
 
 // serveHTTP binds the address and serves until the server is closed.
@@ -65,14 +66,19 @@
 	if err != nil {
 		return err
 	}
-	go server.Serve(listener)
+	go func() { _ = server.Serve(listener) }()
 	return nil
 }
 
+// hollowCollector keeps a process with hundreds of copies of the table from
+// taking twice their size.
+const hollowCollector = 25
+
 // gatewaysPart is a number of hollow gateways.
 type gatewaysPart struct{ fleet *hollow.Fleet }
 
 func startGateways(what setup) (*gatewaysPart, error) {
+	debug.SetGCPercent(hollowCollector)
 	fleet, err := hollow.Start(hollow.FleetOptions{
 		Count:  what.Gateways,
 		Prefix: what.Name,
@@ -143,8 +149,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	p.gateway.Stop(ctx)
-	p.callers.Close()
-	p.network.Close()
+	_ = p.callers.Close()
+	_ = p.network.Close()
 }
 
 // replicaPart is one hollow replica.
@@ -164,4 +170,4 @@
 
 func (p *replicaPart) fill(*sample, uint64) {}
 
-func (p *replicaPart) close() { p.server.Close() }
+func (p *replicaPart) close() { _ = p.server.Close() }
--- a/control/repair.go
+++ b/control/repair.go
@@ -42,13 +42,13 @@
 	status := m.group.Status()
 	reply.Members = status.Membership.Members
 	reply.Primary = m.addressOf(status.Membership, status.Leader)
-	office, serving := m.serving()
+	leadership, serving := m.serving()
 	if !serving {
 		return reply
 	}
 	member.Learner = false
 	request := joinRequest{member: member, asked: now}
-	office.noteJoin(request)
+	leadership.noteJoin(request)
 	_, known := findMember(status.Membership, member.ID)
 	repair := m.repairOf(now, status)
 	reply.Accepted = known || repair.hasPlaceFor(request)
@@ -57,30 +57,30 @@
 
 // noteJoin keeps the newest request from an address: an older one came from a
 // disk that is no longer there.
-func (o *office) noteJoin(request joinRequest) {
-	for id, other := range o.joins {
+func (l *leadership) noteJoin(request joinRequest) {
+	for id, other := range l.joins {
 		if other.member.Address == request.member.Address {
-			delete(o.joins, id)
+			delete(l.joins, id)
 		}
 	}
-	o.joins[request.member.ID] = request
+	l.joins[request.member.ID] = request
 }
 
 // maintain is what a primary does at intervals. While a node asks to join, the
 // repair goes on without waiting for them: until it is done, one more loss can
 // cost the majority.
 func (m *machine) maintain(now time.Duration) {
-	office, serving := m.serving()
+	leadership, serving := m.serving()
 	if !serving {
 		return
 	}
-	if now < office.nextMaintenance {
-		if len(office.joins) > 0 {
+	if now < leadership.nextMaintenance {
+		if len(leadership.joins) > 0 {
 			m.repairGroup(now)
 		}
 		return
 	}
-	office.nextMaintenance = now + maintenanceInterval
+	leadership.nextMaintenance = now + maintenanceInterval
 	m.recordHead(now)
 	m.recordMembers(now)
 	m.forgetLapsedLeases(now)
@@ -91,20 +91,20 @@
 // recordHead puts this node into the head record as the primary.
 func (m *machine) recordHead(now time.Duration) {
 	head := m.table.Head()
-	if m.office.headPending || head.Primary == m.options.Name {
+	if m.leadership.headPending || head.Primary == m.options.Name {
 		return
 	}
 	head.Primary = m.options.Name
 	head.Serial = registry.NextSerial(head.Serial)
-	m.office.headPending = true
-	office := m.office
+	m.leadership.headPending = true
+	leadership := m.leadership
 	update := m.ownUpdate(nil, []registry.Record{registry.Add(registry.HeadRecord(places.Apex, head))})
-	m.propose(now, update, func(registry.Result, error) { office.headPending = false })
+	m.propose(now, update, func(registry.Result, error) { leadership.headPending = false })
 }
 
 // recordMembers brings the member (NS) records in line with the voters.
 func (m *machine) recordMembers(now time.Duration) {
-	if m.office.membersPending {
+	if m.leadership.membersPending {
 		return
 	}
 	wanted := make(map[string]bool)
@@ -128,25 +128,25 @@
 	if len(changes)+len(added) == 0 {
 		return
 	}
-	m.office.membersPending = true
-	office := m.office
+	m.leadership.membersPending = true
+	leadership := m.leadership
 	update := m.ownUpdate(nil, append(added, changes...)) // added first: the last member record stays
-	m.propose(now, update, func(registry.Result, error) { office.membersPending = false })
+	m.propose(now, update, func(registry.Result, error) { leadership.membersPending = false })
 }
 
 // repairGroup takes the next step toward a whole group, one change at a time.
 func (m *machine) repairGroup(now time.Duration) {
-	office := m.office
-	for id, request := range office.joins {
+	leadership := m.leadership
+	for id, request := range leadership.joins {
 		if now-request.asked > joinPatience {
-			delete(office.joins, id)
+			delete(leadership.joins, id)
 		}
 	}
 	status := m.group.Status()
-	office.notice(now, status.Membership)
+	leadership.notice(now, status.Membership)
 	self := consensus.Member{ID: m.identity, Name: m.options.Name, Address: m.options.PeerAddress, Zone: m.options.Zone}
 	if known, found := findMember(status.Membership, m.identity); found && known != self {
-		office.joins[m.identity] = joinRequest{member: self, asked: now}
+		leadership.joins[m.identity] = joinRequest{member: self, asked: now}
 	}
 	repair := m.repairOf(now, status)
 	next, reason := repair.next()
@@ -164,31 +164,31 @@
 }
 
 // notice remembers since when each member is known.
-func (o *office) notice(now time.Duration, membership consensus.Membership) {
-	for id := range o.noticed {
+func (l *leadership) notice(now time.Duration, membership consensus.Membership) {
+	for id := range l.noticed {
 		if _, found := findMember(membership, id); !found {
-			delete(o.noticed, id)
+			delete(l.noticed, id)
 		}
 	}
 	for _, member := range membership.Members {
-		if _, known := o.noticed[member.ID]; !known {
-			o.noticed[member.ID] = now
+		if _, known := l.noticed[member.ID]; !known {
+			l.noticed[member.ID] = now
 		}
 	}
 }
 
 func (m *machine) repairOf(now time.Duration, status consensus.Status) repair {
-	joins := make([]joinRequest, 0, len(m.office.joins))
-	for _, request := range m.office.joins {
+	joins := make([]joinRequest, 0, len(m.leadership.joins))
+	for _, request := range m.leadership.joins {
 		joins = append(joins, request)
 	}
 	slices.SortFunc(joins, func(a, b joinRequest) int { return strings.Compare(string(a.member.ID), string(b.member.ID)) })
 	return repair{
 		now:          now,
-		elected:      m.office.elected,
+		elected:      m.leadership.elected,
 		status:       status,
 		joins:        joins,
-		noticed:      m.office.noticed,
+		noticed:      m.leadership.noticed,
 		voters:       m.voters,
 		replaceAfter: m.options.ReplaceAfter,
 	}
@@ -269,8 +269,8 @@
 	return consensus.Membership{}, ""
 }
 
-// advance takes the one learner a step on: gone, it is removed; caught up, the
-// voter that it replaces is removed, and then it may vote.
+// advance takes the one learner a step on: gone, or not needed any more, it is
+// removed; caught up, the voter that it replaces is removed, and then it may vote.
 func (r *repair) advance(learner consensus.Member) (consensus.Membership, string) {
 	if r.superseded(learner) || r.silence(learner.ID) > learnerPatience {
 		return r.without(learner.ID), "learner " + learner.Name + " is gone"
@@ -279,10 +279,13 @@
 	if !caughtUp {
 		return consensus.Membership{}, ""
 	}
-	if victim, found := r.victim(r.requestOf(learner)); found {
-		return r.without(victim.ID), "voter " + victim.Name + " replaced"
+	if replaced, found := r.replacedVoter(r.requestOf(learner)); found {
+		return r.without(replaced.ID), "voter " + replaced.Name + " replaced"
 	}
 	if r.countVoters() >= r.voters {
+		if r.hasNobodyToReplace(learner) {
+			return r.without(learner.ID), "learner " + learner.Name + " has no place"
+		}
 		return consensus.Membership{}, ""
 	}
 	promoted := learner
@@ -290,6 +293,19 @@
 	return r.move(learner, promoted), "learner " + learner.Name + " promoted"
 }
 
+// hasNobodyToReplace is true if every voter that the learner could replace
+// answers: the one that it came for is back. The learner would keep the group
+// from ever being whole, and others from being added.
+func (r *repair) hasNobodyToReplace(learner consensus.Member) bool {
+	for _, voter := range r.status.Membership.Members {
+		akin := voter.Address == learner.Address || voter.Name == learner.Name || voter.Zone == learner.Zone
+		if akin && !voter.Learner && !r.answeredLately(voter.ID) {
+			return false
+		}
+	}
+	return true
+}
+
 // superseded is true if another disk asks to join at the learner's address.
 func (r *repair) superseded(learner consensus.Member) bool {
 	for _, request := range r.joins {
@@ -316,14 +332,14 @@
 	if r.countVoters() < r.voters {
 		return true
 	}
-	_, found := r.victim(request)
+	_, found := r.replacedVoter(request)
 	return found
 }
 
-// victim is the voter that a node replaces: one at its own address that has not
-// answered since the node asked, so its disk is gone from there; else one of its
-// name, else one of its zone, that has been unreachable for long enough.
-func (r *repair) victim(request joinRequest) (consensus.Member, bool) {
+// replacedVoter is the voter that a node replaces: one at its own address that
+// has not answered since the node asked, so its disk is gone from there; else one
+// of its name, else one of its zone, that has been unreachable for long enough.
+func (r *repair) replacedVoter(request joinRequest) (consensus.Member, bool) {
 	member := request.member
 	whole := r.countVoters() >= r.voters
 	matches := []func(voter consensus.Member) bool{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,6 +34,7 @@
 	SetPlan(*routing.Plan)
 	Observe(replica string, report api.ReplicaReport, at time.Time)
 	PollFailed(replica string, at time.Time)
+	Suspect(replica, incarnation string, at time.Time) bool
 	Resolve(api.GenerateRequest, time.Time) (routing.Request, *api.Error)
 	Regions(routing.Request) []string
 	Refusal(routing.Request) *api.Error
@@ -168,7 +169,9 @@
 	stopWork context.CancelCauseFunc
 	running  *activity
 	polling  *inProgress
-	loops    sync.WaitGroup
+	// displaced counts the requests that wait in other regions' queues.
+	displaced *bound
+	loops     sync.WaitGroup
 
 	mutex    sync.Mutex
 	random   *rand.Rand
@@ -180,18 +183,19 @@
 func New(options Options) (*Gateway, error) {
 	options.withDefaults()
 	g := &Gateway{
-		options:  options,
-		log:      options.Logger,
-		router:   options.Router,
-		owner:    newOwner(),
-		offers:   newOfferBook(),
-		bodies:   newByteBudget(maxBodyBytesInFlight),
-		running:  newActivity(),
-		polling:  newInProgress(),
-		failures: rate.NewLimiter(failureLinesPerSecond, failureLinesPerSecond),
-		random:   rand.New(rand.NewPCG(options.Seed, 0x6761746577617921)),
-		seen:     make(map[string]uint64),
-		reported: make(map[string]time.Time),
+		options:   options,
+		log:       options.Logger,
+		router:    options.Router,
+		owner:     newOwner(),
+		offers:    newOfferBook(),
+		bodies:    newByteBudget(maxBodyBytesInFlight),
+		running:   newActivity(),
+		polling:   newInProgress(),
+		displaced: &bound{most: maxDisplaced},
+		failures:  rate.NewLimiter(failureLinesPerSecond, failureLinesPerSecond),
+		random:    rand.New(rand.NewPCG(options.Seed, 0x6761746577617921)),
+		seen:      make(map[string]uint64),
+		reported:  make(map[string]time.Time),
 	}
 	if err := g.SetKeys(options.Keys); err != nil {
 		return nil, err
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -36,44 +36,44 @@
 	defer polls.Wait()
 	known := make(map[string]bool)
 	for {
+		// Asked for before the look at what is active, so that no change is missed.
 		changed := g.agent.Changed()
-		onlyNew := false
+		known = g.pollListed(ctx, known, slots, &polls)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
 		case <-changed:
-			onlyNew = true // a replica that was just listed is not kept waiting
-		}
-		active := g.agent.Active()
-		if active == nil {
-			continue
-		}
-		watched := g.router.Watched()
-		for _, replica := range watched {
-			if !onlyNew || !known[replica] {
-				g.startPoll(ctx, active, replica, slots, &polls)
-			}
-		}
-		known = setOf(watched)
-		if !onlyNew {
+		case <-ticker.C:
+			known = g.pollListed(ctx, nil, slots, &polls)
 			g.reportConditions(ctx, time.Now(), &polls)
 		}
 	}
 }
 
-func setOf(names []string) map[string]bool {
-	set := make(map[string]bool, len(names))
-	for _, name := range names {
-		set[name] = true
+// pollListed polls the listed replicas of the region that are not known yet, so
+// that one that was just listed is not kept waiting. It returns all that are.
+func (g *Gateway) pollListed(ctx context.Context, known map[string]bool, slots chan struct{}, polls *sync.WaitGroup) map[string]bool {
+	active := g.agent.Active()
+	if active == nil {
+		return known
 	}
-	return set
+	listed := make(map[string]bool)
+	for _, replica := range g.router.Watched() {
+		if _, ok := active.Replicas()[replica]; !ok {
+			continue // the router has the next activation already
+		}
+		listed[replica] = true
+		if !known[replica] {
+			g.startPoll(ctx, active, replica, slots, polls)
+		}
+	}
+	return listed
 }
 
 // inProgress keeps the polls of one replica from overtaking each other.
 type inProgress struct {
 	mutex sync.Mutex
-	names map[string]bool
+	names map[string]bool // true if another poll is to follow
 }
 
 func newInProgress() *inProgress { return &inProgress{names: make(map[string]bool)} }
@@ -81,51 +81,85 @@
 func (p *inProgress) enter(name string) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.names[name] {
+	if _, busy := p.names[name]; busy {
 		return false
 	}
-	p.names[name] = true
+	p.names[name] = false
 	return true
 }
 
-func (p *inProgress) leave(name string) {
+// enterOrRepeat is enter, but has another poll follow the one in progress.
+func (p *inProgress) enterOrRepeat(name string) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	_, busy := p.names[name]
+	p.names[name] = busy
+	return !busy
+}
+
+// leave reports whether another poll is to follow at once; the place is then kept.
+func (p *inProgress) leave(name string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.names[name] {
+		p.names[name] = false
+		return true
+	}
 	delete(p.names, name)
+	return false
 }
 
 func (g *Gateway) startPoll(ctx context.Context, active *places.Contents, replica string, slots chan struct{}, polls *sync.WaitGroup) {
 	record, listed := active.Replicas()[replica]
-	if !listed || !g.polling.enter(replica) {
+	if !listed {
 		return
 	}
 	select {
 	case slots <- struct{}{}:
 	default:
-		g.polling.leave(replica)
+		return
+	}
+	if !g.polling.enter(replica) {
+		<-slots
 		return
 	}
 	polls.Go(func() {
-		g.poll(ctx, replica, record)
-		g.polling.leave(replica)
+		g.pollEntered(ctx, replica, record)
 		<-slots
 	})
 }
 
-// pollNow polls one replica out of turn, unless it is being polled.
+// pollEntered polls a replica, and again as long as that is asked for meanwhile.
+func (g *Gateway) pollEntered(ctx context.Context, replica string, record places.Replica) {
+	g.poll(ctx, replica, record)
+	for g.polling.leave(replica) {
+		g.poll(ctx, replica, record)
+	}
+}
+
+// pollNow polls one replica out of turn; if it is being polled, once more after
+// that, since the answer under way may tell of before.
 func (g *Gateway) pollNow(replica string) {
 	record, listed := g.agent.Active().Replicas()[replica]
-	if !listed || !g.polling.enter(replica) {
+	if !listed || !g.polling.enterOrRepeat(replica) {
 		return
 	}
 	g.running.begin()
 	go func() {
 		defer g.running.end()
-		defer g.polling.leave(replica)
-		g.poll(g.work, replica, record)
+		g.pollEntered(g.work, replica, record)
 	}()
 }
 
+// suspect stops new requests to the replica of a slot until it has reported, and
+// has it polled at once. One that has reported another incarnation than the
+// slot's goes on.
+func (g *Gateway) suspect(slot *routing.Slot) {
+	if g.router.Suspect(slot.Replica, slot.Incarnation, time.Now()) {
+		g.pollNow(slot.Replica)
+	}
+}
+
 // poll asks one replica for its report. An answer in the name of another replica
 // is a failure: the address has changed hands.
 func (g *Gateway) poll(ctx context.Context, replica string, record places.Replica) {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -104,7 +104,7 @@
 	Valid bool `cbor:"7,keyasint,omitempty"`
 }
 
-// Grant answers Renew. Only a primary that knows itself in office grants.
+// Grant answers Renew. Only a primary with proof of its leadership grants.
 type Grant struct {
 	// Granted says that Activate and Transfer are to be taken, and the lease if
 	// LeaseMS is above zero.
@@ -192,6 +192,9 @@
 	Version   uint64              `cbor:"6,keyasint"` // sender's active configuration version
 	Attempt   int                 `cbor:"7,keyasint"`
 	Incarnate string              `cbor:"8,keyasint"` // sender's incarnation
+	// WaitMS is how long the request may wait there for room, in the queue and in
+	// turn with the region's own requests; 0 asks for room at once.
+	WaitMS int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // OfferReply grants a reservation that lives GrantMS, or declines.
@@ -236,11 +239,14 @@
 	Request api.GenerateRequest `cbor:"1,keyasint"`
 }
 
-// RunEvent is one step of an answer. Exactly one field is set. Answer, End and
-// Error are the last of their stream.
+// RunEvent is one step of an answer. Exactly one of its pointers is set. Answer,
+// End and Error are the last of their stream.
 type RunEvent struct {
 	Answer *api.GenerateAnswer `cbor:"1,keyasint,omitempty"`
 	Piece  *api.StreamPiece    `cbor:"2,keyasint,omitempty"`
 	End    *api.StreamEnd      `cbor:"3,keyasint,omitempty"`
 	Error  *api.Error          `cbor:"4,keyasint,omitempty"`
+	// Attempts is the number of attempts that may have reached a replica, told
+	// with the last event.
+	Attempts int `cbor:"5,keyasint,omitempty"`
 }
