--- a/control/orders.go
+++ b/control/orders.go
@@ -6,11 +6,7 @@
 	"fmt"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/deckpulley/deckpulley/api"
-	"github.com/deckpulley/deckpulley/configuration"
 	"github.com/deckpulley/deckpulley/internal/planted"
 	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/places"
@@ -78,8 +74,8 @@
 		n.log.Debug("order not forwarded", "order", task.id(), "primary", primary, "error", err)
 		return peer.OrderReply{}, false
 	}
-	if reply.Error != nil && reply.Error.Code == api.CodeNoPrimary && ctx.Err() == nil {
-		return peer.OrderReply{}, false
+	if reply.Error != nil && reply.Error.Code == api.CodeNoPrimary {
+		return peer.OrderReply{}, false // it speaks for that node alone, not for earlier attempts
 	}
 	return reply, true
 }
@@ -205,182 +201,6 @@
 	return facts
 }
 
-// task is one order on its way through this node.
-type task struct {
-	request  peer.OrderRequest
-	document *configuration.Document
-	digest   uint64
-	// sent is true once the order may have been carried out.
-	sent bool
-}
-
-// newTask checks the form of an order.
-func newTask(request peer.OrderRequest) (*task, *api.Error) {
-	t := &task{request: request}
-	switch {
-	case request.Configuration != nil:
-		return t, t.checkConfiguration(request.Configuration)
-	case request.Evacuation != nil:
-		return t, t.checkEvacuation(request.Evacuation)
-	case request.Replicas != nil:
-		return t, checkReplicas(request.Replicas)
-	default:
-		return nil, invalid("", "the request carries no order")
-	}
-}
-
-func (t *task) id() string {
-	switch {
-	case t.request.Configuration != nil:
-		return t.request.Configuration.OrderID
-	case t.request.Evacuation != nil:
-		return t.request.Evacuation.OrderID
-	default:
-		return ""
-	}
-}
-
-// unfinished answers an order whose time ran out.
-func (t *task) unfinished() *api.Error {
-	if !t.sent {
-		return noPrimary("no primary was reached in time; the order was not carried out", api.OutcomeRefused)
-	}
-	return &api.Error{
-		Code:         api.CodePending,
-		Outcome:      api.OutcomeUnknown,
-		Message:      "the order is not yet known to be in force everywhere; send it again with the same order id",
-		Retry:        true,
-		RetryAfterMS: noPrimaryRetryAfter.Milliseconds(),
-	}
-}
-
-func (t *task) checkConfiguration(order *api.ConfigurationOrder) *api.Error {
-	if problem := checkOrderID(order.OrderID, order.Author); problem != nil {
-		return problem
-	}
-	document, err := configuration.Load(order.Document)
-	if err != nil {
-		return invalidDocument(err)
-	}
-	t.document = document
-	t.digest = digestOf("configuration", order.BaseVersion, order.Document)
-	return nil
-}
-
-// invalidDocument names the first problem's field; the message has all of them.
-func invalidDocument(err error) *api.Error {
-	answer := invalid("document", err.Error())
-	var problems *configuration.Problems
-	if errors.As(err, &problems) && len(problems.List) > 0 && problems.List[0].Field != "" {
-		answer.Field = "document." + problems.List[0].Field
-	}
-	return answer
-}
-
-func (t *task) checkEvacuation(order *api.EvacuationOrder) *api.Error {
-	if problem := checkOrderID(order.OrderID, order.Author); problem != nil {
-		return problem
-	}
-	if places.CheckObjectName(order.Zone) != nil {
-		return invalid("zone", fmt.Sprintf("must have 1 to %d bytes", places.MaxObjectNameBytes))
-	}
-	t.digest = digestOf("evacuation", order.Zone, order.Withdraw)
-	return nil
-}
-
-func checkOrderID(id, author string) *api.Error {
-	if places.CheckObjectName(id) != nil {
-		return invalid("order_id", fmt.Sprintf("must have 1 to %d bytes", places.MaxObjectNameBytes))
-	}
-	if len(author) > api.MaxNameBytes {
-		return invalid("author", fmt.Sprintf("must have at most %d bytes", api.MaxNameBytes))
-	}
-	return nil
-}
-
-// digestOf hashes what an order asks for, its author apart.
-func digestOf(parts ...any) uint64 {
-	encoded, err := cbor.Marshal(parts)
-	if err != nil {
-		panic(fmt.Sprintf("control: encoding an order: %v", err))
-	}
-	return xxhash.Sum64(encoded)
-}
-
-// plan is a decision and the update that makes it so.
-type plan struct {
-	update registry.Update
-	answer places.Order
-}
-
-func (t *task) plan(facts orderFacts) (plan, error) {
-	if t.request.Configuration != nil {
-		return t.planConfiguration(facts)
-	}
-	return t.planEvacuation(facts), nil
-}
-
-// planConfiguration accepts a document that was built on the current version.
-// Either way the decision holds only while that version is the current one.
-func (t *task) planConfiguration(facts orderFacts) (plan, error) {
-	order := t.request.Configuration
-	base := configuration.BasePrerequisite(facts.contents.View())
-	current := facts.contents.Version()
-	if order.BaseVersion != current && !planted.Active(planted.AcceptOldBase) {
-		reason := fmt.Sprintf("built on version %d, the current version is %d", order.BaseVersion, current)
-		return t.refuse(facts, base, api.CodeVersionConflict, "base_version", reason), nil
-	}
-	version := current + 1
-	changes, err := configuration.Changes(facts.contents.View(), t.document, version, order.Author, order.Document)
-	if err != nil {
-		return plan{}, err
-	}
-	answer := places.Order{Digest: t.digest, Accepted: true, Version: version, Number: facts.number}
-	return t.decide(facts, answer, order.Author, []registry.Record{base}, changes), nil
-}
-
-// planEvacuation empties a zone of the current configuration, or withdraws that.
-func (t *task) planEvacuation(facts orderFacts) plan {
-	order := t.request.Evacuation
-	name := places.ZoneName(order.Zone)
-	if _, known := facts.contents.Zones()[order.Zone]; !known {
-		reason := fmt.Sprintf("the configuration has no zone %q", order.Zone)
-		return t.refuse(facts, registry.Absent(name, places.TypeZone), api.CodeNotFound, "zone", reason)
-	}
-	change := registry.DeleteSet(name, places.TypeEvacuation)
-	if !order.Withdraw {
-		change = registry.Add(places.EvacuationRecord(order.Zone, places.Evacuation{Author: order.Author, Order: order.OrderID}))
-	}
-	answer := places.Order{Digest: t.digest, Accepted: true, Version: facts.contents.Version(), Number: facts.number}
-	exists := registry.Exists(name, places.TypeZone)
-	return t.decide(facts, answer, order.Author, []registry.Record{exists}, []registry.Record{change})
-}
-
-func (t *task) refuse(facts orderFacts, while registry.Record, code api.Code, field, reason string) plan {
-	answer := places.Order{
-		Digest:  t.digest,
-		Version: facts.contents.Version(),
-		Number:  facts.number,
-		Code:    string(code),
-		Field:   field,
-		Reason:  reason,
-	}
-	return t.decide(facts, answer, "", []registry.Record{while}, nil)
-}
-
-// decide adds the answer's record to the changes, once: no answer may exist.
-func (t *task) decide(facts orderFacts, answer places.Order, author string, prerequisites, changes []registry.Record) plan {
-	name := places.OrderName(t.id())
-	prerequisites = append(prerequisites, registry.Absent(name, places.TypeOrder))
-	changes = append(changes, registry.Add(places.OrderRecord(t.id(), answer)))
-	for _, oldest := range facts.surplus {
-		changes = append(changes, registry.DeleteSet(oldest, places.TypeOrder))
-	}
-	update := registry.NewUpdate(places.Apex, prerequisites, changes)
-	update.Requestor = requestorOperator + author
-	return plan{update: update, answer: answer}
-}
-
 func invalid(field, message string) *api.Error {
 	return &api.Error{Code: api.CodeInvalid, Outcome: api.OutcomeRefused, Message: message, Field: field}
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -52,7 +52,8 @@
 			Serial:               slot.Serial,
 			Gateway:              r.gateway.options.Info.Name,
 			Incarnation:          r.gateway.options.Info.Incarnation,
-			Attempt:              r.before + r.sent + 1,
+			ReplicaIncarnation:   slot.Incarnation,
+			Attempt:              r.made() + 1,
 		},
 	}
 }
@@ -60,8 +61,8 @@
 func (r *runner) noteSent() {
 	r.sent++
 	r.spare = false
-	r.route.Attempt = r.before + r.sent + 1
-	if r.before+r.sent == 1 {
+	r.route.Attempt = r.made() + 1
+	if r.made() == 1 {
 		r.gateway.router.NoteAttempt()
 	}
 	r.gateway.metrics.attempts.Inc()
@@ -82,6 +83,8 @@
 	verdictResult := routing.ResultFailed
 	if ctx.Err() != nil {
 		verdictResult = routing.ResultCanceled
+	} else {
+		r.gateway.suspect(slot)
 	}
 	slot.Finish(verdictResult, nil, time.Now())
 	failure := refusedLater(api.CodeNoCapacity, comeBack, "no replica could be reached")
@@ -94,6 +97,7 @@
 		slot.Finish(routing.ResultCanceled, nil, time.Now())
 		return r.broken(failed(api.CodeDeadline, api.OutcomeUnknown, "the replica did not answer in time"))
 	}
+	r.gateway.suspect(slot)
 	slot.Finish(routing.ResultFailed, nil, time.Now())
 	return r.broken(failed(api.CodeReplicaBroken, api.OutcomeUnknown, "the connection to the replica broke before its answer"))
 }
@@ -127,7 +131,10 @@
 func (r *runner) settle(ctx context.Context, slot *routing.Slot, outcome verdict) verdict {
 	accounted := routing.ResultFailed
 	switch {
-	case outcome.standing == stoodNotStarted || outcome.standing == stoodStale:
+	case outcome.standing == stoodStale || outcome.standing == stoodRestarted:
+		accounted = routing.ResultNotStarted
+		r.voided++
+	case outcome.standing == stoodNotStarted:
 		accounted = routing.ResultNotStarted
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled):
 		accounted = routing.ResultCanceled
@@ -135,6 +142,9 @@
 	if outcome.standing == stoodBroken {
 		outcome = r.broken(outcome.failure)
 	}
+	if outcome.standing == stoodRestarted || (ctx.Err() == nil && connectionBroke(outcome)) {
+		r.gateway.suspect(slot)
+	}
 	slot.Finish(accounted, nil, time.Now())
 	if outcome.failure.Code == api.CodeReplicaDraining {
 		r.gateway.pollNow(slot.Replica) // so that nobody else is sent there
