Count a lease from before its renewal is made

Cause: the sending time was read after the renewal said whether the lease was still valid; a process frozen between the two would claim a valid lease at a time when it had lapsed, and a new primary relies on that claim. Change: the time is read first, so that the lease counts from no later than the claim. Ruled out: reading it again afterwards, which would lengthen the lease. Result: the agent's tests pass; the freeze between two lines is argued, not tested.

--- a/gateway/agent/renew.go
+++ b/gateway/agent/renew.go
@@ -53,12 +53,14 @@
 // renew asks one node. It returns the wait before the next renewal, or that
 // there is a hint to follow at once.
 func (a *Agent) renew(ctx context.Context) (wait time.Duration, hinted bool) {
+	// Read before the request is made: what it says of the lease, and the lease
+	// that answers it, must both be true of no later time.
+	sent := a.options.Clock()
 	address, request, timeout := a.nextRenewal()
 	if address == "" {
 		return searchPause, false
 	}
 	var grant peer.Grant
-	sent := a.options.Clock()
 	callContext, cancel := context.WithTimeout(ctx, timeout)
 	a.setAsking(address, cancel)
 	err := a.options.Network.Call(callContext, address, peer.KindRenew, &request, &grant)
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -8,7 +8,7 @@
 	"github.com/deckpulley/deckpulley/api"
 )
 
-// FuzzCallerRequest feeds bodies to the callers' door. What is refused says so,
+// FuzzCallerRequest feeds bodies to the callers' port. What is refused says so,
 // and what passes stays within the limits and survives being passed to a peer.
 func FuzzCallerRequest(f *testing.F) {
 	f.Add(`{"request_id":"r-1","model":"m","prefixes":[{"id":"p","tokens":3}],"prompt_tokens":1,"max_tokens":2,"stream":true,"wait_ms":10,"repeatable":true}`)
--- a/gateway/ports_test.go
+++ b/gateway/ports_test.go
@@ -205,7 +205,7 @@
 	}
 }
 
-// TestCallersLimits checks every door of the callers' port.
+// TestCallersLimits checks every limit of the callers' port.
 func TestCallersLimits(t *testing.T) {
 	f := newFleet(t)
 	f.replica("r1", "north")
