--- a/gateway/mint.go
+++ b/gateway/mint.go
@@ -43,9 +43,10 @@
 
 // mintIn asks a gateway of the region, or this one, to own the request. Both
 // results are nil if the next region is to be tried. Whoever asks for the same
-// unrepeatable request again, through whichever gateway, is led to the same
-// owner, who answers with the first ticket; so two tickets for it need a change
-// of the region's gateways between the two.
+// unrepeatable request again, through whichever gateway of the region, is led to
+// the same owner, who answers with the first ticket. Two tickets for it need a
+// change of the region's gateways between the two, an owner that was not reached
+// in time, or questions that led to two regions.
 func (g *Gateway) mintIn(ctx context.Context, region string, request *api.WhereRequest, self bool) (*api.WhereAnswer, *api.Error) {
 	self = self && region == g.region() && g.mayOwn()
 	if request.Repeatable {
