--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -58,11 +58,11 @@
 				return nil, err
 			}
 		case event.End != nil:
-			return &result{end: event.End}, order.End(event.End)
+			return &result{end: event.End, attempts: event.Attempts}, order.End(event.End)
 		case event.Answer != nil && event.Answer.RequestID == run.requestID && order.Pieces() == 0:
-			return &result{answer: event.Answer}, nil
+			return &result{answer: event.Answer, attempts: event.Attempts}, nil
 		case event.Error != nil:
-			return &result{failure: event.Error}, nil
+			return &result{failure: event.Error, attempts: event.Attempts}, nil
 		default:
 			return nil, errNotAnswer
 		}
@@ -77,7 +77,7 @@
 			return err
 		}
 		if ended != nil {
-			return send(&peer.RunEvent{Answer: ended.answer, End: ended.end, Error: ended.failure})
+			return send(&peer.RunEvent{Answer: ended.answer, End: ended.end, Error: ended.failure, Attempts: ended.attempts})
 		}
 		err = eachPiece(frames, func(data []byte) error {
 			piece := new(api.StreamPiece)
@@ -113,17 +113,20 @@
 
 // spill hands the request to a gateway of another region: an offer first, then
 // the run.
-func (r *runner) spill(ctx context.Context, region string) verdict {
+//
+// With a wait the request may stand in the other region's queue for so long.
+func (r *runner) spill(ctx context.Context, region string, wait time.Duration) verdict {
 	last := verdict{
 		standing: stoodNotStarted,
 		failure:  refusedLater(api.CodeNoCapacity, comeBack, "no gateway of region %s can be reached", region),
 	}
 	for _, member := range r.gateway.peersIn(region, maxPeersTried) {
-		outcome := r.offer(ctx, member)
+		outcome := r.offer(ctx, member, wait)
 		if outcome.standing != stoodNotStarted || ctx.Err() != nil {
 			return outcome
 		}
 		last = outcome
+		wait = 0 // spent on a gateway that did not answer
 		if !outcome.unsent {
 			break // the region has answered
 		}
@@ -133,15 +136,19 @@
 
 // offer asks one gateway and, if it grants, runs the request there. Nothing runs
 // for an offer alone, so that one without an answer can be left to die.
-func (r *runner) offer(ctx context.Context, member places.Gateway) verdict {
+func (r *runner) offer(ctx context.Context, member places.Gateway, wait time.Duration) verdict {
 	g := r.gateway
 	offer := r.newOffer()
-	asking, cancel := context.WithTimeout(ctx, offerTimeout)
+	offer.WaitMS = wait.Milliseconds()
+	asking, cancel := context.WithTimeout(ctx, offerTimeout+wait)
 	var reply peer.OfferReply
 	err := g.options.Network.Call(asking, member.PeerAddress, peer.KindOffer, offer, &reply)
 	cancel()
 	if err != nil {
 		g.metrics.spills.WithLabelValues("unanswered").Inc()
+		if wait > 0 {
+			g.abandonOffer(member.PeerAddress, offer.OfferID, member.Incarnation)
+		}
 		return verdict{
 			standing: stoodNotStarted,
 			failure:  refusedLater(api.CodeNoCapacity, comeBack, "the other region does not answer"),
@@ -180,7 +187,7 @@
 		Request:   request,
 		HomeOnly:  r.route.Home,
 		TimeLeft:  left,
-		Attempt:   r.before + r.sent + r.hops + 1,
+		Attempt:   r.made() + 1,
 		Incarnate: info.Incarnation,
 	}
 	if active := g.agent.Active(); active != nil {
@@ -241,6 +248,7 @@
 		return verdict{standing: stoodDone}
 	}
 	r.gateway.metrics.spills.WithLabelValues("failed").Inc()
+	r.hops += final.attempts
 	if r.execution.pieces() {
 		copied := *failure
 		copied.Outcome = api.OutcomeFailed
@@ -250,7 +258,9 @@
 	if failure.Outcome == api.OutcomeRefused {
 		return verdict{standing: stoodNotStarted, failure: failure}
 	}
-	r.hops++
+	if final.attempts == 0 {
+		r.hops++
+	}
 	return r.broken(failure)
 }
 
--- a/routing/service.go
+++ b/routing/service.go
@@ -15,7 +15,7 @@
 	unservable = 100
 	// fedElsewhere is the utilization told of a service whose only replicas are
 	// cold ones that other gateways feed: it serves, and has nothing to spare.
-	fedElsewhere = 1
+	fedElsewhere = unservable / 2
 	// expectedSmoothing is the weight of one answer in the expected durations.
 	expectedSmoothing = 0.05
 )
@@ -54,6 +54,7 @@
 	delay       float64   // seconds to the first token without own prefill, smoothed
 
 	spill       *setpoint.Controller
+	target      float64 // utilization to hold while all regions together can
 	utilization float64
 	regions     map[string]*placement.Region
 	gates       map[string]*placement.Gate
@@ -90,7 +91,7 @@
 	s.coldConcurrency = limits.ColdConcurrency
 	s.queueLength = limits.QueueLength
 	s.queue.SetLength(limits.QueueLength)
-	s.spill.SetSetPoint(limits.TargetUtilization)
+	s.target = limits.TargetUtilization
 }
 
 func (s *service) add(name string, listed places.Replica, now time.Time) *replica {
@@ -168,15 +169,16 @@
 func (s *service) tick(now time.Time) {
 	s.unusableFor(now)
 	s.utilization = s.measureUtilization(now)
-	s.spill.Update(now, s.utilization)
 	s.refreshRegions(now)
+	s.spill.Update(now, s.utilization)
 	s.boundStanding(now)
 	s.sweep(now)
 }
 
 // measureUtilization is the work on the usable replicas and in the queues over
 // their ceilings; the other gateways of the region are taken to queue as much
-// as this one. A cold replica that another gateway feeds is left out.
+// as this one. It is bounded by placement.MostLoad unless nothing is usable, which
+// is unservable. A cold replica that another gateway feeds is left out.
 func (s *service) measureUtilization(now time.Time) float64 {
 	busy := float64(s.queue.Len() * max(1, len(s.router.gateways)))
 	ceilings := 0.0
@@ -190,7 +192,7 @@
 	if ceilings == 0 {
 		return unservable
 	}
-	return busy / ceilings
+	return min(busy/ceilings, placement.MostLoad)
 }
 
 // regionLoad is the utilization to be told to other regions.
