Work out a caller's waiting time in one place

Cause: the default of wait_ms was applied by the gateway for the run and by routing for the deadline, each with its own copy. Change: api.Wait serves both; nothing else.

--- a/api/caller.go
+++ b/api/caller.go
@@ -1,5 +1,7 @@
 package api
 
+import "time"
+
 // Paths of the callers' port of a gateway.
 const (
 	PathWhere    = "/v1/where"    // POST WhereRequest, answered by WhereAnswer
@@ -26,6 +28,15 @@
 	DefaultWaitMillis = 30_000
 )
 
+// Wait is the time that a caller who says waitMS will wait; zero or less stands
+// for the default.
+func Wait(waitMS int64) time.Duration {
+	if waitMS <= 0 {
+		waitMS = DefaultWaitMillis
+	}
+	return time.Duration(waitMS) * time.Millisecond
+}
+
 // Class is the latency class of a request.
 type Class string
 
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -138,7 +138,7 @@
 // answer copies an execution's output to the caller. It panics with
 // http.ErrAbortHandler where the connection must not end cleanly.
 func (g *Gateway) answer(w http.ResponseWriter, r *http.Request, request *api.GenerateRequest, reader *follower, started time.Time) {
-	ctx, cancel := context.WithDeadline(r.Context(), started.Add(waitOf(request.WaitMS)+joinGrace))
+	ctx, cancel := context.WithDeadline(r.Context(), started.Add(api.Wait(request.WaitMS)+joinGrace))
 	defer cancel()
 	var writer *stream.Writer
 	for {
--- a/gateway/mint.go
+++ b/gateway/mint.go
@@ -162,7 +162,7 @@
 // mint makes a ticket that this process owns.
 func (g *Gateway) mint(request *api.WhereRequest) (*api.WhereAnswer, *api.Error) {
 	now := g.options.Clock()
-	wait := waitOf(request.WaitMS)
+	wait := api.Wait(request.WaitMS)
 	fresh := ticket.Ticket{
 		RequestID:   request.RequestID,
 		Owner:       g.options.Info.Name,
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -56,13 +56,6 @@
 	}
 }
 
-func waitOf(waitMS int64) time.Duration {
-	if waitMS <= 0 {
-		waitMS = api.DefaultWaitMillis
-	}
-	return time.Duration(waitMS) * time.Millisecond
-}
-
 // submit takes a request from a caller or a peer and returns a reader of its
 // output. The reader must be left.
 func (g *Gateway) submit(request *api.GenerateRequest) (*follower, *api.Error) {
@@ -142,7 +135,7 @@
 func (g *Gateway) prepare(request *api.GenerateRequest, owned, ran bool) (*execution, func()) {
 	copied := *request
 	copied.Ticket = ""
-	ctx, cancel := g.isolate(time.Now().Add(waitOf(request.WaitMS)))
+	ctx, cancel := g.isolate(time.Now().Add(api.Wait(request.WaitMS)))
 	run := newExecution(request.RequestID, request.Stream, request.MaxTokens, cancel)
 	g.running.begin()
 	return run, func() {
@@ -194,7 +187,7 @@
 	if !alive {
 		return g.orphaned(request)
 	}
-	ctx, cancel := g.isolate(time.Now().Add(waitOf(request.WaitMS)))
+	ctx, cancel := g.isolate(time.Now().Add(api.Wait(request.WaitMS)))
 	events, err := g.options.Network.OpenStream(ctx, address, peer.KindOwner, &peer.OwnerRequest{Request: *request})
 	if err != nil {
 		cancel(nil)
--- a/routing/resolve.go
+++ b/routing/resolve.go
@@ -61,10 +61,6 @@
 }
 
 func requestOf(generate api.GenerateRequest, now time.Time) Request {
-	wait := generate.WaitMS
-	if wait <= 0 {
-		wait = api.DefaultWaitMillis
-	}
 	return Request{
 		ID:           generate.RequestID,
 		Tenant:       generate.Tenant,
@@ -76,7 +72,7 @@
 		Client:       generate.Client,
 		Placed:       generate.Ticket != "",
 		HomeRule:     generate.Home,
-		Deadline:     now.Add(time.Duration(wait) * time.Millisecond),
+		Deadline:     now.Add(api.Wait(generate.WaitMS)),
 		Attempt:      1,
 	}
 }
