--- a/api/operator.go
+++ b/api/operator.go
@@ -77,6 +77,11 @@
 	// Address is host:port of the replica's HTTP server.
 	Address  string `json:"address"`
 	Draining bool   `json:"draining,omitempty"`
+	// Slots is the number of requests that it runs side by side, 0 if not told.
+	Slots int `json:"slots,omitempty"`
+	// ColdMS is how long it stays cold, in milliseconds; nil leaves that to the
+	// gateway that watches the replica.
+	ColdMS *int64 `json:"cold_ms,omitempty"`
 }
 
 // ReplicaList replaces the whole list of replicas.
--- /dev/null
+++ b/cmd/deckpulley-platform/main.go
@@ -0,0 +1,113 @@
+// Command deckpulley-platform runs deckpulley's processes on the platform of
+// Kodovka Labs, from the platform's settings file.
+//
+// Exit status: 0 after a stop, 1 after a failure, 2 for settings or usage.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/deckpulley/deckpulley/platform"
+)
+
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// errUsage marks errors of the command line.
+var errUsage = errors.New("usage")
+
+func main() {
+	err := newCommand().Execute()
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "deckpulley-platform:", err)
+	var settings *platform.SettingsError
+	if errors.As(err, &settings) || errors.Is(err, errUsage) {
+		os.Exit(exitUsage)
+	}
+	os.Exit(exitFailure)
+}
+
+// runner is one kind of process.
+type runner func(ctx context.Context, settings *platform.Settings, logger *slog.Logger) error
+
+func newCommand() *cobra.Command {
+	level := "warn"
+	command := &cobra.Command{
+		Use:           "deckpulley-platform",
+		Short:         "Run deckpulley on the platform of Kodovka Labs",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	command.PersistentFlags().StringVar(&level, "log-level", level, "least level of what is logged: debug, info, warn or error")
+	command.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", errUsage, err) })
+	command.AddCommand(
+		newRunCommand("control", "Run a control node", &level, platform.RunControl),
+		newRunCommand("gateway", "Run a gateway", &level, platform.RunGateway),
+		newCheckCommand(),
+	)
+	return command
+}
+
+func newRunCommand(name, short string, level *string, run runner) *cobra.Command {
+	return &cobra.Command{
+		Use:   name,
+		Short: short,
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			var least slog.Level
+			if err := least.UnmarshalText([]byte(*level)); err != nil {
+				return fmt.Errorf("%w: --log-level: %w", errUsage, err)
+			}
+			settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+			if err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			logger := platform.NewLogger(settings, least)
+			defer followHangUps(logger)()
+			return run(ctx, settings, logger)
+		},
+	}
+}
+
+// followHangUps checks the settings again when they have changed. All that may
+// change while a process runs is who to ask first, and a running process knows
+// better from the others.
+func followHangUps(logger *slog.Logger) (stop func()) {
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
+	go func() {
+		for range hangUps {
+			if _, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable)); err != nil {
+				logger.Error("changed settings are not usable", "error", err)
+			}
+		}
+	}()
+	return func() { signal.Stop(hangUps) }
+}
+
+func newCheckCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a settings file",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, arguments []string) error {
+			_, err := platform.LoadSettings(arguments[0])
+			return err
+		},
+	}
+}
--- a/configuration/changes.go
+++ b/configuration/changes.go
@@ -9,6 +9,7 @@
 
 	"github.com/deckpulley/deckpulley/places"
 	"github.com/deckpulley/deckpulley/registry"
+	"github.com/deckpulley/deckpulley/routemap"
 )
 
 // ErrVersion means that the version of a configuration is not above the one in
@@ -32,6 +33,22 @@
 	if err := document.Validate(); err != nil {
 		return nil, err
 	}
+	wanted := func(work *difference) { work.wantDocument(document) }
+	return changes(current, wanted, version, author, text)
+}
+
+// MapChanges is Changes for a map of routes by host and path. zones are the
+// fleet's zones with their regions.
+func MapChanges(current registry.View, routes *routemap.Map, zones map[string]string, text string) ([]registry.Record, error) {
+	if err := routes.Validate(); err != nil {
+		return nil, err
+	}
+	wanted := func(work *difference) { work.wantMap(routes, zones) }
+	return changes(current, wanted, routes.Version, "", text)
+}
+
+// changes collects what one configuration wants and drops what it leaves out.
+func changes(current registry.View, wanted func(*difference), version uint64, author, text string) ([]registry.Record, error) {
 	marker, err := currentMarker(current)
 	if err != nil {
 		return nil, err
@@ -40,7 +57,7 @@
 		return nil, fmt.Errorf("%w: %d, the table has %d", ErrVersion, version, marker.Version)
 	}
 	work := &difference{current: current, wanted: map[setName]bool{}, dropped: map[setName]bool{}}
-	work.wantDocument(document)
+	wanted(work)
 	digests := work.wantText(text)
 	work.want(places.ConfigurationRecord(places.Configuration{Version: version, Author: author, Chunks: digests}))
 	work.dropUnwanted()
@@ -48,6 +65,21 @@
 	return work.changes, nil
 }
 
+// wantMap requires the records of a map of routes, in a fixed order.
+func (d *difference) wantMap(routes *routemap.Map, zones map[string]string) {
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		d.want(places.RegionRecord(zones[zone], places.Region{Capacity: 1}))
+		d.want(places.ZoneRecord(zone, places.Zone{Region: zones[zone]}))
+	}
+	for _, service := range routes.Services {
+		d.want(places.PoolRecord(service))
+	}
+	for _, route := range routes.Routes {
+		d.want(places.PathRouteRecord(route))
+	}
+	d.want(places.RequestLimitsRecord(routes.Limits))
+}
+
 func currentMarker(current registry.View) (places.Configuration, error) {
 	contents, err := places.ReadMarker(current)
 	if err != nil {
@@ -72,7 +104,11 @@
 
 // want requires a record as the only one of its set.
 func (d *difference) want(record registry.Record) {
-	d.wanted[setName{record.Name, record.Type}] = true
+	key := setName{record.Name, record.Type}
+	if d.wanted[key] {
+		return
+	}
+	d.wanted[key] = true
 	held := d.current.Lookup(record.Name, record.Type)
 	if len(held) == 1 && bytes.Equal(held[0].Data, record.Data) {
 		return
@@ -144,6 +180,7 @@
 	kinds := []registry.Type{
 		places.TypeRegion, places.TypeZone, places.TypeService, places.TypeRoute,
 		places.TypeClient, places.TypeHome, places.TypeTenant,
+		places.TypePathRoute, places.TypePool,
 	}
 	for _, kind := range kinds {
 		d.current.Walk(places.Under(kind), kind, func(record registry.Record) bool {
--- a/control/decision.go
+++ b/control/decision.go
@@ -23,6 +23,9 @@
 	if t.request.Configuration != nil {
 		return t.planConfiguration(facts)
 	}
+	if t.request.RouteMap != nil {
+		return t.planRouteMap(facts)
+	}
 	return t.planEvacuation(facts), nil
 }
 
--- a/control/node.go
+++ b/control/node.go
@@ -121,6 +121,9 @@
 	go n.run()
 	n.goWorker(n.runDiscovery)
 	n.goWorker(n.runDescriber)
+	if n.options.Inventory != nil {
+		n.goWorker(n.runInventory)
+	}
 	return nil
 }
 
--- a/control/options.go
+++ b/control/options.go
@@ -20,6 +20,7 @@
 	defaultGatewayGrace      = time.Second
 	defaultOrderWait         = 10 * time.Second
 	defaultSnapshotInterval  = 4096
+	defaultInventoryInterval = 500 * time.Millisecond
 )
 
 // Options sets up a Node. Network, Store and the names are required; every
@@ -73,6 +74,14 @@
 	// OrderWait is how long an order may wait to be in force when its sender
 	// does not say.
 	OrderWait time.Duration
+	// Voters is the number of voters of a whole group, if above that of its
+	// formation: nodes that ask to join are taken in until there are so many.
+	Voters int
+	// Inventory, if set, is read by the primary for the list of replicas, every
+	// InventoryInterval.
+	Inventory         Inventory
+	InventoryInterval time.Duration
+
 	// SnapshotInterval is the number of entries applied between two snapshots.
 	SnapshotInterval uint64
 }
@@ -106,6 +115,7 @@
 	setDefault(&o.ReplaceAfter, defaultReplaceAfter)
 	setDefault(&o.GatewayGrace, defaultGatewayGrace)
 	setDefault(&o.OrderWait, defaultOrderWait)
+	setDefault(&o.InventoryInterval, defaultInventoryInterval)
 	if o.SnapshotInterval == 0 {
 		o.SnapshotInterval = defaultSnapshotInterval
 	}
--- a/control/orders.go
+++ b/control/orders.go
@@ -91,6 +91,11 @@
 	if facts.known {
 		return n.repeatAnswer(ctx, task, facts)
 	}
+	if task.request.RouteMap != nil {
+		if reply, refused, final := n.reviewRouteMap(ctx, task, facts); refused {
+			return reply, final
+		}
+	}
 	plan, err := task.plan(facts)
 	if err != nil {
 		return peer.OrderReply{Error: internalError(err)}, true
--- a/control/policy.go
+++ b/control/policy.go
@@ -69,10 +69,11 @@
 	}
 }
 
-// platformMayChange includes deleting a replica's name with everything at it.
+// platformMayChange has the condition too, for a list that tells which replicas
+// are cold. It includes deleting a replica's name with everything at it.
 func platformMayChange(record registry.Record) bool {
 	switch record.Type {
-	case places.TypeReplica, places.TypeDrain:
+	case places.TypeReplica, places.TypeDrain, places.TypeCondition:
 		return true
 	case registry.TypeANY:
 		return isReplicaName(record.Name)
--- a/control/replicas.go
+++ b/control/replicas.go
@@ -92,11 +92,12 @@
 			return nil, invalid(fmt.Sprintf("replicas[%d].zone", i), fmt.Sprintf("the configuration has no zone %q", entry.Zone))
 		}
 		listed[entry.ID] = true
-		replica := places.Replica{Service: entry.Service, Zone: entry.Zone, Region: zone.Region, Address: entry.Address}
+		replica := places.Replica{Service: entry.Service, Zone: entry.Zone, Region: zone.Region, Address: entry.Address, Slots: entry.Slots}
 		if old, present := known[entry.ID]; !present || old != replica {
 			changes = append(changes, registry.Add(places.ReplicaRecord(entry.ID, replica)))
 		}
 		changes = append(changes, drainChange(contents, entry)...)
+		changes = append(changes, coldChange(contents, entry)...)
 	}
 	for id := range known {
 		if !listed[id] {
@@ -116,6 +117,21 @@
 	return []registry.Record{registry.DeleteSet(places.ReplicaName(entry.ID), places.TypeDrain)}
 }
 
+// coldChange follows a list that tells which replicas are cold.
+func coldChange(contents *places.Contents, entry api.ReplicaEntry) []registry.Record {
+	if entry.ColdMS == nil {
+		return nil
+	}
+	wanted := places.Condition{State: places.ConditionUp}
+	if *entry.ColdMS > 0 {
+		wanted.State = places.ConditionCold
+	}
+	if held, known := contents.Condition(entry.ID); known && held == wanted {
+		return nil
+	}
+	return []registry.Record{registry.Add(places.ConditionRecord(entry.ID, wanted))}
+}
+
 // replicasAnswer reads the list back.
 func replicasAnswer(observed *observation) api.ReplicasAnswer {
 	answer := api.ReplicasAnswer{Serial: observed.serial, Replicas: []api.ReplicaStatus{}}
--- /dev/null
+++ b/control/routemap.go
@@ -0,0 +1,128 @@
+package control
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/configuration"
+	"github.com/deckpulley/deckpulley/peer"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/registry"
+	"github.com/deckpulley/deckpulley/routemap"
+)
+
+// Orders for a map of routes. Callers give them no id: what they build on and
+// their text are the identity, so that an order sent again to any node is the
+// same order. A refusal leaves no record, since a later state may admit the same
+// order; it is given only on a state that was the newest when the order came.
+
+const (
+	routeMapIDPrefix = "map-"
+	// routeMapIDBytes is the part of the SHA-256 that names an order.
+	routeMapIDBytes = 20
+)
+
+// checkRouteMap checks the form of an order for a map of routes.
+func (t *task) checkRouteMap(order *peer.RouteMapOrder) *api.Error {
+	if len(order.Text) > configuration.MaxDocumentBytes {
+		return invalid("text", fmt.Sprintf("must have at most %d bytes", configuration.MaxDocumentBytes))
+	}
+	if err := order.Map.Validate(); err != nil {
+		return invalidMap(err)
+	}
+	t.routeMapID = routeMapID(order)
+	t.digest = digestOf("routemap", order.BaseVersion, order.Text)
+	return nil
+}
+
+func invalidMap(err error) *api.Error {
+	var problem *routemap.Problem
+	if errors.As(err, &problem) {
+		return invalid(problem.Field, problem.Reason)
+	}
+	return invalid("", err.Error())
+}
+
+func routeMapID(order *peer.RouteMapOrder) string {
+	sum := sha256.Sum256(fmt.Appendf(nil, "%d\n%s", order.BaseVersion, order.Text))
+	return routeMapIDPrefix + hex.EncodeToString(sum[:routeMapIDBytes])
+}
+
+// refuseRouteMap returns why an order may not be carried out on the newest
+// state, nil if it may.
+func (t *task) refuseRouteMap(contents *places.Contents) *api.Error {
+	order := t.request.RouteMap
+	current := contents.Version()
+	switch {
+	case order.BaseVersion != current:
+		return &api.Error{
+			Code:    api.CodeVersionConflict,
+			Outcome: api.OutcomeRefused,
+			Message: fmt.Sprintf("built on version %d, the current version is %d", order.BaseVersion, current),
+			Field:   "base_version",
+		}
+	case order.Map.Version <= current:
+		return invalid("version", fmt.Sprintf("must be above the current version %d", current))
+	default:
+		return nil
+	}
+}
+
+// planRouteMap makes the map the current one, if the version that it was built
+// on still is.
+func (t *task) planRouteMap(facts orderFacts) (plan, error) {
+	order := t.request.RouteMap
+	base := configuration.BasePrerequisite(facts.contents.View())
+	changes, err := configuration.MapChanges(facts.contents.View(), &order.Map, order.Zones, order.Text)
+	if err != nil {
+		return plan{}, err
+	}
+	answer := places.Order{Digest: t.digest, Accepted: true, Version: order.Map.Version, Number: facts.number}
+	return t.decide(facts, answer, "", []registry.Record{base}, changes), nil
+}
+
+// reviewRouteMap refuses an order that the newest state does not admit. It is
+// final only if the state is proven to be the newest and holds no answer yet.
+func (n *Node) reviewRouteMap(ctx context.Context, task *task, facts orderFacts) (reply peer.OrderReply, refused, final bool) {
+	if task.refuseRouteMap(facts.contents) == nil {
+		return peer.OrderReply{}, false, false
+	}
+	observed, problem := n.linearizable(ctx)
+	if problem != nil || !observed.primary {
+		return peer.OrderReply{}, true, false
+	}
+	if _, known := observed.contents.Order(task.id()); known {
+		return peer.OrderReply{}, true, false
+	}
+	if reason := task.refuseRouteMap(observed.contents); reason != nil {
+		return peer.OrderReply{Error: reason}, true, true
+	}
+	return peer.OrderReply{}, true, false
+}
+
+// Order carries an order out, here or at the primary. It answers when the order
+// is in force everywhere, when it is refused, or when ctx ends.
+func (n *Node) Order(ctx context.Context, request peer.OrderRequest) peer.OrderReply {
+	reply := n.order(ctx, request)
+	n.metrics.orders.WithLabelValues(answerLabel(reply)).Inc()
+	return reply
+}
+
+// Current returns the newest configuration: its version and text as they were
+// handed over, and false before the first one. It waits for proof that nothing
+// newer was acknowledged.
+func (n *Node) Current(ctx context.Context) (places.Configuration, bool, *api.Error) {
+	observed, problem := n.linearizable(ctx)
+	if problem != nil {
+		return places.Configuration{}, false, problem
+	}
+	if observed.contents == nil {
+		return places.Configuration{}, false, nil
+	}
+	current, configured := observed.contents.ConfigurationRecord()
+	return current, configured, nil
+}
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -62,7 +62,7 @@
 	m.contents = nil
 	m.transfers.reset()
 	m.orders.restore(content.Orders)
-	m.voters = content.Voters
+	m.voters = max(content.Voters, m.options.Voters)
 	m.applied = snapshot.Index
 	m.snapshotIndex = snapshot.Index
 	return m.readContents()
--- a/control/task.go
+++ b/control/task.go
@@ -18,6 +18,8 @@
 	request  peer.OrderRequest
 	document *configuration.Document
 	digest   uint64
+	// routeMapID is the identity of an order for a map of routes.
+	routeMapID string
 	// sent is true once the order may have been carried out.
 	sent bool
 }
@@ -32,6 +34,8 @@
 		return t, t.checkEvacuation(request.Evacuation)
 	case request.Replicas != nil:
 		return t, checkReplicas(request.Replicas)
+	case request.RouteMap != nil:
+		return t, t.checkRouteMap(request.RouteMap)
 	default:
 		return nil, invalid("", "the request carries no order")
 	}
@@ -43,6 +47,8 @@
 		return t.request.Configuration.OrderID
 	case t.request.Evacuation != nil:
 		return t.request.Evacuation.OrderID
+	case t.request.RouteMap != nil:
+		return t.routeMapID
 	default:
 		return ""
 	}
--- /dev/null
+++ b/dispatch/choose.go
@@ -0,0 +1,199 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/deckpulley/deckpulley/placement"
+	"github.com/deckpulley/deckpulley/routemap"
+)
+
+const (
+	// prefillSpeed is the tokens of prompts that a replica is taken to read in a second.
+	prefillSpeed = 60_000
+	// otherRegionPenalty and otherZonePenalty keep requests near, in seconds of
+	// waiting for the first event.
+	otherRegionPenalty = 0.12
+	otherZonePenalty   = 0.01
+	// coldShare is the part of what a cold replica bears that its feeder sends.
+	coldShare = 0.4
+	// connectionShare is the part of a replica's connections that all gateways use.
+	connectionShare = 0.8
+	// leastConnections is what every gateway may use.
+	leastConnections = 2
+	// memoryShare is the part of a replica's memory that requests under way may fill.
+	memoryShare = 0.85
+	// defaultSlots is taken for replicas that do not tell theirs.
+	defaultSlots = 8
+	// patience is the expected wait, in multiples of a route's aim, beyond which
+	// a request is refused at once.
+	patience = 3
+	// leastPatience bounds it from below.
+	leastPatience = time.Second
+	// busyRetryAfter and absentRetryAfter are when a refused request may come again.
+	busyRetryAfter   = 400 * time.Millisecond
+	absentRetryAfter = 500 * time.Millisecond
+)
+
+// search looks for the replica of one attempt.
+type search struct {
+	dispatcher *Dispatcher
+	plan       *plan
+	service    *service
+	route      *routemap.Route
+	request    *Request
+	tried      map[string]bool
+	now        time.Time
+}
+
+// rank orders replicas by how willingly they are used.
+type rank int
+
+const (
+	warm    rank = iota // in use
+	cold                // within the ramp of a cold replica
+	avoided             // it failed lately, or is silent
+	excluded
+)
+
+// find returns the replica for the next attempt, or why there is none. The
+// dispatcher's mutex is held.
+func (s *search) find() (*replica, *Refusal) {
+	var ranked [excluded][]*replica
+	full := false
+	for _, r := range s.service.replicas {
+		if !s.allowed(r) {
+			continue
+		}
+		if s.now.Before(r.fullUntil) || s.crowded(r) {
+			full = true
+			continue
+		}
+		if at := s.rank(r); at < excluded {
+			ranked[at] = append(ranked[at], r)
+		}
+	}
+	for _, list := range ranked {
+		if len(list) > 0 {
+			return s.best(list)
+		}
+	}
+	if full {
+		return nil, &Refusal{Code: Overloaded, RetryAfter: busyRetryAfter}
+	}
+	return nil, &Refusal{Code: NoReplica, RetryAfter: absentRetryAfter}
+}
+
+// allowed says whether the operators and the list permit the replica.
+func (s *search) allowed(r *replica) bool {
+	if r.draining || r.evacuated || r.replaced || s.tried[r.id] {
+		return false
+	}
+	return len(s.route.Homes) == 0 || slices.Contains(s.route.Homes, r.region)
+}
+
+// crowded says whether this gateway uses its part of the replica's connections.
+func (s *search) crowded(r *replica) bool {
+	most := s.service.spec.MaxConnections
+	if most == 0 {
+		return false
+	}
+	share := int(connectionShare * float64(most) / float64(max(1, len(s.plan.gateways))))
+	return r.inFlight >= max(share, leastConnections)
+}
+
+func (s *search) rank(r *replica) rank {
+	d := s.dispatcher
+	if s.service.spec.ColdPerSecond > 0 && r.isCold(s.now) {
+		if s.now.Before(r.nextCold) || placement.Owner(r.id, s.plan.gateways) != d.options.Gateway {
+			return excluded
+		}
+		return cold
+	}
+	if s.now.Before(r.avoidedUntil) || r.silent(s.now, d.options.Backend.Heard(r.address)) {
+		return avoided
+	}
+	if s.now.Before(s.service.outliers.EjectedUntil(r.id)) {
+		return avoided
+	}
+	return warm
+}
+
+// best chooses among replicas of one rank.
+func (s *search) best(list []*replica) (*replica, *Refusal) {
+	candidates := s.candidates(list)
+	position, expected := placement.Choose(candidates, s.work())
+	longest := max(patience*s.route.FirstEvent, leastPatience).Seconds()
+	if s.route.FirstEvent > 0 && expected > longest {
+		return nil, &Refusal{Code: Overloaded, RetryAfter: busyRetryAfter}
+	}
+	chosen := list[position]
+	if chosen.isCold(s.now) && s.service.spec.ColdPerSecond > 0 {
+		gap := time.Duration(float64(time.Second) / (coldShare * s.service.spec.ColdPerSecond))
+		chosen.nextCold = s.now.Add(gap)
+	}
+	return chosen, nil
+}
+
+// work is what placement must know of the request.
+func (s *search) work() placement.Work {
+	key := placement.Hash(s.request.ID)
+	if link, found := placement.Affinity(s.request.Chain); found && s.service.spec.CacheTokens > 0 {
+		return placement.Work{Tokens: s.request.Tokens, Key: link.Hash, Bulk: float64(link.Tokens)}
+	}
+	return placement.Work{Tokens: s.request.Tokens, Key: key}
+}
+
+func (s *search) candidates(list []*replica) []placement.Candidate {
+	cached := make(map[int]int)
+	s.service.index.Cached(s.request.Chain, func(number, tokens int) { cached[number] = tokens })
+	candidates := make([]placement.Candidate, 0, len(list))
+	for i, r := range list {
+		candidates = append(candidates, s.candidate(i, r, cached[r.number]))
+	}
+	return candidates
+}
+
+func (s *search) candidate(position int, r *replica, cached int) placement.Candidate {
+	others := s.dispatcher.loads.others(r.id, s.now)
+	c := placement.Candidate{
+		Number:  position,
+		Hash:    r.hash,
+		Busy:    float64(r.inFlight + others.Requests),
+		Slots:   float64(s.slots(r)),
+		Hold:    s.service.hold,
+		Penalty: s.distance(r),
+	}
+	if s.service.spec.CacheTokens > 0 {
+		c.Speed = prefillSpeed
+		c.Pending = r.pending + others.Pending
+		c.Cached = float64(cached)
+		room := memoryShare*float64(s.service.spec.CacheTokens) - r.held - others.Held
+		if room < s.request.Tokens {
+			c.Wait = s.service.hold
+		}
+	}
+	return c
+}
+
+func (s *search) slots(r *replica) int {
+	switch {
+	case s.service.spec.Slots > 0:
+		return s.service.spec.Slots
+	case r.slots > 0:
+		return r.slots
+	default:
+		return defaultSlots
+	}
+}
+
+func (s *search) distance(r *replica) float64 {
+	switch {
+	case r.region != s.dispatcher.options.Region:
+		return otherRegionPenalty
+	case r.zone != s.dispatcher.options.Zone:
+		return otherZonePenalty
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/dispatch/relay.go
@@ -0,0 +1,140 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// wholeLimit is the largest answer in bytes that is read before any of it is
+// passed on, so that one that breaks off is not begun.
+const wholeLimit = 256 << 10
+
+// relayWhole passes on an answer that is no series of events.
+func (r *run) relayWhole(ctx context.Context, at *placed, answer *Answer) (again bool, refusal *Refusal) {
+	first, err := io.ReadAll(io.LimitReader(answer.Body, wholeLimit+1))
+	if err != nil {
+		return r.broken(ctx, at, err)
+	}
+	if len(first) <= wholeLimit {
+		if r.request.Method != http.MethodHead {
+			answer.Header.Set("Content-Length", strconv.Itoa(len(first)))
+		}
+		r.begin(answer)
+		_, _ = r.client.Write(first)
+		r.dispatcher.succeeded(at, answer.Status)
+		return false, nil
+	}
+	r.begin(answer)
+	if _, err := r.client.Write(first); err != nil {
+		return false, &Refusal{Code: ClientGone, Begun: true}
+	}
+	if _, err := io.Copy(r.client, answer.Body); err != nil {
+		return r.broken(ctx, at, err)
+	}
+	r.dispatcher.succeeded(at, answer.Status)
+	return false, nil
+}
+
+// begin sends the head of the first answer; a resumed one keeps it.
+func (r *run) begin(answer *Answer) {
+	if r.begun {
+		return
+	}
+	r.begun = true
+	r.client.Begin(answer.Status, answer.Header)
+}
+
+// relayEvents passes events on one by one, whole events only. The head of the
+// answer waits for the first event, so that an attempt which breaks off before
+// it has begun nothing.
+func (r *run) relayEvents(ctx context.Context, at *placed, answer *Answer, watch *silenceWatch) (again bool, refusal *Refusal) {
+	events := newEventReader(answer.Body)
+	for {
+		event, err := events.next()
+		if errors.Is(err, io.EOF) {
+			r.begin(answer)
+			r.client.Flush()
+			r.dispatcher.succeeded(at, answer.Status)
+			return false, nil
+		}
+		if err != nil {
+			watch.stop()
+			return r.broken(ctx, at, err)
+		}
+		r.dispatcher.opened(at)
+		if seen(event.id, r.after) {
+			continue
+		}
+		r.begin(answer)
+		if _, err := r.client.Write(event.text); err != nil {
+			return false, &Refusal{Code: ClientGone}
+		}
+		r.client.Flush()
+		if event.id != "" {
+			r.after = event.id
+		}
+	}
+}
+
+// seen says that the client has an event already: ids rise within a stream.
+func seen(id, after string) bool {
+	if id == "" || after == "" {
+		return false
+	}
+	number, err := strconv.ParseInt(id, 10, 64)
+	last, lastErr := strconv.ParseInt(after, 10, 64)
+	return err == nil && lastErr == nil && number <= last
+}
+
+// broken decides what follows an answer that broke off.
+func (r *run) broken(ctx context.Context, at *placed, err error) (again bool, refusal *Refusal) {
+	if refusal := r.timeLeft(ctx); refusal != nil {
+		return false, refusal
+	}
+	d := r.dispatcher
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := time.Now()
+	d.counts.Failed[Broken]++
+	d.log.Debug("answer broke off", "request", r.request.ID, "replica", at.endpoint.ID, "error", err)
+	at.replica.unreachable(now)
+	at.service.outliers.Failure(now, at.replica.id)
+	if r.begun && (!r.route.Resumable || r.after == "") {
+		return false, &Refusal{Code: Unknown}
+	}
+	again, refusal = r.afterBreak(now)
+	if again && r.begun {
+		d.counts.Resumed++
+	}
+	return again, refusal
+}
+
+// opened notes the first event of an attempt.
+func (d *Dispatcher) opened(at *placed) {
+	if at.work.opened {
+		return
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	at.work.open()
+	at.replica.reached()
+}
+
+// succeeded notes a whole answer.
+func (d *Dispatcher) succeeded(at *placed, status int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := time.Now()
+	at.replica.reached()
+	if status >= http.StatusInternalServerError {
+		at.service.outliers.Failure(now, at.replica.id)
+		return
+	}
+	at.service.outliers.Success(now, at.replica.id)
+	took := now.Sub(at.work.began).Seconds()
+	at.service.hold += holdSmoothing * (took - at.service.hold)
+}
--- /dev/null
+++ b/dispatch/replica.go
@@ -0,0 +1,127 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/deckpulley/deckpulley/placement"
+)
+
+const (
+	// firstHold is the time that a request is taken to occupy a slot before any
+	// was seen, in seconds, and holdSmoothing the weight of one that was.
+	firstHold     = 0.2
+	holdSmoothing = 0.05
+	// firstAvoidance is how long a replica is avoided after a failure to reach
+	// it. It doubles with each further one, up to longestAvoidance.
+	firstAvoidance   = 400 * time.Millisecond
+	longestAvoidance = 3 * time.Second
+	// fullAvoidance is how long a replica is avoided after it said that it is full.
+	fullAvoidance = 100 * time.Millisecond
+	// silence is how long a replica with work may send nothing before it is avoided.
+	silence = 700 * time.Millisecond
+)
+
+// replica is one incarnation of a replica. The dispatcher's mutex guards it.
+type replica struct {
+	id      string
+	number  int // in the service's index of prompts; -1 before it has one
+	hash    uint64
+	service string
+	zone    string
+	region  string
+	address string
+	slots   int
+
+	draining  bool
+	evacuated bool
+	cold      bool
+	coldUntil time.Time
+	// nextCold is when this gateway may send the next request while it is cold.
+	nextCold time.Time
+	// replaced is set when another replica was found at its address.
+	replaced bool
+
+	inFlight int
+	// pending are the tokens of prompts that no event has answered yet; held are
+	// the tokens of all requests under way.
+	pending float64
+	held    float64
+	// activeSince is when it was last given work while it had none.
+	activeSince  time.Time
+	failures     int
+	avoidedUntil time.Time
+	fullUntil    time.Time
+}
+
+func newReplica(id string) *replica {
+	return &replica{id: id, number: -1, hash: placement.Hash(id)}
+}
+
+// isCold says whether the ramp of cold replicas binds.
+func (r *replica) isCold(now time.Time) bool { return r.cold || now.Before(r.coldUntil) }
+
+// silent says whether a replica with work has sent nothing for too long.
+func (r *replica) silent(now, heard time.Time) bool {
+	if r.inFlight == 0 {
+		return false
+	}
+	since := r.activeSince
+	if heard.After(since) {
+		since = heard
+	}
+	return now.Sub(since) > silence
+}
+
+// unreachable notes a failure to reach the replica.
+func (r *replica) unreachable(now time.Time) {
+	wait := firstAvoidance << min(r.failures, 8)
+	r.failures++
+	r.avoidedUntil = now.Add(min(wait, longestAvoidance))
+}
+
+// reached notes that the replica answered.
+func (r *replica) reached() {
+	r.failures = 0
+	r.avoidedUntil = time.Time{}
+}
+
+// work is one attempt's part of a replica's load.
+type work struct {
+	replica *replica
+	pending float64
+	held    float64
+	began   time.Time
+	opened  bool // its first event was seen
+	ended   bool
+}
+
+// take counts an attempt on a replica.
+func (r *replica) take(now time.Time, pending, held float64) *work {
+	if r.inFlight == 0 {
+		r.activeSince = now
+	}
+	r.inFlight++
+	r.pending += pending
+	r.held += held
+	return &work{replica: r, pending: pending, held: held, began: now}
+}
+
+// open notes that the prompt was read.
+func (w *work) open() {
+	if w.opened {
+		return
+	}
+	w.opened = true
+	w.replica.pending -= w.pending
+}
+
+// end takes the attempt off the replica.
+func (w *work) end() {
+	if w.ended {
+		return
+	}
+	w.open()
+	w.ended = true
+	w.replica.inFlight--
+	w.replica.held -= w.held
+}
--- /dev/null
+++ b/dispatch/run.go
@@ -0,0 +1,280 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/deckpulley/deckpulley/routemap"
+)
+
+const (
+	// mostUnsent bounds the replicas that are tried without reaching one.
+	mostUnsent = 4
+	// mostRefused bounds the replicas that may refuse one request.
+	mostRefused = 2
+)
+
+// run is one request on its way.
+type run struct {
+	dispatcher *Dispatcher
+	plan       *plan
+	route      *routemap.Route
+	request    *Request
+	client     Client
+	service    string
+	deadline   time.Time
+
+	tried    map[string]bool
+	attempts int // attempts that may have run
+	unsent   int
+	refused  int
+	begun    bool   // the client has a part of an answer
+	after    string // id of the last event that the client has
+}
+
+// Serve carries one request. It returns nil if a whole answer was relayed, also
+// if that is a replica's own error, and else why not. It returns at the latest
+// at the end of the route's time-out or of the client's wait.
+func (d *Dispatcher) Serve(ctx context.Context, request *Request, client Client) *Refusal {
+	refusal := d.serve(ctx, request, client)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.counts.Requests++
+	if refusal == nil {
+		d.counts.Served++
+	} else {
+		d.counts.Refused[refusal.Code]++
+	}
+	return refusal
+}
+
+func (d *Dispatcher) serve(ctx context.Context, request *Request, client Client) *Refusal {
+	decided := d.plan.Load()
+	if decided == nil {
+		return &Refusal{Code: NotReady, RetryAfter: absentRetryAfter}
+	}
+	route := decided.routes.Lookup(request.Host, request.Path)
+	if route == nil {
+		return &Refusal{Code: NoRoute}
+	}
+	wait := route.Timeout
+	if request.Wait > 0 {
+		wait = min(wait, request.Wait)
+	}
+	r := &run{
+		dispatcher: d,
+		plan:       decided,
+		route:      route,
+		request:    request,
+		client:     client,
+		service:    route.Pick(d.options.Random()),
+		deadline:   request.Arrived.Add(wait),
+		tried:      make(map[string]bool),
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	return r.carry(ctx)
+}
+
+// carry makes attempts until one is answered or none is left.
+func (r *run) carry(ctx context.Context) *Refusal {
+	for {
+		if refusal := r.timeLeft(ctx); refusal != nil {
+			return refusal
+		}
+		chosen, refusal := r.place()
+		if refusal != nil {
+			return r.final(refusal)
+		}
+		again, refusal := r.attempt(ctx, chosen)
+		if refusal != nil {
+			return r.final(refusal)
+		}
+		if !again {
+			return nil
+		}
+	}
+}
+
+// timeLeft refuses a request whose time is over or whose client has left.
+func (r *run) timeLeft(ctx context.Context) *Refusal {
+	err := ctx.Err()
+	switch {
+	case err == nil:
+		return nil
+	case !errors.Is(err, context.DeadlineExceeded):
+		return &Refusal{Code: ClientGone, Begun: r.begun}
+	case r.attempts > 0:
+		return &Refusal{Code: TimedOut, Begun: r.begun}
+	default:
+		return &Refusal{Code: NoTime, Begun: r.begun}
+	}
+}
+
+// final keeps a refusal honest: what may have run is not refused as not run.
+func (r *run) final(refusal *Refusal) *Refusal {
+	refusal.Begun = r.begun
+	if r.attempts == 0 {
+		return refusal
+	}
+	switch refusal.Code {
+	case NotReady, NoRoute, NoReplica, Overloaded, NoTime:
+		refusal.Code = Unknown
+		refusal.RetryAfter = 0
+	}
+	return refusal
+}
+
+// place chooses the replica of the next attempt and counts the attempt on it.
+func (r *run) place() (*placed, *Refusal) {
+	d := r.dispatcher
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	known, found := d.services[r.service]
+	if !found {
+		return nil, &Refusal{Code: NoReplica, RetryAfter: absentRetryAfter}
+	}
+	now := time.Now()
+	if r.isFirst() {
+		d.budget.NoteFirst(now)
+	}
+	looking := &search{dispatcher: d, plan: r.plan, service: known, route: r.route, request: r.request, tried: r.tried, now: now}
+	chosen, refusal := looking.find()
+	if refusal != nil {
+		return nil, refusal
+	}
+	r.tried[chosen.id] = true
+	d.counts.Attempts++
+	return &placed{
+		service:  known,
+		replica:  chosen,
+		endpoint: Endpoint{ID: chosen.id, Address: chosen.address},
+		work:     chosen.take(now, r.uncached(known, chosen), r.request.Tokens),
+	}, nil
+}
+
+func (r *run) isFirst() bool { return r.attempts == 0 && r.unsent == 0 && r.refused == 0 }
+
+// uncached is the part of the prompt that the replica has to read, and notes
+// that it will hold the rest too.
+func (r *run) uncached(known *service, chosen *replica) float64 {
+	if known.spec.CacheTokens == 0 || len(r.request.Chain) == 0 {
+		return r.request.Tokens
+	}
+	held := 0
+	known.index.Cached(r.request.Chain, func(number, tokens int) {
+		if number == chosen.number {
+			held = tokens
+		}
+	})
+	known.index.Note(chosen.number, r.request.Chain)
+	return max(0, r.request.Tokens-float64(held))
+}
+
+// placed is one attempt and where it goes.
+type placed struct {
+	service  *service
+	replica  *replica
+	endpoint Endpoint
+	work     *work
+}
+
+// attempt sends the request once and relays the answer. again says that another
+// attempt is to be made.
+func (r *run) attempt(ctx context.Context, at *placed) (again bool, refusal *Refusal) {
+	defer r.dispatcher.finish(at)
+	sending, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watch := r.watchSilence(at, cancel)
+	defer watch.stop()
+	answer, err := r.dispatcher.options.Backend.Send(sending, &Attempt{
+		Request:  r.request,
+		Replica:  at.endpoint,
+		Deadline: r.deadline,
+		Priority: r.route.Priority,
+		After:    r.after,
+	})
+	if err != nil {
+		return r.failed(ctx, at, err)
+	}
+	defer answer.Body.Close()
+	r.attempts++
+	if answer.Events && answer.Status < http.StatusMultipleChoices {
+		return r.relayEvents(ctx, at, answer, watch)
+	}
+	if r.begun {
+		return false, &Refusal{Code: Unknown} // nothing that could go on with the events sent
+	}
+	return r.relayWhole(ctx, at, answer)
+}
+
+// finish takes an attempt off its replica.
+func (d *Dispatcher) finish(at *placed) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	at.work.end()
+}
+
+// failed decides what follows an attempt without an answer.
+func (r *run) failed(ctx context.Context, at *placed, err error) (again bool, refusal *Refusal) {
+	failure := &AttemptError{Failure: Broken, Err: err}
+	errors.As(err, &failure)
+	if failure.Failure == Broken {
+		r.attempts++
+	}
+	if refusal := r.timeLeft(ctx); refusal != nil {
+		return false, refusal
+	}
+	d := r.dispatcher
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := time.Now()
+	d.counts.Failed[failure.Failure]++
+	d.log.Debug("attempt failed", "request", r.request.ID, "replica", at.endpoint.ID, "failure", string(failure.Failure), "error", failure.Err)
+	switch failure.Failure {
+	case Unsent:
+		return r.afterUnsent(at, now)
+	case Replaced:
+		at.replica.replaced = true
+		return r.afterRefusal(now, &Refusal{Code: NoReplica, RetryAfter: absentRetryAfter})
+	case Full:
+		at.replica.fullUntil = now.Add(max(fullAvoidance, failure.RetryAfter))
+		at.service.outliers.Refusal(now, at.replica.id)
+		return r.afterRefusal(now, &Refusal{Code: Overloaded, RetryAfter: busyRetryAfter})
+	default:
+		at.replica.unreachable(now)
+		at.service.outliers.Failure(now, at.replica.id)
+		return r.afterBreak(now)
+	}
+}
+
+func (r *run) afterUnsent(at *placed, now time.Time) (bool, *Refusal) {
+	at.replica.unreachable(now)
+	r.unsent++
+	if r.unsent >= mostUnsent {
+		return false, &Refusal{Code: NoReplica, RetryAfter: absentRetryAfter}
+	}
+	return true, nil
+}
+
+// afterRefusal tries another replica within the budget: the refused attempt
+// arrived at a replica as any other.
+func (r *run) afterRefusal(now time.Time, refusal *Refusal) (bool, *Refusal) {
+	r.refused++
+	if r.refused >= mostRefused || !r.dispatcher.budget.Allow(now) {
+		return false, refusal
+	}
+	r.dispatcher.counts.Retries++
+	return true, nil
+}
+
+// afterBreak repeats what may be repeated, within the route's attempts and the budget.
+func (r *run) afterBreak(now time.Time) (bool, *Refusal) {
+	if !r.route.MayRepeat() || r.attempts >= r.route.MaxAttempts || !r.dispatcher.budget.Allow(now) {
+		return false, &Refusal{Code: Unknown}
+	}
+	r.dispatcher.counts.Retries++
+	return true, nil
+}
--- /dev/null
+++ b/httpgateway/gateway.go
@@ -0,0 +1,170 @@
+// Package httpgateway is the gateway for services that are reached by host and
+// path: it keeps a copy of the registry, carries requests by it, tells clients
+// where to go, and shares its load with the other gateways.
+//
+// It goes on with the newest configuration it has when the primary cannot be
+// reached: a gateway that is cut off cannot tell that from a loss of all control
+// nodes, and refusing would end the service in both cases. An acknowledgement
+// waits until every gateway with a lease has the change in force or its lease
+// has run out, so a gateway that is in touch is never behind.
+package httpgateway
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/deckpulley/deckpulley/dispatch"
+	"github.com/deckpulley/deckpulley/gateway/agent"
+	"github.com/deckpulley/deckpulley/lease"
+	"github.com/deckpulley/deckpulley/peer"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/transport"
+)
+
+// loadInterval is the time between two reports of load to the other gateways.
+const loadInterval = 120 * time.Millisecond
+
+// Options sets up a Gateway. All fields but RetryReserve are required.
+type Options struct {
+	// Info is what the primary and the other gateways learn of this one.
+	Info  peer.GatewayInfo
+	Seeds []string
+	Terms lease.Terms
+	// Network carries the messages; the gateway starts it and closes it.
+	Network transport.Network
+	Backend dispatch.Backend
+	// RetryReserve is as in dispatch.Options.
+	RetryReserve int
+	Logger       *slog.Logger
+}
+
+// Gateway is safe for concurrent use.
+type Gateway struct {
+	options    Options
+	log        *slog.Logger
+	agent      *agent.Agent
+	dispatcher *dispatch.Dispatcher
+	leaving    atomic.Bool
+	// told are the gateways whose last report was not empty.
+	told map[string]bool
+
+	cancel  context.CancelFunc
+	workers sync.WaitGroup
+}
+
+// New prepares a gateway and registers its message handlers.
+func New(options Options) *Gateway {
+	g := &Gateway{options: options, log: options.Logger, told: make(map[string]bool)}
+	g.dispatcher = dispatch.New(dispatch.Options{
+		Gateway:      options.Info.Name,
+		Zone:         options.Info.Zone,
+		Region:       options.Info.Region,
+		Backend:      options.Backend,
+		RetryReserve: options.RetryReserve,
+		Logger:       options.Logger,
+	})
+	started := time.Now()
+	g.agent = agent.New(agent.Options{
+		Gateway:   options.Info,
+		Seeds:     options.Seeds,
+		Terms:     options.Terms,
+		Network:   options.Network,
+		Clock:     func() time.Duration { return time.Since(started) },
+		Activated: g.dispatcher.Update,
+		Logger:    options.Logger,
+	})
+	options.Network.Handle(peer.KindReplicaLoads, g.serveLoads)
+	return g
+}
+
+// Start begins to follow the registry.
+func (g *Gateway) Start() error {
+	if err := g.options.Network.Start(); err != nil {
+		return fmt.Errorf("httpgateway: starting the network: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	g.cancel = cancel
+	g.workers.Go(func() { g.agent.Run(ctx) })
+	g.workers.Go(func() { g.reportLoads(ctx) })
+	return nil
+}
+
+// Dispatcher carries requests.
+func (g *Gateway) Dispatcher() *dispatch.Dispatcher { return g.dispatcher }
+
+// Contents is the reading of the registry that decides, nil before the first.
+func (g *Gateway) Contents() *places.Contents { return g.agent.Active() }
+
+// Status describes the gateway's lease and its copy of the registry.
+func (g *Gateway) Status() agent.Status { return g.agent.Status() }
+
+// Ready says whether clients should come here.
+func (g *Gateway) Ready() bool { return g.dispatcher.Ready() && !g.leaving.Load() }
+
+// Leave takes the gateway out of the answers to clients and gives its lease up.
+// Requests that still come are served.
+func (g *Gateway) Leave(ctx context.Context) {
+	if g.leaving.Swap(true) {
+		return
+	}
+	g.agent.Leave(ctx)
+}
+
+// Close ends everything but requests that are under way.
+func (g *Gateway) Close() error {
+	g.cancel()
+	err := g.options.Network.Close()
+	g.workers.Wait()
+	return err
+}
+
+func (g *Gateway) serveLoads(_ context.Context, _ string, decode func(any) error) (any, error) {
+	var report peer.ReplicaLoads
+	if err := decode(&report); err != nil {
+		return nil, err
+	}
+	g.dispatcher.Observe(report.Gateway, report.Loads)
+	return nil, nil
+}
+
+// reportLoads tells each other gateway what this one has under way at the
+// replicas of that gateway's region.
+func (g *Gateway) reportLoads(ctx context.Context) {
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.reportOnce()
+		}
+	}
+}
+
+func (g *Gateway) reportOnce() {
+	contents := g.agent.Active()
+	if contents == nil {
+		return
+	}
+	byRegion := make(map[string]map[string]peer.Load)
+	for name, other := range contents.Gateways() {
+		if name == g.options.Info.Name || !other.Up {
+			continue
+		}
+		loads, known := byRegion[other.Region]
+		if !known {
+			loads = g.dispatcher.Loads(other.Region)
+			byRegion[other.Region] = loads
+		}
+		if len(loads) == 0 && !g.told[name] {
+			continue
+		}
+		g.told[name] = len(loads) > 0
+		g.options.Network.Send(other.PeerAddress, peer.KindReplicaLoads, &peer.ReplicaLoads{Gateway: g.options.Info.Name, Loads: loads})
+	}
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -6,25 +6,27 @@
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/consensus"
 	"github.com/deckpulley/deckpulley/registry"
+	"github.com/deckpulley/deckpulley/routemap"
 	"github.com/deckpulley/deckpulley/transport"
 )
 
 // Kinds of messages.
 const (
-	KindConsensus  transport.Kind = iota + 1 // one-way ConsensusMessage, control to control
-	KindHello                                // call Hello/HelloReply, any node to control
-	KindForm                                 // call Form/FormReply, forming control node to the others
-	KindJoin                                 // call Join/JoinReply, new control node to control
-	KindRenew                                // call Renew/Grant, gateway to primary
-	KindNotify                               // one-way Notify, primary to gateway
-	KindUpdate                               // call UpdateRequest/UpdateReply, any node toward the primary
-	KindOrder                                // call OrderRequest/OrderReply, control toward the primary
-	KindMintTicket                           // call MintTicket/MintTicketReply, gateway to gateway
-	KindOffer                                // call Offer/OfferReply, gateway to gateway
-	KindWithdraw                             // call Withdraw/WithdrawReply, gateway to gateway
-	KindLoad                                 // one-way RegionLoad, gateway to gateway
-	KindRun                                  // stream Run to RunEvents, gateway to the gateway that granted
-	KindOwner                                // stream OwnerRequest to RunEvents, gateway to a ticket's owner
+	KindConsensus    transport.Kind = iota + 1 // one-way ConsensusMessage, control to control
+	KindHello                                  // call Hello/HelloReply, any node to control
+	KindForm                                   // call Form/FormReply, forming control node to the others
+	KindJoin                                   // call Join/JoinReply, new control node to control
+	KindRenew                                  // call Renew/Grant, gateway to primary
+	KindNotify                                 // one-way Notify, primary to gateway
+	KindUpdate                                 // call UpdateRequest/UpdateReply, any node toward the primary
+	KindOrder                                  // call OrderRequest/OrderReply, control toward the primary
+	KindMintTicket                             // call MintTicket/MintTicketReply, gateway to gateway
+	KindOffer                                  // call Offer/OfferReply, gateway to gateway
+	KindWithdraw                               // call Withdraw/WithdrawReply, gateway to gateway
+	KindLoad                                   // one-way RegionLoad, gateway to gateway
+	KindRun                                    // stream Run to RunEvents, gateway to the gateway that granted
+	KindOwner                                  // stream OwnerRequest to RunEvents, gateway to a ticket's owner
+	KindReplicaLoads                           // one-way ReplicaLoads, gateway to gateway
 )
 
 // ConsensusMessage wraps one message of the replicated log. Cluster keeps the
@@ -160,7 +162,19 @@
 	Replicas      *api.ReplicaList        `cbor:"3,keyasint,omitempty"`
 	Hops          uint8                   `cbor:"4,keyasint"`
 	// WaitMS is how long the sender will wait, in milliseconds.
-	WaitMS int64 `cbor:"5,keyasint"`
+	WaitMS   int64          `cbor:"5,keyasint"`
+	RouteMap *RouteMapOrder `cbor:"6,keyasint,omitempty"`
+}
+
+// RouteMapOrder hands over a whole map of routes by host and path. Its identity
+// is its base version and its text: the same order, sent again, is the same.
+type RouteMapOrder struct {
+	BaseVersion uint64       `cbor:"1,keyasint"`
+	Map         routemap.Map `cbor:"2,keyasint"`
+	// Text is the map as the operator wrote it, for reading back.
+	Text string `cbor:"3,keyasint"`
+	// Zones are the fleet's zones with their regions.
+	Zones map[string]string `cbor:"4,keyasint"`
 }
 
 // OrderReply carries the first answer to the order, or an error that leaves the
@@ -250,3 +264,17 @@
 	// with the last event.
 	Attempts int `cbor:"5,keyasint,omitempty"`
 }
+
+// ReplicaLoads tells what a gateway has under way at the replicas of the
+// receiver's region. A lost or late one makes placement less even, nothing else.
+type ReplicaLoads struct {
+	Gateway string          `cbor:"1,keyasint"`
+	Loads   map[string]Load `cbor:"2,keyasint"` // by replica
+}
+
+// Load is what one gateway has under way at one replica.
+type Load struct {
+	Requests int     `cbor:"1,keyasint"`
+	Pending  float64 `cbor:"2,keyasint"` // tokens of prompts without an event yet
+	Held     float64 `cbor:"3,keyasint"` // tokens of all requests
+}
--- a/places/contents.go
+++ b/places/contents.go
@@ -5,6 +5,7 @@
 
 	"github.com/deckpulley/deckpulley/internal/planted"
 	"github.com/deckpulley/deckpulley/registry"
+	"github.com/deckpulley/deckpulley/routemap"
 )
 
 // Contents is the typed reading of one view of the table, immutable. Large sets
@@ -24,6 +25,9 @@
 	drains        objects[Drain]
 	conditions    objects[Condition]
 	gateways      objects[Gateway]
+	pathRoutes    objects[routemap.Route]
+	pools         objects[routemap.Service]
+	requestLimits routemap.Limits
 }
 
 // Read decodes a whole view. It costs in proportion to the small sets.
@@ -38,8 +42,10 @@
 		drains:      objects[Drain]{},
 		conditions:  objects[Condition]{},
 		gateways:    objects[Gateway]{},
+		pathRoutes:  objects[routemap.Route]{},
+		pools:       objects[routemap.Service]{},
 	}
-	under := []registry.Name{ConfigurationName, servicesName, regionsName, zonesName, replicasName, gatewaysName}
+	under := []registry.Name{ConfigurationName, pathRoutesName, servicesName, regionsName, zonesName, replicasName, gatewaysName}
 	for _, name := range under {
 		var failure error
 		view.Walk(name, registry.TypeANY, func(record registry.Record) bool {
@@ -122,6 +128,8 @@
 		return into(record, &c.configuration)
 	case TypeLimits:
 		return into(record, &c.limits)
+	case TypeRequestLimits:
+		return into(record, &c.requestLimits)
 	}
 	if set := c.set(record.Type); set != nil {
 		return set.put(record)
@@ -137,6 +145,8 @@
 		c.configuration = Configuration{}
 	case TypeLimits:
 		c.limits = Limits{}
+	case TypeRequestLimits:
+		c.requestLimits = routemap.Limits{}
 	}
 	if set := c.set(record.Type); set != nil {
 		return set.drop(record)
@@ -164,6 +174,10 @@
 		return &c.conditions
 	case TypeGateway:
 		return &c.gateways
+	case TypePathRoute:
+		return &c.pathRoutes
+	case TypePool:
+		return &c.pools
 	}
 	return nil
 }
@@ -288,6 +302,15 @@
 // Gateways returns the member records of all gateways, up or not.
 func (c *Contents) Gateways() map[string]Gateway { return c.gateways }
 
+// PathRoutes returns the routes by host and path, by name.
+func (c *Contents) PathRoutes() map[string]routemap.Route { return c.pathRoutes }
+
+// Pools returns the services that routes by host and path lead to.
+func (c *Contents) Pools() map[string]routemap.Service { return c.pools }
+
+// RequestLimits returns what clients of routes by host and path may send.
+func (c *Contents) RequestLimits() routemap.Limits { return c.requestLimits }
+
 // Order returns the stored answer to an order.
 func (c *Contents) Order(order string) (Order, bool) {
 	return lookup[Order](c.view, OrderName(order), TypeOrder)
--- a/places/names.go
+++ b/places/names.go
@@ -22,6 +22,7 @@
 	documentsName     registry.Name = "documents." + Apex
 	servicesName      registry.Name = "services." + Apex
 	routesName        registry.Name = "routes." + Apex
+	pathRoutesName    registry.Name = "pathroutes." + Apex
 	regionsName       registry.Name = "regions." + Apex
 	zonesName         registry.Name = "zones." + Apex
 	clientsName       registry.Name = "clients." + Apex
@@ -58,8 +59,10 @@
 // at a fixed name.
 func Under(recordType registry.Type) registry.Name {
 	switch recordType {
-	case TypeService:
+	case TypeService, TypePool:
 		return servicesName
+	case TypePathRoute:
+		return pathRoutesName
 	case TypeRoute:
 		return routesName
 	case TypeRegion:
@@ -91,6 +94,9 @@
 // RouteName is the place of a route, by the model name that callers use.
 func RouteName(model string) registry.Name { return place(routesName, model) }
 
+// PathRouteName is the place of a route by host and path.
+func PathRouteName(route string) registry.Name { return place(pathRoutesName, route) }
+
 // RegionName is the place of a region.
 func RegionName(region string) registry.Name { return place(regionsName, region) }
 
--- a/places/places.go
+++ b/places/places.go
@@ -28,6 +28,9 @@
 	TypeGateway                                                    // "<gateway>.gateways.places.": member record of a gateway
 	TypeOrder                                                      // "<order id>.orders.places.": answer to an order
 	TypeDocument                                                   // "<digest>.documents.places.": a chunk of the document
+	TypePathRoute                                                  // "<route>.pathroutes.places.": a route by host and path
+	TypePool                                                       // "<service>.services.places.": a service that such routes lead to
+	TypeRequestLimits                                              // "configuration.places.": what clients of such routes may send
 )
 
 // Configuration is the version marker of the configuration in the table.
@@ -123,6 +126,8 @@
 	Zone    string `cbor:"2,keyasint"`
 	Region  string `cbor:"3,keyasint"`
 	Address string `cbor:"4,keyasint"`
+	// Slots is the number of requests that it runs side by side, 0 if not told.
+	Slots int `cbor:"5,keyasint,omitempty"`
 }
 
 // ConditionState is a replica's slow state as its watcher sees it.
--- a/places/records.go
+++ b/places/records.go
@@ -5,6 +5,7 @@
 
 	"github.com/deckpulley/deckpulley/internal/canonical"
 	"github.com/deckpulley/deckpulley/registry"
+	"github.com/deckpulley/deckpulley/routemap"
 )
 
 var (
@@ -31,6 +32,9 @@
 		singleton[Gateway](TypeGateway, "GATEWAY"),
 		singleton[Order](TypeOrder, "ORDER"),
 		registry.Kind{Type: TypeDocument, Name: "DOCUMENT", Singleton: true},
+		singleton[routemap.Route](TypePathRoute, "PATHROUTE"),
+		singleton[routemap.Service](TypePool, "POOL"),
+		singleton[routemap.Limits](TypeRequestLimits, "REQUESTLIMITS"),
 	)
 	if err != nil {
 		panic(fmt.Sprintf("places: %v", err))
@@ -154,3 +158,18 @@
 func ConfigurationRecord(value Configuration) registry.Record {
 	return newRecord(ConfigurationName, TypeConfiguration, value)
 }
+
+// PathRouteRecord returns the record of a route by host and path.
+func PathRouteRecord(value routemap.Route) registry.Record {
+	return newRecord(PathRouteName(value.Name), TypePathRoute, value)
+}
+
+// PoolRecord returns the record of a service that routes by path lead to.
+func PoolRecord(value routemap.Service) registry.Record {
+	return newRecord(ServiceName(value.Name), TypePool, value)
+}
+
+// RequestLimitsRecord returns the record of what clients may send.
+func RequestLimitsRecord(value routemap.Limits) registry.Record {
+	return newRecord(ConfigurationName, TypeRequestLimits, value)
+}
--- /dev/null
+++ b/routemap/validate.go
@@ -0,0 +1,113 @@
+package routemap
+
+import (
+	"fmt"
+	"strings"
+)
+
+// maxNameBytes bounds the names of routes, hosts, prefixes and services.
+const maxNameBytes = 128
+
+// Problem is why a map is not taken. Field names the place in the map.
+type Problem struct {
+	Field  string
+	Reason string
+}
+
+func (p *Problem) Error() string { return fmt.Sprintf("routemap: %s: %s", p.Field, p.Reason) }
+
+// Validate returns a *Problem for the first thing wrong with the map.
+func (m *Map) Validate() error {
+	if m.Version == 0 {
+		return &Problem{Field: "version", Reason: "must be above 0"}
+	}
+	services, err := m.validateServices()
+	if err != nil {
+		return err
+	}
+	return m.validateRoutes(services)
+}
+
+func (m *Map) validateServices() (map[string]bool, error) {
+	services := make(map[string]bool, len(m.Services))
+	for i, service := range m.Services {
+		field := fmt.Sprintf("services[%d]", i)
+		switch {
+		case !validName(service.Name):
+			return nil, &Problem{Field: field + ".name", Reason: nameReason}
+		case services[service.Name]:
+			return nil, &Problem{Field: field + ".name", Reason: fmt.Sprintf("%q stands twice", service.Name)}
+		case service.MaxConnections < 0 || service.Slots < 0 || service.CacheTokens < 0:
+			return nil, &Problem{Field: field, Reason: "numbers must not be negative"}
+		case service.ColdPerSecond < 0 || service.ColdStart < 0:
+			return nil, &Problem{Field: field, Reason: "cold bounds must not be negative"}
+		}
+		services[service.Name] = true
+	}
+	return services, nil
+}
+
+// place is what only one route may have.
+type place struct{ host, prefix string }
+
+func (m *Map) validateRoutes(services map[string]bool) error {
+	names := make(map[string]bool, len(m.Routes))
+	placed := make(map[place]bool, len(m.Routes))
+	for i := range m.Routes {
+		route := &m.Routes[i]
+		field := fmt.Sprintf("routes[%d]", i)
+		if err := route.validate(field, services); err != nil {
+			return err
+		}
+		where := place{strings.ToLower(route.Host), route.PathPrefix}
+		if names[route.Name] {
+			return &Problem{Field: field + ".name", Reason: fmt.Sprintf("%q stands twice", route.Name)}
+		}
+		if placed[where] {
+			return &Problem{Field: field + ".path_prefix", Reason: "another route has the same host and prefix"}
+		}
+		names[route.Name] = true
+		placed[where] = true
+	}
+	return nil
+}
+
+var nameReason = fmt.Sprintf("must have 1 to %d bytes", maxNameBytes)
+
+func validName(name string) bool { return name != "" && len(name) <= maxNameBytes }
+
+func (r *Route) validate(field string, services map[string]bool) error {
+	switch {
+	case !validName(r.Name):
+		return &Problem{Field: field + ".name", Reason: nameReason}
+	case !validName(r.Host):
+		return &Problem{Field: field + ".host", Reason: nameReason}
+	case !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/"):
+		return &Problem{Field: field + ".path_prefix", Reason: "must begin and end with a slash"}
+	case r.Kind != Repeatable && r.Kind != Once && r.Kind != Stream:
+		return &Problem{Field: field + ".kind", Reason: fmt.Sprintf("%q is not known", r.Kind)}
+	case r.Timeout <= 0:
+		return &Problem{Field: field + ".timeout_ms", Reason: "must be above 0"}
+	case r.FirstEvent < 0 || r.EventGap < 0 || r.MaxAttempts < 0:
+		return &Problem{Field: field, Reason: "numbers must not be negative"}
+	}
+	return r.validateTargets(field, services)
+}
+
+func (r *Route) validateTargets(field string, services map[string]bool) error {
+	total := 0
+	for i, target := range r.Targets {
+		at := fmt.Sprintf("%s.targets[%d]", field, i)
+		if !services[target.Service] {
+			return &Problem{Field: at + ".service", Reason: fmt.Sprintf("unknown service %q", target.Service)}
+		}
+		if target.Weight < 0 {
+			return &Problem{Field: at + ".weight", Reason: "must not be negative"}
+		}
+		total += target.Weight
+	}
+	if total == 0 {
+		return &Problem{Field: field + ".targets", Reason: "the weights add up to 0"}
+	}
+	return nil
+}
--- /dev/null
+++ b/upstream/upstream.go
@@ -0,0 +1,291 @@
+// Package upstream keeps HTTP/1.1 connections to replicas and sends one request
+// at a time on each. Unlike a general client it never sends a request twice, and
+// its errors say whether the replica may have seen any of it.
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Defaults of Config.
+const (
+	DefaultDialTimeout    = 300 * time.Millisecond
+	DefaultUnacknowledged = 1500 * time.Millisecond
+	DefaultIdleLimit      = 4 * time.Second
+)
+
+// idlePart is the part of the idle time that a replica announces for which a
+// connection is used again: it may be closed at the announced time.
+const idlePart = 0.6
+
+// Probes of a connection on which nothing is sent.
+const (
+	keepAliveIdle     = 2 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
+)
+
+// Config sets up a Pool. Every zero field stands for its default.
+type Config struct {
+	// DialTimeout bounds making a connection.
+	DialTimeout time.Duration
+	// Unacknowledged is how long sent bytes may stay unacknowledged before the
+	// connection is given up.
+	Unacknowledged time.Duration
+	// IdleLimit is how long an idle connection is kept when its replica does not
+	// announce a time.
+	IdleLimit time.Duration
+	// Dial replaces the dialling of TCP, for tests.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// Error is a request that got no answer.
+type Error struct {
+	// Sent says that the replica may have seen a part of the request, and may
+	// have carried it out.
+	Sent bool
+	Err  error
+}
+
+func (e *Error) Error() string {
+	if e.Sent {
+		return "upstream: no answer: " + e.Err.Error()
+	}
+	return "upstream: not sent: " + e.Err.Error()
+}
+
+func (e *Error) Unwrap() error { return e.Err }
+
+// Pool holds the connections of one process. It is safe for concurrent use.
+type Pool struct {
+	config Config
+	mutex  sync.Mutex
+	peers  map[string]*peer
+}
+
+// peer is what is kept of one address.
+type peer struct {
+	idle  []*connection // the most recently used last
+	open  int
+	heard time.Time
+}
+
+// NewPool returns an empty pool.
+func NewPool(config Config) *Pool {
+	setDefault(&config.DialTimeout, DefaultDialTimeout)
+	setDefault(&config.Unacknowledged, DefaultUnacknowledged)
+	setDefault(&config.IdleLimit, DefaultIdleLimit)
+	pool := &Pool{config: config, peers: make(map[string]*peer)}
+	if pool.config.Dial == nil {
+		pool.config.Dial = pool.dialTCP
+	}
+	return pool
+}
+
+func setDefault(field *time.Duration, value time.Duration) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// dialTCP connects so that a dead peer is noticed on the connection itself.
+func (p *Pool) dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	milliseconds := int(p.config.Unacknowledged.Milliseconds())
+	dialer := net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return raw.Control(func(descriptor uintptr) {
+				// Without it, keep-alive probes and time-outs still find the loss.
+				_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, milliseconds)
+			})
+		},
+	}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// Heard returns when bytes last came from an address, the zero time for never.
+func (p *Pool) Heard(address string) time.Time {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if known, found := p.peers[address]; found {
+		return known.heard
+	}
+	return time.Time{}
+}
+
+// Open returns the number of connections to an address, idle ones included.
+func (p *Pool) Open(address string) int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if known, found := p.peers[address]; found {
+		return known.open
+	}
+	return 0
+}
+
+// Forget closes the idle connections to an address.
+func (p *Pool) Forget(address string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	known, found := p.peers[address]
+	if !found {
+		return
+	}
+	for _, idle := range known.idle {
+		p.closeLocked(idle)
+	}
+	known.idle = nil
+	if known.open == 0 {
+		delete(p.peers, address)
+	}
+}
+
+// Reap closes the connections that have been idle for too long.
+func (p *Pool) Reap(now time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for address, known := range p.peers {
+		kept := known.idle[:0]
+		for _, idle := range known.idle {
+			if now.Before(idle.usableUntil) {
+				kept = append(kept, idle)
+				continue
+			}
+			p.closeLocked(idle)
+		}
+		known.idle = kept
+		if known.open == 0 {
+			delete(p.peers, address)
+		}
+	}
+}
+
+// Do sends one request to an address and returns when the head of the answer is
+// here. request has no body; body is sent with its length. The error is an
+// *Error. The end of ctx breaks the request off, also while the answer is read.
+func (p *Pool) Do(ctx context.Context, address string, request *http.Request, body []byte) (*http.Response, error) {
+	conn, err := p.acquire(ctx, address)
+	if err != nil {
+		return nil, &Error{Err: err}
+	}
+	response, err := conn.exchange(ctx, request, body)
+	if err != nil {
+		conn.discard()
+		return nil, &Error{Sent: true, Err: err}
+	}
+	return response, nil
+}
+
+// acquire takes the connection that was used last, or makes one.
+func (p *Pool) acquire(ctx context.Context, address string) (*connection, error) {
+	for {
+		idle := p.takeIdle(address)
+		if idle == nil {
+			return p.connect(ctx, address)
+		}
+		if quiet(idle.raw) {
+			return idle, nil
+		}
+		p.close(idle)
+	}
+}
+
+func (p *Pool) takeIdle(address string) *connection {
+	now := time.Now()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	known, found := p.peers[address]
+	if !found {
+		return nil
+	}
+	for len(known.idle) > 0 {
+		last := known.idle[len(known.idle)-1]
+		known.idle = known.idle[:len(known.idle)-1]
+		if now.Before(last.usableUntil) {
+			return last
+		}
+		p.closeLocked(last)
+	}
+	return nil
+}
+
+func (p *Pool) connect(ctx context.Context, address string) (*connection, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.config.DialTimeout)
+	defer cancel()
+	raw, err := p.config.Dial(ctx, address)
+	if err != nil {
+		return nil, fmt.Errorf("connecting: %w", err)
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	known, found := p.peers[address]
+	if !found {
+		known = &peer{}
+		p.peers[address] = known
+	}
+	known.open++
+	return newConnection(p, address, raw), nil
+}
+
+func (p *Pool) note(address string) {
+	now := time.Now()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if known, found := p.peers[address]; found {
+		known.heard = now
+	}
+}
+
+// keep makes a connection idle.
+func (p *Pool) keep(conn *connection, limit time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	known, found := p.peers[conn.address]
+	if !found {
+		_ = conn.raw.Close()
+		return
+	}
+	conn.usableUntil = time.Now().Add(limit)
+	known.idle = append(known.idle, conn)
+}
+
+func (p *Pool) close(conn *connection) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.closeLocked(conn)
+}
+
+func (p *Pool) closeLocked(conn *connection) {
+	_ = conn.raw.Close()
+	if known, found := p.peers[conn.address]; found {
+		known.open--
+	}
+}
+
+// quiet says that an idle connection has neither ended nor holds unread bytes.
+func quiet(raw net.Conn) bool {
+	system, ok := raw.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := system.SyscallConn()
+	if err != nil {
+		return false
+	}
+	silent := false
+	err = control.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		_, _, failure := unix.Recvfrom(int(descriptor), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		silent = failure == unix.EAGAIN
+		return true
+	})
+	return err == nil && silent
+}
