End a new primary's wait when every possible lease is accounted for

Cause: after a loss of all processes nothing could become active for 2.4 s after the election, since leases of an earlier primary might last, and the election itself waited 0.6 to 1.2 s although nobody led. A restarted gateway also waited 3 s for a control node that did not answer. Change: a lease is granted only to a gateway whose member record says so (MayHold), so a new primary knows who may have one and stops waiting once each restarted, or told it what is active under its term. The first election of a restored member waits 200 to 400 ms; pre-votes keep it harmless. A first renewal doubles its time-out. ReadUsage takes the resident pages from statm: the estimate in stat was 0 for a new process in some runs of TestUsageIsRead.

--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -142,6 +142,10 @@
 	// the actual one is drawn from [ElectionTimeout, 2*ElectionTimeout).
 	// Default 600 ms.
 	ElectionTimeout time.Duration
+	// StartupTimeout, if set, replaces ElectionTimeout for the first election of a
+	// member that starts with what its disk holds: where a leader is present, the
+	// others refuse the pre-vote, and where none is, waiting helps nobody.
+	StartupTimeout time.Duration
 	// HeartbeatInterval is the leader's. Default 100 ms.
 	HeartbeatInterval time.Duration
 	// MaxAppendBytes bounds the entries of one message. Default 256 KiB.
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -12,8 +12,22 @@
 //     else, unless the leader itself asked for the election
 
 func (n *Node) resetElectionDeadline() {
-	spread := time.Duration(n.random.Int64N(int64(n.config.ElectionTimeout)))
-	n.electionDeadline = n.now + n.config.ElectionTimeout + spread
+	n.electionDeadline = n.now + n.drawTimeout(n.config.ElectionTimeout)
+}
+
+// setFirstElectionDeadline is for the start of the process.
+func (n *Node) setFirstElectionDeadline() {
+	restored := n.term > 0 || n.log.last() > 0
+	if n.config.StartupTimeout <= 0 || !restored {
+		n.resetElectionDeadline()
+		return
+	}
+	n.electionDeadline = n.now + n.drawTimeout(n.config.StartupTimeout)
+}
+
+// drawTimeout draws from [least, 2*least).
+func (n *Node) drawTimeout(least time.Duration) time.Duration {
+	return least + time.Duration(n.random.Int64N(int64(least)))
 }
 
 // hearsLeader tells whether this member knows a present leader.
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -153,7 +153,7 @@
 	if !n.started {
 		n.started = true
 		n.now = now
-		n.resetElectionDeadline()
+		n.setFirstElectionDeadline()
 	}
 	n.now = max(n.now, now)
 }
--- a/control/leases.go
+++ b/control/leases.go
@@ -29,12 +29,14 @@
 	// leasesChanged is set when a gateway reported something new since the last
 	// review of all leases; the rest is the result of that review.
 	leasesChanged bool
-	contact       time.Duration
-	contactKnown  bool
-	serial        uint32
-	activate      uint32
-	inForce       uint32
-	inForceKnown  bool
+	// expected is true once the grantor knows whose leases it has to wait for.
+	expected     bool
+	contact      time.Duration
+	contactKnown bool
+	serial       uint32
+	activate     uint32
+	inForce      uint32
+	inForceKnown bool
 
 	notifiedSerial   uint32
 	notifiedActivate uint32
@@ -55,6 +57,7 @@
 	since         time.Duration
 	activeVersion uint64
 	pending       bool // an update of its member record is on its way
+	ending        bool // that update says that it may hold no lease any more
 }
 
 // followLeadership begins and ends the leadership as the replicated log says.
@@ -144,11 +147,38 @@
 	}
 	m.metrics.renewals.WithLabelValues("granted").Inc()
 	grant.Granted = true
-	grant.LeaseMS = decision.Length.Milliseconds()
+	if m.mayLease(renew.Gateway) {
+		grant.LeaseMS = decision.Length.Milliseconds()
+	}
 	grant.Transfer = m.transferFrom(renew.Held)
 	return grant
 }
 
+// mayLease says whether the registry records that the gateway may hold a lease.
+// A lease is granted only then, so that the records that a new primary finds
+// name everyone who may have one.
+func (m *machine) mayLease(info peer.GatewayInfo) bool {
+	record, known := m.contents.Gateways()[info.Name]
+	state := m.leadership.gateways[info.Name]
+	ending := state != nil && state.ending
+	return known && record.MayHold && record.Incarnation == info.Incarnation && !ending
+}
+
+// expectHolders tells the grantor who may hold a lease of an earlier primary.
+func (m *machine) expectHolders(now time.Duration, leadership *leadership) {
+	if leadership.expected || m.contents == nil {
+		return
+	}
+	leadership.expected = true
+	var holders []lease.HolderID
+	for name, record := range m.contents.Gateways() {
+		if record.MayHold || record.Up { // older records only have the latter
+			holders = append(holders, lease.HolderID{Holder: name, Incarnation: record.Incarnation})
+		}
+	}
+	leadership.grantor.Expect(now, holders)
+}
+
 // foreign is true for a renewal that this primary must not answer with a grant:
 // from another group, or from a gateway that knows a newer term or serial.
 func (m *machine) foreign(renew peer.Renew, term uint64) bool {
@@ -202,10 +232,11 @@
 		PeerAddress: state.info.PeerAddress,
 		HTTPAddress: state.info.HTTPAddress,
 		Up:          !state.info.Leaving,
+		MayHold:     !state.info.Leaving,
 	}
 	returned := known && !old.Up && old.Incarnation == wanted.Incarnation
-	if returned && wanted.Up && now-state.since < m.options.GatewayGrace {
-		return
+	if returned && now-state.since < m.options.GatewayGrace {
+		wanted.Up = false
 	}
 	if known && old == wanted {
 		return
@@ -242,13 +273,16 @@
 			state = &gatewayState{renewed: m.leadership.elected + m.options.Lease.Window()}
 			m.leadership.gateways[name] = state
 		}
-		if !record.Up || state.pending || now-state.renewed <= patience {
+		settled := !record.Up && !record.MayHold
+		if settled || state.pending || now-state.renewed <= patience {
 			continue
 		}
 		down := record
 		down.Up = false
+		down.MayHold = false
 		state.pending = true
-		m.writeGateway(now, name, record, true, down, func() { state.pending = false })
+		state.ending = true
+		m.writeGateway(now, name, record, true, down, func() { state.pending, state.ending = false, false })
 	}
 }
 
@@ -260,6 +294,7 @@
 	if !serving {
 		return
 	}
+	m.expectHolders(now, leadership)
 	contact, known := m.group.QuorumContact()
 	serial := m.table.Serial()
 	if !leadership.leasesChanged && contact == leadership.contact && known == leadership.contactKnown && serial == leadership.serial {
--- a/control/machine.go
+++ b/control/machine.go
@@ -98,6 +98,7 @@
 	group, err := consensus.New(consensus.Config{
 		ID:                m.identity,
 		ElectionTimeout:   m.options.ElectionTimeout,
+		StartupTimeout:    m.options.StartupTimeout,
 		HeartbeatInterval: m.options.HeartbeatInterval,
 		Seed:              m.options.Seed,
 		HardState:         loaded.HardState,
--- a/control/options.go
+++ b/control/options.go
@@ -14,6 +14,7 @@
 // Defaults of Options.
 const (
 	defaultTickInterval      = 25 * time.Millisecond
+	defaultStartupTimeout    = 200 * time.Millisecond
 	defaultDiscoveryInterval = 250 * time.Millisecond
 	defaultCallTimeout       = time.Second
 	defaultReplaceAfter      = 3 * time.Second
@@ -55,6 +56,9 @@
 	// ElectionTimeout and HeartbeatInterval are passed to the replicated log.
 	ElectionTimeout   time.Duration
 	HeartbeatInterval time.Duration
+	// StartupTimeout is the least time from the start to an election of a node
+	// that was a member before.
+	StartupTimeout time.Duration
 	// Seed drives the random election timeouts; 0 draws one.
 	Seed uint64
 
@@ -110,6 +114,7 @@
 		o.Lease = lease.DefaultTerms()
 	}
 	setDefault(&o.TickInterval, defaultTickInterval)
+	setDefault(&o.StartupTimeout, defaultStartupTimeout)
 	setDefault(&o.DiscoveryInterval, defaultDiscoveryInterval)
 	setDefault(&o.CallTimeout, defaultCallTimeout)
 	setDefault(&o.ReplaceAfter, defaultReplaceAfter)
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -33,6 +33,8 @@
 	// busyRetryAfter and absentRetryAfter are when a refused request may come again.
 	busyRetryAfter   = 400 * time.Millisecond
 	absentRetryAfter = 500 * time.Millisecond
+	// startRetryAfter is when a gateway that has just started may have its configuration.
+	startRetryAfter = time.Second
 )
 
 // search looks for the replica of one attempt.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -53,7 +53,7 @@
 func (d *Dispatcher) serve(ctx context.Context, request *Request, client Client) *Refusal {
 	decided := d.plan.Load()
 	if decided == nil {
-		return &Refusal{Code: NotReady, RetryAfter: absentRetryAfter}
+		return &Refusal{Code: NotReady, RetryAfter: startRetryAfter}
 	}
 	route := decided.routes.Lookup(request.Host, request.Path)
 	if route == nil {
--- a/gateway/agent/agent.go
+++ b/gateway/agent/agent.go
@@ -55,6 +55,8 @@
 	asking     string
 	stopAsking context.CancelFunc
 	holder     *lease.Holder
+	// unanswered counts the renewals in a row that got no answer.
+	unanswered int
 	// leaseTerm is the term of the newest lease.
 	leaseTerm uint64
 	table     *registry.Table
--- a/gateway/agent/renew.go
+++ b/gateway/agent/renew.go
@@ -15,12 +15,15 @@
 	searchPause = 50 * time.Millisecond
 	// maxHints bounds how often hints are followed without a pause.
 	maxHints = 4
-	// firstTimeout bounds a renewal that brings a whole table.
+	// firstTimeout bounds a renewal that brings a whole table. It is reached by
+	// doubling, so that a node that does not answer is soon left for another.
 	firstTimeout = 3 * time.Second
 	// leaveTimeout bounds giving the lease up.
 	leaveTimeout = time.Second
 	// callShare is the part of a lease that one renewal may take.
 	callShare = 3
+	// maxDoublings bounds the doubling up to firstTimeout.
+	maxDoublings = 4
 )
 
 // Run renews the lease until the context ends.
@@ -74,6 +77,7 @@
 			a.holder.Leave()
 		}
 		a.refusals.Add(1)
+		a.unanswered++
 		a.contacts.failed(address, now+a.options.Terms.Length/callShare)
 		a.log.Debug("renewal failed", "address", address, "error", err)
 		return searchPause, false
@@ -81,6 +85,7 @@
 	if grant.Term < a.holder.Term() {
 		grant.Primary, grant.Control = "", nil // a node that lags names the primary of the past
 	}
+	a.unanswered = 0
 	a.contacts.learn(grant.Control)
 	hinted = a.contacts.answered(now, address, grant.Granted, grant.Primary)
 	if !grant.Granted {
@@ -116,7 +121,7 @@
 	}
 	timeout := a.options.Terms.Length / callShare
 	if request.Held == 0 {
-		timeout = firstTimeout
+		timeout = min(firstTimeout, timeout<<min(a.unanswered, maxDoublings))
 	}
 	return a.contacts.next(), request, timeout
 }
--- a/internal/fleet/process/usage.go
+++ b/internal/fleet/process/usage.go
@@ -27,9 +27,12 @@
 const (
 	statUserTime   = 11
 	statSystemTime = 12
-	statResident   = 21
 )
 
+// statmResident is the field of /proc/<pid>/statm with the resident pages. The
+// one in stat is an estimate that may be 0 for a process that has just started.
+const statmResident = 1
+
 // ReadUsage reads the present usage from /proc.
 func (p *Process) ReadUsage() (Usage, error) {
 	folder := filepath.Join("/proc", strconv.Itoa(p.PID()))
@@ -41,6 +44,13 @@
 	if err != nil {
 		return Usage{}, fmt.Errorf("reading usage of %s: %w", p.name, err)
 	}
+	pages, err := os.ReadFile(filepath.Join(folder, "statm"))
+	if err != nil {
+		return Usage{}, fmt.Errorf("reading usage of %s: %w", p.name, err)
+	}
+	if usage.Resident, err = parseResident(pages); err != nil {
+		return Usage{}, fmt.Errorf("reading usage of %s: %w", p.name, err)
+	}
 	counts, err := os.ReadFile(filepath.Join(folder, "io"))
 	if err != nil {
 		return Usage{}, fmt.Errorf("reading usage of %s: %w", p.name, err)
@@ -52,11 +62,11 @@
 func parseStat(stat []byte) (Usage, error) {
 	end := bytes.LastIndexByte(stat, ')')
 	fields := strings.Fields(string(stat[end+1:]))
-	if len(fields) <= statResident {
+	if len(fields) <= statSystemTime {
 		return Usage{}, fmt.Errorf("unexpected stat of %d fields", len(fields))
 	}
-	var numbers [3]int64
-	for i, field := range []int{statUserTime, statSystemTime, statResident} {
+	var numbers [2]int64
+	for i, field := range []int{statUserTime, statSystemTime} {
 		number, err := strconv.ParseInt(fields[field], 10, 64)
 		if err != nil {
 			return Usage{}, err
@@ -64,7 +74,19 @@
 		numbers[i] = number
 	}
 	ticks := time.Duration(numbers[0] + numbers[1])
-	return Usage{CPU: ticks * time.Second / clockTicks, Resident: numbers[2] * int64(os.Getpagesize())}, nil
+	return Usage{CPU: ticks * time.Second / clockTicks}, nil
+}
+
+func parseResident(statm []byte) (int64, error) {
+	fields := strings.Fields(string(statm))
+	if len(fields) <= statmResident {
+		return 0, fmt.Errorf("unexpected statm of %d fields", len(fields))
+	}
+	pages, err := strconv.ParseInt(fields[statmResident], 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	return pages * int64(os.Getpagesize()), nil
 }
 
 func parseCounts(counts []byte) (read, written int64) {
--- a/lease/grantor.go
+++ b/lease/grantor.go
@@ -115,6 +115,11 @@
 	leases      map[HolderID]*lease
 	oldest      oldest
 	left        map[HolderID]time.Duration // until when late renewals of those that left are ignored
+	// expected are the holders that may have leases of earlier primaries, by name
+	// with their incarnation; nil is not known. settled is when the last of them
+	// was accounted for.
+	expected map[string]string
+	settled  time.Duration
 }
 
 // slowTakeover is what planted.SlowTakeover adds to the window.
@@ -138,6 +143,34 @@
 	}
 }
 
+// Expect tells every holder that may have a lease of an earlier primary. The
+// window then ends as soon as each of them is accounted for: it asked under
+// another incarnation, so that the named one has ended, or it asked knowing this
+// term, so that it drops earlier grants, and holds either no valid lease or one
+// of this grantor. Call it before the first Renew, if at all; the list must
+// contain every holder to which an earlier primary may have granted.
+func (g *Grantor) Expect(now time.Duration, holders []HolderID) {
+	g.expected = make(map[string]string, len(holders))
+	for _, holder := range holders {
+		g.expected[holder.Holder] = holder.Incarnation
+	}
+	g.settled = now
+}
+
+// account takes a renewal as evidence about a lease of an earlier primary.
+func (g *Grantor) account(now time.Duration, request Request, granted bool) {
+	incarnation, open := g.expected[request.Holder]
+	if !open {
+		return
+	}
+	restarted := request.Incarnation != incarnation
+	released := request.Term == g.term && (granted || !request.Valid)
+	if restarted || released || request.Leaving {
+		delete(g.expected, request.Holder)
+		g.settled = now
+	}
+}
+
 // Term returns the term.
 func (g *Grantor) Term() uint64 { return g.term }
 
@@ -171,6 +204,7 @@
 		g.SetContact(contact)
 	}
 	if request.Leaving {
+		g.account(now, request, false)
 		g.leave(now, id)
 		return Decision{Activate: g.Activate()}
 	}
@@ -181,10 +215,12 @@
 		return Decision{Granted: true, Activate: g.Activate()}
 	}
 	length := time.Duration(0)
-	if g.mayHold(request) {
+	mayHold := g.mayHold(request)
+	if mayHold {
 		g.grant(now, id, request)
 		length = g.terms.Length
 	}
+	g.account(now, request, mayHold)
 	return Decision{Granted: true, Length: length, Activate: g.activation(request.Active)}
 }
 
@@ -237,10 +273,14 @@
 	g.left[id] = now + g.terms.Length + g.terms.Margin
 }
 
-// windowOver says whether every lease of earlier primaries has run out, as far
-// as the proof of leadership reaches.
+// windowOver says whether every lease of earlier primaries has run out or is
+// accounted for, as far as the proof of leadership reaches.
 func (g *Grantor) windowOver() bool {
-	return g.contactSeen && g.contact >= g.windowEnd
+	if !g.contactSeen {
+		return false
+	}
+	accounted := g.expected != nil && len(g.expected) == 0 && g.contact >= g.settled
+	return accounted || g.contact >= g.windowEnd
 }
 
 // activation raises Activate by what is now known. reported is a serial that
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -20,7 +20,8 @@
 //     in force. In this window it lets no serial become active that no holder
 //     reports as active, and grants to a holder that is behind the serial of its
 //     election only if that holder still had a valid lease when it asked, and
-//     asked knowing the grantor's term.
+//     asked knowing the grantor's term. The window ends early if the grantor was
+//     told who may have such a lease (Grantor.Expect) and each is accounted for.
 package lease
 
 import (
--- a/places/places.go
+++ b/places/places.go
@@ -159,6 +159,9 @@
 	HTTPAddress string `cbor:"5,keyasint"`
 	// Up is false once its lease has run out.
 	Up bool `cbor:"6,keyasint"`
+	// MayHold is true from before its first lease until its last one has run out:
+	// a new primary waits only for gateways of which it is true.
+	MayHold bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Order keeps the first answer to an order.
