--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -142,9 +142,10 @@
 	// the actual one is drawn from [ElectionTimeout, 2*ElectionTimeout).
 	// Default 600 ms.
 	ElectionTimeout time.Duration
-	// StartupTimeout, if set, replaces ElectionTimeout for the first election of a
-	// member that starts with what its disk holds: where a leader is present, the
-	// others refuse the pre-vote, and where none is, waiting helps nobody.
+	// StartupTimeout, if set, replaces ElectionTimeout at a member that starts with
+	// what its disk holds, until it knows a leader: where one is present, the
+	// others refuse the pre-vote, and where none is, waiting helps nobody. The
+	// actual time is drawn from [StartupTimeout, 4*StartupTimeout).
 	StartupTimeout time.Duration
 	// HeartbeatInterval is the leader's. Default 100 ms.
 	HeartbeatInterval time.Duration
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -12,23 +12,18 @@
 //     else, unless the leader itself asked for the election
 
 func (n *Node) resetElectionDeadline() {
-	n.electionDeadline = n.now + n.drawTimeout(n.config.ElectionTimeout)
-}
-
-// setFirstElectionDeadline is for the start of the process.
-func (n *Node) setFirstElectionDeadline() {
-	restored := n.term > 0 || n.log.last() > 0
-	if n.config.StartupTimeout <= 0 || !restored {
-		n.resetElectionDeadline()
-		return
+	least := n.config.ElectionTimeout
+	spread := least
+	if n.starting && n.config.StartupTimeout > 0 {
+		// Several members that start at once must not keep splitting the votes.
+		least = n.config.StartupTimeout
+		spread = startupSpread * least
 	}
-	n.electionDeadline = n.now + n.drawTimeout(n.config.StartupTimeout)
+	n.electionDeadline = n.now + least + time.Duration(n.random.Int64N(int64(spread)))
 }
 
-// drawTimeout draws from [least, 2*least).
-func (n *Node) drawTimeout(least time.Duration) time.Duration {
-	return least + time.Duration(n.random.Int64N(int64(least)))
-}
+// startupSpread is the range of the first elections' times, in StartupTimeouts.
+const startupSpread = 3
 
 // hearsLeader tells whether this member knows a present leader.
 func (n *Node) hearsLeader() bool {
@@ -57,6 +52,7 @@
 		n.becomeFollower(n.term, leader)
 	}
 	n.heardLeader = n.now
+	n.starting = false
 	n.resetElectionDeadline()
 }
 
@@ -175,6 +171,7 @@
 // entries be committed (Raft, section 5.4.2).
 func (n *Node) becomeLeader() {
 	n.role = Leader
+	n.starting = false
 	n.leader = n.config.ID
 	n.ballots = nil
 	n.leadership = newLeadership(n)
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -58,6 +58,7 @@
 	flush bool
 
 	started          bool // the clock has been told once
+	starting         bool // restored from a disk, and no leader heard of since
 	now              time.Duration
 	electionDeadline time.Duration
 	heardLeader      time.Duration
@@ -94,6 +95,7 @@
 		return nil, err
 	}
 	node.persisted = node.hardState()
+	node.starting = node.term > 0
 	node.resetElectionDeadline()
 	node.config.Entries = nil
 	node.config.Snapshot = Snapshot{}
@@ -153,7 +155,7 @@
 	if !n.started {
 		n.started = true
 		n.now = now
-		n.setFirstElectionDeadline()
+		n.resetElectionDeadline()
 	}
 	n.now = max(n.now, now)
 }
