--- a/control/leases.go
+++ b/control/leases.go
@@ -29,6 +29,9 @@
 	// leasesChanged is set when a gateway reported something new since the last
 	// review of all leases; the rest is the result of that review.
 	leasesChanged bool
+	// superseded are incarnations that a newer one of their gateway replaced: what
+	// still comes of them is late.
+	superseded map[lease.HolderID]bool
 	// expected is true once the grantor knows whose leases it has to wait for.
 	expected     bool
 	contact      time.Duration
@@ -77,6 +80,8 @@
 			gateways: make(map[string]*gatewayState),
 			joins:    make(map[consensus.ID]joinRequest),
 			noticed:  make(map[consensus.ID]time.Duration),
+
+			superseded: make(map[lease.HolderID]bool),
 		}
 	}
 }
@@ -197,6 +202,9 @@
 
 // noteGateway remembers who renewed, for its member record and for Notify.
 func (m *machine) noteGateway(now time.Duration, renew peer.Renew) {
+	if m.isLate(renew) {
+		return
+	}
 	state, known := m.leadership.gateways[renew.Gateway.Name]
 	if !known {
 		state = &gatewayState{since: now}
@@ -218,6 +226,25 @@
 	m.recordGateway(now, renew.Gateway.Name, state)
 }
 
+// isLate tells a renewal that may come from a process that has ended: of an
+// incarnation that was replaced, or of another one than the registry names that
+// does not know this term. A gateway that has just started knows the term from
+// its second renewal on.
+func (m *machine) isLate(renew peer.Renew) bool {
+	record, known := m.contents.Gateways()[renew.Gateway.Name]
+	if !known || record.Incarnation == renew.Gateway.Incarnation {
+		return false
+	}
+	leadership := m.leadership
+	id := lease.HolderID{Holder: renew.Gateway.Name, Incarnation: renew.Gateway.Incarnation}
+	if renew.Term != leadership.term || leadership.superseded[id] {
+		return true
+	}
+	replaced := lease.HolderID{Holder: renew.Gateway.Name, Incarnation: record.Incarnation}
+	leadership.superseded[replaced] = true
+	return false
+}
+
 // recordGateway brings the member record of a gateway in line with its lease,
 // by an update that is conditional on the record that it replaces.
 func (m *machine) recordGateway(now time.Duration, name string, state *gatewayState) {
--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,368 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/deckpulley/deckpulley/configuration"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/registry"
+	"github.com/deckpulley/deckpulley/routemap"
+)
+
+const (
+	ownRegion   = "east"
+	otherRegion = "west"
+)
+
+// fixture is a dispatcher on a registry of its own, with replicas that are functions.
+type fixture struct {
+	t          *testing.T
+	table      *registry.Table
+	dispatcher *Dispatcher
+
+	mutex   sync.Mutex
+	sent    []Attempt
+	answer  func(ctx context.Context, attempt *Attempt) (*Answer, error)
+	heardAt time.Time
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	table, err := registry.New(places.Apex, places.Schema(), registry.Head{Primary: "c", Serial: 1}, []string{"c"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fixture{t: t, table: table}
+	f.answer = func(context.Context, *Attempt) (*Answer, error) { return whole(200, "ok"), nil }
+	f.dispatcher = New(Options{
+		Gateway: "g1", Zone: "east-1", Region: ownRegion, Backend: f,
+		Random: func() float64 { return 0 }, Logger: slog.New(slog.DiscardHandler),
+	})
+	f.apply(registry.Add(places.GatewayRecord("g1", places.Gateway{Region: ownRegion, Zone: "east-1", Up: true})))
+	return f
+}
+
+func (f *fixture) Send(ctx context.Context, attempt *Attempt) (*Answer, error) {
+	f.mutex.Lock()
+	f.sent = append(f.sent, *attempt)
+	f.mutex.Unlock()
+	return f.answer(ctx, attempt)
+}
+
+func (f *fixture) Heard(string) time.Time {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.heardAt
+}
+
+func (f *fixture) Forget(string) {}
+
+// apply changes the registry and makes it decide.
+func (f *fixture) apply(changes ...registry.Record) {
+	f.t.Helper()
+	update := registry.NewUpdate(places.Apex, nil, changes)
+	if result := f.table.Apply(&update, nil); result.Code != registry.NoError {
+		f.t.Fatalf("update answered %v: %s", result.Code, result.Reason)
+	}
+	contents, err := places.Read(f.table.View())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.dispatcher.Update(contents)
+}
+
+var zones = map[string]string{"east-1": ownRegion, "east-2": ownRegion, "west-1": otherRegion}
+
+// configure makes a map with one route of the given kind decide.
+func (f *fixture) configure(change func(*routemap.Route, *routemap.Service)) {
+	f.t.Helper()
+	contents, err := places.Read(f.table.View())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	route := routemap.Route{
+		Name: "r", Host: "h", PathPrefix: "/", Kind: routemap.Once, Timeout: 5 * time.Second, MaxAttempts: 2,
+		Targets: []routemap.Target{{Service: "s", Weight: 1}},
+	}
+	service := routemap.Service{Name: "s", Slots: 8, MaxConnections: 100}
+	if change != nil {
+		change(&route, &service)
+	}
+	routes := &routemap.Map{Version: contents.Version() + 1, Routes: []routemap.Route{route}, Services: []routemap.Service{service}}
+	changes, err := configuration.MapChanges(f.table.View(), routes, zones, fmt.Sprint("text ", routes.Version))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.apply(changes...)
+}
+
+func (f *fixture) addReplica(id, zone string) {
+	f.t.Helper()
+	f.apply(registry.Add(places.ReplicaRecord(id, places.Replica{Service: "s", Zone: zone, Region: zones[zone], Address: id + ":1"})))
+}
+
+// serve sends one request.
+func (f *fixture) serve(change func(*Request)) (*recorder, *Refusal) {
+	f.t.Helper()
+	request := &Request{ID: "id", Method: http.MethodPost, Host: "h", Path: "/x", Target: "/x", Header: http.Header{}, Arrived: time.Now()}
+	if change != nil {
+		change(request)
+	}
+	client := &recorder{}
+	return client, f.dispatcher.Serve(context.Background(), request, client)
+}
+
+// replicasAsked lists the replicas of all attempts so far.
+func (f *fixture) replicasAsked() []string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var ids []string
+	for _, attempt := range f.sent {
+		ids = append(ids, attempt.Replica.ID)
+	}
+	return ids
+}
+
+// recorder is a client that keeps its answer.
+type recorder struct {
+	status int
+	header http.Header
+	body   bytes.Buffer
+}
+
+func (r *recorder) Begin(status int, header http.Header) { r.status, r.header = status, header }
+
+func (r *recorder) Write(part []byte) (int, error) { return r.body.Write(part) }
+
+func (r *recorder) Flush() {}
+
+func whole(status int, text string) *Answer {
+	return &Answer{Status: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(text))}
+}
+
+// events is a stream that ends with an error, nil for a whole one.
+func events(text string, err error) *Answer {
+	var reader io.Reader = strings.NewReader(text)
+	if err != nil {
+		reader = io.MultiReader(reader, failing{err})
+	}
+	return &Answer{Status: 200, Header: http.Header{}, Body: io.NopCloser(reader), Events: true}
+}
+
+type failing struct{ err error }
+
+func (f failing) Read([]byte) (int, error) { return 0, f.err }
+
+func attemptError(failure Failure) error {
+	return &AttemptError{Failure: failure, Err: errors.New("as the test wants")}
+}
+
+var errReset = errors.New("connection reset")
+
+func TestRefusalsBeforeAnythingIsSent(t *testing.T) {
+	f := newFixture(t)
+	if _, refusal := f.serve(nil); refusal == nil || refusal.Code != NotReady || refusal.RetryAfter == 0 {
+		t.Errorf("without a configuration: %v", refusal)
+	}
+	f.configure(nil)
+	if _, refusal := f.serve(nil); refusal == nil || refusal.Code != NoReplica || refusal.RetryAfter == 0 {
+		t.Errorf("without replicas: %v", refusal)
+	}
+	if _, refusal := f.serve(func(r *Request) { r.Host = "other" }); refusal == nil || refusal.Code != NoRoute {
+		t.Errorf("without a route: %v", refusal)
+	}
+	f.addReplica("a", "east-1")
+	if _, refusal := f.serve(func(r *Request) { r.Arrived = time.Now().Add(-time.Minute) }); refusal == nil || refusal.Code != NoTime {
+		t.Errorf("without time: %v", refusal)
+	}
+	if asked := f.replicasAsked(); len(asked) != 0 {
+		t.Errorf("sent to %v", asked)
+	}
+	if client, refusal := f.serve(nil); refusal != nil || client.status != 200 || client.body.String() != "ok" {
+		t.Errorf("got %v, %d", refusal, client.status)
+	}
+}
+
+// TestTheRegistryDecides removes and adds records and watches where requests go.
+func TestTheRegistryDecides(t *testing.T) {
+	f := newFixture(t)
+	f.configure(nil)
+	f.addReplica("near", "east-1")
+	f.addReplica("far", "west-1")
+	expect := func(what, want string) {
+		t.Helper()
+		f.sent = nil
+		_, refusal := f.serve(nil)
+		if got := strings.Join(f.replicasAsked(), ","); got != want || (refusal != nil) != (want == "") {
+			t.Errorf("%s: sent to %q (%v), want %q", what, got, refusal, want)
+		}
+	}
+	expect("at first", "near")
+	f.apply(registry.Add(places.DrainRecord("near", places.Drain{})))
+	expect("drained", "far")
+	f.apply(registry.DeleteSet(places.ReplicaName("near"), places.TypeDrain))
+	expect("not drained any more", "near")
+	f.apply(registry.Add(places.EvacuationRecord("east-1", places.Evacuation{Order: "o"})))
+	expect("evacuated", "far")
+	f.apply(registry.DeleteSet(places.ZoneName("east-1"), places.TypeEvacuation))
+	expect("taken back", "near")
+	f.apply(registry.DeleteName(places.ReplicaName("near")))
+	expect("not listed", "far")
+	f.configure(func(route *routemap.Route, _ *routemap.Service) { route.Homes = []string{ownRegion} })
+	expect("bound to a region without replicas", "")
+	f.addReplica("new", "east-2")
+	expect("a new replica in the home", "new")
+	f.apply(registry.DeleteSet(places.PathRouteName("r"), places.TypePathRoute))
+	f.configure(func(route *routemap.Route, _ *routemap.Service) { route.Host = "elsewhere" })
+	expect("without the route", "")
+}
+
+// TestAtMostOnce: after a byte was sent, only the replica's word lets a request go
+// to another one, unless its route permits repetition.
+func TestAtMostOnce(t *testing.T) {
+	tests := map[string]struct {
+		kind      routemap.Kind
+		resumable bool
+		failure   Failure
+		attempts  int
+		code      Code // of the refusal, empty if it is served
+	}{
+		"once, unsent":          {routemap.Once, false, Unsent, 2, ""},
+		"once, full":            {routemap.Once, false, Full, 2, ""},
+		"once, replaced":        {routemap.Once, false, Replaced, 2, ""},
+		"once, broken":          {routemap.Once, false, Broken, 1, Unknown},
+		"stream, broken":        {routemap.Stream, false, Broken, 1, Unknown},
+		"resumable, broken":     {routemap.Stream, true, Broken, 2, ""},
+		"repeatable, broken":    {routemap.Repeatable, false, Broken, 2, ""},
+		"repeatable, refused":   {routemap.Repeatable, false, Full, 2, ""},
+		"stream, nothing there": {routemap.Stream, false, Unsent, 2, ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.configure(func(route *routemap.Route, _ *routemap.Service) {
+				route.Kind, route.Resumable = test.kind, test.resumable
+			})
+			f.addReplica("a", "east-1")
+			f.addReplica("b", "east-1")
+			for range 20 { // fills the retry budget
+				f.serve(nil)
+			}
+			f.sent = nil
+			f.answer = func(_ context.Context, attempt *Attempt) (*Answer, error) {
+				if len(f.replicasAsked()) == 1 {
+					return nil, attemptError(test.failure)
+				}
+				return whole(200, "second"), nil
+			}
+			client, refusal := f.serve(nil)
+			asked := f.replicasAsked()
+			if len(asked) != test.attempts || len(asked) == 2 && asked[0] == asked[1] {
+				t.Errorf("sent to %v, want %d replicas", asked, test.attempts)
+			}
+			switch {
+			case test.code == "" && (refusal != nil || client.body.String() != "second"):
+				t.Errorf("got %v, %q", refusal, client.body.String())
+			case test.code != "" && (refusal == nil || refusal.Code != test.code || client.status != 0):
+				t.Errorf("got %v, want %s", refusal, test.code)
+			}
+		})
+	}
+}
+
+// TestARefusalAfterABreakDoesNotSayNotRun: once something may have run, no refusal
+// promises the contrary.
+func TestARefusalAfterABreakDoesNotSayNotRun(t *testing.T) {
+	f := newFixture(t)
+	f.configure(func(route *routemap.Route, _ *routemap.Service) { route.Kind = routemap.Repeatable })
+	f.addReplica("a", "east-1")
+	for range 20 {
+		f.serve(nil)
+	}
+	f.answer = func(context.Context, *Attempt) (*Answer, error) { return nil, attemptError(Broken) }
+	if _, refusal := f.serve(nil); refusal == nil || refusal.Code != Unknown || refusal.RetryAfter != 0 {
+		t.Errorf("got %v", refusal)
+	}
+}
+
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	f := newFixture(t)
+	f.configure(func(route *routemap.Route, _ *routemap.Service) { route.Kind = routemap.Repeatable })
+	for i := range 6 {
+		f.addReplica(fmt.Sprint("r", i), "east-1")
+	}
+	f.answer = func(context.Context, *Attempt) (*Answer, error) { return nil, attemptError(Broken) }
+	const requests = 200
+	for range requests {
+		f.serve(nil)
+	}
+	if repeated := len(f.replicasAsked()) - requests; repeated > requests/5 || repeated == 0 {
+		t.Errorf("%d repeats of %d requests", repeated, requests)
+	}
+}
+
+func TestAReplicasOwnErrorIsPassedOn(t *testing.T) {
+	f := newFixture(t)
+	f.configure(nil)
+	f.addReplica("a", "east-1")
+	f.answer = func(context.Context, *Attempt) (*Answer, error) { return whole(500, "failed"), nil }
+	if client, refusal := f.serve(nil); refusal != nil || client.status != 500 || client.body.String() != "failed" {
+		t.Errorf("got %v, %d", refusal, client.status)
+	}
+}
+
+func TestAnAnswerThatBreaksOffIsNotBegun(t *testing.T) {
+	f := newFixture(t)
+	f.configure(nil)
+	f.addReplica("a", "east-1")
+	f.answer = func(context.Context, *Attempt) (*Answer, error) {
+		return &Answer{Status: 200, Header: http.Header{}, Body: io.NopCloser(io.MultiReader(strings.NewReader("part"), failing{errReset}))}, nil
+	}
+	if client, refusal := f.serve(nil); refusal == nil || refusal.Code != Unknown || refusal.Begun || client.status != 0 {
+		t.Errorf("got %v, status %d", refusal, client.status)
+	}
+}
+
+func TestTimeEndsWithAnAnswerAtOnce(t *testing.T) {
+	f := newFixture(t)
+	f.configure(func(route *routemap.Route, _ *routemap.Service) { route.Timeout = 50 * time.Millisecond })
+	f.addReplica("a", "east-1")
+	f.answer = func(ctx context.Context, _ *Attempt) (*Answer, error) {
+		<-ctx.Done()
+		return nil, attemptError(Broken)
+	}
+	started := time.Now()
+	_, refusal := f.serve(func(r *Request) { r.Wait = time.Minute })
+	if took := time.Since(started); refusal == nil || refusal.Code != TimedOut || took > time.Second {
+		t.Errorf("got %v after %v", refusal, took)
+	}
+	if deadline := f.sent[0].Deadline; time.Until(deadline) > 50*time.Millisecond {
+		t.Errorf("the replica was given until %v", deadline)
+	}
+}
+
+func TestAClientThatLeavesEndsTheAttempt(t *testing.T) {
+	f := newFixture(t)
+	f.configure(nil)
+	f.addReplica("a", "east-1")
+	ctx, cancel := context.WithCancel(context.Background())
+	f.answer = func(sending context.Context, _ *Attempt) (*Answer, error) {
+		cancel()
+		<-sending.Done()
+		return nil, attemptError(Broken)
+	}
+	request := &Request{ID: "id", Method: http.MethodPost, Host: "h", Path: "/", Arrived: time.Now()}
+	if refusal := f.dispatcher.Serve(ctx, request, &recorder{}); refusal == nil || refusal.Code != ClientGone {
+		t.Errorf("got %v", refusal)
+	}
+}
--- /dev/null
+++ b/dispatch/stream_test.go
@@ -0,0 +1,215 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/registry"
+	"github.com/deckpulley/deckpulley/routemap"
+)
+
+const threeEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+
+func streaming(resumable bool) func(*routemap.Route, *routemap.Service) {
+	return func(route *routemap.Route, _ *routemap.Service) {
+		route.Kind, route.Resumable = routemap.Stream, resumable
+	}
+}
+
+func TestStreams(t *testing.T) {
+	cut := threeEvents[:len("id: 1\ndata: a\n\nid: 2\nda")] // breaks off within the second event
+	rest := "id: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+	tests := map[string]struct {
+		resumable bool
+		answers   []*Answer
+		want      string
+		code      Code
+		begun     bool
+	}{
+		"whole":                          {false, []*Answer{events(threeEvents, nil)}, threeEvents, "", false},
+		"breaks before an event":         {false, []*Answer{events("", errReset)}, "", Unknown, false},
+		"breaks within an event":         {false, []*Answer{events(cut, errReset)}, "id: 1\ndata: a\n\n", Unknown, true},
+		"ends within an event":           {false, []*Answer{events(cut, nil)}, "id: 1\ndata: a\n\n", Unknown, true},
+		"goes on elsewhere":              {true, []*Answer{events(cut, errReset), events(rest, nil)}, threeEvents, "", false},
+		"the other begins anew":          {true, []*Answer{events(cut, errReset), events(threeEvents, nil)}, threeEvents, "", false},
+		"the other fails":                {true, []*Answer{events(cut, errReset), whole(500, "failed")}, "id: 1\ndata: a\n\n", Unknown, true},
+		"the other breaks off too":       {true, []*Answer{events(cut, errReset), events("id: 2\ndata: b\n\n", errReset)}, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", Unknown, true},
+		"nothing yet, begun by the next": {true, []*Answer{events("", errReset), events(threeEvents, nil)}, threeEvents, "", false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.configure(streaming(test.resumable))
+			f.addReplica("a", "east-1")
+			f.addReplica("b", "east-1")
+			f.addReplica("c", "east-1")
+			for range 20 {
+				f.serve(nil)
+			}
+			f.sent = nil
+			f.answer = func(context.Context, *Attempt) (*Answer, error) { return test.answers[len(f.sent)-1], nil }
+			client, refusal := f.serve(nil)
+			if got := client.body.String(); got != test.want {
+				t.Errorf("the client has %q, want %q", got, test.want)
+			}
+			if (refusal != nil) != (test.code != "") || refusal != nil && (refusal.Code != test.code || refusal.Begun != test.begun) {
+				t.Errorf("got %+v, want %q, begun %v", refusal, test.code, test.begun)
+			}
+		})
+	}
+}
+
+func TestAResumedStreamSaysWhereItGoesOn(t *testing.T) {
+	f := newFixture(t)
+	f.configure(streaming(true))
+	f.addReplica("a", "east-1")
+	f.addReplica("b", "east-1")
+	for range 20 {
+		f.serve(nil)
+	}
+	f.sent = nil
+	f.answer = func(context.Context, *Attempt) (*Answer, error) {
+		if len(f.sent) == 1 {
+			return events("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", errReset), nil
+		}
+		return events("id: 3\ndata: c\n\n", nil), nil
+	}
+	client, refusal := f.serve(nil)
+	if refusal != nil || client.body.String() != threeEvents || f.sent[1].After != "2" {
+		t.Errorf("got %v, %q after %q", refusal, client.body.String(), f.sent[1].After)
+	}
+}
+
+// TestASilentReplicaIsLeft: a replica that sends nothing on any connection is given
+// up for requests that may be repeated, and for those alone.
+func TestASilentReplicaIsLeft(t *testing.T) {
+	f := newFixture(t)
+	f.configure(streaming(true))
+	f.addReplica("a", "east-1")
+	f.addReplica("b", "east-1")
+	for range 20 {
+		f.serve(nil)
+	}
+	f.sent = nil
+	f.answer = func(ctx context.Context, _ *Attempt) (*Answer, error) {
+		if len(f.sent) > 1 {
+			return events(threeEvents, nil), nil
+		}
+		<-ctx.Done()
+		return nil, attemptError(Broken)
+	}
+	started := time.Now()
+	client, refusal := f.serve(nil)
+	if refusal != nil || client.body.String() != threeEvents {
+		t.Errorf("got %v, %q", refusal, client.body.String())
+	}
+	if took := time.Since(started); took < silence || took > 4*silence {
+		t.Errorf("left after %v, want about %v", took, silence)
+	}
+}
+
+func TestEventReader(t *testing.T) {
+	long := "data: " + strings.Repeat("x", 3*eventBuffer) + "\n\n"
+	tests := map[string]struct {
+		text string
+		want []string
+		err  error
+	}{
+		"empty":                  {"", nil, io.EOF},
+		"events":                 {threeEvents, []string{"1", "2", "3"}, io.EOF},
+		"line ends":              {"id: 7\r\ndata: a\r\n\r\n", []string{"7"}, io.EOF},
+		"without id":             {"data: a\n\n", []string{""}, io.EOF},
+		"longer than the buffer": {long, []string{""}, io.EOF},
+		"cut":                    {"id: 1\n\nid: 2\n", []string{"1"}, errEventCut},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			reader := newEventReader(strings.NewReader(test.text))
+			var ids []string
+			text := ""
+			for {
+				next, err := reader.next()
+				if err != nil {
+					if !errors.Is(err, test.err) {
+						t.Errorf("ends with %v, want %v", err, test.err)
+					}
+					break
+				}
+				ids = append(ids, next.id)
+				text += string(next.text)
+			}
+			if strings.Join(ids, ",") != strings.Join(test.want, ",") {
+				t.Errorf("ids %v, want %v", ids, test.want)
+			}
+			if test.err == io.EOF && text != test.text {
+				t.Errorf("text %q", text)
+			}
+		})
+	}
+}
+
+// TestColdReplicas: while a replica is cold, one gateway feeds it slowly, and
+// only if no other can take the request.
+func TestColdReplicas(t *testing.T) {
+	f := newFixture(t)
+	f.configure(func(_ *routemap.Route, service *routemap.Service) {
+		service.ColdPerSecond, service.ColdStart = 10, 3*time.Second
+	})
+	f.addReplica("a", "east-1")
+	f.addReplica("b", "east-1")
+	f.apply(registry.Add(places.ConditionRecord("a", places.Condition{State: places.ConditionCold})))
+	for range 10 {
+		f.serve(nil)
+	}
+	if asked := f.replicasAsked(); strings.Contains(strings.Join(asked, ","), "a") {
+		t.Errorf("a cold replica was used beside a warm one: %v", asked)
+	}
+	f.apply(registry.DeleteName(places.ReplicaName("b")))
+	f.sent = nil
+	for range 10 {
+		f.serve(nil)
+	}
+	if asked := f.replicasAsked(); len(asked) != 1 {
+		t.Errorf("%d requests at once to a cold replica", len(asked))
+	}
+	// Of two gateways, one feeds it.
+	f.apply(
+		registry.Add(places.GatewayRecord("g2", places.Gateway{Region: ownRegion, Zone: "east-1", Up: true})),
+		registry.Add(places.GatewayRecord("g3", places.Gateway{Region: ownRegion, Zone: "east-1", Up: true})),
+		registry.Add(places.GatewayRecord("g4", places.Gateway{Region: ownRegion, Zone: "east-1", Up: true})),
+	)
+	feeders := 0
+	for _, name := range []string{"g1", "g2", "g3", "g4"} {
+		f.dispatcher.options.Gateway = name
+		f.dispatcher.replicas["a"].nextCold = time.Time{}
+		if _, refusal := f.serve(nil); refusal == nil {
+			feeders++
+		}
+	}
+	if feeders != 1 {
+		t.Errorf("%d gateways feed a cold replica", feeders)
+	}
+}
+
+// TestAZoneThatIsTakenBackIsCold: its replicas may have become cold while nothing
+// was sent there.
+func TestAZoneThatIsTakenBackIsCold(t *testing.T) {
+	f := newFixture(t)
+	f.configure(func(_ *routemap.Route, service *routemap.Service) {
+		service.ColdPerSecond, service.ColdStart = 10, 3*time.Second
+	})
+	f.addReplica("a", "east-1")
+	f.apply(registry.Add(places.EvacuationRecord("east-1", places.Evacuation{Order: "o"})))
+	f.apply(registry.DeleteSet(places.ZoneName("east-1"), places.TypeEvacuation))
+	for range 5 {
+		f.serve(nil)
+	}
+	if asked := f.replicasAsked(); len(asked) != 1 {
+		t.Errorf("%d requests at once to a zone just taken back", len(asked))
+	}
+}
--- a/lease/grantor.go
+++ b/lease/grantor.go
@@ -163,9 +163,11 @@
 	if !open {
 		return
 	}
+	if request.Term != g.term {
+		return // it may be late, and from before the incarnation that is named
+	}
 	restarted := request.Incarnation != incarnation
-	released := request.Term == g.term && (granted || !request.Valid)
-	if restarted || released || request.Leaving {
+	if restarted || granted || !request.Valid {
 		delete(g.expected, request.Holder)
 		g.settled = now
 	}
@@ -204,7 +206,6 @@
 		g.SetContact(contact)
 	}
 	if request.Leaving {
-		g.account(now, request, false)
 		g.leave(now, id)
 		return Decision{Activate: g.Activate()}
 	}
--- a/lease/simulation_test.go
+++ b/lease/simulation_test.go
@@ -89,10 +89,17 @@
 	blind     bool // planted defect: leases are judged by the clock alone
 	granted   int
 	advances  int
+	early     int // windows that ended early
+	// recorded is what the registry holds: the incarnation of each holder that may
+	// have a lease. superseded are those that a newer one replaced in the newest
+	// primary's memory.
+	recorded   map[string]string
+	superseded map[HolderID]bool
+	forgetful  bool // planted defect: leases are granted without a record
 }
 
 func newSimulation(choose chooser) *simulation {
-	s := &simulation{choose: choose, terms: DefaultTerms(), serial: 1}
+	s := &simulation{choose: choose, terms: DefaultTerms(), serial: 1, recorded: make(map[string]string)}
 	for i := range simulatedHolders {
 		s.holders = append(s.holders, &simulatedHolder{
 			clock:  chooseClock(choose),
@@ -170,6 +177,32 @@
 		s.defect(primary.grantor)
 	}
 	s.primaries = append(s.primaries, primary)
+	s.superseded = make(map[HolderID]bool)
+	if s.choose(4) == 0 {
+		return // a primary that was not told
+	}
+	var expected []HolderID
+	for name, incarnation := range s.recorded {
+		expected = append(expected, HolderID{Holder: name, Incarnation: incarnation})
+	}
+	primary.grantor.Expect(primary.clock.read(s.real), expected)
+}
+
+// mayLease keeps the rule that a lease is granted only to a holder that the
+// registry names. The newest primary alone can write there. It takes a new
+// incarnation only from one that knows its term, and none that it saw replaced.
+func (s *simulation) mayLease(index int, request Request) bool {
+	held, known := s.recorded[request.Holder]
+	if s.forgetful || known && held == request.Incarnation {
+		return true
+	}
+	id := HolderID{Holder: request.Holder, Incarnation: request.Incarnation}
+	newest := index == len(s.primaries)-1
+	if newest && request.Term == s.newest().grantor.Term() && !s.superseded[id] {
+		s.superseded[HolderID{Holder: request.Holder, Incarnation: held}] = true
+		s.recorded[request.Holder] = request.Incarnation
+	}
+	return false
 }
 
 // refreshContact lets a primary learn that a majority answered a heartbeat: a
@@ -246,6 +279,9 @@
 	if !decision.Granted {
 		decision.Activate = 0
 	}
+	if !s.mayLease(message.primary, message.request) {
+		decision.Length = 0
+	}
 	var incarnation int
 	fmt.Sscan(message.request.Incarnation, &incarnation)
 	s.grants = append(s.grants, grant{
@@ -314,6 +350,9 @@
 	if sure && serialLess(s.inForce, serial) {
 		s.inForce = serial
 		s.advances++
+		if primary.grantor.contact < primary.grantor.windowEnd {
+			s.early++
+		}
 	}
 }
 
@@ -363,7 +402,7 @@
 // TestSimulationMakesProgress keeps the invariant's test from passing because
 // nothing is ever granted or reported.
 func TestSimulationMakesProgress(t *testing.T) {
-	granted, advances, elections := 0, 0, 0
+	granted, advances, elections, early := 0, 0, 0, 0
 	for seed := range uint64(50) {
 		s := newSimulation(seededChooser(seed))
 		if violation := s.run(simulatedSteps); violation != nil {
@@ -372,10 +411,11 @@
 		granted += s.granted
 		advances += s.advances
 		elections += len(s.primaries)
+		early += s.early
 	}
-	t.Logf("50 runs: %d leases granted, %d serials reported in force, %d primaries", granted, advances, elections)
-	if granted < 500 || advances < 100 || elections < 200 {
-		t.Fatalf("too little happened: %d leases, %d reports, %d primaries", granted, advances, elections)
+	t.Logf("50 runs: %d leases granted, %d serials reported in force (%d before the window's end), %d primaries", granted, advances, early, elections)
+	if granted < 500 || advances < 100 || elections < 200 || early < 20 {
+		t.Fatalf("too little happened: %d leases, %d reports (%d early), %d primaries", granted, advances, early, elections)
 	}
 }
 
@@ -391,6 +431,9 @@
 		"leadership is assumed without proof": func(s *simulation) {
 			s.blind = true
 		},
+		"leases are granted to holders that no record names": func(s *simulation) {
+			s.forgetful = true
+		},
 		"holders that are behind get leases": func(s *simulation) {
 			s.defect = func(g *Grantor) { g.floor = 0 }
 		},
--- /dev/null
+++ b/routemap/routemap_test.go
@@ -0,0 +1,109 @@
+package routemap
+
+import (
+	"errors"
+	"testing"
+	"time"
+)
+
+func validMap() Map {
+	return Map{
+		Version: 1,
+		Services: []Service{
+			{Name: "pool", MaxConnections: 100},
+			{Name: "web"},
+		},
+		Routes: []Route{
+			{Name: "a", Host: "Example.test", PathPrefix: "/a/", Kind: Once, Targets: []Target{{"pool", 3}, {"web", 1}}, Timeout: time.Second},
+			{Name: "ab", Host: "example.test", PathPrefix: "/a/b/", Kind: Stream, Targets: []Target{{"web", 1}}, Timeout: time.Second},
+		},
+	}
+}
+
+func TestValidateNamesFieldAndReason(t *testing.T) {
+	tests := map[string]struct {
+		change func(*Map)
+		field  string
+	}{
+		"version 0":            {func(m *Map) { m.Version = 0 }, "version"},
+		"service twice":        {func(m *Map) { m.Services[1].Name = "pool" }, "services[1].name"},
+		"nameless service":     {func(m *Map) { m.Services[0].Name = "" }, "services[0].name"},
+		"negative connections": {func(m *Map) { m.Services[0].MaxConnections = -1 }, "services[0]"},
+		"negative cold rate":   {func(m *Map) { m.Services[0].ColdPerSecond = -1 }, "services[0]"},
+		"route twice":          {func(m *Map) { m.Routes[1].Name = "a" }, "routes[1].name"},
+		"same place":           {func(m *Map) { m.Routes[1].PathPrefix = "/a/" }, "routes[1].path_prefix"},
+		"no slash at the end":  {func(m *Map) { m.Routes[0].PathPrefix = "/a" }, "routes[0].path_prefix"},
+		"no host":              {func(m *Map) { m.Routes[0].Host = "" }, "routes[0].host"},
+		"unknown kind":         {func(m *Map) { m.Routes[0].Kind = "twice" }, "routes[0].kind"},
+		"no time-out":          {func(m *Map) { m.Routes[0].Timeout = 0 }, "routes[0].timeout_ms"},
+		"unknown service":      {func(m *Map) { m.Routes[0].Targets[1].Service = "gone" }, "routes[0].targets[1].service"},
+		"negative weight":      {func(m *Map) { m.Routes[0].Targets[1].Weight = -1 }, "routes[0].targets[1].weight"},
+		"weights of 0":         {func(m *Map) { m.Routes[1].Targets[0].Weight = 0 }, "routes[1].targets"},
+		"no targets":           {func(m *Map) { m.Routes[1].Targets = nil }, "routes[1].targets"},
+		"negative attempts":    {func(m *Map) { m.Routes[1].MaxAttempts = -1 }, "routes[1]"},
+	}
+	valid := validMap()
+	if err := valid.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := validMap()
+			test.change(&m)
+			var problem *Problem
+			if err := m.Validate(); !errors.As(err, &problem) || problem.Field != test.field || problem.Reason == "" {
+				t.Fatalf("got %v, want a problem at %s", err, test.field)
+			}
+		})
+	}
+}
+
+func TestLookupTakesTheLongestPrefix(t *testing.T) {
+	table := NewTable(validMap().Routes)
+	tests := map[string]struct{ host, path, want string }{
+		"longest":         {"example.test", "/a/b/c", "ab"},
+		"shorter":         {"example.test", "/a/x", "a"},
+		"case and port":   {"EXAMPLE.test:80", "/a/", "a"},
+		"prefix is whole": {"example.test", "/ab/", ""},
+		"other host":      {"other.test", "/a/", ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := ""
+			if route := table.Lookup(test.host, test.path); route != nil {
+				got = route.Name
+			}
+			if got != test.want {
+				t.Errorf("got %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	route := validMap().Routes[0]
+	counts := map[string]int{}
+	for i := range 400 {
+		counts[route.Pick(float64(i)/400)]++
+	}
+	if counts["pool"] != 300 || counts["web"] != 100 {
+		t.Errorf("counts %v", counts)
+	}
+}
+
+func TestMayRepeat(t *testing.T) {
+	tests := []struct {
+		route Route
+		want  bool
+	}{
+		{Route{Kind: Once}, false},
+		{Route{Kind: Repeatable}, true},
+		{Route{Kind: Stream}, false},
+		{Route{Kind: Stream, Resumable: true}, true},
+	}
+	for _, test := range tests {
+		if got := test.route.MayRepeat(); got != test.want {
+			t.Errorf("%+v: got %v", test.route, got)
+		}
+	}
+}
--- /dev/null
+++ b/upstream/upstream_test.go
@@ -0,0 +1,274 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// script answers the requests of one connection after another.
+type script func(conn net.Conn, reader *bufio.Reader)
+
+// listen serves each connection by the script and counts them.
+func listen(t *testing.T, serve script) (address string, connections *atomic.Int32) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	connections = new(atomic.Int32)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go func() {
+				defer conn.Close()
+				serve(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return listener.Addr().String(), connections
+}
+
+// answerAll answers every request of a connection with the text.
+func answerAll(text string) script {
+	return func(conn net.Conn, reader *bufio.Reader) {
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			if _, err := io.WriteString(conn, text); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func newRequest(t *testing.T, method string) *http.Request {
+	t.Helper()
+	request, err := http.NewRequest(method, "http://service.test/path", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return request
+}
+
+func fetch(t *testing.T, pool *Pool, address string) (string, error) {
+	t.Helper()
+	response, err := pool.Do(context.Background(), address, newRequest(t, http.MethodPost), []byte("body"))
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return string(text), err
+}
+
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+	tests := map[string]struct {
+		answer string
+		want   int32 // connections for three requests
+	}{
+		"kept":                  {whole + "\r\nok", 1},
+		"kept by announcement":  {whole + "Keep-Alive: timeout=5\r\n\r\nok", 1},
+		"announced not to last": {whole + "Keep-Alive: timeout=0\r\n\r\nok", 3},
+		"closed by its answer":  {whole + "Connection: close\r\n\r\nok", 3},
+		"surplus bytes":         {whole + "\r\nokHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate", 3},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			address, connections := listen(t, answerAll(test.answer))
+			pool := NewPool(Config{})
+			for range 3 {
+				if text, err := fetch(t, pool, address); err != nil || text != "ok" {
+					t.Fatalf("got %q, %v", text, err)
+				}
+			}
+			if got := connections.Load(); got != test.want {
+				t.Errorf("%d connections, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+func TestSurplusThatArrivesLaterEndsAnIdleConnection(t *testing.T) {
+	written := make(chan struct{})
+	address, connections := listen(t, func(conn net.Conn, reader *bufio.Reader) {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother")
+		close(written)
+		_, _ = reader.ReadByte()
+	})
+	pool := NewPool(Config{})
+	if text, err := fetch(t, pool, address); err != nil || text != "ok" {
+		t.Fatalf("got %q, %v", text, err)
+	}
+	<-written
+	idle := pool.takeIdle(address)
+	if idle != nil && quiet(idle.raw) && idle.reader.Buffered() == 0 {
+		t.Error("a connection with an answer nobody asked for is taken as quiet")
+	}
+	if connections.Load() != 1 {
+		t.Errorf("%d connections", connections.Load())
+	}
+}
+
+// TestErrorsTellWhatWasSent is what at most once rests on.
+func TestErrorsTellWhatWasSent(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusing := closed.Addr().String()
+	closed.Close()
+	reset, _ := listen(t, func(_ net.Conn, reader *bufio.Reader) { _, _ = http.ReadRequest(reader) })
+	garbage, _ := listen(t, func(conn net.Conn, _ *bufio.Reader) { _, _ = io.WriteString(conn, "no answer at all\r\n\r\n") })
+	tests := map[string]struct {
+		address string
+		sent    bool
+	}{
+		"nobody listens":    {refusing, false},
+		"closed unanswered": {reset, true},
+		"garbage":           {garbage, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := fetch(t, NewPool(Config{}), test.address)
+			var failure *Error
+			if !errors.As(err, &failure) || failure.Sent != test.sent {
+				t.Errorf("got %v, want sent %v", err, test.sent)
+			}
+		})
+	}
+}
+
+func TestARequestIsSentOnceOnly(t *testing.T) {
+	var requests atomic.Int32
+	address, connections := listen(t, func(conn net.Conn, reader *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			if requests.Add(1) > 1 {
+				return // a kept connection that breaks under its second request
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	pool := NewPool(Config{})
+	if _, err := fetch(t, pool, address); err != nil {
+		t.Fatal(err)
+	}
+	for _, method := range []string{http.MethodGet} {
+		_, err := pool.Do(context.Background(), address, newRequest(t, method), nil)
+		var failure *Error
+		if !errors.As(err, &failure) || !failure.Sent {
+			t.Errorf("got %v", err)
+		}
+	}
+	if requests.Load() != 2 || connections.Load() != 1 {
+		t.Errorf("%d requests on %d connections", requests.Load(), connections.Load())
+	}
+}
+
+func TestAnswersThatBreakOffAreErrors(t *testing.T) {
+	tests := map[string]string{
+		"short of its length":  "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nshort",
+		"within a chunk":       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+		"without a last chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			address, _ := listen(t, func(conn net.Conn, reader *bufio.Reader) {
+				_, _ = http.ReadRequest(reader)
+				_, _ = io.WriteString(conn, text)
+			})
+			if got, err := fetch(t, NewPool(Config{}), address); err == nil {
+				t.Errorf("%q passes as whole", got)
+			}
+		})
+	}
+}
+
+func TestTheEndOfTheContextBreaksOff(t *testing.T) {
+	gone := make(chan struct{})
+	address, _ := listen(t, func(_ net.Conn, reader *bufio.Reader) {
+		_, _ = http.ReadRequest(reader)
+		_, _ = reader.ReadByte() // returns when the connection is closed
+		close(gone)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, err := NewPool(Config{}).Do(ctx, address, newRequest(t, http.MethodPost), nil)
+	if !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v", err)
+	}
+	<-gone
+}
+
+// TestAnEarlyAnswerEndsTheConnection: the replica still waits for the rest of the
+// body, so nothing else may be sent there.
+func TestAnEarlyAnswerEndsTheConnection(t *testing.T) {
+	address, connections := listen(t, func(conn net.Conn, reader *bufio.Reader) {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\nno")
+		time.Sleep(200 * time.Millisecond)
+	})
+	pool := NewPool(Config{})
+	body := []byte(strings.Repeat("x", 32<<20)) // more than the buffers on the way take
+	for range 2 {
+		response, err := pool.Do(context.Background(), address, newRequest(t, http.MethodPost), body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if text, err := io.ReadAll(response.Body); err != nil || string(text) != "no" {
+			t.Fatalf("got %q, %v", text, err)
+		}
+		response.Body.Close()
+	}
+	if got := connections.Load(); got != 2 {
+		t.Errorf("%d connections, want 2", got)
+	}
+}
+
+func TestReapAndForgetCloseIdleConnections(t *testing.T) {
+	address, _ := listen(t, answerAll("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	pool := NewPool(Config{IdleLimit: time.Minute})
+	if _, err := fetch(t, pool, address); err != nil {
+		t.Fatal(err)
+	}
+	if pool.Reap(time.Now()); pool.Open(address) != 1 {
+		t.Error("a fresh connection was reaped")
+	}
+	if pool.Heard(address).IsZero() {
+		t.Error("nothing was heard")
+	}
+	if pool.Reap(time.Now().Add(time.Hour)); pool.Open(address) != 0 {
+		t.Error("an old connection was kept")
+	}
+	if _, err := fetch(t, pool, address); err != nil {
+		t.Fatal(err)
+	}
+	if pool.Forget(address); pool.Open(address) != 0 {
+		t.Error("a connection to a forgotten address was kept")
+	}
+}
