--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// prefillSpeed is the tokens of prompts that a replica is taken to read in a second.
-	prefillSpeed = 60_000
+	// rereading weighs the reading of a shared part that another replica holds
+	// already, in multiples of the time that it takes.
+	rereading = 1
 	// otherRegionPenalty and otherZonePenalty keep requests near, in seconds of
 	// waiting for the first event.
 	otherRegionPenalty = 0.12
@@ -58,9 +59,9 @@
 	excluded
 )
 
-// find returns the replica for the next attempt, or why there is none. The
-// dispatcher's mutex is held.
-func (s *search) find() (*replica, *Refusal) {
+// find returns the replica for the next attempt and the expected time to its
+// first event, or why there is none. The dispatcher's mutex is held.
+func (s *search) find() (*replica, time.Duration, *Refusal) {
 	var ranked [excluded][]*replica
 	full := false
 	for _, r := range s.service.replicas {
@@ -81,9 +82,9 @@
 		}
 	}
 	if full {
-		return nil, &Refusal{Code: Overloaded, RetryAfter: busyRetryAfter}
+		return nil, 0, &Refusal{Code: Overloaded, RetryAfter: busyRetryAfter}
 	}
-	return nil, &Refusal{Code: NoReplica, RetryAfter: absentRetryAfter}
+	return nil, 0, &Refusal{Code: NoReplica, RetryAfter: absentRetryAfter}
 }
 
 // allowed says whether the operators and the list permit the replica.
@@ -122,28 +123,30 @@
 }
 
 // best chooses among replicas of one rank.
-func (s *search) best(list []*replica) (*replica, *Refusal) {
+func (s *search) best(list []*replica) (*replica, time.Duration, *Refusal) {
 	candidates := s.candidates(list)
 	position, expected := placement.Choose(candidates, s.work())
 	longest := max(patience*s.route.FirstEvent, leastPatience).Seconds()
 	if s.route.FirstEvent > 0 && expected > longest {
-		return nil, &Refusal{Code: Overloaded, RetryAfter: busyRetryAfter}
+		return nil, 0, &Refusal{Code: Overloaded, RetryAfter: busyRetryAfter}
 	}
 	chosen := list[position]
 	if chosen.isCold(s.now) && s.service.spec.ColdPerSecond > 0 {
 		gap := time.Duration(float64(time.Second) / (coldShare * s.service.spec.ColdPerSecond))
 		chosen.nextCold = s.now.Add(gap)
 	}
-	return chosen, nil
+	return chosen, time.Duration(expected * float64(time.Second)), nil
 }
 
-// work is what placement must know of the request.
+// work is what placement must know of the request. Reading times stand for
+// tokens, so that long prompts count as the long time that they take.
 func (s *search) work() placement.Work {
-	key := placement.Hash(s.request.ID)
-	if link, found := placement.Affinity(s.request.Chain); found && s.service.spec.CacheTokens > 0 {
-		return placement.Work{Tokens: s.request.Tokens, Key: link.Hash, Bulk: float64(link.Tokens)}
+	tokens := readingSeconds(s.request.Tokens, 0) * readingSpeed
+	link, found := placement.Affinity(s.request.Chain)
+	if !found || s.service.spec.CacheTokens == 0 {
+		return placement.Work{Tokens: tokens, Key: placement.Hash(s.request.ID)}
 	}
-	return placement.Work{Tokens: s.request.Tokens, Key: key}
+	return placement.Work{Tokens: tokens, Key: link.Hash, Bulk: float64(link.Tokens), Reread: rereading}
 }
 
 func (s *search) candidates(list []*replica) []placement.Candidate {
@@ -167,12 +170,12 @@
 		Penalty: s.distance(r),
 	}
 	if s.service.spec.CacheTokens > 0 {
-		c.Speed = prefillSpeed
-		c.Pending = r.pending + others.Pending
+		c.Speed = readingSpeed / r.slowness
+		c.Wait = readingStart + r.backlog.left(s.now).Seconds()
 		c.Cached = float64(cached)
-		room := memoryShare*float64(s.service.spec.CacheTokens) - r.held - others.Held
+		room := memoryShare*float64(s.service.spec.CacheTokens) - r.held - float64(others.Held)
 		if room < s.request.Tokens {
-			c.Wait = s.service.hold
+			c.Wait += s.service.hold
 		}
 	}
 	return c
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -7,7 +7,7 @@
 )
 
 // loadAge is how long another gateway's report counts.
-const loadAge = time.Second
+const loadAge = 1500 * time.Millisecond
 
 // loadBoard keeps what the other gateways report.
 type loadBoard struct {
@@ -31,17 +31,23 @@
 		}
 		load := report.loads[id]
 		sum.Requests += load.Requests
-		sum.Pending += load.Pending
 		sum.Held += load.Held
 	}
 	return sum
 }
 
-// Observe takes another gateway's report of its own load.
-func (d *Dispatcher) Observe(gateway string, loads map[string]peer.Load) {
+// Observe takes another gateway's report of its own load. Prompts that it has
+// placed lengthen the backlogs of their replicas here too.
+func (d *Dispatcher) Observe(report peer.ReplicaLoads) {
+	now := time.Now()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.loads.reports[gateway] = loadReport{at: time.Now(), loads: loads}
+	d.loads.reports[report.Gateway] = loadReport{at: now, loads: report.Loads}
+	for _, placed := range report.Placed {
+		if r, known := d.replicas[placed.Replica]; known {
+			r.backlog.add(now, time.Duration(placed.ReadingMS)*time.Millisecond)
+		}
+	}
 }
 
 // Loads returns this gateway's own load on the replicas of a region.
@@ -56,7 +62,24 @@
 		if loads == nil {
 			loads = make(map[string]peer.Load)
 		}
-		loads[id] = peer.Load{Requests: r.inFlight, Pending: r.pending, Held: r.held}
+		loads[id] = peer.Load{Requests: r.inFlight, Held: int(r.held)}
 	}
 	return loads
 }
+
+// backlog is the reading that a replica is known to have before it, by all
+// gateways together: prompts are read one after another.
+type backlog struct {
+	until time.Time
+}
+
+// add appends the reading of one prompt.
+func (b *backlog) add(now time.Time, reading time.Duration) {
+	if b.until.Before(now) {
+		b.until = now
+	}
+	b.until = b.until.Add(reading)
+}
+
+// left is the reading still to be done.
+func (b *backlog) left(now time.Time) time.Duration { return max(0, b.until.Sub(now)) }
--- /dev/null
+++ b/dispatch/reading.go
@@ -0,0 +1,31 @@
+package dispatch
+
+import "time"
+
+// The time that a replica takes to read a prompt. It grows with the tokens that
+// are not in its cache, and with what each of them has to attend to. The
+// constants are those of a large model on one machine of eight accelerators; what
+// a replica really takes corrects them by a factor of its own.
+const (
+	// readingSpeed is in tokens a second.
+	readingSpeed = 59_000
+	// attentionTokens is the length of a prompt whose attention alone takes a second.
+	attentionTokens = 85_000
+	// readingStart is the least time to a first event.
+	readingStart = 0.012
+	// leastSlowness and mostSlowness bound the factor of a replica.
+	leastSlowness = 0.5
+	mostSlowness  = 4
+	// slownessSmoothing is the weight of one measured prompt.
+	slownessSmoothing = 0.1
+	// measuredReading is the least expected time that tells of a replica's speed.
+	measuredReading = 40 * time.Millisecond
+)
+
+// readingSeconds is the expected time to read the rest of a prompt of which a
+// part is cached.
+func readingSeconds(tokens, cached float64) float64 {
+	cached = min(cached, tokens)
+	attention := (tokens*tokens - cached*cached) / (attentionTokens * attentionTokens)
+	return (tokens-cached)/readingSpeed + attention
+}
--- a/dispatch/relay.go
+++ b/dispatch/relay.go
@@ -120,8 +120,10 @@
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	at.work.open()
+	now := time.Now()
+	at.work.open(now)
 	at.replica.reached()
+	d.log.Debug("first event", "replica", at.endpoint.ID, "took", now.Sub(at.work.began), "expected", at.expected, "tokens", at.work.held, "reading", at.work.reading, "ahead", at.work.ahead, "running", at.replica.inFlight, "slowness", at.replica.slowness)
 }
 
 // succeeded notes a whole answer.
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -42,10 +42,11 @@
 	replaced bool
 
 	inFlight int
-	// pending are the tokens of prompts that no event has answered yet; held are
-	// the tokens of all requests under way.
-	pending float64
+	// held are the tokens of all requests under way.
 	held    float64
+	backlog backlog
+	// slowness is its measured time to read, over the expected one.
+	slowness float64
 	// activeSince is when it was last given work while it had none.
 	activeSince  time.Time
 	failures     int
@@ -54,7 +55,7 @@
 }
 
 func newReplica(id string) *replica {
-	return &replica{id: id, number: -1, hash: placement.Hash(id)}
+	return &replica{id: id, number: -1, hash: placement.Hash(id), slowness: 1}
 }
 
 // isCold says whether the ramp of cold replicas binds.
@@ -88,7 +89,8 @@
 // work is one attempt's part of a replica's load.
 type work struct {
 	replica *replica
-	pending float64
+	reading time.Duration // of its own prompt
+	ahead   time.Duration // the backlog when it was placed
 	held    float64
 	began   time.Time
 	opened  bool // its first event was seen
@@ -96,23 +98,30 @@
 }
 
 // take counts an attempt on a replica.
-func (r *replica) take(now time.Time, pending, held float64) *work {
+func (r *replica) take(now time.Time, reading time.Duration, held float64) *work {
 	if r.inFlight == 0 {
 		r.activeSince = now
 	}
+	w := &work{replica: r, reading: reading, ahead: r.backlog.left(now), held: held, began: now}
 	r.inFlight++
-	r.pending += pending
 	r.held += held
-	return &work{replica: r, pending: pending, held: held, began: now}
+	r.backlog.add(now, reading)
+	return w
 }
 
-// open notes that the prompt was read.
-func (w *work) open() {
+// open notes that the prompt was read, and learns how fast.
+func (w *work) open(now time.Time) {
 	if w.opened {
 		return
 	}
 	w.opened = true
-	w.replica.pending -= w.pending
+	expected := w.ahead + w.reading
+	if expected < measuredReading {
+		return
+	}
+	measured := w.replica.slowness * float64(now.Sub(w.began)) / float64(expected)
+	measured = min(max(measured, leastSlowness), mostSlowness)
+	w.replica.slowness += slownessSmoothing * (measured - w.replica.slowness)
 }
 
 // end takes the attempt off the replica.
@@ -120,7 +129,6 @@
 	if w.ended {
 		return
 	}
-	w.open()
 	w.ended = true
 	w.replica.inFlight--
 	w.replica.held -= w.held
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -141,36 +141,42 @@
 		d.budget.NoteFirst(now)
 	}
 	looking := &search{dispatcher: d, plan: r.plan, service: known, route: r.route, request: r.request, tried: r.tried, now: now}
-	chosen, refusal := looking.find()
+	chosen, expected, refusal := looking.find()
 	if refusal != nil {
 		return nil, refusal
 	}
 	r.tried[chosen.id] = true
 	d.counts.Attempts++
+	reading := r.reading(known, chosen)
+	if d.options.Placed != nil && reading > 0 {
+		d.options.Placed(chosen.region, chosen.id, reading)
+	}
 	return &placed{
 		service:  known,
 		replica:  chosen,
 		endpoint: Endpoint{ID: chosen.id, Address: chosen.address},
-		work:     chosen.take(now, r.uncached(known, chosen), r.request.Tokens),
+		expected: expected,
+		work:     chosen.take(now, reading, r.request.Tokens),
 	}, nil
 }
 
 func (r *run) isFirst() bool { return r.attempts == 0 && r.unsent == 0 && r.refused == 0 }
 
-// uncached is the part of the prompt that the replica has to read, and notes
-// that it will hold the rest too.
-func (r *run) uncached(known *service, chosen *replica) float64 {
-	if known.spec.CacheTokens == 0 || len(r.request.Chain) == 0 {
-		return r.request.Tokens
+// reading is the expected time that the replica takes to read the prompt. It
+// notes that the replica will hold the shared parts.
+func (r *run) reading(known *service, chosen *replica) time.Duration {
+	if known.spec.CacheTokens == 0 {
+		return 0
 	}
-	held := 0
+	cached := 0
 	known.index.Cached(r.request.Chain, func(number, tokens int) {
 		if number == chosen.number {
-			held = tokens
+			cached = tokens
 		}
 	})
 	known.index.Note(chosen.number, r.request.Chain)
-	return max(0, r.request.Tokens-float64(held))
+	seconds := chosen.slowness * readingSeconds(r.request.Tokens, float64(cached))
+	return time.Duration(seconds * float64(time.Second))
 }
 
 // placed is one attempt and where it goes.
@@ -179,6 +185,7 @@
 	replica  *replica
 	endpoint Endpoint
 	work     *work
+	expected time.Duration // to the first event
 }
 
 // attempt sends the request once and relays the answer. again says that another
--- a/dispatch/stream_test.go
+++ b/dispatch/stream_test.go
@@ -146,7 +146,7 @@
 			if strings.Join(ids, ",") != strings.Join(test.want, ",") {
 				t.Errorf("ids %v, want %v", ids, test.want)
 			}
-			if test.err == io.EOF && text != test.text {
+			if errors.Is(test.err, io.EOF) && text != test.text {
 				t.Errorf("text %q", text)
 			}
 		})
--- a/httpgateway/gateway.go
+++ b/httpgateway/gateway.go
@@ -25,9 +25,6 @@
 	"github.com/deckpulley/deckpulley/transport"
 )
 
-// loadInterval is the time between two reports of load to the other gateways.
-const loadInterval = 120 * time.Millisecond
-
 // Options sets up a Gateway. All fields but RetryReserve are required.
 type Options struct {
 	// Info is what the primary and the other gateways learn of this one.
@@ -49,8 +46,7 @@
 	agent      *agent.Agent
 	dispatcher *dispatch.Dispatcher
 	leaving    atomic.Bool
-	// told are the gateways whose last report was not empty.
-	told map[string]bool
+	reports    reports
 
 	cancel  context.CancelFunc
 	workers sync.WaitGroup
@@ -58,13 +54,14 @@
 
 // New prepares a gateway and registers its message handlers.
 func New(options Options) *Gateway {
-	g := &Gateway{options: options, log: options.Logger, told: make(map[string]bool)}
+	g := &Gateway{options: options, log: options.Logger, reports: newReports()}
 	g.dispatcher = dispatch.New(dispatch.Options{
 		Gateway:      options.Info.Name,
 		Zone:         options.Info.Zone,
 		Region:       options.Info.Region,
 		Backend:      options.Backend,
 		RetryReserve: options.RetryReserve,
+		Placed:       g.reports.placed,
 		Logger:       options.Logger,
 	})
 	started := time.Now()
@@ -121,50 +118,3 @@
 	g.workers.Wait()
 	return err
 }
-
-func (g *Gateway) serveLoads(_ context.Context, _ string, decode func(any) error) (any, error) {
-	var report peer.ReplicaLoads
-	if err := decode(&report); err != nil {
-		return nil, err
-	}
-	g.dispatcher.Observe(report.Gateway, report.Loads)
-	return nil, nil
-}
-
-// reportLoads tells each other gateway what this one has under way at the
-// replicas of that gateway's region.
-func (g *Gateway) reportLoads(ctx context.Context) {
-	ticker := time.NewTicker(loadInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			g.reportOnce()
-		}
-	}
-}
-
-func (g *Gateway) reportOnce() {
-	contents := g.agent.Active()
-	if contents == nil {
-		return
-	}
-	byRegion := make(map[string]map[string]peer.Load)
-	for name, other := range contents.Gateways() {
-		if name == g.options.Info.Name || !other.Up {
-			continue
-		}
-		loads, known := byRegion[other.Region]
-		if !known {
-			loads = g.dispatcher.Loads(other.Region)
-			byRegion[other.Region] = loads
-		}
-		if len(loads) == 0 && !g.told[name] {
-			continue
-		}
-		g.told[name] = len(loads) > 0
-		g.options.Network.Send(other.PeerAddress, peer.KindReplicaLoads, &peer.ReplicaLoads{Gateway: g.options.Info.Name, Loads: loads})
-	}
-}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -265,16 +265,25 @@
 	Attempts int `cbor:"5,keyasint,omitempty"`
 }
 
-// ReplicaLoads tells what a gateway has under way at the replicas of the
-// receiver's region. A lost or late one makes placement less even, nothing else.
+// ReplicaLoads tells what a gateway has under way at replicas, and which prompts
+// it has placed since its last message. A lost or late one makes placement less
+// even, nothing else.
 type ReplicaLoads struct {
 	Gateway string          `cbor:"1,keyasint"`
-	Loads   map[string]Load `cbor:"2,keyasint"` // by replica
+	Loads   map[string]Load `cbor:"2,keyasint,omitempty"` // by replica
+	Placed  []PlacedPrompt  `cbor:"3,keyasint,omitempty"`
 }
 
 // Load is what one gateway has under way at one replica.
 type Load struct {
-	Requests int     `cbor:"1,keyasint"`
-	Pending  float64 `cbor:"2,keyasint"` // tokens of prompts without an event yet
-	Held     float64 `cbor:"3,keyasint"` // tokens of all requests
+	Requests int `cbor:"1,keyasint"`
+	// Held are the tokens of all its requests.
+	Held int `cbor:"2,keyasint,omitempty"`
+}
+
+// PlacedPrompt is a prompt that a replica has been given to read.
+type PlacedPrompt struct {
+	Replica string `cbor:"1,keyasint"`
+	// ReadingMS is the expected time to read it, in milliseconds.
+	ReadingMS int `cbor:"2,keyasint"`
 }
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -59,6 +59,9 @@
 	// Bulk is 0 and Key any hash that spreads requests.
 	Key  uint64
 	Bulk float64
+	// Reread weighs the reading of an affinity link that is not cached, also where
+	// nobody waits for it, in multiples of the time that it takes. Default 0.
+	Reread float64
 }
 
 // FirstToken is the expected time to the first token of a prompt, in seconds:
@@ -108,7 +111,7 @@
 func (c *Candidate) costOf(work Work) float64 {
 	cost := c.FirstToken(work.Tokens) + c.Penalty
 	if c.Speed > 0 {
-		cost += othersPrice * c.Busy * max(0, work.Bulk-c.Cached) / c.Speed
+		cost += (othersPrice*c.Busy + work.Reread) * max(0, work.Bulk-c.Cached) / c.Speed
 	}
 	return cost
 }
