Leave a silent control node sooner when a gateway starts

Cause: after a loss of all power each of eleven gateways asked the same seed first, whose machine did not answer yet, and waited 600 ms twice; the new primary waited for the last of them (first activation 0.5 s after the primary).

--- a/control/options.go
+++ b/control/options.go
@@ -14,7 +14,7 @@
 // Defaults of Options.
 const (
 	defaultTickInterval      = 25 * time.Millisecond
-	defaultStartupTimeout    = 150 * time.Millisecond
+	defaultStartupTimeout    = 100 * time.Millisecond
 	defaultDiscoveryInterval = 250 * time.Millisecond
 	defaultCallTimeout       = time.Second
 	defaultReplaceAfter      = 3 * time.Second
--- a/gateway/agent/agent.go
+++ b/gateway/agent/agent.go
@@ -78,7 +78,7 @@
 		options:  options,
 		log:      options.Logger,
 		wake:     make(chan struct{}, 1),
-		contacts: newContacts(options.Seeds),
+		contacts: newContacts(options.Seeds, options.Gateway.Name),
 		holder:   lease.NewHolder(options.Terms),
 		table:    registry.NewSecondary(places.Apex, places.Schema()),
 		changed:  make(chan struct{}),
--- a/gateway/agent/contacts.go
+++ b/gateway/agent/contacts.go
@@ -1,8 +1,11 @@
 package agent
 
 import (
+	"math"
 	"slices"
 	"time"
+
+	"github.com/deckpulley/deckpulley/placement"
 )
 
 // contacts chooses which control node to ask. It starts from the seeds and goes
@@ -18,8 +21,10 @@
 	suspectUntil time.Duration
 }
 
-func newContacts(seeds []string) *contacts {
-	return &contacts{seeds: slices.Clone(seeds)}
+// newContacts begins with a seed that the name of the gateway chooses, so that
+// gateways that start together do not all wait for the same one.
+func newContacts(seeds []string, name string) *contacts {
+	return &contacts{seeds: slices.Clone(seeds), cursor: int(placement.Hash(name) % math.MaxInt32)}
 }
 
 // learn takes the addresses that a control node told.
--- a/gateway/agent/renew.go
+++ b/gateway/agent/renew.go
@@ -16,8 +16,10 @@
 	// maxHints bounds how often hints are followed without a pause.
 	maxHints = 4
 	// firstTimeout bounds a renewal that brings a whole table. It is reached by
-	// doubling, so that a node that does not answer is soon left for another.
-	firstTimeout = 3 * time.Second
+	// doubling from searchTimeout, so that a node that does not answer, as one that
+	// has just lost its power, is soon left for another.
+	firstTimeout  = 3 * time.Second
+	searchTimeout = 250 * time.Millisecond
 	// leaveTimeout bounds giving the lease up.
 	leaveTimeout = time.Second
 	// callShare is the part of a lease that one renewal may take.
@@ -121,7 +123,7 @@
 	}
 	timeout := a.options.Terms.Length / callShare
 	if request.Held == 0 {
-		timeout = min(firstTimeout, timeout<<min(a.unanswered, maxDoublings))
+		timeout = min(firstTimeout, searchTimeout<<min(a.unanswered, maxDoublings))
 	}
 	return a.contacts.next(), request, timeout
 }
