Let requests wait a moment for the first plan of a gateway that has just started

Cause: after a loss of all gateways a client's second and last try met a gateway that knew no configuration yet for 0.3 s more and was refused. Change: such a request waits up to 0.4 s for the first plan, then is refused with 0.6 s to come back.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -35,7 +35,7 @@
 	busyRetryAfter   = 400 * time.Millisecond
 	absentRetryAfter = 500 * time.Millisecond
 	// startRetryAfter is when a gateway that has just started may have its configuration.
-	startRetryAfter = time.Second
+	startRetryAfter = 600 * time.Millisecond
 )
 
 // search looks for the replica of one attempt.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -158,6 +158,7 @@
 	options Options
 	log     *slog.Logger
 	plan    atomic.Pointer[plan]
+	planned chan struct{} // closed with the first plan
 
 	mutex    sync.Mutex
 	replicas map[string]*replica
@@ -189,6 +190,7 @@
 	return &Dispatcher{
 		options:  options,
 		log:      options.Logger,
+		planned:  make(chan struct{}),
 		replicas: make(map[string]*replica),
 		services: make(map[string]*service),
 		budget:   retry.NewBudget(retryRatio),
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"slices"
 	"sort"
 	"time"
@@ -46,14 +47,37 @@
 		limits:   contents.RequestLimits(),
 		gateways: gatewaysUp(contents),
 	}
-	if old := d.plan.Load(); old != nil && old.version == next.version {
+	old := d.plan.Load()
+	if old != nil && old.version == next.version {
 		next.routes = old.routes
 	} else {
 		next.routes = tableOf(contents)
 	}
 	d.plan.Store(next)
+	if old == nil {
+		close(d.planned)
+	}
+}
+
+// awaitPlan returns the plan that decides. A gateway that has just started waits
+// for its first one for a moment: it is nearly there, and clients have few tries.
+func (d *Dispatcher) awaitPlan(ctx context.Context) *plan {
+	if decided := d.plan.Load(); decided != nil {
+		return decided
+	}
+	timer := time.NewTimer(startWait)
+	defer timer.Stop()
+	select {
+	case <-d.planned:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return d.plan.Load()
 }
 
+// startWait is how long a request may wait for the first plan.
+const startWait = 400 * time.Millisecond
+
 func tableOf(contents *places.Contents) *routemap.Table {
 	routes := make([]routemap.Route, 0, len(contents.PathRoutes()))
 	for _, route := range contents.PathRoutes() {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -51,7 +51,7 @@
 }
 
 func (d *Dispatcher) serve(ctx context.Context, request *Request, client Client) *Refusal {
-	decided := d.plan.Load()
+	decided := d.awaitPlan(ctx)
 	if decided == nil {
 		return &Refusal{Code: NotReady, RetryAfter: startRetryAfter}
 	}
