--- a/httpgateway/directory.go
+++ b/httpgateway/directory.go
@@ -10,39 +10,54 @@
 
 // Where returns the addresses of the gateways that a client of a region should
 // use, at most limit: those of its own region, or of the others if none is up
-// there. It is empty when none is known.
+// there. A gateway without a lease may be cut off together with its region, while
+// clients reach the others: it names them too, so that what the region cannot
+// serve is served elsewhere. The list is empty when no gateway is known.
 func (g *Gateway) Where(region string, limit int) []string {
 	contents := g.agent.Active()
 	if contents == nil {
 		return nil
 	}
-	own := g.addresses(contents, func(other places.Gateway) bool { return other.Region == region })
-	if len(own) == 0 {
-		own = g.addresses(contents, func(places.Gateway) bool { return true })
+	question := question{region: region, limit: limit, own: g.options.Info.Name, leaving: g.leaving.Load()}
+	question.cutOff = !question.leaving && !g.agent.Valid()
+	return question.answer(contents.Gateways())
+}
+
+// question is what the answer to a client depends on beside the gateways.
+type question struct {
+	region  string
+	limit   int
+	own     string // name of the gateway that is asked
+	leaving bool   // it is leaving
+	cutOff  bool   // it has no lease
+}
+
+func (q *question) answer(gateways map[string]places.Gateway) []string {
+	names := q.usable(gateways, func(other places.Gateway) bool { return other.Region == q.region })
+	if len(names) == 0 || q.cutOff {
+		names = q.usable(gateways, func(places.Gateway) bool { return true })
+	}
+	names = names[:min(q.limit, len(names))]
+	list := make([]string, 0, len(names))
+	for _, name := range names {
+		list = append(list, gateways[name].HTTPAddress)
 	}
-	return own[:min(limit, len(own))]
+	return list
 }
 
-// addresses lists the clients' addresses of gateways that are up, in an order
-// that differs from gateway to gateway.
-func (g *Gateway) addresses(contents *places.Contents, wanted func(places.Gateway) bool) []string {
+// usable lists gateways that are up, in an order that differs from one asked
+// gateway to another.
+func (q *question) usable(gateways map[string]places.Gateway, wanted func(places.Gateway) bool) []string {
 	var names []string
-	for name, other := range contents.Gateways() {
-		if other.Up && wanted(other) && !g.leavingItself(name) {
+	for name, other := range gateways {
+		leaving := name == q.own && q.leaving
+		if other.Up && wanted(other) && !leaving {
 			names = append(names, name)
 		}
 	}
-	own := placement.Hash(g.options.Info.Name)
+	own := placement.Hash(q.own)
 	slices.SortFunc(names, func(a, b string) int {
 		return cmp.Compare(placement.Score(own, placement.Hash(a)), placement.Score(own, placement.Hash(b)))
 	})
-	list := make([]string, 0, len(names))
-	for _, name := range names {
-		list = append(list, contents.Gateways()[name].HTTPAddress)
-	}
-	return list
-}
-
-func (g *Gateway) leavingItself(name string) bool {
-	return name == g.options.Info.Name && g.leaving.Load()
+	return names
 }
