--- /dev/null
+++ b/control/routemap_test.go
@@ -0,0 +1,247 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/consensus"
+	"github.com/deckpulley/deckpulley/peer"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/routemap"
+	"github.com/deckpulley/deckpulley/storage"
+)
+
+// routeMapOrder is an order for a map with one route.
+func routeMapOrder(base, version uint64) peer.OrderRequest {
+	return peer.OrderRequest{RouteMap: &peer.RouteMapOrder{
+		BaseVersion: base,
+		Text:        fmt.Sprintf("a map of version %d", version),
+		Zones:       map[string]string{"zone-1": "region-1"},
+		Map: routemap.Map{
+			Version:  version,
+			Services: []routemap.Service{{Name: "s"}},
+			Routes: []routemap.Route{{
+				Name: "r", Host: "h", PathPrefix: "/", Kind: routemap.Once, Timeout: time.Second,
+				Targets: []routemap.Target{{Service: "s", Weight: 1}},
+			}},
+		},
+	}}
+}
+
+// carryOut sends an order to a node and waits for its answer.
+func carryOut(node *Node, request peer.OrderRequest) peer.OrderReply {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return node.Order(ctx, request)
+}
+
+func accepted(reply peer.OrderReply) bool {
+	return reply.Error == nil && reply.Answer.Error == nil && reply.Answer.Accepted
+}
+
+func TestARouteMapIsTakenOnceAndAnsweredAlike(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		f.startGateway("gateway-1")
+		first, second := routeMapOrder(0, 3), routeMapOrder(3, 7)
+		if reply := carryOut(f.primary(), first); !accepted(reply) {
+			t.Fatalf("got %+v", reply)
+		}
+		for name, node := range f.nodes {
+			if reply := carryOut(node, first); !accepted(reply) || reply.Answer.Version != 3 {
+				t.Errorf("sent again to %s: %+v", name, reply)
+			}
+		}
+		if reply := carryOut(f.follower(), second); !accepted(reply) {
+			t.Fatalf("got %+v", reply)
+		}
+		// Sent again after a later one, and to the successor of the primary.
+		f.stop(f.primary().options.Name)
+		if reply := carryOut(f.primary(), first); !accepted(reply) || reply.Answer.Version != 3 {
+			t.Errorf("the first again: %+v", reply)
+		}
+		current, configured, problem := f.primary().Current(t.Context())
+		if problem != nil || !configured || current.Version != 7 || current.Document != second.RouteMap.Text {
+			t.Errorf("current: %+v, %v", current, problem)
+		}
+	})
+}
+
+func TestARefusedRouteMapChangesNothing(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		f.startGateway("gateway-1")
+		if reply := carryOut(f.primary(), routeMapOrder(0, 3)); !accepted(reply) {
+			t.Fatalf("got %+v", reply)
+		}
+		invalidRoute := routeMapOrder(3, 9)
+		invalidRoute.RouteMap.Map.Routes[0].Timeout = 0
+		tests := map[string]struct {
+			request peer.OrderRequest
+			code    api.Code
+			field   string
+		}{
+			"race lost":    {routeMapOrder(0, 4), api.CodeVersionConflict, "base_version"},
+			"unknown base": {routeMapOrder(5, 9), api.CodeVersionConflict, "base_version"},
+			"old version":  {routeMapOrder(3, 2), api.CodeInvalid, "version"},
+			"same version": {routeMapOrder(3, 3), api.CodeInvalid, "version"},
+			"invalid":      {invalidRoute, api.CodeInvalid, "routes[0].timeout_ms"},
+		}
+		for name, test := range tests {
+			for _, node := range []*Node{f.primary(), f.follower()} {
+				reply := carryOut(node, test.request)
+				if reply.Error == nil || reply.Error.Code != test.code || reply.Error.Field != test.field {
+					t.Errorf("%s at %s: got %+v", name, node.options.Name, reply)
+				}
+			}
+		}
+		if version := f.primary().observe().contents.Version(); version != 3 {
+			t.Errorf("version %d", version)
+		}
+		// What was refused for its base is taken once that base is the current one.
+		if reply := carryOut(f.primary(), routeMapOrder(3, 5)); !accepted(reply) {
+			t.Fatalf("got %+v", reply)
+		}
+		if reply := carryOut(f.primary(), routeMapOrder(5, 9)); !accepted(reply) {
+			t.Errorf("refused on its own base: %+v", reply)
+		}
+	})
+}
+
+// TestOfTwoRouteMapsOnOneBaseOneWins sends pairs at once through different nodes.
+func TestOfTwoRouteMapsOnOneBaseOneWins(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		f.startGateway("gateway-1")
+		base := uint64(0)
+		for round := range uint64(6) {
+			version := base + 2
+			orders := [2]peer.OrderRequest{routeMapOrder(base, version), routeMapOrder(base, version)}
+			orders[1].RouteMap.Text += ", another one" // the same number
+			var replies [2]peer.OrderReply
+			var both sync.WaitGroup
+			nodes := [2]*Node{f.primary(), f.follower()}
+			for i := range orders {
+				both.Go(func() { replies[i] = carryOut(nodes[i], orders[i]) })
+			}
+			both.Wait()
+			if accepted(replies[0]) == accepted(replies[1]) {
+				t.Fatalf("round %d: %+v and %+v", round, replies[0], replies[1])
+			}
+			base = version
+		}
+	})
+}
+
+// listInventory is a list of replicas in memory.
+type listInventory struct {
+	mutex sync.Mutex
+	list  api.ReplicaList
+	err   error
+	reads int
+}
+
+func (l *listInventory) Replicas(context.Context) (*api.ReplicaList, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.reads++
+	return &l.list, l.err
+}
+
+func (l *listInventory) set(err error, entries ...api.ReplicaEntry) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.list.Replicas, l.err = entries, err
+}
+
+func TestTheInventoryDecidesTheReplicas(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		inventory := &listInventory{}
+		warm, cold := int64(0), int64(2000)
+		entry := api.ReplicaEntry{ID: "a", Service: "s", Zone: "zone-1", Address: "a:1", Slots: 4, ColdMS: &cold}
+		inventory.set(nil, entry)
+		for _, name := range controlNames {
+			options := f.options[name]
+			options.Inventory = inventory
+			f.options[name] = options
+		}
+		f.start(controlNames...)
+		f.startGateway("gateway-1")
+		if reply := carryOut(f.primary(), routeMapOrder(0, 1)); !accepted(reply) {
+			t.Fatalf("got %+v", reply)
+		}
+		contents := func() *places.Contents { return f.primary().observe().contents }
+		state := func() places.ConditionState {
+			condition, _ := contents().Condition("a")
+			return condition.State
+		}
+		f.await("the replica", func() bool { return contents().Replicas()["a"].Slots == 4 && state() == places.ConditionCold })
+		entry.ColdMS, entry.Draining = &warm, true
+		inventory.set(nil, entry)
+		f.await("a warm one that drains", func() bool { return state() == places.ConditionUp && contents().Drained("a") })
+		inventory.set(errors.New("the list does not answer"))
+		time.Sleep(5 * time.Second)
+		if _, kept := contents().Replicas()["a"]; !kept {
+			t.Error("a list that does not answer emptied the registry")
+		}
+		f.stop(f.primary().options.Name)
+		inventory.set(nil)
+		f.await("the successor to read on", func() bool { return len(contents().Replicas()) == 0 })
+		reads := inventory.reads
+		time.Sleep(10 * defaultInventoryInterval)
+		if extra := inventory.reads - reads; extra > 11 {
+			t.Errorf("%d reads in 10 intervals", extra)
+		}
+	})
+}
+
+// TestTheGroupGrowsToItsVoters: nodes beyond those that form the group become
+// voters until there are as many as asked for.
+func TestTheGroupGrowsToItsVoters(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		const voters = 5
+		for _, name := range controlNames {
+			options := f.options[name]
+			options.Voters = voters
+			f.options[name] = options
+		}
+		f.start(controlNames...)
+		for _, name := range []string{"control-4", "control-5", "control-6"} {
+			f.options[name] = f.replacement(controlNames[0], name)
+			f.disks[name] = storage.NewMemory(consensus.ID("disk-" + name))
+			f.start(name)
+		}
+		f.await("five voters", func() bool { return f.members(f.primary()).RepairDone && len(f.voters()) == voters })
+		time.Sleep(5 * time.Second)
+		if got := len(f.voters()); got != voters {
+			t.Errorf("%d voters, want %d", got, voters)
+		}
+		// Two of five may go.
+		stopped := 0
+		for _, name := range controlNames {
+			if stopped < 2 {
+				f.stop(name)
+				stopped++
+			}
+		}
+		if reply := carryOut(f.primary(), routeMapOrder(0, 1)); !accepted(reply) {
+			t.Errorf("with two of five voters lost: %+v", reply)
+		}
+	})
+}
+
+// voters lists the voters as the primary knows them.
+func (f *fleet) voters() []consensus.Member {
+	var voters []consensus.Member
+	for _, member := range f.primary().observe().status.Membership.Members {
+		if !member.Learner {
+			voters = append(voters, member)
+		}
+	}
+	return voters
+}
--- a/httpgateway/gateway.go
+++ b/httpgateway/gateway.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/deckpulley/deckpulley/directory"
 	"github.com/deckpulley/deckpulley/dispatch"
 	"github.com/deckpulley/deckpulley/gateway/agent"
 	"github.com/deckpulley/deckpulley/lease"
@@ -102,6 +103,18 @@
 // Ready says whether clients should come here.
 func (g *Gateway) Ready() bool { return g.dispatcher.Ready() && !g.leaving.Load() }
 
+// Where returns the addresses of the gateways that a client of a region should
+// use, at most limit. It is empty when none is known.
+func (g *Gateway) Where(region string, limit int) []string {
+	contents := g.agent.Active()
+	if contents == nil {
+		return nil
+	}
+	question := directory.Question{Region: region, Limit: limit, Asked: g.options.Info.Name, Leaving: g.leaving.Load()}
+	question.CutOff = !question.Leaving && !g.agent.Valid()
+	return question.Answer(contents.Gateways())
+}
+
 // Leave takes the gateway out of the answers to clients and gives its lease up.
 // Requests that still come are served.
 func (g *Gateway) Leave(ctx context.Context) {
