--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -16,8 +16,13 @@
 	// waiting for the first event.
 	otherRegionPenalty = 0.12
 	otherZonePenalty   = 0.01
-	// coldShare is the part of what a cold replica bears that its feeder sends.
-	coldShare = 0.4
+	// coldShare is the part of what a cold replica bears that its feeder sends. Two
+	// gateways that take themselves for the feeder, as in a cut, stay below one and
+	// a half times of it.
+	coldShare = 0.7
+	// coldPenalty keeps requests off a cold replica while a warm one is nearly as
+	// good, in seconds.
+	coldPenalty = 0.05
 	// connectionShare is the part of a replica's connections that all gateways use.
 	connectionShare = 0.8
 	// leastConnections is what every gateway may use.
@@ -53,8 +58,7 @@
 type rank int
 
 const (
-	warm    rank = iota // in use
-	cold                // within the ramp of a cold replica
+	usable  rank = iota // warm, or cold with room in its ramp
 	avoided             // it failed lately, or is silent
 	excluded
 )
@@ -107,11 +111,8 @@
 
 func (s *search) rank(r *replica) rank {
 	d := s.dispatcher
-	if s.service.spec.ColdPerSecond > 0 && r.isCold(s.now) {
-		if s.now.Before(r.nextCold) || placement.Owner(r.id, s.plan.gateways) != d.options.Gateway {
-			return excluded
-		}
-		return cold
+	if s.ramped(r) && (s.now.Before(r.nextCold) || s.plan.feeder(r) != d.options.Gateway) {
+		return excluded
 	}
 	if s.now.Before(r.avoidedUntil) || r.silent(s.now, d.options.Backend.Heard(r.address)) {
 		return avoided
@@ -119,7 +120,12 @@
 	if s.now.Before(s.service.outliers.EjectedUntil(r.id)) {
 		return avoided
 	}
-	return warm
+	return usable
+}
+
+// ramped says whether a cold replica's bound holds for the replica.
+func (s *search) ramped(r *replica) bool {
+	return s.service.spec.ColdPerSecond > 0 && r.isCold(s.now)
 }
 
 // best chooses among replicas of one rank.
@@ -131,7 +137,7 @@
 		return nil, 0, &Refusal{Code: Overloaded, RetryAfter: busyRetryAfter}
 	}
 	chosen := list[position]
-	if chosen.isCold(s.now) && s.service.spec.ColdPerSecond > 0 {
+	if s.ramped(chosen) {
 		gap := time.Duration(float64(time.Second) / (coldShare * s.service.spec.ColdPerSecond))
 		chosen.nextCold = s.now.Add(gap)
 	}
@@ -169,6 +175,9 @@
 		Hold:    s.service.hold,
 		Penalty: s.distance(r),
 	}
+	if s.ramped(r) {
+		c.Penalty += coldPenalty
+	}
 	if s.service.spec.CacheTokens > 0 {
 		c.Speed = readingSpeed / r.slowness
 		c.Wait = readingStart + r.backlog.left(s.now).Seconds()
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sort"
 	"time"
 
@@ -18,6 +17,16 @@
 	routes   *routemap.Table
 	limits   routemap.Limits
 	gateways []string // names of those that are up
+	byRegion map[string][]string
+}
+
+// feeder is the one gateway that sends to a replica while it is cold: of its
+// region, or of all if none is up there.
+func (p *plan) feeder(r *replica) string {
+	if near := p.byRegion[r.region]; len(near) > 0 {
+		return placement.Owner(r.id, near)
+	}
+	return placement.Owner(r.id, p.gateways)
 }
 
 // service is one service with its replicas, as decided and as seen.
@@ -43,10 +52,10 @@
 		return
 	}
 	next := &plan{
-		version:  contents.Version(),
-		limits:   contents.RequestLimits(),
-		gateways: gatewaysUp(contents),
+		version: contents.Version(),
+		limits:  contents.RequestLimits(),
 	}
+	next.gateways, next.byRegion = gatewaysUp(contents)
 	old := d.plan.Load()
 	if old != nil && old.version == next.version {
 		next.routes = old.routes
@@ -86,15 +95,15 @@
 	return routemap.NewTable(routes)
 }
 
-func gatewaysUp(contents *places.Contents) []string {
-	var names []string
+func gatewaysUp(contents *places.Contents) (all []string, byRegion map[string][]string) {
+	byRegion = make(map[string][]string)
 	for name, gateway := range contents.Gateways() {
 		if gateway.Up {
-			names = append(names, name)
+			all = append(all, name)
+			byRegion[gateway.Region] = append(byRegion[gateway.Region], name)
 		}
 	}
-	slices.Sort(names)
-	return names
+	return all, byRegion
 }
 
 func (d *Dispatcher) updateServices(contents *places.Contents) {
