--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -142,12 +142,9 @@
 	Zone    string
 	Region  string
 	Backend Backend
-	// RetryReserve is the number of retries in a retry window that all gateways
-	// together may send beyond the ratio.
-	RetryReserve int
-	// Placed, if set, is told of each prompt that a replica was given to read: its
-	// region and name, and the expected time. It must not block.
-	Placed func(region, replica string, reading time.Duration)
+	// Placed, if set, is told of each prompt that a replica was given to read, and
+	// the expected time. It must not block.
+	Placed func(replica string, reading time.Duration)
 	// Random draws from [0, 1). Default math/rand/v2.
 	Random func() float64
 	Logger *slog.Logger
--- a/dispatch/relay.go
+++ b/dispatch/relay.go
@@ -101,16 +101,7 @@
 	now := time.Now()
 	d.counts.Failed[Broken]++
 	d.log.Debug("answer broke off", "request", r.request.ID, "replica", at.endpoint.ID, "error", err)
-	at.replica.unreachable(now)
-	at.service.outliers.Failure(now, at.replica.id)
-	if r.begun && (!r.route.Resumable || r.after == "") {
-		return false, &Refusal{Code: Unknown}
-	}
-	again, refusal = r.afterBreak(now)
-	if again && r.begun {
-		d.counts.Resumed++
-	}
-	return again, refusal
+	return r.afterBreak(at, now)
 }
 
 // opened notes the first event of an attempt.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -149,7 +149,7 @@
 	d.counts.Attempts++
 	reading := r.reading(known, chosen)
 	if d.options.Placed != nil && reading > 0 {
-		d.options.Placed(chosen.region, chosen.id, reading)
+		d.options.Placed(chosen.id, reading)
 	}
 	return &placed{
 		service:  known,
@@ -251,9 +251,7 @@
 		at.service.outliers.Refusal(now, at.replica.id)
 		return r.afterRefusal(now, &Refusal{Code: Overloaded, RetryAfter: busyRetryAfter})
 	default:
-		at.replica.unreachable(now)
-		at.service.outliers.Failure(now, at.replica.id)
-		return r.afterBreak(now)
+		return r.afterBreak(at, now)
 	}
 }
 
@@ -277,11 +275,22 @@
 	return true, nil
 }
 
-// afterBreak repeats what may be repeated, within the route's attempts and the budget.
-func (r *run) afterBreak(now time.Time) (bool, *Refusal) {
-	if !r.route.MayRepeat() || r.attempts >= r.route.MaxAttempts || !r.dispatcher.budget.Allow(now) {
+// afterBreak repeats what may be repeated, or goes on after the last event, within
+// the route's attempts and the budget.
+func (r *run) afterBreak(at *placed, now time.Time) (bool, *Refusal) {
+	at.replica.unreachable(now)
+	at.service.outliers.Failure(now, at.replica.id)
+	resumable := r.route.Resumable && r.after != ""
+	if r.begun && !resumable || !r.route.MayRepeat() || r.attempts >= r.route.MaxAttempts {
 		return false, &Refusal{Code: Unknown}
 	}
-	r.dispatcher.counts.Retries++
+	counts := &r.dispatcher.counts
+	if !r.dispatcher.budget.Allow(now) {
+		return false, &Refusal{Code: Unknown}
+	}
+	counts.Retries++
+	if r.begun {
+		counts.Resumed++
+	}
 	return true, nil
 }
--- a/httpgateway/gateway.go
+++ b/httpgateway/gateway.go
@@ -26,7 +26,7 @@
 	"github.com/deckpulley/deckpulley/transport"
 )
 
-// Options sets up a Gateway. All fields but RetryReserve are required.
+// Options sets up a Gateway. All fields are required.
 type Options struct {
 	// Info is what the primary and the other gateways learn of this one.
 	Info  peer.GatewayInfo
@@ -35,9 +35,7 @@
 	// Network carries the messages; the gateway starts it and closes it.
 	Network transport.Network
 	Backend dispatch.Backend
-	// RetryReserve is as in dispatch.Options.
-	RetryReserve int
-	Logger       *slog.Logger
+	Logger  *slog.Logger
 }
 
 // Gateway is safe for concurrent use.
@@ -57,13 +55,12 @@
 func New(options Options) *Gateway {
 	g := &Gateway{options: options, log: options.Logger, reports: newReports()}
 	g.dispatcher = dispatch.New(dispatch.Options{
-		Gateway:      options.Info.Name,
-		Zone:         options.Info.Zone,
-		Region:       options.Info.Region,
-		Backend:      options.Backend,
-		RetryReserve: options.RetryReserve,
-		Placed:       g.reports.placed,
-		Logger:       options.Logger,
+		Gateway: options.Info.Name,
+		Zone:    options.Info.Zone,
+		Region:  options.Info.Region,
+		Backend: options.Backend,
+		Placed:  g.reports.placed,
+		Logger:  options.Logger,
 	})
 	started := time.Now()
 	g.agent = agent.New(agent.Options{
--- a/httpgateway/loads.go
+++ b/httpgateway/loads.go
@@ -40,7 +40,7 @@
 }
 
 // placed notes a prompt that was given to a replica.
-func (r *reports) placed(_, replica string, reading time.Duration) {
+func (r *reports) placed(replica string, reading time.Duration) {
 	prompt := peer.PlacedPrompt{Replica: replica, ReadingMS: int(reading.Milliseconds())}
 	r.mutex.Lock()
 	r.near = append(r.near, prompt)
--- a/transport/fabric.go
+++ b/transport/fabric.go
@@ -3,10 +3,9 @@
 import (
 	"context"
 	"net"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/deckpulley/deckpulley/internal/sockets"
 )
 
 // fabric makes connections: over TCP, or within a process for tests.
@@ -43,42 +42,9 @@
 		return nil, err
 	}
 	if what == purposeMessages {
-		boundUnacknowledged(raw)
+		sockets.BoundUnacknowledged(raw, unacknowledged)
 	}
 	return raw, nil
 }
 
-// boundUnacknowledged lets the kernel give up a connection whose data is not
-// acknowledged in time. Without it pings still find the loss.
-func boundUnacknowledged(raw net.Conn) {
-	system, ok := raw.(syscall.Conn)
-	if !ok {
-		return
-	}
-	control, err := system.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = control.Control(func(descriptor uintptr) {
-		_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds()))
-	})
-}
-
-func (tcpFabric) reusable(raw net.Conn) bool {
-	system, ok := raw.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	control, err := system.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = control.Read(func(descriptor uintptr) bool {
-		var one [1]byte
-		_, _, failure := unix.Recvfrom(int(descriptor), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = failure == unix.EAGAIN
-		return true
-	})
-	return err == nil && quiet
-}
+func (tcpFabric) reusable(raw net.Conn) bool { return sockets.Quiet(raw) }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -9,10 +9,9 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/deckpulley/deckpulley/internal/sockets"
 )
 
 // Defaults of Config.
@@ -98,17 +97,15 @@
 
 // dialTCP connects so that a dead peer is noticed on the connection itself.
 func (p *Pool) dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	milliseconds := int(p.config.Unacknowledged.Milliseconds())
 	dialer := net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			return raw.Control(func(descriptor uintptr) {
-				// Without it, keep-alive probes and time-outs still find the loss.
-				_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, milliseconds)
-			})
-		},
 	}
-	return dialer.DialContext(ctx, "tcp", address)
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	sockets.BoundUnacknowledged(raw, p.config.Unacknowledged)
+	return raw, nil
 }
 
 // Heard returns when bytes last came from an address, the zero time for never.
@@ -191,7 +188,7 @@
 		if idle == nil {
 			return p.connect(ctx, address)
 		}
-		if quiet(idle.raw) {
+		if sockets.Quiet(idle.raw) {
 			return idle, nil
 		}
 		p.close(idle)
@@ -269,23 +266,3 @@
 		known.open--
 	}
 }
-
-// quiet says that an idle connection has neither ended nor holds unread bytes.
-func quiet(raw net.Conn) bool {
-	system, ok := raw.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	control, err := system.SyscallConn()
-	if err != nil {
-		return false
-	}
-	silent := false
-	err = control.Read(func(descriptor uintptr) bool {
-		var one [1]byte
-		_, _, failure := unix.Recvfrom(int(descriptor), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		silent = failure == unix.EAGAIN
-		return true
-	})
-	return err == nil && silent
-}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/deckpulley/deckpulley/internal/sockets"
 )
 
 // script answers the requests of one connection after another.
@@ -122,7 +124,7 @@
 	}
 	<-written
 	idle := pool.takeIdle(address)
-	if idle != nil && quiet(idle.raw) && idle.reader.Buffered() == 0 {
+	if idle != nil && sockets.Quiet(idle.raw) && idle.reader.Buffered() == 0 {
 		t.Error("a connection with an answer nobody asked for is taken as quiet")
 	}
 	if connections.Load() != 1 {
