--- a/storage/disk.go
+++ b/storage/disk.go
@@ -16,13 +16,15 @@
 )
 
 const (
-	fileName       = "consensus.db"
-	fileMode       = 0o600
-	folderMode     = 0o700
-	lockTimeout    = 5 * time.Second
-	identityBytes  = 16
-	formatVersion  = 1
-	singletonIndex = 0
+	fileName = "consensus.db"
+	// unfinishedSuffix is on the name of a store that is being made.
+	unfinishedSuffix = ".new"
+	fileMode         = 0o600
+	folderMode       = 0o700
+	lockTimeout      = 5 * time.Second
+	identityBytes    = 16
+	formatVersion    = 1
+	singletonIndex   = 0
 )
 
 var (
@@ -63,21 +65,45 @@
 		return nil, fmt.Errorf("storage: make folder: %w", err)
 	}
 	path := filepath.Join(folder, fileName)
+	if _, err := os.Stat(path); errors.Is(err, os.ErrNotExist) {
+		if err := create(folder, path); err != nil {
+			return nil, err
+		}
+	}
+	return openFile(path)
+}
+
+// create makes a whole store under another name and renames it: a loss of power
+// on the way leaves nothing that looks like a store.
+func create(folder, path string) error {
+	unfinished := path + unfinishedSuffix
+	if err := os.Remove(unfinished); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return fmt.Errorf("storage: remove %s: %w", unfinished, err)
+	}
+	disk, err := openFile(unfinished)
+	if err != nil {
+		return err
+	}
+	if err := errors.Join(disk.prepare(), disk.Close()); err != nil {
+		return err
+	}
+	if err := os.Rename(unfinished, path); err != nil {
+		return fmt.Errorf("storage: rename %s: %w", unfinished, err)
+	}
+	return syncFolder(folder)
+}
+
+func openFile(path string) (*Disk, error) {
 	database, err := bolt.Open(path, fileMode, &bolt.Options{Timeout: lockTimeout})
 	if err != nil {
 		return nil, fmt.Errorf("storage: open %s: %w", path, err)
 	}
-	disk := &Disk{database: database}
-	if err := disk.prepare(folder); err != nil {
-		return nil, errors.Join(err, database.Close())
-	}
-	return disk, nil
+	return &Disk{database: database}, nil
 }
 
-// prepare makes what a new store needs in one transaction, then syncs the
-// folder, so that the file itself cannot disappear.
-func (d *Disk) prepare(folder string) error {
-	err := d.write("prepare", func(tx *bolt.Tx) error {
+// prepare makes what a new store needs in one transaction.
+func (d *Disk) prepare() error {
+	return d.write("prepare", func(tx *bolt.Tx) error {
 		for _, name := range [][]byte{metaBucket, stateBucket, logBucket, snapshotBucket} {
 			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
 				return err
@@ -96,10 +122,6 @@
 		}
 		return put(meta, identityKey, singletonIndex, identity)
 	})
-	if err != nil {
-		return err
-	}
-	return syncFolder(folder)
 }
 
 func newIdentity() (consensus.ID, error) {
