Read the test's inventory under its lock

Cause: the race detector found two unlocked reads in TestTheInventoryDecidesTheReplicas. Change: the list is copied and the count read under the lock; the assertions are the same. Measured: go test -race ./control passes.

--- a/control/routemap_test.go
+++ b/control/routemap_test.go
@@ -150,7 +150,15 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.reads++
-	return &l.list, l.err
+	list := l.list
+	return &list, l.err
+}
+
+// readCount is the number of readings so far.
+func (l *listInventory) readCount() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.reads
 }
 
 func (l *listInventory) set(err error, entries ...api.ReplicaEntry) {
@@ -192,9 +200,9 @@
 		f.stop(f.primary().options.Name)
 		inventory.set(nil)
 		f.await("the successor to read on", func() bool { return len(contents().Replicas()) == 0 })
-		reads := inventory.reads
+		reads := inventory.readCount()
 		time.Sleep(10 * defaultInventoryInterval)
-		if extra := inventory.reads - reads; extra > 11 {
+		if extra := inventory.readCount() - reads; extra > 11 {
 			t.Errorf("%d reads in 10 intervals", extra)
 		}
 	})
