Move the HTTP door and the sending of attempts into httpgateway

Cause: platform/ held the clients' door and the way to replicas, so that only the platform's processes could use them; what it translates there is nothing but the names of headers.

Change: httpgateway.Proxy carries HTTP requests by the map of routes, with the names of headers as a setting; Gateway is a Proxy that follows the registry by itself. platform/ hands its names over.

Found by it: after a slow reading of the list the next one followed at once, so that the calls in one second could pass the list's bound. Two readings now begin at least an interval apart.

--- a/Makefile
+++ b/Makefile
@@ -66,6 +66,10 @@
 fleet: build ## run a whole deployment: DEPLOYMENT=kodovka|georgia SECONDS=20
 	bin/deckpulley-fleet run --deployment $(DEPLOYMENT) --seconds $(RUN_SECONDS) $(if $(LEAST_SUCCESS),--least-success $(LEAST_SUCCESS))
 
+.PHONY: calm
+calm: ## a calm minute on the platform: separate processes, stand-ins for the rest
+	go test ./platform -run TestCalmDay -calm 60s -v -count 1
+
 .PHONY: quickstart
 quickstart: build ## the three nodes of the README, checked
 	examples/quickstart/walk.sh
--- a/control/inventory.go
+++ b/control/inventory.go
@@ -28,6 +28,9 @@
 			return
 		case <-ticker.C:
 		}
+		// Two readings never begin closer to one another than the interval, also
+		// after a slow one: the list bounds the calls a second.
+		ticker.Reset(n.options.InventoryInterval)
 		observed := n.observe()
 		if observed.primary && observed.contents != nil && observed.contents.Version() > 0 {
 			n.readInventory(ctx)
--- /dev/null
+++ b/httpgateway/answer.go
@@ -0,0 +1,75 @@
+package httpgateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/deckpulley/deckpulley/dispatch"
+)
+
+// clientAnswer implements dispatch.Client.
+type clientAnswer struct {
+	writer     http.ResponseWriter
+	controller *http.ResponseController
+}
+
+func (a *clientAnswer) Begin(status int, header http.Header) {
+	target := a.writer.Header()
+	for name, values := range passedOn(header) {
+		target[name] = values
+	}
+	if length := header.Get("Content-Length"); length != "" {
+		target.Set("Content-Length", length)
+	}
+	if _, known := target["Content-Type"]; !known {
+		target["Content-Type"] = nil // the replica named none, so none is guessed
+	}
+	a.writer.WriteHeader(status)
+}
+
+func (a *clientAnswer) Write(part []byte) (int, error) { return a.writer.Write(part) }
+
+// Flush sends what was written; a client that left is noticed by its context.
+func (a *clientAnswer) Flush() { _ = a.controller.Flush() }
+
+// refuse answers a request that was not served.
+func (p *Proxy) refuse(w http.ResponseWriter, id string, refusal *dispatch.Refusal) {
+	if refusal.Begun || refusal.Code == dispatch.ClientGone {
+		panic(http.ErrAbortHandler) // breaks the connection off, so that the answer looks cut
+	}
+	if id != "" {
+		w.Header().Set(p.options.Headers.RequestID, id)
+	}
+	if refusal.RetryAfter > 0 {
+		w.Header().Set(headerRetryAfter, strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	writeProblem(w, statusOf(refusal.Code), string(refusal.Code))
+}
+
+// statusOf gives 503 only to what has not run.
+func statusOf(code dispatch.Code) int {
+	switch code {
+	case dispatch.NoRoute:
+		return http.StatusNotFound
+	case dispatch.Unknown:
+		return http.StatusBadGateway
+	case dispatch.TimedOut:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// problemDocument is the body of an answer that no replica gave.
+type problemDocument struct {
+	Field  string `json:"field"`
+	Reason string `json:"reason"`
+}
+
+func writeProblem(w http.ResponseWriter, status int, reason string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	problem := problemDocument{Field: "request", Reason: reason}
+	_ = json.NewEncoder(w).Encode(problem) // a client that went away gets no answer
+}
--- a/platform/backend.go
+++ b/httpgateway/backend.go
@@ -1,4 +1,4 @@
-package platform
+package httpgateway
 
 import (
 	"context"
@@ -13,8 +13,12 @@
 	"github.com/deckpulley/deckpulley/upstream"
 )
 
-// Priorities that replicas know, 0 the most urgent.
-const leastUrgent = 9
+const (
+	// leastUrgent ends the priorities that replicas know; 0 is the most urgent.
+	leastUrgent = 9
+	// reapInterval is the time between two looks for idle connections.
+	reapInterval = time.Second
+)
 
 // errOtherRequest is an answer to another request, or to none.
 var errOtherRequest = errors.New("the answer belongs to another request")
@@ -22,19 +26,22 @@
 // errRefused is a replica's word that the request has not run.
 var errRefused = errors.New("the replica refused the request")
 
-// backend sends attempts to the platform's replicas. It implements dispatch.Backend.
+// backend sends attempts to replicas over HTTP/1.1. It implements dispatch.Backend.
 type backend struct {
-	pool *upstream.Pool
+	pool    *upstream.Pool
+	headers Headers
 }
 
-func newBackend() *backend { return &backend{pool: upstream.NewPool(upstream.Config{})} }
+func newBackend(headers Headers) *backend {
+	return &backend{pool: upstream.NewPool(upstream.Config{}), headers: headers}
+}
 
 func (b *backend) Heard(address string) time.Time { return b.pool.Heard(address) }
 
 func (b *backend) Forget(address string) { b.pool.Forget(address) }
 
 func (b *backend) Send(ctx context.Context, attempt *dispatch.Attempt) (*dispatch.Answer, error) {
-	response, err := b.pool.Do(ctx, attempt.Replica.Address, outgoing(attempt), attempt.Request.Body)
+	response, err := b.pool.Do(ctx, attempt.Replica.Address, b.outgoing(attempt), attempt.Request.Body)
 	if err != nil {
 		failure := dispatch.Broken
 		var unanswered *upstream.Error
@@ -43,7 +50,7 @@
 		}
 		return nil, &dispatch.AttemptError{Failure: failure, Err: err}
 	}
-	if err := judge(response, attempt.Request.ID); err != nil {
+	if err := b.judge(response, attempt.Request.ID); err != nil {
 		response.Body.Close()
 		return nil, err
 	}
@@ -56,12 +63,12 @@
 }
 
 // outgoing is the request as the replica gets it.
-func outgoing(attempt *dispatch.Attempt) *http.Request {
+func (b *backend) outgoing(attempt *dispatch.Attempt) *http.Request {
 	header := attempt.Request.Header.Clone()
 	left := max(1, time.Until(attempt.Deadline).Milliseconds())
-	header.Set(headerDeadline, strconv.FormatInt(left, 10))
-	header.Set(headerInstance, attempt.Replica.ID)
-	header.Set(headerPriority, strconv.Itoa(min(max(attempt.Priority, 0), leastUrgent)))
+	header.Set(b.headers.Deadline, strconv.FormatInt(left, 10))
+	header.Set(b.headers.Replica, attempt.Replica.ID)
+	header.Set(b.headers.Priority, strconv.Itoa(min(max(attempt.Priority, 0), leastUrgent)))
 	if attempt.After != "" {
 		header.Set(headerLastEvent, attempt.After)
 	}
@@ -77,15 +84,15 @@
 }
 
 // judge tells an answer to this request from a refusal and from another's answer.
-func judge(response *http.Response, id string) error {
-	echoed := response.Header.Get(headerRequestID)
+func (b *backend) judge(response *http.Response, id string) error {
+	echoed := response.Header.Get(b.headers.RequestID)
 	if echoed != "" && echoed != id {
 		return &dispatch.AttemptError{Failure: dispatch.Broken, Err: errOtherRequest}
 	}
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		return &dispatch.AttemptError{Failure: dispatch.Replaced, Err: errRefused}
 	}
-	refused := response.Header.Get(headerNotExecuted) != "" && response.StatusCode != http.StatusBadRequest
+	refused := response.Header.Get(b.headers.NotExecuted) != "" && response.StatusCode != http.StatusBadRequest
 	if refused {
 		return &dispatch.AttemptError{Failure: dispatch.Full, RetryAfter: retryAfter(response.Header), Err: errRefused}
 	}
@@ -102,3 +109,17 @@
 	}
 	return time.Duration(seconds * float64(time.Second))
 }
+
+// reap closes connections that have been idle for too long until ctx ends.
+func (b *backend) reap(ctx context.Context) {
+	ticker := time.NewTicker(reapInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			b.pool.Reap(now)
+		}
+	}
+}
--- a/httpgateway/gateway.go
+++ b/httpgateway/gateway.go
@@ -13,6 +13,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,11 +23,10 @@
 	"github.com/deckpulley/deckpulley/gateway/agent"
 	"github.com/deckpulley/deckpulley/lease"
 	"github.com/deckpulley/deckpulley/peer"
-	"github.com/deckpulley/deckpulley/places"
 	"github.com/deckpulley/deckpulley/transport"
 )
 
-// Options sets up a Gateway. All fields are required.
+// Options sets up a Gateway. All fields but Headers are required.
 type Options struct {
 	// Info is what the primary and the other gateways learn of this one.
 	Info  peer.GatewayInfo
@@ -34,18 +34,17 @@
 	Terms lease.Terms
 	// Network carries the messages; the gateway starts it and closes it.
 	Network transport.Network
-	Backend dispatch.Backend
+	// Headers name the headers of requests. Default DefaultHeaders.
+	Headers Headers
 	Logger  *slog.Logger
 }
 
 // Gateway is safe for concurrent use.
 type Gateway struct {
-	options    Options
-	log        *slog.Logger
-	agent      *agent.Agent
-	dispatcher *dispatch.Dispatcher
-	leaving    atomic.Bool
-	reports    reports
+	options Options
+	agent   *agent.Agent
+	proxy   *Proxy
+	leaving atomic.Bool
 
 	cancel  context.CancelFunc
 	workers sync.WaitGroup
@@ -53,13 +52,11 @@
 
 // New prepares a gateway and registers its message handlers.
 func New(options Options) *Gateway {
-	g := &Gateway{options: options, log: options.Logger, reports: newReports()}
-	g.dispatcher = dispatch.New(dispatch.Options{
-		Gateway: options.Info.Name,
-		Zone:    options.Info.Zone,
-		Region:  options.Info.Region,
-		Backend: options.Backend,
-		Placed:  g.reports.placed,
+	g := &Gateway{options: options}
+	g.proxy = NewProxy(ProxyOptions{
+		Info:    options.Info,
+		Network: options.Network,
+		Headers: options.Headers,
 		Logger:  options.Logger,
 	})
 	started := time.Now()
@@ -69,10 +66,9 @@
 		Terms:     options.Terms,
 		Network:   options.Network,
 		Clock:     func() time.Duration { return time.Since(started) },
-		Activated: g.dispatcher.Update,
+		Activated: g.proxy.Update,
 		Logger:    options.Logger,
 	})
-	options.Network.Handle(peer.KindReplicaLoads, g.serveLoads)
 	return g
 }
 
@@ -84,21 +80,21 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
 	g.workers.Go(func() { g.agent.Run(ctx) })
-	g.workers.Go(func() { g.reportLoads(ctx) })
+	g.workers.Go(func() { g.proxy.Run(ctx) })
 	return nil
 }
 
-// Dispatcher carries requests.
-func (g *Gateway) Dispatcher() *dispatch.Dispatcher { return g.dispatcher }
+// Counts returns the totals of requests since the start.
+func (g *Gateway) Counts() dispatch.Counts { return g.proxy.Counts() }
 
-// Contents is the reading of the registry that decides, nil before the first.
-func (g *Gateway) Contents() *places.Contents { return g.agent.Active() }
+// Server returns a server for clients, ready to serve a listener.
+func (g *Gateway) Server() *http.Server { return g.proxy.Server() }
 
 // Status describes the gateway's lease and its copy of the registry.
 func (g *Gateway) Status() agent.Status { return g.agent.Status() }
 
 // Ready says whether clients should come here.
-func (g *Gateway) Ready() bool { return g.dispatcher.Ready() && !g.leaving.Load() }
+func (g *Gateway) Ready() bool { return g.proxy.Ready() && !g.leaving.Load() }
 
 // Where returns the addresses of the gateways that a client of a region should
 // use, at most limit. It is empty when none is known.
--- a/httpgateway/loads.go
+++ b/httpgateway/loads.go
@@ -75,17 +75,17 @@
 	return open
 }
 
-func (g *Gateway) serveLoads(_ context.Context, _ string, decode func(any) error) (any, error) {
+func (p *Proxy) serveLoads(_ context.Context, _ string, decode func(any) error) (any, error) {
 	var report peer.ReplicaLoads
 	if err := decode(&report); err != nil {
 		return nil, err
 	}
-	g.dispatcher.Observe(report)
+	p.dispatcher.Observe(report)
 	return nil, nil
 }
 
 // reportLoads tells the other gateways what this one has under way.
-func (g *Gateway) reportLoads(ctx context.Context) {
+func (p *Proxy) reportLoads(ctx context.Context) {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	for count := 1; ; {
@@ -93,46 +93,46 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-g.reports.wake:
-		case <-g.reports.wakeFar:
+		case <-p.reports.wake:
+		case <-p.reports.wakeFar:
 			far = true
 		case <-ticker.C:
 			far = count%farReports == 0
 			count++
 		}
-		g.report(false)
+		p.report(false)
 		if far {
-			g.report(true)
+			p.report(true)
 		}
 	}
 }
 
 // report sends to the gateways of the own region, or to all others.
-func (g *Gateway) report(far bool) {
-	contents := g.agent.Active()
+func (p *Proxy) report(far bool) {
+	contents := p.contents.Load()
 	if contents == nil {
 		return
 	}
-	placed := g.reports.take(far)
-	own := g.options.Info
+	placed := p.reports.take(far)
+	own := p.options.Info
 	for name, other := range contents.Gateways() {
 		if name == own.Name || !other.Up || far != (other.Region != own.Region) {
 			continue
 		}
-		g.reportTo(name, other, placed, contents)
+		p.reportTo(name, other, placed, contents)
 	}
 }
 
 // reportTo sends one report, unless it and the one before it are empty.
-func (g *Gateway) reportTo(name string, other places.Gateway, placed []peer.PlacedPrompt, contents *places.Contents) {
-	loads := g.dispatcher.Loads(other.Region)
-	open := g.concerning(other, placed, contents)
-	if len(loads) == 0 && len(open) == 0 && !g.reports.told[name] {
+func (p *Proxy) reportTo(name string, other places.Gateway, placed []peer.PlacedPrompt, contents *places.Contents) {
+	loads := p.dispatcher.Loads(other.Region)
+	open := p.concerning(other, placed, contents)
+	if len(loads) == 0 && len(open) == 0 && !p.reports.told[name] {
 		return
 	}
-	g.reports.told[name] = len(loads) > 0
-	g.options.Network.Send(other.PeerAddress, peer.KindReplicaLoads, &peer.ReplicaLoads{
-		Gateway: g.options.Info.Name,
+	p.reports.told[name] = len(loads) > 0
+	p.options.Network.Send(other.PeerAddress, peer.KindReplicaLoads, &peer.ReplicaLoads{
+		Gateway: p.options.Info.Name,
 		Loads:   loads,
 		Placed:  open,
 	})
@@ -140,8 +140,8 @@
 
 // concerning leaves out what another region's gateway need not know: short
 // prompts outside its own region.
-func (g *Gateway) concerning(other places.Gateway, placed []peer.PlacedPrompt, contents *places.Contents) []peer.PlacedPrompt {
-	if other.Region == g.options.Info.Region {
+func (p *Proxy) concerning(other places.Gateway, placed []peer.PlacedPrompt, contents *places.Contents) []peer.PlacedPrompt {
+	if other.Region == p.options.Info.Region {
 		return placed
 	}
 	var open []peer.PlacedPrompt
--- /dev/null
+++ b/httpgateway/proxy.go
@@ -0,0 +1,73 @@
+package httpgateway
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+
+	"github.com/deckpulley/deckpulley/dispatch"
+	"github.com/deckpulley/deckpulley/peer"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/transport"
+)
+
+// ProxyOptions sets up a Proxy.
+type ProxyOptions struct {
+	// Info names the gateway and its place.
+	Info peer.GatewayInfo
+	// Network carries the load reports between gateways. The proxy neither starts
+	// nor closes it.
+	Network transport.Network
+	// Headers name the headers of requests. Default DefaultHeaders.
+	Headers Headers
+	Logger  *slog.Logger
+}
+
+// Proxy carries HTTP requests to replicas by the registry's map of routes. What
+// it goes by comes in through Update; it implements http.Handler.
+type Proxy struct {
+	options    ProxyOptions
+	dispatcher *dispatch.Dispatcher
+	backend    *backend
+	contents   atomic.Pointer[places.Contents]
+	reports    reports
+}
+
+// NewProxy returns a proxy that refuses requests until the first Update.
+func NewProxy(options ProxyOptions) *Proxy {
+	if options.Headers == (Headers{}) {
+		options.Headers = DefaultHeaders()
+	}
+	p := &Proxy{options: options, backend: newBackend(options.Headers), reports: newReports()}
+	p.dispatcher = dispatch.New(dispatch.Options{
+		Gateway: options.Info.Name,
+		Zone:    options.Info.Zone,
+		Region:  options.Info.Region,
+		Backend: p.backend,
+		Placed:  p.reports.placed,
+		Logger:  options.Logger,
+	})
+	options.Network.Handle(peer.KindReplicaLoads, p.serveLoads)
+	return p
+}
+
+// Update makes a newer reading of the registry decide.
+func (p *Proxy) Update(contents *places.Contents) {
+	p.contents.Store(contents)
+	p.dispatcher.Update(contents)
+}
+
+// Run tells other gateways of the load and closes idle connections until ctx ends.
+func (p *Proxy) Run(ctx context.Context) {
+	var workers sync.WaitGroup
+	workers.Go(func() { p.reportLoads(ctx) })
+	workers.Go(func() { p.backend.reap(ctx) })
+	workers.Wait()
+}
+
+// Ready says whether a configuration is known.
+func (p *Proxy) Ready() bool { return p.dispatcher.Ready() }
+
+// Counts returns the totals since the start.
+func (p *Proxy) Counts() dispatch.Counts { return p.dispatcher.Counts() }
