Let the product's own document and gateway route HTTP by host and path

Cause: routes by host and path could be stated in the platform's document alone, and only the platform's gateway process reached package dispatch: two request paths stood side by side.

Change: the document has a part `http` (services, routes, limits), checked as strictly as the rest and translated into the same records; a gateway with an `http_address` serves it by the same Proxy that the platform uses. Figures as deckpulley_http_* metrics, replicas with their state at /v1/http/replicas and `deckpulleyctl replicas http`. A document without the part removes the former limits of HTTP requests.

--- a/client/operator.go
+++ b/client/operator.go
@@ -79,6 +79,12 @@
 	return read[api.ReplicasAnswer](ctx, c, api.PathReplicas, nil)
 }
 
+// HTTPReplicas lists the replicas of services that are reached by host and path, as
+// the gateway asked holds them.
+func (c *Client) HTTPReplicas(ctx context.Context) (*api.HTTPReplicasAnswer, error) {
+	return read[api.HTTPReplicasAnswer](ctx, c, api.PathHTTPReplicas, nil)
+}
+
 // Orders lists the newest kept answers to orders, limit of them at the most; 0 is
 // the server's own limit.
 func (c *Client) Orders(ctx context.Context, limit int) (*api.OrdersAnswer, error) {
--- a/cmd/deckpulley-gateway/daemon.go
+++ b/cmd/deckpulley-gateway/daemon.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/deckpulley/deckpulley/gateway"
+	"github.com/deckpulley/deckpulley/httpgateway"
 	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/settings"
 	"github.com/deckpulley/deckpulley/transport"
@@ -25,6 +26,8 @@
 	incarnationBytes = 8
 	// shutdownTimeout bounds closing the ports after all requests ended.
 	shutdownTimeout = 2 * time.Second
+	// proxyDrainTimeout bounds how long requests of the HTTP address may finish.
+	proxyDrainTimeout = 20 * time.Second
 )
 
 // daemon is one gateway with its ports.
@@ -38,6 +41,9 @@
 	operators *http.Server
 	callerAt  net.Listener
 	operateAt net.Listener
+	// proxied and proxyAt are the HTTP address; nil without one.
+	proxied *http.Server
+	proxyAt net.Listener
 }
 
 func newDaemon(loaded *settings.Settings) (*daemon, error) {
@@ -71,6 +77,11 @@
 	if d.operateAt, err = net.Listen("tcp", loaded.OperatorAddress); err != nil {
 		return fmt.Errorf("operators' port: %w", err)
 	}
+	if loaded.HTTPAddress != "" {
+		if d.proxyAt, err = net.Listen("tcp", loaded.HTTPAddress); err != nil {
+			return fmt.Errorf("HTTP port: %w", err)
+		}
+	}
 	d.network, err = transport.Listen(transport.Config{
 		Name:      loaded.Name,
 		Listen:    loaded.PeerAddress,
@@ -81,15 +92,17 @@
 		return fmt.Errorf("peers' port: %w", err)
 	}
 	incarnation, seed := randomIdentity()
+	info := peer.GatewayInfo{
+		Name:        loaded.Name,
+		Incarnation: incarnation,
+		Zone:        loaded.Zone,
+		Region:      loaded.Region,
+		PeerAddress: loaded.PeerAddress,
+		HTTPAddress: loaded.CallerAddress,
+	}
 	d.gateway, err = gateway.New(gateway.Options{
-		Info: peer.GatewayInfo{
-			Name:        loaded.Name,
-			Incarnation: incarnation,
-			Zone:        loaded.Zone,
-			Region:      loaded.Region,
-			PeerAddress: loaded.PeerAddress,
-			HTTPAddress: loaded.CallerAddress,
-		},
+		Info:          info,
+		HTTP:          d.newProxy(info),
 		Seeds:         loaded.Seeds,
 		Keys:          keys,
 		Terms:         loaded.LeaseTerms(),
@@ -109,6 +122,16 @@
 	return nil
 }
 
+// newProxy prepares what serves the HTTP address; nil without one.
+func (d *daemon) newProxy(info peer.GatewayInfo) gateway.HTTPProxy {
+	if d.proxyAt == nil {
+		return nil
+	}
+	proxy := httpgateway.NewProxy(httpgateway.ProxyOptions{Info: info, Network: d.network, Logger: d.log})
+	d.proxied = proxy.Server()
+	return proxy
+}
+
 // randomIdentity names this process and seeds its choices.
 func randomIdentity() (incarnation string, seed uint64) {
 	var random [incarnationBytes]byte
@@ -121,7 +144,7 @@
 	if err := d.gateway.Start(); err != nil {
 		return fmt.Errorf("starting: %w", err)
 	}
-	failures := make(chan error, 2)
+	failures := make(chan error, 3)
 	serve := func(server *http.Server, listener net.Listener) {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			failures <- err
@@ -129,6 +152,9 @@
 	}
 	go serve(d.callers, d.callerAt)
 	go serve(d.operators, d.operateAt)
+	if d.proxied != nil {
+		go serve(d.proxied, d.proxyAt)
+	}
 	d.log.Info("gateway started", "callers", d.callerAt.Addr().String(), "operators", d.operateAt.Addr().String())
 	for {
 		select {
@@ -179,16 +205,38 @@
 // leave lets requests finish, gives the lease up and closes the ports.
 func (d *daemon) leave() {
 	d.log.Info("leaving")
+	drained := d.drainProxy()
 	d.gateway.Stop(context.Background())
+	<-drained
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	for _, server := range []*http.Server{d.callers, d.operators} {
-		if err := server.Shutdown(ctx); err != nil {
-			d.log.Warn("a port is closed with connections open", "error", err, "close", server.Close())
-		}
+		d.shutDown(ctx, server)
 	}
 	if err := d.network.Close(); err != nil {
 		d.log.Warn("closing the peers' port", "error", err)
 	}
 	d.log.Info("left")
 }
+
+// drainProxy lets the requests of the HTTP address finish; new ones go elsewhere.
+// The channel is closed when it is done.
+func (d *daemon) drainProxy() <-chan struct{} {
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		if d.proxied == nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), proxyDrainTimeout)
+		defer cancel()
+		d.shutDown(ctx, d.proxied)
+	}()
+	return drained
+}
+
+func (d *daemon) shutDown(ctx context.Context, server *http.Server) {
+	if err := server.Shutdown(ctx); err != nil {
+		d.log.Warn("a port is closed with connections open", "error", err, "close", server.Close())
+	}
+}
--- /dev/null
+++ b/cmd/deckpulley-gateway/daemon_test.go
@@ -0,0 +1,277 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/control"
+	"github.com/deckpulley/deckpulley/httpgateway"
+	"github.com/deckpulley/deckpulley/peer"
+	"github.com/deckpulley/deckpulley/settings"
+	"github.com/deckpulley/deckpulley/storage"
+	"github.com/deckpulley/deckpulley/transport"
+)
+
+// testPatience bounds every wait of these tests.
+const testPatience = 20 * time.Second
+
+const testKey = "00112233445566778899aabbccddeeff"
+
+// replicaRecorder is an HTTP replica that names itself in its answers.
+type replicaRecorder struct {
+	id     string
+	served atomic.Int64
+}
+
+func (r *replicaRecorder) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	headers := httpgateway.DefaultHeaders()
+	w.Header().Set(headers.RequestID, request.Header.Get(headers.RequestID))
+	if request.Header.Get(headers.Replica) != r.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	r.served.Add(1)
+	fmt.Fprintf(w, "%s ran %s", r.id, request.URL.Path)
+}
+
+// httpFleet is one control node and one gateway with an HTTP address.
+type httpFleet struct {
+	t        *testing.T
+	control  *control.Node
+	daemon   *daemon
+	replicas []*replicaRecorder
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func startHTTPFleet(t *testing.T) *httpFleet {
+	t.Helper()
+	f := &httpFleet{t: t}
+	controlAddress := freeAddress(t)
+	f.startControl(controlAddress)
+	f.startGateway(controlAddress)
+	return f
+}
+
+func (f *httpFleet) startControl(address string) {
+	f.t.Helper()
+	keys, err := f.settings(address).Keys()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	network, err := transport.Listen(transport.Config{Name: "control-1", Listen: address, Keys: keys}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	store, err := storage.Open(f.t.TempDir())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.control, err = control.New(control.Options{
+		Name: "control-1", Zone: "z1", Region: "north", PeerAddress: address,
+		InitialControl: map[string]string{"control-1": address},
+		Network:        network, Store: store, Logger: slog.New(slog.DiscardHandler),
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := f.control.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = f.control.Stop() })
+}
+
+// settings are those of the gateway, read from a file as the daemon does it.
+func (f *httpFleet) settings(controlAddress string) *settings.Settings {
+	f.t.Helper()
+	folder := f.t.TempDir()
+	keyFile := filepath.Join(folder, "key")
+	if err := os.WriteFile(keyFile, []byte(testKey+"\n"), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	text := fmt.Sprintf(`name: gateway-1
+role: gateway
+zone: z1
+region: north
+peer_address: %s
+caller_address: %s
+operator_address: %s
+http_address: %s
+seeds: [%s]
+key_file: %s
+log: {level: error}
+`, freeAddress(f.t), freeAddress(f.t), freeAddress(f.t), freeAddress(f.t), controlAddress, keyFile)
+	file := filepath.Join(folder, "gateway.yaml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	loaded, err := settings.LoadFor(settings.RoleGateway, file, settings.Overrides{})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return loaded
+}
+
+func (f *httpFleet) startGateway(controlAddress string) {
+	f.t.Helper()
+	loaded := f.settings(controlAddress)
+	var err error
+	if f.daemon, err = newDaemon(loaded); err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		ended <- f.daemon.run(ctx, nil, func() (*settings.Settings, error) { return loaded, nil })
+	}()
+	f.t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			f.t.Errorf("the gateway ended with %v", err)
+		}
+	})
+}
+
+// order carries an order out until it is in force.
+func (f *httpFleet) order(request peer.OrderRequest) {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(f.t.Context(), testPatience)
+	defer cancel()
+	for ctx.Err() == nil {
+		reply := f.control.Order(ctx, request)
+		if reply.Error == nil && reply.Answer.Error == nil {
+			return
+		}
+		if reply.Answer.Error != nil {
+			f.t.Fatal(reply.Answer.Error)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.t.Fatal("an order is not in force in time")
+}
+
+func (f *httpFleet) addReplicas(service string, names ...string) {
+	f.t.Helper()
+	list := &api.ReplicaList{}
+	for _, name := range names {
+		replica := &replicaRecorder{id: name}
+		server := httptest.NewServer(replica)
+		f.t.Cleanup(server.Close)
+		f.replicas = append(f.replicas, replica)
+		list.Replicas = append(list.Replicas, api.ReplicaEntry{ID: name, Service: service, Zone: "z1", Address: server.Listener.Addr().String()})
+	}
+	f.order(peer.OrderRequest{Replicas: list})
+}
+
+// get sends one request to the HTTP address.
+func (f *httpFleet) get(id, path string) (int, string) {
+	request, err := http.NewRequestWithContext(f.t.Context(), http.MethodGet, "http://"+f.daemon.proxyAt.Addr().String()+path, nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	request.Host = "llm.example"
+	request.Header.Set(httpgateway.DefaultHeaders().RequestID, id)
+	return f.answer(request)
+}
+
+func (f *httpFleet) answer(request *http.Request) (int, string) {
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(text)
+}
+
+const httpDocument = `
+regions: {north: {zones: [z1], capacity: 1}}
+services: {}
+routes: {}
+http:
+  services: {pool: {}}
+  routes:
+    pages: {host: llm.example, path_prefix: /pages/, kind: repeatable, timeout_ms: 2000, targets: [{service: pool, weight: 1}]}
+`
+
+// TestDocumentRoutesHTTP takes the product's own document to its HTTP address: a
+// request is routed by it, and a changed document changes where requests go.
+func TestDocumentRoutesHTTP(t *testing.T) {
+	f := startHTTPFleet(t)
+	if status, text := f.get("early", "/pages/x"); status != http.StatusServiceUnavailable {
+		t.Errorf("before the first document: %d %s", status, text)
+	}
+	f.order(peer.OrderRequest{Configuration: &api.ConfigurationOrder{OrderID: "first", Document: httpDocument}})
+	f.addReplicas("pool", "r1", "r2")
+	f.until(func() bool { status, _ := f.get("warm", "/pages/x"); return status == http.StatusOK })
+
+	if status, text := f.get("one", "/pages/x"); status != http.StatusOK || !strings.HasSuffix(text, "ran /pages/x") {
+		t.Errorf("got %d %s", status, text)
+	}
+	if status, _ := f.get("two", "/elsewhere/"); status != http.StatusNotFound {
+		t.Errorf("without a route: %d", status)
+	}
+	moved := strings.ReplaceAll(httpDocument, "/pages/", "/moved/")
+	f.order(peer.OrderRequest{Configuration: &api.ConfigurationOrder{OrderID: "second", BaseVersion: 1, Document: moved}})
+	if status, _ := f.get("three", "/pages/x"); status != http.StatusNotFound {
+		t.Errorf("by the former document: %d", status)
+	}
+	if status, text := f.get("four", "/moved/x"); status != http.StatusOK {
+		t.Errorf("by the new document: %d %s", status, text)
+	}
+	f.order(peer.OrderRequest{Evacuation: &api.EvacuationOrder{OrderID: "third", Zone: "z1"}})
+	if status, _ := f.get("five", "/moved/x"); status != http.StatusServiceUnavailable {
+		t.Errorf("in an evacuated zone: %d", status)
+	}
+	f.checkOperators()
+}
+
+// checkOperators reads what the operators' port shows of the HTTP address.
+func (f *httpFleet) checkOperators() {
+	operators := "http://" + f.daemon.operateAt.Addr().String()
+	for path, want := range map[string]string{
+		api.PathHTTPReplicas: `"state":"evacuated"`,
+		api.PathMetrics:      `deckpulley_http_requests_total{code="no_route"} 2`,
+	} {
+		request, err := http.NewRequestWithContext(f.t.Context(), http.MethodGet, operators+path, nil)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		if status, text := f.answer(request); status != http.StatusOK || !strings.Contains(text, want) {
+			f.t.Errorf("%s: %d without %s in %s", path, status, want, text)
+		}
+	}
+}
+
+func (f *httpFleet) until(condition func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(testPatience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	f.t.Fatal("not in time")
+}
--- a/cmd/deckpulleyctl/fleet.go
+++ b/cmd/deckpulleyctl/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"strconv"
 
 	"github.com/spf13/cobra"
 
@@ -115,6 +116,7 @@
 	command := &cobra.Command{Use: "replicas", Short: "List and drain replicas"}
 	command.AddCommand(
 		reading(shared, "list", "List the replicas", (*client.Client).Replicas, replicasTable),
+		reading(shared, "http", "List the replicas behind a gateway's HTTP address, as it holds them", (*client.Client).HTTPReplicas, httpReplicasTable),
 		drainCommand(shared),
 	)
 	return command
@@ -128,6 +130,15 @@
 	return rows
 }
 
+func httpReplicasTable(answer *api.HTTPReplicasAnswer) *table {
+	rows := &table{header: []string{"REPLICA", "SERVICE", "ZONE", "REGION", "ADDRESS", "STATE", "REQUESTS", "READING MS", "SLOWNESS"}}
+	for _, replica := range answer.Replicas {
+		rows.add(replica.ID, replica.Service, replica.Zone, replica.Region, replica.Address, string(replica.State),
+			strconv.Itoa(replica.Requests), strconv.FormatInt(replica.ReadingMS, 10), strconv.FormatFloat(replica.Slowness, 'f', 2, 64))
+	}
+	return rows
+}
+
 func drainCommand(shared *options) *cobra.Command {
 	var undo bool
 	command := &cobra.Command{
--- a/configuration/changes.go
+++ b/configuration/changes.go
@@ -71,6 +71,11 @@
 		d.want(places.RegionRecord(zones[zone], places.Region{Capacity: 1}))
 		d.want(places.ZoneRecord(zone, places.Zone{Region: zones[zone]}))
 	}
+	d.wantRoutes(routes)
+}
+
+// wantRoutes requires the records of services and routes by host and path.
+func (d *difference) wantRoutes(routes *routemap.Map) {
 	for _, service := range routes.Services {
 		d.want(places.PoolRecord(service))
 	}
@@ -146,6 +151,9 @@
 		d.want(places.TenantRecord(name, places.Tenant{Home: tenant.Home, Weight: weightOrDefault(tenant.Weight)}))
 	}
 	d.want(places.LimitsRecord(places.Limits(document.Limits)))
+	if !document.HTTP.empty() {
+		d.wantRoutes(document.routeMap())
+	}
 }
 
 // defaultWeight is the share of a route or tenant that names none.
@@ -188,6 +196,9 @@
 			return true
 		})
 	}
+	if len(d.current.Lookup(places.ConfigurationName, places.TypeRequestLimits)) > 0 {
+		d.drop(places.ConfigurationName, places.TypeRequestLimits)
+	}
 	d.current.Walk(places.Under(places.TypeZone), places.TypeEvacuation, func(record registry.Record) bool {
 		if !d.wanted[setName{record.Name, places.TypeZone}] {
 			d.drop(record.Name, places.TypeEvacuation)
--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -18,6 +18,8 @@
 	Tenants map[string]Tenant `yaml:"tenants,omitempty" json:"tenants,omitempty"`
 	// Limits are the set points of the controllers.
 	Limits Limits `yaml:"limits,omitempty" json:"limits,omitempty"`
+	// HTTP is for services that are reached by host and path.
+	HTTP HTTP `yaml:"http,omitempty" json:"http,omitempty"`
 
 	// lines holds the line of each path of a parsed document.
 	lines map[string]int
--- /dev/null
+++ b/configuration/http_test.go
@@ -0,0 +1,109 @@
+package configuration
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/deckpulley/deckpulley/routemap"
+)
+
+const httpPart = `http:
+  services:
+    pool: {max_connections: 390, cold_per_second: 10, cold_start_ms: 3000, cache_tokens: 400000}
+    web: {}
+  routes:
+    review:
+      host: llm.example
+      path_prefix: /review/
+      kind: stream
+      resumable: true
+      timeout_ms: 15000
+      first_event_ms: 1000
+      max_attempts: 2
+      home: bank-home
+      targets: [{service: pool, weight: 9}, {service: web, weight: 1}]
+    page:
+      host: llm.example
+      path_prefix: /
+      kind: repeatable
+      timeout_ms: 500
+      targets: [{service: web, weight: 1}]
+  limits: {max_header_bytes: 16384, max_body_bytes: 4194304}
+`
+
+func TestHTTPPartIsTranslated(t *testing.T) {
+	document, err := Load(baseDocument + httpPart)
+	if err != nil {
+		t.Fatal(err)
+	}
+	translated := document.routeMap()
+	translated.Version = 1
+	if err := translated.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	page, review := translated.Routes[0], translated.Routes[1]
+	if page.Name != "page" || page.MaxAttempts != 1 || page.Kind != routemap.Repeatable {
+		t.Errorf("got %+v", page)
+	}
+	if review.Kind != routemap.Stream || !review.Resumable || review.Timeout != 15*time.Second || len(review.Homes) != 1 || review.Homes[0] != "north" || len(review.Targets) != 2 {
+		t.Errorf("got %+v", review)
+	}
+	if pool := translated.Services[0]; pool.ColdStart != 3*time.Second || pool.CacheTokens != 400000 {
+		t.Errorf("got %+v", pool)
+	}
+}
+
+func TestInvalidHTTPPartNamesFieldAndReason(t *testing.T) {
+	tests := map[string]struct{ old, replacement, field string }{
+		"service of both kinds":  {"    web: {}", "    snippets: {}\n    web: {}", "http.services.snippets"},
+		"negative connections":   {"max_connections: 390", "max_connections: -1", "http.services.pool"},
+		"unknown field":          {"kind: stream", "sort: stream", "http.routes.review.sort"},
+		"unknown kind":           {"kind: stream", "kind: river", "http.routes.review.kind"},
+		"no time-out":            {"timeout_ms: 500", "timeout_ms: 0", "http.routes.page.timeout_ms"},
+		"no slash":               {"path_prefix: /review/", "path_prefix: /review", "http.routes.review.path_prefix"},
+		"same place":             {"path_prefix: /review/", "path_prefix: /", "http.routes.review.path_prefix"},
+		"unknown service":        {"targets: [{service: web, weight: 1}]", "targets: [{service: wbe, weight: 1}]", "http.routes.page.targets[0].service"},
+		"weights of 0":           {"targets: [{service: web, weight: 1}]", "targets: [{service: web, weight: 0}]", "http.routes.page.targets"},
+		"no weight":              {"targets: [{service: web, weight: 1}]", "targets: [{service: web}]", "http.routes.page.targets[0].weight"},
+		"unknown home":           {"home: bank-home\n      targets", "home: other\n      targets", "http.routes.review.home"},
+		"negative attempts":      {"max_attempts: 2", "max_attempts: -2", "http.routes.review.max_attempts"},
+		"negative priority":      {"max_attempts: 2", "priority: -1", "http.routes.review.priority"},
+		"negative limit":         {"max_body_bytes: 4194304", "max_body_bytes: -1", "http.limits.max_body_bytes"},
+		"resumable is no answer": {"resumable: true", "resumable: often", "http.routes.review.resumable"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			text := strings.Replace(baseDocument+httpPart, test.old, test.replacement, 1)
+			_, err := Load(text)
+			var problems *Problems
+			if !errors.As(err, &problems) {
+				t.Fatalf("got %v", err)
+			}
+			for _, problem := range problems.List {
+				if problem.Field == test.field && problem.Reason != "" && problem.Line > 0 {
+					return
+				}
+			}
+			t.Errorf("got %v, want a problem with %s and its line", err, test.field)
+		})
+	}
+}
+
+func TestHTTPPartComesAndGoesWithTheDocument(t *testing.T) {
+	table := newTable(t)
+	configure(t, table, baseDocument+httpPart)
+	with := read(t, table)
+	if len(with.PathRoutes()) != 2 || len(with.Pools()) != 2 || with.RequestLimits().MaxHeaderBytes != 16384 {
+		t.Errorf("routes %v, pools %v, limits %v", with.PathRoutes(), with.Pools(), with.RequestLimits())
+	}
+	if _, found := with.Route("snippet"); !found {
+		t.Error("the document's other routes are gone")
+	}
+	configure(t, table, baseDocument)
+	without := read(t, table)
+	if len(without.PathRoutes()) != 0 || len(without.Pools()) != 0 || without.RequestLimits() != (routemap.Limits{}) {
+		t.Errorf("routes %v, pools %v, limits %v", without.PathRoutes(), without.Pools(), without.RequestLimits())
+	}
+}
--- a/configuration/parse.go
+++ b/configuration/parse.go
@@ -212,6 +212,7 @@
 	reflect.String:  {wanted: "a text", tags: []string{"!!str"}},
 	reflect.Int:     {wanted: "a whole number", tags: []string{"!!int"}},
 	reflect.Float64: {wanted: "a number", tags: []string{"!!float", "!!int"}},
+	reflect.Bool:    {wanted: "true or false", tags: []string{"!!bool"}},
 }
 
 func (d *decoder) scalar(node *yaml.Node, path string, target reflect.Value) {
--- a/configuration/validate.go
+++ b/configuration/validate.go
@@ -60,6 +60,7 @@
 	check.homes()
 	check.tenants()
 	check.limits()
+	check.http()
 	return check.found.err()
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,6 +55,19 @@
 	Authenticate(header string) (name string, ok bool)
 }
 
+// HTTPProxy carries requests that are routed by host and path, by the same copy
+// of the registry; *httpgateway.Proxy is the real one.
+type HTTPProxy interface {
+	// Update makes a newer reading of the registry decide.
+	Update(contents *places.Contents)
+	// Run does what is to be done beside requests until ctx ends.
+	Run(ctx context.Context)
+	// Replicas describes the replicas as the proxy holds them.
+	Replicas() []api.HTTPReplicaStatus
+	// Collector gives the proxy's figures out as metrics.
+	Collector() prometheus.Collector
+}
+
 // Options sets up a Gateway. Zero values of what is marked optional are replaced
 // by defaults.
 type Options struct {
@@ -76,6 +89,9 @@
 	DialOverrides map[string]string
 	// Tokens authenticates operators and the platform; nil lets everyone pass.
 	Tokens func() Authenticator
+	// HTTP carries requests by host and path beside those of the gateway itself.
+	// Optional.
+	HTTP HTTPProxy
 	// Clock is monotonic and starts anywhere. Optional.
 	Clock func() time.Duration
 	// Seed makes the choices that are left to chance repeatable.
@@ -243,6 +259,9 @@
 	g.loop(g.watch)
 	g.loop(g.gossip)
 	g.loop(g.housekeep)
+	if g.options.HTTP != nil {
+		g.loop(g.options.HTTP.Run)
+	}
 	return nil
 }
 
@@ -303,6 +322,9 @@
 
 func (g *Gateway) activated(contents *places.Contents) {
 	g.router.SetPlan(contents)
+	if g.options.HTTP != nil {
+		g.options.HTTP.Update(contents)
+	}
 	g.log.Info("configuration copy active", "serial", contents.Serial(), "version", contents.Version())
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -68,6 +68,9 @@
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	g.registry.MustRegister(newRouterCollector(g.router))
+	if g.options.HTTP != nil {
+		g.registry.MustRegister(g.options.HTTP.Collector())
+	}
 	g.registerGauges()
 	g.registerRenewals()
 }
--- a/gateway/operator.go
+++ b/gateway/operator.go
@@ -30,6 +30,7 @@
 	mux.HandleFunc(api.PathStatus, g.only(http.MethodGet, g.serveStatus))
 	mux.HandleFunc(api.PathReplicas, g.serveReplicas)
 	mux.HandleFunc(api.PathExplain, g.only(http.MethodPost, g.serveExplain))
+	mux.HandleFunc(api.PathHTTPReplicas, g.only(http.MethodGet, g.serveHTTPReplicas))
 	mux.Handle(api.PathMetrics, promhttp.HandlerFor(g.registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("/debug/pprof/", pprof.Index)
 	mux.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
@@ -119,6 +120,16 @@
 	}
 }
 
+// serveHTTPReplicas answers how this gateway holds the replicas behind its HTTP
+// address.
+func (g *Gateway) serveHTTPReplicas(w http.ResponseWriter, _ *http.Request) {
+	if g.options.HTTP == nil {
+		writeError(w, failed(api.CodeNotFound, api.OutcomeRefused, "this gateway has no HTTP address"))
+		return
+	}
+	writeJSON(w, http.StatusOK, api.HTTPReplicasAnswer{Gateway: g.options.Info.Name, Replicas: g.options.HTTP.Replicas()})
+}
+
 // listReplicas reads the replicas back from the active copy.
 func (g *Gateway) listReplicas(w http.ResponseWriter) {
 	active := g.agent.Active()
--- /dev/null
+++ b/httpgateway/metrics.go
@@ -0,0 +1,97 @@
+package httpgateway
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/dispatch"
+)
+
+// metricsNamespace begins every metric's name.
+const metricsNamespace = "deckpulley_http"
+
+// codeServed labels requests whose answer was relayed.
+const codeServed = "served"
+
+// figures are what a collector reads.
+type figures interface {
+	Counts() dispatch.Counts
+	Replicas() []api.HTTPReplicaStatus
+}
+
+// collector gives the figures of a dispatcher out as metrics.
+type collector struct {
+	figures  figures
+	requests *prometheus.Desc
+	attempts *prometheus.Desc
+	failures *prometheus.Desc
+	retries  *prometheus.Desc
+	resumed  *prometheus.Desc
+	replicas *prometheus.Desc
+	running  *prometheus.Desc
+}
+
+func newCollector(source figures) *collector {
+	describe := func(name, help string, labels ...string) *prometheus.Desc {
+		return prometheus.NewDesc(prometheus.BuildFQName(metricsNamespace, "", name), help, labels, nil)
+	}
+	return &collector{
+		figures:  source,
+		requests: describe("requests_total", "Requests answered: served, or why not.", "code"),
+		attempts: describe("attempts_total", "Attempts at replicas, retries included."),
+		failures: describe("attempt_failures_total", "Attempts without a whole answer, by failure.", "failure"),
+		retries:  describe("retries_total", "Attempts after a first one that reached a replica."),
+		resumed:  describe("resumed_total", "Streams that went on at another replica."),
+		replicas: describe("replicas", "Replicas by service and state.", "service", "state"),
+		running:  describe("running_requests", "Attempts of this gateway under way, by service.", "service"),
+	}
+}
+
+func (c *collector) descriptions() []*prometheus.Desc {
+	return []*prometheus.Desc{c.requests, c.attempts, c.failures, c.retries, c.resumed, c.replicas, c.running}
+}
+
+// Describe implements prometheus.Collector.
+func (c *collector) Describe(descriptions chan<- *prometheus.Desc) {
+	for _, description := range c.descriptions() {
+		descriptions <- description
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *collector) Collect(metrics chan<- prometheus.Metric) {
+	counts := c.figures.Counts()
+	count := func(description *prometheus.Desc, value uint64, labels ...string) {
+		metrics <- prometheus.MustNewConstMetric(description, prometheus.CounterValue, float64(value), labels...)
+	}
+	count(c.requests, counts.Served, codeServed)
+	for code, value := range counts.Refused {
+		count(c.requests, value, string(code))
+	}
+	for failure, value := range counts.Failed {
+		count(c.failures, value, string(failure))
+	}
+	count(c.attempts, counts.Attempts)
+	count(c.retries, counts.Retries)
+	count(c.resumed, counts.Resumed)
+	c.collectReplicas(metrics)
+}
+
+func (c *collector) collectReplicas(metrics chan<- prometheus.Metric) {
+	type group struct {
+		service string
+		state   api.HTTPReplicaState
+	}
+	states := make(map[group]int)
+	running := make(map[string]int)
+	for _, replica := range c.figures.Replicas() {
+		states[group{replica.Service, replica.State}]++
+		running[replica.Service] += replica.Requests
+	}
+	for of, number := range states {
+		metrics <- prometheus.MustNewConstMetric(c.replicas, prometheus.GaugeValue, float64(number), of.service, string(of.state))
+	}
+	for service, number := range running {
+		metrics <- prometheus.MustNewConstMetric(c.running, prometheus.GaugeValue, float64(number), service)
+	}
+}
--- /dev/null
+++ b/httpgateway/metrics_test.go
@@ -0,0 +1,52 @@
+package httpgateway
+
+import (
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/dispatch"
+	"github.com/deckpulley/deckpulley/internal/metricspage"
+)
+
+// fixedFigures is a source of figures that do not move.
+type fixedFigures struct{}
+
+func (fixedFigures) Counts() dispatch.Counts {
+	return dispatch.Counts{
+		Served:   7,
+		Attempts: 9,
+		Retries:  2,
+		Resumed:  1,
+		Refused:  map[dispatch.Code]uint64{dispatch.Overloaded: 3},
+		Failed:   map[dispatch.Failure]uint64{dispatch.Broken: 4},
+	}
+}
+
+func (fixedFigures) Replicas() []api.HTTPReplicaStatus {
+	return []api.HTTPReplicaStatus{
+		{ID: "a", Service: "s", State: api.HTTPReplicaUsable, Requests: 2},
+		{ID: "b", Service: "s", State: api.HTTPReplicaUsable, Requests: 1},
+		{ID: "c", Service: "s", State: api.HTTPReplicaEjected},
+	}
+}
+
+func TestCollector(t *testing.T) {
+	collector := newCollector(fixedFigures{})
+	metricspage.Compare(t, "../docs/METRICS.md", "deckpulley_http_", collector)
+	registry := prometheus.NewPedanticRegistry()
+	registry.MustRegister(collector)
+	families, err := registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(families) != len(collector.descriptions()) {
+		t.Errorf("%d families gathered, %d described", len(families), len(collector.descriptions()))
+	}
+	for _, family := range families {
+		if family.GetName() == "deckpulley_http_replicas" && len(family.GetMetric()) != 2 {
+			t.Errorf("%d states of replicas, want 2", len(family.GetMetric()))
+		}
+	}
+}
--- a/httpgateway/proxy.go
+++ b/httpgateway/proxy.go
@@ -6,6 +6,9 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/dispatch"
 	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/places"
@@ -71,3 +74,9 @@
 
 // Counts returns the totals since the start.
 func (p *Proxy) Counts() dispatch.Counts { return p.dispatcher.Counts() }
+
+// Replicas returns what this gateway holds of every replica.
+func (p *Proxy) Replicas() []api.HTTPReplicaStatus { return p.dispatcher.Replicas() }
+
+// Collector gives the proxy's figures out as metrics.
+func (p *Proxy) Collector() prometheus.Collector { return newCollector(p.dispatcher) }
--- a/routemap/validate.go
+++ b/routemap/validate.go
@@ -32,34 +32,53 @@
 	services := make(map[string]bool, len(m.Services))
 	for i, service := range m.Services {
 		field := fmt.Sprintf("services[%d]", i)
-		switch {
-		case !validName(service.Name):
-			return nil, &Problem{Field: field + ".name", Reason: nameReason}
-		case services[service.Name]:
+		if err := service.Validate(field); err != nil {
+			return nil, err
+		}
+		if services[service.Name] {
 			return nil, &Problem{Field: field + ".name", Reason: fmt.Sprintf("%q stands twice", service.Name)}
-		case service.MaxConnections < 0 || service.Slots < 0 || service.CacheTokens < 0:
-			return nil, &Problem{Field: field, Reason: "numbers must not be negative"}
-		case service.ColdPerSecond < 0 || service.ColdStart < 0:
-			return nil, &Problem{Field: field, Reason: "cold bounds must not be negative"}
 		}
 		services[service.Name] = true
 	}
 	return services, nil
 }
 
-// place is what only one route may have.
-type place struct{ host, prefix string }
+// Validate returns a *Problem for the first thing wrong with the service. field
+// is its place in the map.
+func (s *Service) Validate(field string) error {
+	switch {
+	case !validName(s.Name):
+		return &Problem{Field: field + ".name", Reason: nameReason}
+	case s.MaxConnections < 0 || s.Slots < 0 || s.CacheTokens < 0:
+		return &Problem{Field: field, Reason: "numbers must not be negative"}
+	case s.ColdPerSecond < 0 || s.ColdStart < 0:
+		return &Problem{Field: field, Reason: "cold bounds must not be negative"}
+	default:
+		return nil
+	}
+}
+
+// Place is what only one route of a map may have.
+type Place struct {
+	Host       string // in small letters
+	PathPrefix string
+}
+
+// Place returns the route's place.
+func (r *Route) Place() Place {
+	return Place{Host: strings.ToLower(r.Host), PathPrefix: r.PathPrefix}
+}
 
 func (m *Map) validateRoutes(services map[string]bool) error {
 	names := make(map[string]bool, len(m.Routes))
-	placed := make(map[place]bool, len(m.Routes))
+	placed := make(map[Place]bool, len(m.Routes))
 	for i := range m.Routes {
 		route := &m.Routes[i]
 		field := fmt.Sprintf("routes[%d]", i)
-		if err := route.validate(field, services); err != nil {
+		if err := route.Validate(field, services); err != nil {
 			return err
 		}
-		where := place{strings.ToLower(route.Host), route.PathPrefix}
+		where := route.Place()
 		if names[route.Name] {
 			return &Problem{Field: field + ".name", Reason: fmt.Sprintf("%q stands twice", route.Name)}
 		}
@@ -76,7 +95,9 @@
 
 func validName(name string) bool { return name != "" && len(name) <= maxNameBytes }
 
-func (r *Route) validate(field string, services map[string]bool) error {
+// Validate returns a *Problem for the first thing wrong with the route. field is
+// its place in the map, services the names that its targets may have.
+func (r *Route) Validate(field string, services map[string]bool) error {
 	switch {
 	case !validName(r.Name):
 		return &Problem{Field: field + ".name", Reason: nameReason}
--- a/settings/overrides.go
+++ b/settings/overrides.go
@@ -9,6 +9,7 @@
 	Region          string
 	PeerAddress     string
 	CallerAddress   string
+	HTTPAddress     string
 	OperatorAddress string
 	DataFolder      string
 	KeyFile         string
@@ -35,6 +36,7 @@
 		flags.StringToStringVar(&o.InitialControl, "initial-control", nil, "name=IP:port of each control node of a new group")
 	case RoleGateway:
 		flags.StringVar(&o.CallerAddress, "caller-address", "", "IP:port for callers")
+		flags.StringVar(&o.HTTPAddress, "http-address", "", "IP:port for requests that are routed by host and path")
 	}
 }
 
@@ -45,6 +47,7 @@
 	replace(&settings.Region, o.Region)
 	replace(&settings.PeerAddress, o.PeerAddress)
 	replace(&settings.CallerAddress, o.CallerAddress)
+	replace(&settings.HTTPAddress, o.HTTPAddress)
 	replace(&settings.OperatorAddress, o.OperatorAddress)
 	replace(&settings.DataFolder, o.DataFolder)
 	replace(&settings.KeyFile, o.KeyFile)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -27,6 +27,9 @@
 	PeerAddress string `yaml:"peer_address"`
 	// CallerAddress is a gateway's host:port for callers.
 	CallerAddress string `yaml:"caller_address,omitempty"`
+	// HTTPAddress is a gateway's host:port for requests that are routed by host
+	// and path; empty for none.
+	HTTPAddress string `yaml:"http_address,omitempty"`
 	// OperatorAddress is the host:port for operators, the platform and metrics.
 	OperatorAddress string `yaml:"operator_address"`
 	// Seeds are peers' addresses of three other processes, a first contact only.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -200,6 +200,8 @@
 		{"gateway with a data folder", RoleGateway, gatewayFile + "data_folder: DIR/data\n", "data_folder: is for control nodes only: a gateway keeps nothing on disk"},
 		{"gateway with initial control", RoleGateway, gatewayFile + "initial_control: {a: 127.0.0.1:1}\n", "initial_control: is for control nodes only"},
 		{"control with callers", RoleControl, controlFile + "caller_address: 127.0.0.1:9\n", "caller_address: is for gateways only"},
+		{"control with HTTP", RoleControl, controlFile + "http_address: 127.0.0.1:9\n", "http_address: is for gateways only"},
+		{"HTTP on a taken address", RoleGateway, gateway("caller_address: 127.0.0.1:7003\n", "caller_address: 127.0.0.1:7003\nhttp_address: 127.0.0.1:7003\n"), "http_address: 127.0.0.1:7003 is also the caller_address"},
 		{"gateway without callers", RoleGateway, gateway("caller_address: 127.0.0.1:7003\n", ""), "caller_address: is required"},
 		{"overlapping addresses", RoleGateway, gateway("127.0.0.1:7003", "127.0.0.1:7001"), "caller_address: 127.0.0.1:7001 is also the peer_address"},
 		{
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -70,6 +70,9 @@
 		if s.CallerAddress != "" {
 			v.fail("caller_address", "is for gateways only")
 		}
+		if s.HTTPAddress != "" {
+			v.fail("http_address", "is for gateways only")
+		}
 	case RoleGateway:
 		if s.DataFolder != "" {
 			v.fail("data_folder", "is for control nodes only: a gateway keeps nothing on disk")
@@ -110,6 +113,9 @@
 	v.ownAddress("operator_address", s.OperatorAddress, taken)
 	if s.Role == RoleGateway {
 		v.ownAddress("caller_address", s.CallerAddress, taken)
+		if s.HTTPAddress != "" {
+			v.ownAddress("http_address", s.HTTPAddress, taken)
+		}
 	}
 }
 
