Share prefixes and measured speeds between gateways

Change: the report of a placed prompt names the hashes of its shared parts, and every gateway notes them for the replica; a prompt that a replica read alone tells all gateways of its speed.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/placement"
 	"github.com/deckpulley/deckpulley/retry"
 )
@@ -142,9 +143,12 @@
 	Zone    string
 	Region  string
 	Backend Backend
-	// Placed, if set, is told of each prompt that a replica was given to read, and
-	// the expected time. It must not block.
-	Placed func(replica string, reading time.Duration)
+	// Placed, if set, is told of each prompt that a replica was given to read. It
+	// must not block.
+	Placed func(prompt peer.PlacedPrompt)
+	// Read, if set, is told of each measured slowness of a replica of the own
+	// region. It must not block.
+	Read func(replica string, slowness float64)
 	// Random draws from [0, 1). Default math/rand/v2.
 	Random func() float64
 	Logger *slog.Logger
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -37,7 +37,8 @@
 }
 
 // Observe takes another gateway's report of its own load. Prompts that it has
-// placed lengthen the backlogs of their replicas here too.
+// placed lengthen the backlogs of their replicas here too, and what it measured
+// of their speed counts as if it was measured here.
 func (d *Dispatcher) Observe(report peer.ReplicaLoads) {
 	now := time.Now()
 	d.mutex.Lock()
@@ -45,9 +46,22 @@
 	d.loads.reports[report.Gateway] = loadReport{at: now, loads: report.Loads}
 	for _, placed := range report.Placed {
 		if r, known := d.replicas[placed.Replica]; known {
-			r.backlog.add(now, time.Duration(placed.ReadingMS)*time.Millisecond)
+			r.give(now, time.Duration(placed.ReadingMS)*time.Millisecond)
+			d.holds(r, placed.Prefixes)
 		}
 	}
+	for _, read := range report.Read {
+		if r, known := d.replicas[read.Replica]; known {
+			r.learn(read.Slowness)
+		}
+	}
+}
+
+// holds notes the shared parts that a replica will hold.
+func (d *Dispatcher) holds(r *replica, prefixes []uint64) {
+	if known, found := d.services[r.service]; found && len(prefixes) > 0 {
+		known.index.NoteHashes(r.number, prefixes)
+	}
 }
 
 // Loads returns this gateway's own load on the replicas of a region.
--- a/dispatch/reading.go
+++ b/dispatch/reading.go
@@ -1,7 +1,5 @@
 package dispatch
 
-import "time"
-
 // The time that a replica takes to read a prompt. It grows with the tokens that
 // are not in its cache, and with what each of them has to attend to. The
 // constants are those of a large model on one machine of eight accelerators; what
@@ -16,10 +14,14 @@
 	// leastSlowness and mostSlowness bound the factor of a replica.
 	leastSlowness = 0.5
 	mostSlowness  = 4
-	// slownessSmoothing is the weight of one measured prompt.
-	slownessSmoothing = 0.1
-	// measuredReading is the least expected time that tells of a replica's speed.
-	measuredReading = 40 * time.Millisecond
+	// leastLearning is the weight of one measured prompt once many are known.
+	leastLearning = 0.2
+	// measuredReading is the least expected time that tells of a replica's speed:
+	// of shorter ones the network takes too large a part.
+	measuredReading = 0.1
+	// aloneAhead is the part of the own reading that may have been before it in a
+	// measured prompt.
+	aloneAhead = 0.05
 )
 
 // readingSeconds is the expected time to read the rest of a prompt of which a
--- a/dispatch/relay.go
+++ b/dispatch/relay.go
@@ -112,7 +112,12 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := time.Now()
-	at.work.open(now)
+	if slowness := at.work.open(now); slowness > 0 && at.replica.region == d.options.Region {
+		at.replica.learn(slowness)
+		if d.options.Read != nil {
+			d.options.Read(at.replica.id, slowness)
+		}
+	}
 	at.replica.reached()
 	d.log.Debug("first event", "replica", at.endpoint.ID, "took", now.Sub(at.work.began), "expected", at.expected, "tokens", at.work.held, "reading", at.work.reading, "ahead", at.work.ahead, "running", at.replica.inFlight, "slowness", at.replica.slowness)
 }
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -45,8 +45,12 @@
 	// held are the tokens of all requests under way.
 	held    float64
 	backlog backlog
-	// slowness is its measured time to read, over the expected one.
+	// slowness is its measured time to read, over the expected one, and measured
+	// the number of prompts that told it.
 	slowness float64
+	measured int
+	// prompts counts those that it was given by any gateway.
+	prompts int
 	// activeSince is when it was last given work while it had none.
 	activeSince  time.Time
 	failures     int
@@ -86,42 +90,61 @@
 	r.avoidedUntil = time.Time{}
 }
 
+// learn takes one measured slowness in, whoever measured it. The first ones
+// weigh as much as what was assumed before them.
+func (r *replica) learn(slowness float64) {
+	r.measured++
+	weight := max(1/float64(r.measured+1), leastLearning)
+	slowness = min(max(slowness, leastSlowness), mostSlowness)
+	r.slowness += weight * (slowness - r.slowness)
+}
+
+// give adds a prompt to what the replica has to read.
+func (r *replica) give(now time.Time, reading time.Duration) {
+	r.prompts++
+	r.backlog.add(now, reading)
+}
+
 // work is one attempt's part of a replica's load.
 type work struct {
 	replica *replica
+	base    float64       // seconds to read its own prompt at a slowness of 1
 	reading time.Duration // of its own prompt
 	ahead   time.Duration // the backlog when it was placed
+	prompts int           // the replica's count with this one
 	held    float64
 	began   time.Time
 	opened  bool // its first event was seen
 	ended   bool
 }
 
-// take counts an attempt on a replica.
-func (r *replica) take(now time.Time, reading time.Duration, held float64) *work {
+// take counts an attempt on a replica. base is the time to read the prompt at a
+// slowness of 1, in seconds.
+func (r *replica) take(now time.Time, base, held float64) *work {
 	if r.inFlight == 0 {
 		r.activeSince = now
 	}
-	w := &work{replica: r, reading: reading, ahead: r.backlog.left(now), held: held, began: now}
+	w := &work{replica: r, base: base, ahead: r.backlog.left(now), held: held, began: now}
+	w.reading = time.Duration(base * r.slowness * float64(time.Second))
 	r.inFlight++
 	r.held += held
-	r.backlog.add(now, reading)
+	r.give(now, w.reading)
+	w.prompts = r.prompts
 	return w
 }
 
-// open notes that the prompt was read, and learns how fast.
-func (w *work) open(now time.Time) {
+// open notes that the prompt was read. It returns the slowness that this told,
+// 0 if other prompts or the network had too large a part in the time.
+func (w *work) open(now time.Time) (slowness float64) {
 	if w.opened {
-		return
+		return 0
 	}
 	w.opened = true
-	expected := w.ahead + w.reading
-	if expected < measuredReading {
-		return
+	alone := w.prompts == w.replica.prompts && w.ahead.Seconds() <= aloneAhead*w.base
+	if w.base < measuredReading || !alone {
+		return 0
 	}
-	measured := w.replica.slowness * float64(now.Sub(w.began)) / float64(expected)
-	measured = min(max(measured, leastSlowness), mostSlowness)
-	w.replica.slowness += slownessSmoothing * (measured - w.replica.slowness)
+	return (now.Sub(w.began).Seconds() - readingStart) / w.base
 }
 
 // end takes the attempt off the replica.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/deckpulley/deckpulley/peer"
+	"github.com/deckpulley/deckpulley/placement"
 	"github.com/deckpulley/deckpulley/routemap"
 )
 
@@ -147,24 +149,28 @@
 	}
 	r.tried[chosen.id] = true
 	d.counts.Attempts++
-	reading := r.reading(known, chosen)
-	if d.options.Placed != nil && reading > 0 {
-		d.options.Placed(chosen.id, reading)
+	taken := chosen.take(now, r.reading(known, chosen), r.request.Tokens)
+	if d.options.Placed != nil && taken.reading > 0 {
+		d.options.Placed(peer.PlacedPrompt{
+			Replica:   chosen.id,
+			ReadingMS: int(taken.reading.Milliseconds()),
+			Prefixes:  placement.Hashes(r.request.Chain),
+		})
 	}
 	return &placed{
 		service:  known,
 		replica:  chosen,
 		endpoint: Endpoint{ID: chosen.id, Address: chosen.address},
 		expected: expected,
-		work:     chosen.take(now, reading, r.request.Tokens),
+		work:     taken,
 	}, nil
 }
 
 func (r *run) isFirst() bool { return r.attempts == 0 && r.unsent == 0 && r.refused == 0 }
 
-// reading is the expected time that the replica takes to read the prompt. It
-// notes that the replica will hold the shared parts.
-func (r *run) reading(known *service, chosen *replica) time.Duration {
+// reading is the time in seconds to read the prompt at a slowness of 1. It notes
+// that the replica will hold the shared parts.
+func (r *run) reading(known *service, chosen *replica) float64 {
 	if known.spec.CacheTokens == 0 {
 		return 0
 	}
@@ -175,8 +181,7 @@
 		}
 	})
 	known.index.Note(chosen.number, r.request.Chain)
-	seconds := chosen.slowness * readingSeconds(r.request.Tokens, float64(cached))
-	return time.Duration(seconds * float64(time.Second))
+	return readingSeconds(r.request.Tokens, float64(cached))
 }
 
 // placed is one attempt and where it goes.
--- a/httpgateway/loads.go
+++ b/httpgateway/loads.go
@@ -22,12 +22,18 @@
 	longReading   = 200 * time.Millisecond
 )
 
+// news is what other gateways have yet to hear of.
+type news struct {
+	placed []peer.PlacedPrompt
+	read   []peer.ReadPrompt
+}
+
 // reports collects what the other gateways have yet to be told.
 type reports struct {
 	mutex sync.Mutex
-	// near and far are the prompts that the gateways of the own region and of the
-	// others have yet to hear of.
-	near, far []peer.PlacedPrompt
+	// near and far are what the gateways of the own region and of the others have
+	// yet to hear of.
+	near, far news
 	// told are the gateways whose last report was not empty.
 	told map[string]bool
 	// wake asks for a report within the region, wakeFar for one everywhere.
@@ -40,12 +46,12 @@
 }
 
 // placed notes a prompt that was given to a replica.
-func (r *reports) placed(replica string, reading time.Duration) {
-	prompt := peer.PlacedPrompt{Replica: replica, ReadingMS: int(reading.Milliseconds())}
+func (r *reports) placed(prompt peer.PlacedPrompt) {
 	r.mutex.Lock()
-	r.near = append(r.near, prompt)
-	r.far = append(r.far, prompt)
+	r.near.placed = append(r.near.placed, prompt)
+	r.far.placed = append(r.far.placed, prompt)
 	r.mutex.Unlock()
+	reading := time.Duration(prompt.ReadingMS) * time.Millisecond
 	switch {
 	case reading >= longReading:
 		signal(r.wakeFar)
@@ -54,6 +60,15 @@
 	}
 }
 
+// measured notes what a prompt told of a replica's speed.
+func (r *reports) measured(replica string, slowness float64) {
+	read := peer.ReadPrompt{Replica: replica, Slowness: slowness}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.near.read = append(r.near.read, read)
+	r.far.read = append(r.far.read, read)
+}
+
 func signal(channel chan struct{}) {
 	select {
 	case channel <- struct{}{}:
@@ -61,18 +76,17 @@
 	}
 }
 
-// take returns what is open for one kind of hearer, and clears it.
-func (r *reports) take(far bool) []peer.PlacedPrompt {
+// take returns what has not been told yet, once.
+func (r *reports) take(far bool) news {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	source := &r.near
 	if far {
-		open := r.far
-		r.far = nil
-		return open
+		source = &r.far
 	}
-	open := r.near
-	r.near = nil
-	return open
+	taken := *source
+	*source = news{}
+	return taken
 }
 
 func (p *Proxy) serveLoads(_ context.Context, _ string, decode func(any) error) (any, error) {
@@ -113,28 +127,29 @@
 	if contents == nil {
 		return
 	}
-	placed := p.reports.take(far)
+	untold := p.reports.take(far)
 	own := p.options.Info
 	for name, other := range contents.Gateways() {
 		if name == own.Name || !other.Up || far != (other.Region != own.Region) {
 			continue
 		}
-		p.reportTo(name, other, placed, contents)
+		p.reportTo(name, other, untold, contents)
 	}
 }
 
 // reportTo sends one report, unless it and the one before it are empty.
-func (p *Proxy) reportTo(name string, other places.Gateway, placed []peer.PlacedPrompt, contents *places.Contents) {
+func (p *Proxy) reportTo(name string, other places.Gateway, untold news, contents *places.Contents) {
 	loads := p.dispatcher.Loads(other.Region)
-	open := p.concerning(other, placed, contents)
-	if len(loads) == 0 && len(open) == 0 && !p.reports.told[name] {
+	placed := p.concerning(other, untold.placed, contents)
+	if len(loads)+len(placed)+len(untold.read) == 0 && !p.reports.told[name] {
 		return
 	}
 	p.reports.told[name] = len(loads) > 0
 	p.options.Network.Send(other.PeerAddress, peer.KindReplicaLoads, &peer.ReplicaLoads{
 		Gateway: p.options.Info.Name,
 		Loads:   loads,
-		Placed:  open,
+		Placed:  placed,
+		Read:    untold.read,
 	})
 }
 
--- a/httpgateway/proxy.go
+++ b/httpgateway/proxy.go
@@ -49,6 +49,7 @@
 		Region:  options.Info.Region,
 		Backend: p.backend,
 		Placed:  p.reports.placed,
+		Read:    p.reports.measured,
 		Logger:  options.Logger,
 	})
 	options.Network.Handle(peer.KindReplicaLoads, p.serveLoads)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -272,6 +272,7 @@
 	Gateway string          `cbor:"1,keyasint"`
 	Loads   map[string]Load `cbor:"2,keyasint,omitempty"` // by replica
 	Placed  []PlacedPrompt  `cbor:"3,keyasint,omitempty"`
+	Read    []ReadPrompt    `cbor:"4,keyasint,omitempty"`
 }
 
 // Load is what one gateway has under way at one replica.
@@ -286,4 +287,14 @@
 	Replica string `cbor:"1,keyasint"`
 	// ReadingMS is the expected time to read it, in milliseconds.
 	ReadingMS int `cbor:"2,keyasint"`
+	// Prefixes are the hashes of the shared parts that the replica will hold, the
+	// outermost first.
+	Prefixes []uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// ReadPrompt is what one prompt that a replica read alone told of its speed.
+type ReadPrompt struct {
+	Replica string `cbor:"1,keyasint"`
+	// Slowness is the measured time over the expected one.
+	Slowness float64 `cbor:"2,keyasint"`
 }
--- a/placement/chain.go
+++ b/placement/chain.go
@@ -27,6 +27,15 @@
 	return chain
 }
 
+// Hashes returns the hashes of a chain's links, in their order.
+func Hashes(chain []Link) []uint64 {
+	hashes := make([]uint64, 0, len(chain))
+	for _, link := range chain {
+		hashes = append(hashes, link.Hash)
+	}
+	return hashes
+}
+
 // Affinity is the link that decides which replica a chain belongs to: the
 // outermost one that holds at least half of the chain's tokens. A short common
 // preamble does not draw everything to one replica, and a small last file does
--- a/placement/index.go
+++ b/placement/index.go
@@ -47,9 +47,14 @@
 
 // Note records that a chain was sent to a replica.
 func (x *Index) Note(replica int, chain []Link) {
+	x.NoteHashes(replica, Hashes(chain))
+}
+
+// NoteHashes is Note for a chain that is known by the hashes of its links alone.
+func (x *Index) NoteHashes(replica int, hashes []uint64) {
 	record := x.record(replica)
-	for position := len(chain) - 1; position >= 0; position-- {
-		x.touch(record, replica, chain[position].Hash)
+	for position := len(hashes) - 1; position >= 0; position-- {
+		x.touch(record, replica, hashes[position])
 	}
 	for record.order.Len() > x.limit {
 		x.dropOldest(record, replica)
