Claim long prompts before they are sent

Change: a prompt of 100 ms or more is told to the others first; after 5 ms the choice is made anew if a longer claim, or one of a gateway whose name comes first, has crossed it. A withdrawn claim is told too.

--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -46,7 +46,9 @@
 	d.loads.reports[report.Gateway] = loadReport{at: now, loads: report.Loads}
 	for _, placed := range report.Placed {
 		if r, known := d.replicas[placed.Replica]; known {
-			r.give(now, time.Duration(placed.ReadingMS)*time.Millisecond)
+			reading := time.Duration(placed.ReadingMS) * time.Millisecond
+			r.give(now, reading)
+			r.noteClaim(now, report.Gateway, reading)
 			d.holds(r, placed.Prefixes)
 		}
 	}
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -51,6 +51,8 @@
 	measured int
 	// prompts counts those that it was given by any gateway.
 	prompts int
+	// claims are the newest prompts that other gateways gave it.
+	claims []claim
 	// activeSince is when it was last given work while it had none.
 	activeSince  time.Time
 	failures     int
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -90,6 +90,9 @@
 		if refusal != nil {
 			return r.final(refusal)
 		}
+		if chosen, refusal = r.claim(ctx, chosen); refusal != nil {
+			return r.final(refusal)
+		}
 		again, refusal := r.attempt(ctx, chosen)
 		if refusal != nil {
 			return r.final(refusal)
