Elect sooner after a loss of all power

The first control node dialled the others before they had power, its packets were lost and the dialling took its whole 400 ms; its question for votes went with it, and nobody asked again before the next election timeout.

Change: the first dialling of an address takes a quarter of DialTimeout, the next ones twice as long each; a candidate asks voters without a ballot again every heartbeat interval. Speeds are measured from prompts of 50 ms, not 100.

Tests that fail without it: TestVotersThatStartLaterAreAskedAgain, TestFirstDiallingIsShort.

--- a/consensus/election.go
+++ b/consensus/election.go
@@ -65,6 +65,24 @@
 	n.campaignBeforeVote()
 }
 
+// tickElection begins an election when its time has come, and asks voters again
+// that have not answered one that is under way: they may have started since.
+func (n *Node) tickElection() {
+	if n.now >= n.electionDeadline {
+		n.electionTimedOut()
+		return
+	}
+	if n.now < n.askAgain {
+		return
+	}
+	switch n.role {
+	case PreCandidate:
+		n.askVoters(Message{Kind: MessagePreVote, Term: n.term + 1})
+	case Candidate:
+		n.askVoters(Message{Kind: MessageVote, Transfer: n.transferred})
+	}
+}
+
 // campaignBeforeVote asks whether an election could be won.
 func (n *Node) campaignBeforeVote() {
 	n.role = PreCandidate
@@ -81,16 +99,19 @@
 	n.term++
 	n.vote = n.config.ID
 	n.ballots = map[ID]bool{n.config.ID: true}
+	n.transferred = transfer
 	n.resetElectionDeadline()
 	n.askVoters(Message{Kind: MessageVote, Transfer: transfer})
 	n.countBallots()
 }
 
+// askVoters asks the voters whose ballots are not known yet.
 func (n *Node) askVoters(message Message) {
+	n.askAgain = n.now + n.config.HeartbeatInterval
 	message.Index = n.log.last()
 	message.LogTerm = n.log.lastTerm()
 	for _, member := range n.membership().Members {
-		if member.Learner || member.ID == n.config.ID {
+		if _, cast := n.ballots[member.ID]; member.Learner || cast {
 			continue
 		}
 		message.To = member.ID
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -63,6 +63,8 @@
 	electionDeadline time.Duration
 	heardLeader      time.Duration
 	ballots          map[ID]bool
+	askAgain         time.Duration // when voters without a ballot are asked again
+	transferred      bool          // the leader itself asked for the election
 
 	leadership *leadership
 }
@@ -146,9 +148,7 @@
 		n.tickLeader()
 		return
 	}
-	if n.now >= n.electionDeadline {
-		n.electionTimedOut()
-	}
+	n.tickElection()
 }
 
 func (n *Node) advanceClock(now time.Duration) {
--- a/control/routemap_test.go
+++ b/control/routemap_test.go
@@ -253,3 +253,49 @@
 	}
 	return voters
 }
+
+// slowInventory takes long for every other reading, and notes when each began.
+type slowInventory struct {
+	listInventory
+	began []time.Time
+}
+
+func (l *slowInventory) Replicas(ctx context.Context) (*api.ReplicaList, error) {
+	l.mutex.Lock()
+	l.began = append(l.began, time.Now())
+	slow := len(l.began)%2 == 1
+	l.mutex.Unlock()
+	if slow {
+		time.Sleep(defaultInventoryInterval * 7 / 5)
+	}
+	return l.listInventory.Replicas(ctx)
+}
+
+// TestReadingsOfTheInventoryKeepTheirDistance: the list bounds the calls a second,
+// so a slow reading is not made up for.
+func TestReadingsOfTheInventoryKeepTheirDistance(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		inventory := &slowInventory{}
+		for _, name := range controlNames {
+			options := f.options[name]
+			options.Inventory = inventory
+			f.options[name] = options
+		}
+		f.start(controlNames...)
+		f.startGateway("gateway-1")
+		if reply := carryOut(f.primary(), routeMapOrder(0, 1)); !accepted(reply) {
+			t.Fatalf("got %+v", reply)
+		}
+		time.Sleep(20 * defaultInventoryInterval)
+		inventory.mutex.Lock()
+		defer inventory.mutex.Unlock()
+		if len(inventory.began) < 10 {
+			t.Fatalf("%d readings in 20 intervals", len(inventory.began))
+		}
+		for i := 1; i < len(inventory.began); i++ {
+			if gap := inventory.began[i].Sub(inventory.began[i-1]); gap < defaultInventoryInterval {
+				t.Errorf("reading %d began %v after the one before it", i, gap)
+			}
+		}
+	})
+}
--- a/dispatch/reading.go
+++ b/dispatch/reading.go
@@ -18,7 +18,7 @@
 	leastLearning = 0.2
 	// measuredReading is the least expected time that tells of a replica's speed:
 	// of shorter ones the network takes too large a part.
-	measuredReading = 0.1
+	measuredReading = 0.05
 	// aloneAhead is the part of the own reading that may have been before it in a
 	// measured prompt.
 	aloneAhead = 0.05
--- a/transport/link.go
+++ b/transport/link.go
@@ -18,6 +18,11 @@
 	firstBackoff = 20 * time.Millisecond
 	lastBackoff  = 500 * time.Millisecond
 	linkIdle     = 5 * time.Minute // without a frame of ours until the connection is closed
+
+	// firstDialPart of DialTimeout bounds the first dialling of an address, and the
+	// next ones twice as long each: a machine that has just got its power back does
+	// not see the packet that was sent before, and TCP repeats it after a second.
+	firstDialPart = 4
 )
 
 var (
@@ -99,20 +104,23 @@
 // run is the link's goroutine until the node closes or the link is long unused.
 func (l *link) run() {
 	backoff := firstBackoff
+	dialTimeout := l.node.config.DialTimeout / firstDialPart
 	for {
 		first, found := l.next()
 		if !found {
 			return
 		}
-		connection, err := l.node.connect(l.node.ctx, l.address, purposeMessages)
+		connection, err := l.node.connect(l.node.ctx, l.address, purposeMessages, dialTimeout)
 		if err != nil {
 			l.node.logger.Debug("peer cannot be reached", "address", l.address, "error", err)
 			l.refuse(first, err)
 			l.refuseQueued(err)
 			l.pause(jitter(backoff))
 			backoff = min(2*backoff, lastBackoff)
+			dialTimeout = min(2*dialTimeout, l.node.config.DialTimeout)
 			continue
 		}
+		dialTimeout = l.node.config.DialTimeout / firstDialPart
 		if l.serve(connection, first) {
 			backoff = firstBackoff
 			continue
--- a/transport/memory_test.go
+++ b/transport/memory_test.go
@@ -65,6 +65,34 @@
 	})
 }
 
+// TestFirstDiallingIsShort: a machine that gets its power back between two packets
+// is reached long before DialTimeout, and a slow one is dialled for longer later.
+func TestFirstDiallingIsShort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, a, _, _ := memoryPair(t, Config{DialTimeout: time.Second})
+		network.Cut("a", "b")
+		began := time.Now()
+		var took []time.Duration
+		for range 4 {
+			if err := echo(a, "b", time.Hour); !errors.Is(err, ErrNotSent) {
+				t.Fatal(err)
+			}
+			took = append(took, time.Since(began))
+			began = time.Now()
+		}
+		if took[0] != time.Second/firstDialPart {
+			t.Errorf("the first dialling took %v", took[0])
+		}
+		if took[3] < time.Second {
+			t.Errorf("the fourth dialling took %v, less than DialTimeout", took[3])
+		}
+		network.Heal("a", "b")
+		if err := echo(a, "b", 2*time.Second); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
 func TestAnIdleConnectionIsNotProbed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, a, b, _ := memoryPair(t, Config{})
--- a/transport/node.go
+++ b/transport/node.go
@@ -207,9 +207,9 @@
 	raw.Close()
 }
 
-// connect dials and runs the handshake within DialTimeout. The connection must
-// be released. Its errors wrap ErrNotSent.
-func (n *Node) connect(ctx context.Context, address string, what purpose) (*conn, error) {
+// connect dials for dialTimeout at most and runs the handshake within
+// DialTimeout. The connection must be released. Its errors wrap ErrNotSent.
+func (n *Node) connect(ctx context.Context, address string, what purpose, dialTimeout time.Duration) (*conn, error) {
 	deadline := time.Now().Add(n.config.DialTimeout)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
@@ -217,7 +217,9 @@
 	if override, found := n.config.Overrides[address]; found {
 		target = override
 	}
-	raw, err := n.fabric.dial(ctx, target, what)
+	dialing, stopDialing := context.WithTimeout(ctx, dialTimeout)
+	defer stopDialing()
+	raw, err := n.fabric.dial(dialing, target, what)
 	if err != nil {
 		return nil, fmt.Errorf("%w to %s: %w", ErrNotSent, address, err)
 	}
--- a/transport/stream.go
+++ b/transport/stream.go
@@ -59,7 +59,7 @@
 	for {
 		kept, found := n.idle.take(address)
 		if !found {
-			return n.connect(ctx, address, purposeStreams)
+			return n.connect(ctx, address, purposeStreams, n.config.DialTimeout)
 		}
 		if time.Since(kept.since) < streamIdle && n.fabric.reusable(kept.connection.raw) {
 			return kept.connection, nil
