Count replicas that are behind as loaded

Change: how long the first event of an open attempt is overdue is added to the expected wait at its replica, and reported to the other gateways.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -180,7 +180,8 @@
 	}
 	if s.service.spec.CacheTokens > 0 {
 		c.Speed = readingSpeed / r.slowness
-		c.Wait = readingStart + r.backlog.left(s.now).Seconds()
+		behind := max(r.overdue(s.now), time.Duration(others.OverdueMS)*time.Millisecond)
+		c.Wait = readingStart + r.backlog.left(s.now).Seconds() + behind.Seconds()
 		c.Cached = float64(cached)
 		room := memoryShare*float64(s.service.spec.CacheTokens) - r.held - float64(others.Held)
 		if room < s.request.Tokens {
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -21,7 +21,8 @@
 
 func newLoadBoard() loadBoard { return loadBoard{reports: make(map[string]loadReport)} }
 
-// others is what all other gateways have under way at a replica.
+// others is what all other gateways have under way at a replica, and the most
+// that one of them finds it behind.
 func (b *loadBoard) others(id string, now time.Time) peer.Load {
 	var sum peer.Load
 	for gateway, report := range b.reports {
@@ -32,6 +33,7 @@
 		load := report.loads[id]
 		sum.Requests += load.Requests
 		sum.Held += load.Held
+		sum.OverdueMS = max(sum.OverdueMS, load.OverdueMS)
 	}
 	return sum
 }
@@ -70,6 +72,7 @@
 func (d *Dispatcher) Loads(region string) map[string]peer.Load {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	now := time.Now()
 	var loads map[string]peer.Load
 	for id, r := range d.replicas {
 		if r.inFlight == 0 || r.region != region {
@@ -78,7 +81,7 @@
 		if loads == nil {
 			loads = make(map[string]peer.Load)
 		}
-		loads[id] = peer.Load{Requests: r.inFlight, Held: int(r.held)}
+		loads[id] = peer.Load{Requests: r.inFlight, Held: int(r.held), OverdueMS: int(r.overdue(now).Milliseconds())}
 	}
 	return loads
 }
--- a/dispatch/reading.go
+++ b/dispatch/reading.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "time"
+
 // The time that a replica takes to read a prompt. It grows with the tokens that
 // are not in its cache, and with what each of them has to attend to. The
 // constants are those of a large model on one machine of eight accelerators; what
@@ -19,6 +21,10 @@
 	// measuredReading is the least expected time that tells of a replica's speed:
 	// of shorter ones the network takes too large a part.
 	measuredReading = 0.05
+	// overdueSlack is the network's part in a first event, which is not counted as
+	// being behind, and mostOverdue bounds what is.
+	overdueSlack = 60 * time.Millisecond
+	mostOverdue  = 2 * time.Second
 	// aloneAhead is the part of the own reading that may have been before it in a
 	// measured prompt.
 	aloneAhead = 0.05
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -51,6 +51,8 @@
 	measured int
 	// prompts counts those that it was given by any gateway.
 	prompts int
+	// unopened are this gateway's attempts whose first event has not come.
+	unopened map[*work]bool
 	// claims are the newest prompts that other gateways gave it.
 	claims []claim
 	// activeSince is when it was last given work while it had none.
@@ -61,7 +63,7 @@
 }
 
 func newReplica(id string) *replica {
-	return &replica{id: id, number: -1, hash: placement.Hash(id), slowness: 1}
+	return &replica{id: id, number: -1, hash: placement.Hash(id), slowness: 1, unopened: make(map[*work]bool)}
 }
 
 // isCold says whether the ramp of cold replicas binds.
@@ -132,9 +134,22 @@
 	r.held += held
 	r.give(now, w.reading)
 	w.prompts = r.prompts
+	if base > 0 {
+		r.unopened[w] = true
+	}
 	return w
 }
 
+// overdue is how far the replica is behind what was expected of it, by the prompt
+// that should have been read the longest ago.
+func (r *replica) overdue(now time.Time) time.Duration {
+	most := time.Duration(0)
+	for w := range r.unopened {
+		most = max(most, now.Sub(w.began)-w.ahead-w.reading-overdueSlack)
+	}
+	return min(most, mostOverdue)
+}
+
 // open notes that the prompt was read. It returns the slowness that this told,
 // 0 if other prompts or the network had too large a part in the time.
 func (w *work) open(now time.Time) (slowness float64) {
@@ -142,6 +157,7 @@
 		return 0
 	}
 	w.opened = true
+	delete(w.replica.unopened, w)
 	alone := w.prompts == w.replica.prompts && w.ahead.Seconds() <= aloneAhead*w.base
 	if w.base < measuredReading || !alone {
 		return 0
@@ -155,6 +171,7 @@
 		return
 	}
 	w.ended = true
+	delete(w.replica.unopened, w)
 	w.replica.inFlight--
 	w.replica.held -= w.held
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -280,6 +280,9 @@
 	Requests int `cbor:"1,keyasint"`
 	// Held are the tokens of all its requests.
 	Held int `cbor:"2,keyasint,omitempty"`
+	// OverdueMS is how far the replica is behind what was expected of it, in
+	// milliseconds.
+	OverdueMS int `cbor:"3,keyasint,omitempty"`
 }
 
 // PlacedPrompt is a prompt that a replica has been given to read.
