Refuse at once what would be late for waiting

Cause: in an overload every request was taken until three times its aim was expected, so nearly all were late; a late one earns a tenth to a third.

Change: a request is refused with a time to come back when its expected first event is past the aim, unless its own reading takes most of the aim: then a quarter of the aim of waiting is allowed.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -31,11 +31,9 @@
 	memoryShare = 0.85
 	// defaultSlots is taken for replicas that do not tell theirs.
 	defaultSlots = 8
-	// patience is the expected wait, in multiples of a route's aim, beyond which
-	// a request is refused at once.
-	patience = 3
-	// leastPatience bounds it from below.
-	leastPatience = time.Second
+	// waitPart is the part of the aim that a request may wait whose own reading
+	// takes the rest of the aim or more.
+	waitPart = 0.25
 	// busyRetryAfter and absentRetryAfter are when a refused request may come again.
 	busyRetryAfter   = 400 * time.Millisecond
 	absentRetryAfter = 500 * time.Millisecond
@@ -132,8 +130,7 @@
 func (s *search) best(list []*replica) (*replica, time.Duration, *Refusal) {
 	candidates := s.candidates(list)
 	position, expected := placement.Choose(candidates, s.work())
-	longest := max(patience*s.route.FirstEvent, leastPatience).Seconds()
-	if s.route.FirstEvent > 0 && expected > longest {
+	if s.route.FirstEvent > 0 && expected > s.longest(&candidates[position]) {
 		return nil, 0, &Refusal{Code: Overloaded, RetryAfter: busyRetryAfter}
 	}
 	chosen := list[position]
@@ -144,6 +141,18 @@
 	return chosen, time.Duration(expected * float64(time.Second)), nil
 }
 
+// longest is the expected time to the first event, in seconds, beyond which the
+// request is refused: it would be late for waiting. When it comes again it may be
+// in time; here it would only delay others.
+func (s *search) longest(chosen *placement.Candidate) float64 {
+	aim := s.route.FirstEvent.Seconds()
+	own := 0.0
+	if chosen.Speed > 0 {
+		own = max(0, s.work().Tokens-chosen.Cached) / chosen.Speed
+	}
+	return max(aim, own+waitPart*aim)
+}
+
 // work is what placement must know of the request. Reading times stand for
 // tokens, so that long prompts count as the long time that they take.
 func (s *search) work() placement.Work {
