Learn speeds only from readings whose size is known

Change: a reading that was quicker than nine tenths of the expected tells of speed only if the replica can have held little of it unknown. Also: a claim is compared in the milliseconds that are told (equal ones both stood), the retry budget counts a request once also if its choice was made anew, attempts are counted when they are made, and overdue is judged for streams alone.

--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -28,8 +28,10 @@
 	reading time.Duration
 }
 
-// precedes says whether the claim stands against one of the own gateway.
+// precedes says whether the claim stands against one of the own gateway. Readings
+// are told in whole milliseconds, and compared so on both sides.
 func (c *claim) precedes(reading time.Duration, gateway string) bool {
+	reading = reading.Truncate(time.Millisecond)
 	if c.reading != reading {
 		return c.reading > reading
 	}
@@ -50,7 +52,7 @@
 // claim waits for claims that crossed the attempt's own. It returns the attempt,
 // or the one that takes its place at another replica.
 func (r *run) claim(ctx context.Context, at *placed) (*placed, *Refusal) {
-	if at.work.base < claimedReading {
+	if at.work.own.seconds < claimedReading {
 		return at, nil
 	}
 	timer := time.NewTimer(claimTime)
@@ -87,7 +89,6 @@
 func (d *Dispatcher) withdraw(at *placed) {
 	at.work.end()
 	at.replica.backlog.add(time.Now(), -at.work.reading)
-	d.counts.Attempts--
 	if d.options.Placed != nil {
 		d.options.Placed(peer.PlacedPrompt{Replica: at.replica.id, ReadingMS: -int(at.work.reading.Milliseconds())})
 	}
--- a/dispatch/reading.go
+++ b/dispatch/reading.go
@@ -14,7 +14,7 @@
 	// readingStart is the least time to a first event.
 	readingStart = 0.012
 	// leastSlowness and mostSlowness bound the factor of a replica.
-	leastSlowness = 0.5
+	leastSlowness = 0.7
 	mostSlowness  = 4
 	// leastLearning is the weight of one measured prompt once many are known.
 	leastLearning = 0.2
@@ -25,11 +25,26 @@
 	// being behind, and mostOverdue bounds what is.
 	overdueSlack = 60 * time.Millisecond
 	mostOverdue  = 2 * time.Second
+	// uncertainSlowness is the least slowness that is believed of a reading of which
+	// the replica may have held a part.
+	uncertainSlowness = 0.9
+	// uncertainPart is the part of a measured reading that the replica may have held
+	// without this gateway's knowledge.
+	uncertainPart = 0.1
 	// aloneAhead is the part of the own reading that may have been before it in a
 	// measured prompt.
 	aloneAhead = 0.05
 )
 
+// reading is what a replica has to read of one prompt.
+type reading struct {
+	seconds float64 // at a slowness of 1
+	// certain says that the replica can hold little more of it than is known.
+	certain bool
+	// streams says that the answer's first event tells when it was read.
+	streams bool
+}
+
 // readingSeconds is the expected time to read the rest of a prompt of which a
 // part is cached.
 func readingSeconds(tokens, cached float64) float64 {
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -112,7 +112,7 @@
 // work is one attempt's part of a replica's load.
 type work struct {
 	replica *replica
-	base    float64       // seconds to read its own prompt at a slowness of 1
+	own     reading
 	reading time.Duration // of its own prompt
 	ahead   time.Duration // the backlog when it was placed
 	prompts int           // the replica's count with this one
@@ -122,19 +122,18 @@
 	ended   bool
 }
 
-// take counts an attempt on a replica. base is the time to read the prompt at a
-// slowness of 1, in seconds.
-func (r *replica) take(now time.Time, base, held float64) *work {
+// take counts an attempt on a replica.
+func (r *replica) take(now time.Time, own reading, held float64) *work {
 	if r.inFlight == 0 {
 		r.activeSince = now
 	}
-	w := &work{replica: r, base: base, ahead: r.backlog.left(now), held: held, began: now}
-	w.reading = time.Duration(base * r.slowness * float64(time.Second))
+	w := &work{replica: r, own: own, ahead: r.backlog.left(now), held: held, began: now}
+	w.reading = time.Duration(own.seconds * r.slowness * float64(time.Second))
 	r.inFlight++
 	r.held += held
 	r.give(now, w.reading)
 	w.prompts = r.prompts
-	if base > 0 {
+	if own.seconds > 0 && own.streams {
 		r.unopened[w] = true
 	}
 	return w
@@ -150,19 +149,23 @@
 	return min(most, mostOverdue)
 }
 
-// open notes that the prompt was read. It returns the slowness that this told,
-// 0 if other prompts or the network had too large a part in the time.
+// open notes that the prompt was read. It returns the slowness that this told, 0
+// if other prompts, the network or an unknown cache had too large a part in it.
 func (w *work) open(now time.Time) (slowness float64) {
 	if w.opened {
 		return 0
 	}
 	w.opened = true
 	delete(w.replica.unopened, w)
-	alone := w.prompts == w.replica.prompts && w.ahead.Seconds() <= aloneAhead*w.base
-	if w.base < measuredReading || !alone {
+	alone := w.prompts == w.replica.prompts && w.ahead.Seconds() <= aloneAhead*w.own.seconds
+	if w.own.seconds < measuredReading || !alone {
 		return 0
 	}
-	return (now.Sub(w.began).Seconds() - readingStart) / w.base
+	slowness = (now.Sub(w.began).Seconds() - readingStart) / w.own.seconds
+	if slowness < uncertainSlowness && !w.own.certain {
+		return 0 // more likely it held parts that this gateway does not know of
+	}
+	return slowness
 }
 
 // end takes the attempt off the replica.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -29,7 +29,8 @@
 	deadline   time.Time
 
 	tried    map[string]bool
-	attempts int // attempts that may have run
+	noted    bool // the retry budget knows of the request
+	attempts int  // attempts that may have run
 	unsent   int
 	refused  int
 	begun    bool   // the client has a part of an answer
@@ -142,7 +143,8 @@
 		return nil, &Refusal{Code: NoReplica, RetryAfter: absentRetryAfter}
 	}
 	now := time.Now()
-	if r.isFirst() {
+	if !r.noted {
+		r.noted = true
 		d.budget.NoteFirst(now)
 	}
 	looking := &search{dispatcher: d, plan: r.plan, service: known, route: r.route, request: r.request, tried: r.tried, now: now}
@@ -151,7 +153,6 @@
 		return nil, refusal
 	}
 	r.tried[chosen.id] = true
-	d.counts.Attempts++
 	taken := chosen.take(now, r.reading(known, chosen), r.request.Tokens)
 	if d.options.Placed != nil && taken.reading > 0 {
 		d.options.Placed(peer.PlacedPrompt{
@@ -169,13 +170,11 @@
 	}, nil
 }
 
-func (r *run) isFirst() bool { return r.attempts == 0 && r.unsent == 0 && r.refused == 0 }
-
-// reading is the time in seconds to read the prompt at a slowness of 1. It notes
-// that the replica will hold the shared parts.
-func (r *run) reading(known *service, chosen *replica) float64 {
+// reading is what the replica has to read of the prompt. It notes that the
+// replica will hold the shared parts.
+func (r *run) reading(known *service, chosen *replica) reading {
 	if known.spec.CacheTokens == 0 {
-		return 0
+		return reading{}
 	}
 	cached := 0
 	known.index.Cached(r.request.Chain, func(number, tokens int) {
@@ -184,7 +183,16 @@
 		}
 	})
 	known.index.Note(chosen.number, r.request.Chain)
-	return readingSeconds(r.request.Tokens, float64(cached))
+	shared := 0
+	if links := len(r.request.Chain); links > 0 {
+		shared = r.request.Chain[links-1].Tokens
+	}
+	unread := r.request.Tokens - float64(cached)
+	return reading{
+		seconds: readingSeconds(r.request.Tokens, float64(cached)),
+		certain: float64(shared-cached) <= uncertainPart*unread,
+		streams: r.route.Kind == routemap.Stream,
+	}
 }
 
 // placed is one attempt and where it goes.
@@ -199,6 +207,7 @@
 // attempt sends the request once and relays the answer. again says that another
 // attempt is to be made.
 func (r *run) attempt(ctx context.Context, at *placed) (again bool, refusal *Refusal) {
+	r.dispatcher.begin()
 	defer r.dispatcher.finish(at)
 	sending, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -225,6 +234,13 @@
 	return r.relayWhole(ctx, at, answer)
 }
 
+// begin counts an attempt.
+func (d *Dispatcher) begin() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.counts.Attempts++
+}
+
 // finish takes an attempt off its replica.
 func (d *Dispatcher) finish(at *placed) {
 	d.mutex.Lock()
