--- a/dispatch/claim_test.go
+++ b/dispatch/claim_test.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"github.com/deckpulley/deckpulley/peer"
-	"github.com/deckpulley/deckpulley/places"
 	"github.com/deckpulley/deckpulley/placement"
+	"github.com/deckpulley/deckpulley/places"
 	"github.com/deckpulley/deckpulley/registry"
 	"github.com/deckpulley/deckpulley/routemap"
 )
--- /dev/null
+++ b/dispatch/example_test.go
@@ -0,0 +1,84 @@
+package dispatch_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/deckpulley/deckpulley/configuration"
+	"github.com/deckpulley/deckpulley/dispatch"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/registry"
+	"github.com/deckpulley/deckpulley/routemap"
+)
+
+// exampleBackend is two replicas as functions: the first cannot be reached.
+type exampleBackend struct{}
+
+func (exampleBackend) Send(_ context.Context, attempt *dispatch.Attempt) (*dispatch.Answer, error) {
+	if attempt.Replica.ID == "r1" {
+		return nil, &dispatch.AttemptError{Failure: dispatch.Unsent, Err: errors.New("connection refused")}
+	}
+	body := io.NopCloser(strings.NewReader("served by " + attempt.Replica.ID))
+	return &dispatch.Answer{Status: http.StatusOK, Header: http.Header{}, Body: body}, nil
+}
+
+func (exampleBackend) Heard(string) time.Time { return time.Now() }
+
+func (exampleBackend) Forget(string) {}
+
+// exampleClient prints the answer.
+type exampleClient struct{}
+
+func (exampleClient) Begin(status int, _ http.Header) { fmt.Print(status, " ") }
+
+func (exampleClient) Write(part []byte) (int, error) { return fmt.Print(string(part)) }
+
+func (exampleClient) Flush() {}
+
+func exampleContents() (*places.Contents, error) {
+	table, err := registry.New(places.Apex, places.Schema(), registry.Head{Primary: "control-1", Serial: 1}, []string{"control-1"})
+	if err != nil {
+		return nil, err
+	}
+	routes := &routemap.Map{
+		Version:  1,
+		Services: []routemap.Service{{Name: "pages"}},
+		Routes: []routemap.Route{{
+			Name: "site", Host: "example.test", PathPrefix: "/", Kind: routemap.Once, Timeout: time.Second,
+			MaxAttempts: 1, Targets: []routemap.Target{{Service: "pages", Weight: 1}},
+		}},
+	}
+	changes, err := configuration.MapChanges(table.View(), routes, map[string]string{"north-1": "north"}, "the operators' text")
+	if err != nil {
+		return nil, err
+	}
+	for _, name := range []string{"r1", "r2"} {
+		changes = append(changes, registry.Add(places.ReplicaRecord(name, places.Replica{Service: "pages", Zone: "north-1", Region: "north", Address: name + ":80"})))
+	}
+	update := registry.NewUpdate(places.Apex, nil, changes)
+	table.Apply(&update, nil)
+	return places.Read(table.View())
+}
+
+// A request that may run once only is sent to another replica as long as no byte
+// of it has left.
+func Example() {
+	contents, err := exampleContents()
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	dispatcher := dispatch.New(dispatch.Options{Gateway: "gateway-1", Zone: "north-1", Region: "north", Backend: exampleBackend{}})
+	dispatcher.Update(contents)
+	request := &dispatch.Request{ID: "q-1", Method: http.MethodPost, Host: "example.test", Path: "/index", Target: "/index", Arrived: time.Now()}
+	refusal := dispatcher.Serve(context.Background(), request, exampleClient{})
+	fmt.Println("\nrefused:", refusal != nil)
+	// Output:
+	// 200 served by r2
+	// refused: false
+}
--- /dev/null
+++ b/httpgateway/example_test.go
@@ -0,0 +1,82 @@
+package httpgateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+
+	"github.com/deckpulley/deckpulley/configuration"
+	"github.com/deckpulley/deckpulley/httpgateway"
+	"github.com/deckpulley/deckpulley/peer"
+	"github.com/deckpulley/deckpulley/places"
+	"github.com/deckpulley/deckpulley/registry"
+	"github.com/deckpulley/deckpulley/transport"
+)
+
+const exampleDocument = `
+regions: {north: {zones: [north-1], capacity: 1}}
+services: {}
+routes: {}
+http:
+  services: {pages: {}}
+  routes:
+    site: {host: example.test, path_prefix: /, kind: repeatable, timeout_ms: 1000, targets: [{service: pages, weight: 1}]}
+`
+
+// exampleContents is a registry with the document and one replica. In a fleet it
+// comes from the primary, by an agent.
+func exampleContents(replica string) (*places.Contents, error) {
+	table, err := registry.New(places.Apex, places.Schema(), registry.Head{Primary: "control-1", Serial: 1}, []string{"control-1"})
+	if err != nil {
+		return nil, err
+	}
+	document, err := configuration.Load(exampleDocument)
+	if err != nil {
+		return nil, err
+	}
+	changes, err := configuration.Changes(table.View(), document, 1, "anna", exampleDocument)
+	if err != nil {
+		return nil, err
+	}
+	changes = append(changes, registry.Add(places.ReplicaRecord("r1", places.Replica{Service: "pages", Zone: "north-1", Region: "north", Address: replica})))
+	update := registry.NewUpdate(places.Apex, nil, changes)
+	table.Apply(&update, nil)
+	return places.Read(table.View())
+}
+
+func ExampleProxy() {
+	headers := httpgateway.DefaultHeaders()
+	replica := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headers.RequestID, r.Header.Get(headers.RequestID)) // whose answer it is
+		fmt.Fprint(w, "served by ", r.Header.Get(headers.Replica))
+	}))
+	defer replica.Close()
+
+	network := transport.NewMemory()
+	proxy := httpgateway.NewProxy(httpgateway.ProxyOptions{
+		Info:    peer.GatewayInfo{Name: "gateway-1", Zone: "north-1", Region: "north"},
+		Network: network.Node("gateway-1", "gateway-1:1"),
+	})
+	contents, err := exampleContents(replica.Listener.Addr().String())
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	proxy.Update(contents)
+	door := httptest.NewServer(proxy)
+	defer door.Close()
+
+	request, _ := http.NewRequest(http.MethodGet, door.URL+"/index", nil)
+	request.Host = "example.test"
+	request.Header.Set(headers.RequestID, "q-1")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer response.Body.Close()
+	text, _ := io.ReadAll(response.Body)
+	fmt.Println(response.StatusCode, string(text))
+	// Output: 200 served by r1
+}
