Name no gateway to clients that has missed four renewals

The region of the primary was lost at 10.0 s; the next one was primary at 10.77 s and marked the lost gateways down at 15.47 s: for gateways that it had never heard of it waited for the window of older leases and a whole lease on top. Clients were sent to dead addresses for 5.5 s and two more (85 tries without a connection).

Change: a gateway is marked down after four missed renewals, counted from the election for those that a primary has never heard of; that it may hold a lease is recorded until the lease has surely ended, now without the second length.

Tests: TestAQuietGatewayIsNotNamed and TestANewPrimaryForgetsGatewaysThatWentWithTheOld fail without it.

--- a/consensus/election_test.go
+++ b/consensus/election_test.go
@@ -37,7 +37,9 @@
 // is asked twice gives the same vote.
 func TestAskedAgainIsOneVote(t *testing.T) {
 	c := newCluster(t, "a", "b", "c")
-	c.block = func(message Message) bool { return message.To == "c" || message.From == "c" || message.Kind == MessageVoteReply }
+	c.block = func(message Message) bool {
+		return message.To == "c" || message.From == "c" || message.Kind == MessageVoteReply
+	}
 	asked := map[ID]int{}
 	inner := c.block
 	c.block = func(message Message) bool {
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -11,6 +11,7 @@
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/consensus"
 	"github.com/deckpulley/deckpulley/lease"
+	"github.com/deckpulley/deckpulley/places"
 	"github.com/deckpulley/deckpulley/registry"
 )
 
@@ -485,3 +486,72 @@
 		}
 	})
 }
+
+// TestAQuietGatewayIsNotNamed: whoever misses several renewals is marked down long
+// before its lease has run out, which is waited for all the same.
+func TestAQuietGatewayIsNotNamed(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		quiet := f.startGateway("gateway-1")
+		f.startGateway("gateway-2")
+		f.mustSend(f.primary(), "order-1", 0)
+		f.await("a lease", quiet.valid)
+		record := func() places.Gateway { return f.primary().observe().contents.Gateways()["gateway-1"] }
+
+		f.cut(quiet.address, quiet.control...)
+		cut := time.Now()
+		f.await("the record to say down", func() bool { return !record().Up })
+		renewal := lease.DefaultTerms().Renewal
+		if took := time.Since(cut); took < (quietRenewals-1)*renewal || took > (quietRenewals+2)*renewal {
+			t.Errorf("marked down after %v, want about %v", took, quietRenewals*renewal)
+		}
+		if !record().MayHold {
+			t.Error("the record says that it holds no lease while it may")
+		}
+		f.mustSend(f.primary(), "order-2", 1)
+		if quiet.valid() {
+			t.Error("acknowledged while a gateway with the older version may place requests")
+		}
+		f.await("the record to say that the lease has ended", func() bool { return !record().MayHold })
+		f.heal(quiet.address, quiet.control...)
+		f.await("the gateway to be up again", func() bool { return record().Up && record().MayHold && quiet.valid() })
+	})
+}
+
+// TestANewPrimaryForgetsGatewaysThatWentWithTheOld: their leases have ended with
+// the window that it waits for; a second lease's length is not waited for.
+func TestANewPrimaryForgetsGatewaysThatWentWithTheOld(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		lost := f.startGateway("gateway-1")
+		f.startGateway("gateway-2")
+		f.mustSend(f.primary(), "order-1", 0)
+		f.await("a lease", lost.valid)
+		old := f.primary()
+		f.stopGateway("gateway-1")
+		f.cut(old.options.PeerAddress, controlAddressesBut(f, old)...)
+		successor := f.primary(old.options.Name)
+		elected := time.Now()
+		record := func() places.Gateway { return successor.observe().contents.Gateways()["gateway-1"] }
+
+		f.await("the record to say down", func() bool { return !record().Up })
+		if took := time.Since(elected); took > (quietRenewals+2)*lease.DefaultTerms().Renewal {
+			t.Errorf("still named %v after the election", took)
+		}
+		f.await("the record to say that the lease has ended", func() bool { return !record().MayHold })
+		longest := lease.DefaultTerms().Window() + defaultGatewayGrace + time.Second
+		if took := time.Since(elected); took > longest {
+			t.Errorf("a lease of the old primary was waited for during %v", took)
+		}
+	})
+}
+
+func controlAddressesBut(f *fleet, node *Node) []string {
+	var addresses []string
+	for _, name := range controlNames {
+		if name != node.options.Name {
+			addresses = append(addresses, f.options[name].PeerAddress)
+		}
+	}
+	return addresses
+}
--- a/control/leases.go
+++ b/control/leases.go
@@ -55,8 +55,11 @@
 	// held and active are the serials of its last renewal.
 	held   uint32
 	active uint32
-	// renewed is the time of its last renewal, since that of the unbroken series.
-	renewed       time.Duration
+	// renewed is the time of its last renewal, or the latest that one with an earlier
+	// primary may have had; since is the begin of the unbroken series.
+	renewed time.Duration
+	// heard is when it last renewed here, at first the election.
+	heard         time.Duration
 	since         time.Duration
 	activeVersion uint64
 	pending       bool // an update of its member record is on its way
@@ -222,6 +225,7 @@
 	state.held = renew.Held
 	state.active = renew.Active
 	state.renewed = now
+	state.heard = now
 	state.activeVersion = renew.ActiveVersion
 	m.recordGateway(now, renew.Gateway.Name, state)
 }
@@ -290,29 +294,43 @@
 	}
 }
 
-// markLapsedGateways marks gateways down whose leases have run out for longer
-// than the grace, those that never renewed with this primary included.
+// markLapsedGateways marks gateways down that have been quiet for several
+// renewals, so that nobody is sent to them, and notes whose lease has run out,
+// with a grace. Those that never renewed with this primary are included.
 func (m *machine) markLapsedGateways(now time.Duration) {
 	patience := m.options.Lease.Length + m.options.Lease.Margin + m.options.GatewayGrace
 	for name, record := range m.contents.Gateways() {
 		state, known := m.leadership.gateways[name]
 		if !known {
-			state = &gatewayState{renewed: m.leadership.elected + m.options.Lease.Window()}
+			state = &gatewayState{renewed: m.lastUnheardRenewal(), heard: m.leadership.elected}
 			m.leadership.gateways[name] = state
 		}
-		settled := !record.Up && !record.MayHold
-		if settled || state.pending || now-state.renewed <= patience {
+		ended := record.MayHold && now-state.renewed > patience
+		quiet := record.Up && now-state.heard > quietRenewals*m.options.Lease.Renewal
+		if state.pending || !ended && !quiet {
 			continue
 		}
 		down := record
 		down.Up = false
-		down.MayHold = false
+		down.MayHold = record.MayHold && !ended
 		state.pending = true
-		state.ending = true
+		state.ending = ended
 		m.writeGateway(now, name, record, true, down, func() { state.pending, state.ending = false, false })
 	}
 }
 
+// quietRenewals is the number of renewals that a gateway must miss before clients
+// and other gateways are no longer sent to it.
+const quietRenewals = 4
+
+// lastUnheardRenewal is the latest time at which a gateway that never renewed with
+// this primary may have renewed with the one before: its lease ends at the end of
+// the window that a new primary waits for older leases.
+func (m *machine) lastUnheardRenewal() time.Duration {
+	terms := m.options.Lease
+	return m.leadership.elected + terms.Window() - terms.Length - terms.Margin
+}
+
 // reviewLeases works out what may become active and what is in force. Both
 // follow from the serial, the proof of leadership and what gateways report; a renewal
 // that reports nothing new changes neither.
--- a/routemap/example_test.go
+++ b/routemap/example_test.go
@@ -21,11 +21,11 @@
 	fmt.Println(table.Lookup("EXAMPLE.test:8080", "/chat/1").Name)
 	fmt.Println(table.Lookup("example.test", "/other").Name)
 
-	routes.Routes[1].Targets[0].Service = "modle"
+	routes.Routes[1].Targets[0].Service = "gone"
 	fmt.Println(routes.Validate())
 	// Output:
 	// valid: true
 	// chat
 	// site
-	// routemap: routes[1].targets[0].service: unknown service "modle"
+	// routemap: routes[1].targets[0].service: unknown service "gone"
 }
