--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -122,6 +122,17 @@
 	return client, f.dispatcher.Serve(context.Background(), request, client)
 }
 
+// fillRetryBudget serves enough requests for a retry, and forgets them.
+func (f *fixture) fillRetryBudget() {
+	f.t.Helper()
+	for range 20 {
+		f.serve(nil)
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.sent = nil
+}
+
 // replicasAsked lists the replicas of all attempts so far.
 func (f *fixture) replicasAsked() []string {
 	f.mutex.Lock()
@@ -255,10 +266,7 @@
 			})
 			f.addReplica("a", "east-1")
 			f.addReplica("b", "east-1")
-			for range 20 { // fills the retry budget
-				f.serve(nil)
-			}
-			f.sent = nil
+			f.fillRetryBudget()
 			f.answer = func(_ context.Context, attempt *Attempt) (*Answer, error) {
 				if len(f.replicasAsked()) == 1 {
 					return nil, attemptError(test.failure)
--- a/dispatch/stream_test.go
+++ b/dispatch/stream_test.go
@@ -48,10 +48,7 @@
 			f.addReplica("a", "east-1")
 			f.addReplica("b", "east-1")
 			f.addReplica("c", "east-1")
-			for range 20 {
-				f.serve(nil)
-			}
-			f.sent = nil
+			f.fillRetryBudget()
 			f.answer = func(context.Context, *Attempt) (*Answer, error) { return test.answers[len(f.sent)-1], nil }
 			client, refusal := f.serve(nil)
 			if got := client.body.String(); got != test.want {
@@ -69,10 +66,7 @@
 	f.configure(streaming(true))
 	f.addReplica("a", "east-1")
 	f.addReplica("b", "east-1")
-	for range 20 {
-		f.serve(nil)
-	}
-	f.sent = nil
+	f.fillRetryBudget()
 	f.answer = func(context.Context, *Attempt) (*Answer, error) {
 		if len(f.sent) == 1 {
 			return events("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", errReset), nil
@@ -92,10 +86,7 @@
 	f.configure(streaming(true))
 	f.addReplica("a", "east-1")
 	f.addReplica("b", "east-1")
-	for range 20 {
-		f.serve(nil)
-	}
-	f.sent = nil
+	f.fillRetryBudget()
 	f.answer = func(ctx context.Context, _ *Attempt) (*Answer, error) {
 		if len(f.sent) > 1 {
 			return events(threeEvents, nil), nil
