Let the planted break meet requests under way

The crowd meant for it came 0.12 s after the crash, since its time was counted from the planting, and replicas were taken in random order.

--- a/dispatch/simulation_days_test.go
+++ b/dispatch/simulation_days_test.go
@@ -27,6 +27,11 @@
 // at waits until a time of the day.
 func (f *simulatedFleet) at(when time.Duration) { time.Sleep(time.Until(f.began.Add(when))) }
 
+// later does something at a time of the day.
+func (f *simulatedFleet) later(when time.Duration, do func()) {
+	time.AfterFunc(time.Until(f.began.Add(when)), do)
+}
+
 // settle says that the trouble is over and nothing may be wrong soon after.
 func (f *simulatedFleet) settle() { f.record.settledAt(troubleEnd + settleTime) }
 
@@ -141,7 +146,7 @@
 // service, a zone evacuated and taken back.
 func operatorsChange(f *simulatedFleet) {
 	f.at(troubleAt)
-	f.crowd(60)
+	f.crowd("north-1", 60)
 	f.configure("web-2")
 	f.at(troubleAt + time.Second)
 	f.change(registry.Add(places.EvacuationRecord("north-1", places.Evacuation{Order: "o"})))
@@ -154,11 +159,11 @@
 	f.record.settledAt(troubleEnd + 2*settleTime)
 }
 
-// crowd sends many requests at once.
-func (f *simulatedFleet) crowd(count int) {
+// crowd sends many requests of one zone at once.
+func (f *simulatedFleet) crowd(zone string, count int) {
 	for i := range count {
 		request := f.newRequest(fmt.Sprint("crowd-", i, "-", f.draw()))
-		go f.ask("north-1", request)
+		go f.ask(zone, request)
 	}
 }
 
@@ -191,7 +196,7 @@
 		plant: func(f *simulatedFleet) {
 			for _, r := range f.replicasOf("model", "") {
 				r.setDark(true)
-				time.AfterFunc(troubleEnd, func() { r.setDark(false) })
+				f.later(troubleEnd, func() { r.setDark(false) })
 			}
 		},
 		distort: forRoutes(func(r *routemap.Route) { r.MaxAttempts = 9 }),
@@ -204,7 +209,7 @@
 	"cold rates are unknown": {
 		rule: "COLD", day: "replicas",
 		plant: func(f *simulatedFleet) {
-			time.AfterFunc(troubleAt+1700*time.Millisecond, func() { f.crowd(250) })
+			f.later(troubleAt+1700*time.Millisecond, func() { f.crowd("north-1", 250) })
 		},
 		distort: func(m *routemap.Map) { m.Services[0].ColdPerSecond = 0 },
 	},
@@ -214,9 +219,11 @@
 	}},
 }
 
-// lying makes every gateway call a break something else.
+// lying makes every gateway call a break something else, and sends a crowd that a
+// crash will break.
 func lying(failure Failure) func(*simulatedFleet) {
 	return func(f *simulatedFleet) {
+		f.later(troubleAt-20*time.Millisecond, func() { f.crowd("east-1", 150) })
 		for _, g := range f.gateways {
 			g.lie(func(err error) error {
 				var attempt *AttemptError
--- a/dispatch/simulation_replica_test.go
+++ b/dispatch/simulation_replica_test.go
@@ -1,11 +1,13 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -69,7 +71,8 @@
 	return f.replicas[address]
 }
 
-// replicasOf lists the replicas of a service in a zone, of all zones if it is empty.
+// replicasOf lists the replicas of a service in a zone, of all zones if it is
+// empty, by their names.
 func (f *simulatedFleet) replicasOf(service, zone string) []*simulatedReplica {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -79,6 +82,7 @@
 			list = append(list, r)
 		}
 	}
+	slices.SortFunc(list, func(a, b *simulatedReplica) int { return cmp.Compare(a.id, b.id) })
 	return list
 }
 
