Give the handshake between nodes a time of its own

The links of edge-ke-hall1-1 were cut and reset from 19.9 to 23.9 s. After that its gateway dialled the primary again and again and gave each handshake up, until 29.4 s: the 400 ms of the platform's DialTimeout bounded the dial and two round trips of 120 ms after it, on both sides.

Change: transport.Config.HandshakeTimeout (default 1 s) bounds the handshake alone, DialTimeout the dial.

Test: TestFarHandshakesHaveTheirOwnTime fails without it.

--- a/transport/accept.go
+++ b/transport/accept.go
@@ -48,7 +48,7 @@
 
 func (n *Node) serveAccepted(raw net.Conn) {
 	defer n.release(raw)
-	peer, what, err := acceptHandshake(raw, n.config.Name, *n.keys.Load(), time.Now().Add(n.config.DialTimeout))
+	peer, what, err := acceptHandshake(raw, n.config.Name, *n.keys.Load(), time.Now().Add(n.config.HandshakeTimeout))
 	<-n.handshakes
 	if err != nil {
 		n.logger.Warn("peer refused", "remote", raw.RemoteAddr().String(), "error", err)
--- a/transport/node.go
+++ b/transport/node.go
@@ -16,6 +16,9 @@
 	DefaultQueueLength = 1024
 	DefaultMaxFrame    = 64 << 20
 	DefaultDialTimeout = time.Second
+	// DefaultHandshakeTimeout leaves room for two round trips between far regions
+	// and a busy peer.
+	DefaultHandshakeTimeout = time.Second
 )
 
 // maxHandshakes bounds the connections that have not proved a key yet.
@@ -110,6 +113,9 @@
 	if config.DialTimeout == 0 {
 		config.DialTimeout = DefaultDialTimeout
 	}
+	if config.HandshakeTimeout == 0 {
+		config.HandshakeTimeout = DefaultHandshakeTimeout
+	}
 }
 
 // SetKeys replaces the keys for the handshakes to come. Connections stay.
@@ -208,11 +214,8 @@
 }
 
 // connect dials for dialTimeout at most and runs the handshake within
-// DialTimeout. The connection must be released. Its errors wrap ErrNotSent.
+// HandshakeTimeout. The connection must be released. Its errors wrap ErrNotSent.
 func (n *Node) connect(ctx context.Context, address string, what purpose, dialTimeout time.Duration) (*conn, error) {
-	deadline := time.Now().Add(n.config.DialTimeout)
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
 	target := address
 	if override, found := n.config.Overrides[address]; found {
 		target = override
@@ -227,6 +230,9 @@
 		raw.Close()
 		return nil, fmt.Errorf("%w to %s: %w", ErrNotSent, address, ErrClosed)
 	}
+	deadline := time.Now().Add(n.config.HandshakeTimeout)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
 	stop := context.AfterFunc(ctx, func() { raw.Close() })
 	peer, err := dialHandshake(raw, n.config.Name, *n.keys.Load(), what, deadline)
 	if !stop() && err == nil {
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -66,6 +66,8 @@
 	QueueLength int
 	// MaxFrame bounds a frame in bytes. Default 64 MiB.
 	MaxFrame int
-	// DialTimeout bounds connecting and the handshake. Default 1 s.
+	// DialTimeout bounds connecting. Default 1 s.
 	DialTimeout time.Duration
+	// HandshakeTimeout bounds the handshake after it, on both sides. Default 1 s.
+	HandshakeTimeout time.Duration
 }
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"go.uber.org/goleak"
+
+	"github.com/deckpulley/deckpulley/internal/fleet/relay"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -105,6 +107,25 @@
 	return a, b, notes
 }
 
+// TestFarHandshakesHaveTheirOwnTime: between far regions the handshake takes longer
+// than a dial may, and must not be given up for that.
+func TestFarHandshakesHaveTheirOwnTime(t *testing.T) {
+	const oneWay = 60 * time.Millisecond
+	path := relay.New()
+	t.Cleanup(path.Close)
+	far := listenTCP(t, Config{Name: "b", Keys: [][]byte{keyNew}, DialTimeout: oneWay}, make(chan string, 1))
+	address, err := path.Link("127.0.0.1", "a", "b", far.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	path.Delay("a", "b", oneWay)
+	path.Delay("b", "a", oneWay)
+	near := listenTCP(t, Config{Name: "a", Keys: [][]byte{keyNew}, DialTimeout: oneWay}, make(chan string, 1))
+	if err := near.Call(within(t, patience), address, kindEcho, text{}, &text{}); err != nil {
+		t.Fatalf("over a path of %v in each direction: %v", oneWay, err)
+	}
+}
+
 func within(t *testing.T, duration time.Duration) context.Context {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), duration)
