--- a/cmd/deckpulley-gateway/daemon_test.go
+++ b/cmd/deckpulley-gateway/daemon_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -18,6 +17,7 @@
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/control"
 	"github.com/deckpulley/deckpulley/httpgateway"
+	"github.com/deckpulley/deckpulley/internal/freeport"
 	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/settings"
 	"github.com/deckpulley/deckpulley/storage"
@@ -54,20 +54,19 @@
 	replicas []*replicaRecorder
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddresses(t *testing.T, count int) []string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	addresses, err := freeport.Addresses("127.0.0.1", count)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return addresses
 }
 
 func startHTTPFleet(t *testing.T) *httpFleet {
 	t.Helper()
 	f := &httpFleet{t: t}
-	controlAddress := freeAddress(t)
+	controlAddress := freeAddresses(t, 1)[0]
 	f.startControl(controlAddress)
 	f.startGateway(controlAddress)
 	return f
@@ -109,6 +108,7 @@
 	if err := os.WriteFile(keyFile, []byte(testKey+"\n"), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
+	own := freeAddresses(f.t, 4)
 	text := fmt.Sprintf(`name: gateway-1
 role: gateway
 zone: z1
@@ -120,7 +120,7 @@
 seeds: [%s]
 key_file: %s
 log: {level: error}
-`, freeAddress(f.t), freeAddress(f.t), freeAddress(f.t), freeAddress(f.t), controlAddress, keyFile)
+`, own[0], own[1], own[2], own[3], controlAddress, keyFile)
 	file := filepath.Join(folder, "gateway.yaml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
--- a/cmd/deckpulley-scale/fleet.go
+++ b/cmd/deckpulley-scale/fleet.go
@@ -11,6 +11,7 @@
 
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/client"
+	"github.com/deckpulley/deckpulley/internal/freeport"
 )
 
 const (
@@ -50,7 +51,7 @@
 }
 
 func (g *group) start(replicas api.ReplicaList) error {
-	addresses, err := freeAddresses(2 * controlCount)
+	addresses, err := freeport.Addresses(host, 2*controlCount)
 	if err != nil {
 		return err
 	}
--- a/cmd/deckpulley-scale/process.go
+++ b/cmd/deckpulley-scale/process.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"os/exec"
 	"time"
@@ -88,17 +87,3 @@
 	_ = p.command.Process.Kill()
 	_ = p.command.Wait()
 }
-
-// freeAddresses returns loopback addresses that nobody uses now.
-func freeAddresses(count int) ([]string, error) {
-	addresses := make([]string, count)
-	for i := range addresses {
-		listener, err := net.Listen("tcp", host+":0")
-		if err != nil {
-			return nil, err
-		}
-		defer listener.Close()
-		addresses[i] = listener.Addr().String()
-	}
-	return addresses, nil
-}
--- a/cmd/deckpulley-scale/relay.go
+++ b/cmd/deckpulley-scale/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/client"
+	"github.com/deckpulley/deckpulley/internal/freeport"
 	"github.com/deckpulley/deckpulley/internal/hollow"
 )
 
@@ -33,7 +34,7 @@
 
 // measureRelay measures a real gateway before a hollow replica.
 func measureRelay(ctx context.Context, sizes []int) ([]relayReading, error) {
-	addresses, err := freeAddresses(3)
+	addresses, err := freeport.Addresses(host, 3)
 	if err != nil {
 		return nil, err
 	}
@@ -136,7 +137,7 @@
 
 // measurePoll polls a hollow replica over one kept connection.
 func measurePoll(ctx context.Context) (pollReading, error) {
-	addresses, err := freeAddresses(1)
+	addresses, err := freeport.Addresses(host, 1)
 	if err != nil {
 		return pollReading{}, err
 	}
--- a/control/operators_test.go
+++ b/control/operators_test.go
@@ -75,6 +75,11 @@
 		}
 		f.start(controlNames...)
 		handler := f.primary().Handler()
+		f.await("the head to name the primary", func() bool {
+			primary := f.primary()
+			contents := primary.observe().contents
+			return contents != nil && contents.View().Head().Primary == primary.options.Name
+		})
 		serial := f.primary().observe().serial
 		for _, c := range cases {
 			request := httptest.NewRequest(c.method, c.path, strings.NewReader(c.body))
--- a/control/routemap_test.go
+++ b/control/routemap_test.go
@@ -167,22 +167,28 @@
 	l.list.Replicas, l.err = entries, err
 }
 
+// startWithInventory starts everything with a map of routes in force.
+func (f *fleet) startWithInventory(inventory Inventory) {
+	f.t.Helper()
+	for _, name := range controlNames {
+		options := f.options[name]
+		options.Inventory = inventory
+		f.options[name] = options
+	}
+	f.start(controlNames...)
+	f.startGateway("gateway-1")
+	if reply := carryOut(f.primary(), routeMapOrder(0, 1)); !accepted(reply) {
+		f.t.Fatalf("got %+v", reply)
+	}
+}
+
 func TestTheInventoryDecidesTheReplicas(t *testing.T) {
 	inFleet(t, func(t *testing.T, f *fleet) {
 		inventory := &listInventory{}
 		warm, cold := int64(0), int64(2000)
 		entry := api.ReplicaEntry{ID: "a", Service: "s", Zone: "zone-1", Address: "a:1", Slots: 4, ColdMS: &cold}
 		inventory.set(nil, entry)
-		for _, name := range controlNames {
-			options := f.options[name]
-			options.Inventory = inventory
-			f.options[name] = options
-		}
-		f.start(controlNames...)
-		f.startGateway("gateway-1")
-		if reply := carryOut(f.primary(), routeMapOrder(0, 1)); !accepted(reply) {
-			t.Fatalf("got %+v", reply)
-		}
+		f.startWithInventory(inventory)
 		contents := func() *places.Contents { return f.primary().observe().contents }
 		state := func() places.ConditionState {
 			condition, _ := contents().Condition("a")
@@ -276,16 +282,7 @@
 func TestReadingsOfTheInventoryKeepTheirDistance(t *testing.T) {
 	inFleet(t, func(t *testing.T, f *fleet) {
 		inventory := &slowInventory{}
-		for _, name := range controlNames {
-			options := f.options[name]
-			options.Inventory = inventory
-			f.options[name] = options
-		}
-		f.start(controlNames...)
-		f.startGateway("gateway-1")
-		if reply := carryOut(f.primary(), routeMapOrder(0, 1)); !accepted(reply) {
-			t.Fatalf("got %+v", reply)
-		}
+		f.startWithInventory(inventory)
 		time.Sleep(20 * defaultInventoryInterval)
 		inventory.mutex.Lock()
 		defer inventory.mutex.Unlock()
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -61,9 +61,16 @@
 	excluded
 )
 
-// find returns the replica for the next attempt and the expected time to its
-// first event, or why there is none. The dispatcher's mutex is held.
-func (s *search) find() (*replica, time.Duration, *Refusal) {
+// choice is the replica for one attempt.
+type choice struct {
+	replica  *replica
+	expected time.Duration // to the first event
+	cached   int           // tokens of the prompt that it is known to hold
+}
+
+// find returns the choice for the next attempt, or why there is none. The
+// dispatcher's mutex is held.
+func (s *search) find() (*choice, *Refusal) {
 	var ranked [excluded][]*replica
 	full := false
 	for _, r := range s.service.replicas {
@@ -84,9 +91,9 @@
 		}
 	}
 	if full {
-		return nil, 0, &Refusal{Code: Overloaded, RetryAfter: busyRetryAfter}
+		return nil, &Refusal{Code: Overloaded, RetryAfter: busyRetryAfter}
 	}
-	return nil, 0, &Refusal{Code: NoReplica, RetryAfter: absentRetryAfter}
+	return nil, &Refusal{Code: NoReplica, RetryAfter: absentRetryAfter}
 }
 
 // allowed says whether the operators and the list permit the replica.
@@ -127,28 +134,34 @@
 }
 
 // best chooses among replicas of one rank.
-func (s *search) best(list []*replica) (*replica, time.Duration, *Refusal) {
-	candidates := s.candidates(list)
-	position, expected := placement.Choose(candidates, s.work())
-	if s.route.FirstEvent > 0 && expected > s.longest(&candidates[position]) {
-		return nil, 0, &Refusal{Code: Overloaded, RetryAfter: busyRetryAfter}
+func (s *search) best(list []*replica) (*choice, *Refusal) {
+	work := s.work()
+	cached := s.cached()
+	candidates := s.candidates(list, cached)
+	position, expected := placement.Choose(candidates, work)
+	if s.route.FirstEvent > 0 && expected > s.longest(&candidates[position], work) {
+		return nil, &Refusal{Code: Overloaded, RetryAfter: busyRetryAfter}
 	}
 	chosen := list[position]
 	if s.ramped(chosen) {
 		gap := time.Duration(float64(time.Second) / (coldShare * s.service.spec.ColdPerSecond))
 		chosen.nextCold = s.now.Add(gap)
 	}
-	return chosen, time.Duration(expected * float64(time.Second)), nil
+	return &choice{
+		replica:  chosen,
+		expected: time.Duration(expected * float64(time.Second)),
+		cached:   cached[chosen.number],
+	}, nil
 }
 
 // longest is the expected time to the first event, in seconds, beyond which the
 // request is refused: it would be late for waiting. When it comes again it may be
 // in time; here it would only delay others.
-func (s *search) longest(chosen *placement.Candidate) float64 {
+func (s *search) longest(chosen *placement.Candidate, work placement.Work) float64 {
 	aim := s.route.FirstEvent.Seconds()
 	own := 0.0
 	if chosen.Speed > 0 {
-		own = max(0, s.work().Tokens-chosen.Cached) / chosen.Speed
+		own = max(0, work.Tokens-chosen.Cached) / chosen.Speed
 	}
 	return max(aim, own+waitPart*aim)
 }
@@ -164,9 +177,14 @@
 	return placement.Work{Tokens: tokens, Key: link.Hash, Bulk: float64(link.Tokens), Reread: rereading}
 }
 
-func (s *search) candidates(list []*replica) []placement.Candidate {
+// cached is what replicas are known to hold of the prompt, in tokens by number.
+func (s *search) cached() map[int]int {
 	cached := make(map[int]int)
 	s.service.index.Cached(s.request.Chain, func(number, tokens int) { cached[number] = tokens })
+	return cached
+}
+
+func (s *search) candidates(list []*replica, cached map[int]int) []placement.Candidate {
 	candidates := make([]placement.Candidate, 0, len(list))
 	for i, r := range list {
 		candidates = append(candidates, s.candidate(i, r, cached[r.number]))
--- a/dispatch/claim_test.go
+++ b/dispatch/claim_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"log/slog"
 	"net/http"
 	"slices"
 	"strings"
@@ -32,13 +31,11 @@
 
 func newGatewayPair(t *testing.T, replicas ...string) *gatewayPair {
 	t.Helper()
-	pair := &gatewayPair{first: newFixture(t), second: newFixture(t)}
-	pair.second.dispatcher = New(Options{
-		Gateway: "g2", Zone: "east-1", Region: ownRegion, Backend: pair.second,
-		Random: func() float64 { return 0 }, Logger: slog.New(slog.DiscardHandler),
-	})
+	pair := &gatewayPair{first: newFixture(t), second: newFixtureOf(t, "g2")}
 	for _, f := range []*fixture{pair.first, pair.second} {
-		f.apply(registry.Add(places.GatewayRecord("g2", places.Gateway{Region: ownRegion, Zone: "east-1", Up: true})))
+		for _, name := range []string{"g1", "g2"} {
+			f.apply(registry.Add(places.GatewayRecord(name, places.Gateway{Region: ownRegion, Zone: "east-1", Up: true})))
+		}
 		f.configure(withPrompts)
 		for _, name := range replicas {
 			f.addReplica(name, "east-1")
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -37,18 +37,30 @@
 }
 
 func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	return newFixtureOf(t, "g1")
+}
+
+// newTable is an empty registry.
+func newTable(t *testing.T) *registry.Table {
 	t.Helper()
 	table, err := registry.New(places.Apex, places.Schema(), registry.Head{Primary: "c", Serial: 1}, []string{"c"})
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &fixture{t: t, table: table}
+	return table
+}
+
+// newFixtureOf is the fixture of a gateway with this name.
+func newFixtureOf(t *testing.T, gateway string) *fixture {
+	t.Helper()
+	f := &fixture{t: t, table: newTable(t)}
 	f.answer = func(context.Context, *Attempt) (*Answer, error) { return whole(200, "ok"), nil }
 	f.dispatcher = New(Options{
-		Gateway: "g1", Zone: "east-1", Region: ownRegion, Backend: f,
+		Gateway: gateway, Zone: "east-1", Region: ownRegion, Backend: f,
 		Random: func() float64 { return 0 }, Logger: slog.New(slog.DiscardHandler),
 	})
-	f.apply(registry.Add(places.GatewayRecord("g1", places.Gateway{Region: ownRegion, Zone: "east-1", Up: true})))
+	f.apply(registry.Add(places.GatewayRecord(gateway, places.Gateway{Region: ownRegion, Zone: "east-1", Up: true})))
 	return f
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -15,7 +15,6 @@
 type plan struct {
 	version  uint64
 	routes   *routemap.Table
-	limits   routemap.Limits
 	gateways []string // names of those that are up
 	byRegion map[string][]string
 }
@@ -51,10 +50,7 @@
 	if contents.Version() == 0 {
 		return
 	}
-	next := &plan{
-		version: contents.Version(),
-		limits:  contents.RequestLimits(),
-	}
+	next := &plan{version: contents.Version()}
 	next.gateways, next.byRegion = gatewaysUp(contents)
 	old := d.plan.Load()
 	if old != nil && old.version == next.version {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -133,7 +133,8 @@
 	return refusal
 }
 
-// place chooses the replica of the next attempt and counts the attempt on it.
+// place chooses the replica of the next attempt, gives it the prompt, and tells
+// the other gateways.
 func (r *run) place() (*placed, *Refusal) {
 	d := r.dispatcher
 	d.mutex.Lock()
@@ -148,41 +149,46 @@
 		d.budget.NoteFirst(now)
 	}
 	looking := &search{dispatcher: d, plan: r.plan, service: known, route: r.route, request: r.request, tried: r.tried, now: now}
-	chosen, expected, refusal := looking.find()
+	choice, refusal := looking.find()
 	if refusal != nil {
 		return nil, refusal
 	}
+	chosen := choice.replica
 	r.tried[chosen.id] = true
-	taken := chosen.take(now, r.reading(known, chosen), r.request.Tokens)
-	if d.options.Placed != nil && taken.reading > 0 {
-		d.options.Placed(peer.PlacedPrompt{
-			Replica:   chosen.id,
-			ReadingMS: int(taken.reading.Milliseconds()),
-			Prefixes:  placement.Hashes(r.request.Chain),
-		})
+	taken := chosen.take(now, r.reading(known, choice.cached), r.request.Tokens)
+	if known.spec.CacheTokens > 0 {
+		r.tellPlaced(known, taken)
 	}
 	return &placed{
 		service:  known,
 		replica:  chosen,
 		endpoint: Endpoint{ID: chosen.id, Address: chosen.address},
-		expected: expected,
+		expected: choice.expected,
 		work:     taken,
 	}, nil
 }
 
-// reading is what the replica has to read of the prompt. It notes that the
-// replica will hold the shared parts.
-func (r *run) reading(known *service, chosen *replica) reading {
+// tellPlaced notes the shared parts that the replica will hold, here and at the
+// other gateways.
+func (r *run) tellPlaced(known *service, taken *work) {
+	d := r.dispatcher
+	prefixes := placement.Hashes(r.request.Chain)
+	known.index.NoteHashes(taken.replica.number, prefixes)
+	if d.options.Placed == nil || taken.reading == 0 {
+		return
+	}
+	d.options.Placed(peer.PlacedPrompt{
+		Replica:   taken.replica.id,
+		ReadingMS: int(taken.reading.Milliseconds()),
+		Prefixes:  prefixes,
+	})
+}
+
+// reading is what a replica has to read of the prompt that holds a part of it.
+func (r *run) reading(known *service, cached int) reading {
 	if known.spec.CacheTokens == 0 {
 		return reading{}
 	}
-	cached := 0
-	known.index.Cached(r.request.Chain, func(number, tokens int) {
-		if number == chosen.number {
-			cached = tokens
-		}
-	})
-	known.index.Note(chosen.number, r.request.Chain)
 	shared := 0
 	if links := len(r.request.Chain); links > 0 {
 		shared = r.request.Chain[links-1].Tokens
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -144,12 +144,8 @@
 
 func newSimulatedFleet(t *testing.T, seed uint64, distort func(*routemap.Map)) *simulatedFleet {
 	t.Helper()
-	table, err := registry.New(places.Apex, places.Schema(), registry.Head{Primary: "c", Serial: 1}, []string{"c"})
-	if err != nil {
-		t.Fatal(err)
-	}
 	f := &simulatedFleet{
-		t: t, table: table, random: rand.New(rand.NewPCG(seed, 1)), began: time.Now(),
+		t: t, table: newTable(t), random: rand.New(rand.NewPCG(seed, 1)), began: time.Now(),
 		replicas: make(map[string]*simulatedReplica), record: newSimulatedRecord(), distort: distort,
 	}
 	f.configure("web")
--- a/httpgateway/answer.go
+++ b/httpgateway/answer.go
@@ -44,7 +44,7 @@
 	if refusal.RetryAfter > 0 {
 		w.Header().Set(headerRetryAfter, strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	writeProblem(w, statusOf(refusal.Code), string(refusal.Code))
+	WriteProblem(w, statusOf(refusal.Code), requestProblem(string(refusal.Code)))
 }
 
 // statusOf gives 503 only to what has not run.
@@ -61,15 +61,17 @@
 	}
 }
 
-// problemDocument is the body of an answer that no replica gave.
-type problemDocument struct {
+// Problem is the body of an answer that no replica gave.
+type Problem struct {
 	Field  string `json:"field"`
 	Reason string `json:"reason"`
 }
 
-func writeProblem(w http.ResponseWriter, status int, reason string) {
+func requestProblem(reason string) Problem { return Problem{Field: "request", Reason: reason} }
+
+// WriteProblem answers with a status and a Problem.
+func WriteProblem(w http.ResponseWriter, status int, problem Problem) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	problem := problemDocument{Field: "request", Reason: reason}
 	_ = json.NewEncoder(w).Encode(problem) // a client that went away gets no answer
 }
--- a/httpgateway/door.go
+++ b/httpgateway/door.go
@@ -36,7 +36,7 @@
 	arrived := time.Now()
 	request, status, err := p.read(w, r, arrived)
 	if err != nil {
-		writeProblem(w, status, err.Error())
+		WriteProblem(w, status, requestProblem(err.Error()))
 		return
 	}
 	answer := &clientAnswer{writer: w, controller: http.NewResponseController(w)}
--- a/internal/fleet/address.go
+++ b/internal/fleet/address.go
@@ -59,17 +59,3 @@
 }
 
 func (b *addressBlock) release() { b.guard.Close() }
-
-// freePorts finds ports of a host by binding them all before letting them go.
-func freePorts(host string, count int) ([]string, error) {
-	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-		if err != nil {
-			return nil, fmt.Errorf("finding a free port of %s: %w", host, err)
-		}
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses, nil
-}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/deckpulley/deckpulley/internal/eventlog"
 	"github.com/deckpulley/deckpulley/internal/fleet/process"
 	"github.com/deckpulley/deckpulley/internal/fleet/relay"
+	"github.com/deckpulley/deckpulley/internal/freeport"
 	"github.com/deckpulley/deckpulley/settings"
 )
 
@@ -159,7 +160,7 @@
 	if err != nil {
 		return err
 	}
-	ports, err := freePorts(host, 1)
+	ports, err := freeport.Addresses(host, 1)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -9,6 +9,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"github.com/deckpulley/deckpulley/internal/fleet/process"
+	"github.com/deckpulley/deckpulley/internal/freeport"
 	"github.com/deckpulley/deckpulley/settings"
 )
 
@@ -66,7 +67,7 @@
 	if role == settings.RoleGateway {
 		count = gatewayPorts
 	}
-	ports, err := freePorts(host, count)
+	ports, err := freeport.Addresses(host, count)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -11,6 +11,7 @@
 	"github.com/deckpulley/deckpulley/internal/checker"
 	"github.com/deckpulley/deckpulley/internal/eventlog"
 	"github.com/deckpulley/deckpulley/internal/fleet/process"
+	"github.com/deckpulley/deckpulley/internal/freeport"
 )
 
 // Replica is one replica stand-in of the fleet.
@@ -36,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ports, err := freePorts(host, 1)
+	ports, err := freeport.Addresses(host, 1)
 	if err != nil {
 		return nil, err
 	}
--- a/placement/index.go
+++ b/placement/index.go
@@ -47,7 +47,11 @@
 
 // Note records that a chain was sent to a replica.
 func (x *Index) Note(replica int, chain []Link) {
-	x.NoteHashes(replica, Hashes(chain))
+	record := x.record(replica)
+	for position := len(chain) - 1; position >= 0; position-- {
+		x.touch(record, replica, chain[position].Hash)
+	}
+	x.trim(record, replica)
 }
 
 // NoteHashes is Note for a chain that is known by the hashes of its links alone.
@@ -56,6 +60,11 @@
 	for position := len(hashes) - 1; position >= 0; position-- {
 		x.touch(record, replica, hashes[position])
 	}
+	x.trim(record, replica)
+}
+
+// trim drops what is beyond a replica's part.
+func (x *Index) trim(record *sent, replica int) {
 	for record.order.Len() > x.limit {
 		x.dropOldest(record, replica)
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -118,16 +118,6 @@
 	return time.Time{}
 }
 
-// Open returns the number of connections to an address, idle ones included.
-func (p *Pool) Open(address string) int {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if known, found := p.peers[address]; found {
-		return known.open
-	}
-	return 0
-}
-
 // Forget closes the idle connections to an address.
 func (p *Pool) Forget(address string) {
 	p.mutex.Lock()
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -258,19 +258,29 @@
 	if _, err := fetch(t, pool, address); err != nil {
 		t.Fatal(err)
 	}
-	if pool.Reap(time.Now()); pool.Open(address) != 1 {
+	if pool.Reap(time.Now()); openTo(pool, address) != 1 {
 		t.Error("a fresh connection was reaped")
 	}
 	if pool.Heard(address).IsZero() {
 		t.Error("nothing was heard")
 	}
-	if pool.Reap(time.Now().Add(time.Hour)); pool.Open(address) != 0 {
+	if pool.Reap(time.Now().Add(time.Hour)); openTo(pool, address) != 0 {
 		t.Error("an old connection was kept")
 	}
 	if _, err := fetch(t, pool, address); err != nil {
 		t.Fatal(err)
 	}
-	if pool.Forget(address); pool.Open(address) != 0 {
+	if pool.Forget(address); openTo(pool, address) != 0 {
 		t.Error("a connection to a forgotten address was kept")
 	}
 }
+
+// openTo counts the connections to an address, idle and in use.
+func openTo(pool *Pool, address string) int {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	if known, found := pool.peers[address]; found {
+		return known.open
+	}
+	return 0
+}
