Change named items of a configuration by one order

Change: package documentchange adds, replaces and removes named items and leaves the rest of a text as it was written: lists in JSON (the platform's documents), mappings in YAML or JSON (the product's own). The primary makes the change to the version that it was built on, under the same prerequisite as a whole document, so that a change and a whole one on the same base race as two whole ones do. The identity is base and text, as before. Removing what is not there is ignored, as in RFC 2136 3.4.2.3; an item that is to be kept and removed, or stands twice, is invalid. PATCH /v1/configuration, client.Change and deckpulleyctl config change give the same to the product's own document. The simulation's operators change the value too; its sequential model and a planted defect (a change made to an old value) check it.

--- a/api/operator.go
+++ b/api/operator.go
@@ -3,7 +3,7 @@
 // Paths of the operators' port of a control node. Every node of the control
 // role answers; one that is not the primary forwards toward it.
 const (
-	PathConfiguration = "/v1/configuration" // GET ConfigurationAnswer; PUT ConfigurationOrder
+	PathConfiguration = "/v1/configuration" // GET ConfigurationAnswer; PUT ConfigurationOrder; PATCH ConfigurationChangeOrder
 	PathZones         = "/v1/zones"         // GET ZonesAnswer
 	PathEvacuations   = "/v1/evacuations"   // POST EvacuationOrder
 	PathStatus        = "/v1/status"        // GET StatusAnswer
@@ -28,6 +28,18 @@
 	Document string `json:"document"`
 }
 
+// ConfigurationChangeOrder changes named items of the configuration document and
+// leaves the rest of its text.
+type ConfigurationChangeOrder struct {
+	// OrderID makes a resend safe: the first answer is repeated.
+	OrderID string `json:"order_id"`
+	// BaseVersion is the version that the change is made to, and no other.
+	BaseVersion uint64 `json:"base_version"`
+	Author      string `json:"author,omitempty"`
+	// Change is the text of the change (YAML or JSON).
+	Change string `json:"change"`
+}
+
 // EvacuationOrder empties a zone, or withdraws that.
 type EvacuationOrder struct {
 	OrderID  string `json:"order_id"`
--- a/client/operator.go
+++ b/client/operator.go
@@ -19,6 +19,13 @@
 	return c.order(ctx, http.MethodPut, api.PathConfiguration, order)
 }
 
+// Change changes named items of the configuration and waits until that is in
+// force. Order ids are kept as in Apply.
+func (c *Client) Change(ctx context.Context, order *api.ConfigurationChangeOrder) (*api.OrderAnswer, error) {
+	fillOrderID(&order.OrderID)
+	return c.order(ctx, http.MethodPatch, api.PathConfiguration, order)
+}
+
 // Evacuate empties a zone, or withdraws that, and waits until it is in force.
 // Order ids are kept as in Apply.
 func (c *Client) Evacuate(ctx context.Context, order *api.EvacuationOrder) (*api.OrderAnswer, error) {
--- a/cmd/deckpulleyctl/config.go
+++ b/cmd/deckpulleyctl/config.go
@@ -18,7 +18,7 @@
 
 func configCommand(shared *options) *cobra.Command {
 	command := &cobra.Command{Use: "config", Short: "Validate, compare, apply and read the configuration"}
-	command.AddCommand(configValidate(), configDiff(shared), configApply(shared), configGet(shared), configHistory(shared))
+	command.AddCommand(configValidate(), configDiff(shared), configApply(shared), configChange(shared), configGet(shared), configHistory(shared))
 	return command
 }
 
@@ -234,6 +234,58 @@
 	return command
 }
 
+func configChange(shared *options) *cobra.Command {
+	var flags orderFlags
+	var base int64
+	command := &cobra.Command{
+		Use:   "change FILE",
+		Short: "Add, replace or remove named items and wait until that is in force everywhere",
+		Long: `Add, replace or remove named items of the configuration, and leave the rest as it
+is. The file has the items by section and name:
+
+  upsert:
+    tenants:
+      acme: {home: north}
+    http.routes:
+      chat: {host: chat.example, path_prefix: /, kind: stream, ...}
+  remove:
+    tenants: [old]
+
+Names to remove that the configuration does not have are ignored. The change is
+made to the version given by --base-version, by default the one that is current
+when the command starts, and is refused if another one has become current. Repeat
+a lost order with the same --order-id and --base-version.`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			text, err := readText(command, arguments[0])
+			if err != nil {
+				return usageError{err}
+			}
+			if _, err := configuration.ParseChange(text); err != nil {
+				return usageError{fmt.Errorf("%s: %w", arguments[0], err)}
+			}
+			connection, ctx, cancel, err := shared.connect(command)
+			if err != nil {
+				return err
+			}
+			defer cancel()
+			version, err := baseVersion(ctx, connection, base)
+			if err != nil {
+				return err
+			}
+			order := api.ConfigurationChangeOrder{OrderID: flags.id(), BaseVersion: version, Author: flags.author, Change: text}
+			answer, err := connection.Change(ctx, &order)
+			if err != nil {
+				return flags.explain(command, err, fmt.Sprintf(" --base-version %d", version))
+			}
+			return shared.showOrder(command, answer)
+		},
+	}
+	flags.add(command)
+	command.Flags().Int64Var(&base, "base-version", -1, "version that the change is made to; default the current one")
+	return command
+}
+
 func baseVersion(ctx context.Context, connection *client.Client, given int64) (uint64, error) {
 	if given >= 0 {
 		return uint64(given), nil
--- a/configuration/parse.go
+++ b/configuration/parse.go
@@ -26,9 +26,6 @@
 		found.add(Problem{Reason: fmt.Sprintf("document of %d bytes, at most %d", len(text), MaxDocumentBytes)})
 		return nil, found.err()
 	}
-	if json.Valid([]byte(text)) {
-		text = strings.ReplaceAll(text, "\t", " ") // a tab in JSON is only ever white space, YAML is stricter
-	}
 	root := parseNode(text, &found)
 	if err := found.err(); err != nil {
 		return nil, err
@@ -56,6 +53,9 @@
 
 // parseNode returns the one document of a text.
 func parseNode(text string, found *report) *yaml.Node {
+	if json.Valid([]byte(text)) {
+		text = strings.ReplaceAll(text, "\t", " ") // a tab in JSON is only ever white space, YAML is stricter
+	}
 	reader := yaml.NewDecoder(strings.NewReader(text))
 	var document, second yaml.Node
 	if err := reader.Decode(&document); err != nil {
--- a/control/decision.go
+++ b/control/decision.go
@@ -5,6 +5,7 @@
 
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/configuration"
+	"github.com/deckpulley/deckpulley/documentchange"
 	"github.com/deckpulley/deckpulley/internal/planted"
 	"github.com/deckpulley/deckpulley/places"
 	"github.com/deckpulley/deckpulley/registry"
@@ -23,6 +24,9 @@
 	if t.request.Configuration != nil {
 		return t.planConfiguration(facts)
 	}
+	if t.request.ConfigurationChange != nil {
+		return t.planConfigurationChange(facts)
+	}
 	if t.request.RouteMap != nil {
 		return t.planRouteMap(facts)
 	}
@@ -33,19 +37,62 @@
 // Either way the decision holds only while that version is the current one.
 func (t *task) planConfiguration(facts orderFacts) (plan, error) {
 	order := t.request.Configuration
-	base := configuration.BasePrerequisite(facts.contents.View())
+	if refused, stale := t.refuseOldBase(facts, order.BaseVersion); stale && !planted.Active(planted.AcceptOldBase) {
+		return refused, nil
+	}
+	return t.acceptDocument(facts, t.document, order.Author, order.Document)
+}
+
+// planConfigurationChange makes a change to the document of the version that it
+// was built on, if that is the current one and the result is valid.
+func (t *task) planConfigurationChange(facts orderFacts) (plan, error) {
+	order := t.request.ConfigurationChange
+	if refused, stale := t.refuseOldBase(facts, order.BaseVersion); stale {
+		return refused, nil
+	}
+	text, document, problem := changedDocument(facts.contents, t.change)
+	if problem != nil {
+		base := configuration.BasePrerequisite(facts.contents.View())
+		return t.refuse(facts, base, problem.Code, problem.Field, problem.Message), nil
+	}
+	return t.acceptDocument(facts, document, order.Author, text)
+}
+
+// changedDocument is the current document with a change made to it.
+func changedDocument(contents *places.Contents, change *documentchange.Change) (string, *configuration.Document, *api.Error) {
+	current, _ := contents.ConfigurationRecord()
+	text, err := documentchange.ApplyToMappings(current.Document, change)
+	if err != nil {
+		return "", nil, invalidChange(err)
+	}
+	document, err := configuration.Load(text)
+	if err != nil {
+		return "", nil, invalidDocument(err)
+	}
+	return text, document, nil
+}
+
+// refuseOldBase refuses what was not built on the current version.
+func (t *task) refuseOldBase(facts orderFacts, base uint64) (refused plan, stale bool) {
 	current := facts.contents.Version()
-	if order.BaseVersion != current && !planted.Active(planted.AcceptOldBase) {
-		reason := fmt.Sprintf("built on version %d, the current version is %d", order.BaseVersion, current)
-		return t.refuse(facts, base, api.CodeVersionConflict, "base_version", reason), nil
+	if base == current {
+		return plan{}, false
 	}
-	version := current + 1
-	changes, err := configuration.Changes(facts.contents.View(), t.document, version, order.Author, order.Document)
+	reason := fmt.Sprintf("built on version %d, the current version is %d", base, current)
+	while := configuration.BasePrerequisite(facts.contents.View())
+	return t.refuse(facts, while, api.CodeVersionConflict, "base_version", reason), true
+}
+
+// acceptDocument makes a document the next version.
+func (t *task) acceptDocument(facts orderFacts, document *configuration.Document, author, text string) (plan, error) {
+	version := facts.contents.Version() + 1
+	base := configuration.BasePrerequisite(facts.contents.View())
+	changes, err := configuration.Changes(facts.contents.View(), document, version, author, text)
 	if err != nil {
 		return plan{}, err
 	}
 	answer := places.Order{Digest: t.digest, Accepted: true, Version: version, Number: facts.number}
-	return t.decide(facts, answer, order.Author, []registry.Record{base}, changes), nil
+	return t.decide(facts, answer, author, []registry.Record{base}, changes), nil
 }
 
 // planEvacuation empties a zone of the current configuration, or withdraws that.
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/deckpulley/deckpulley/api"
+	"github.com/deckpulley/deckpulley/configuration"
 	"github.com/deckpulley/deckpulley/consensus"
 	"github.com/deckpulley/deckpulley/lease"
 	"github.com/deckpulley/deckpulley/places"
@@ -134,6 +135,61 @@
 	})
 }
 
+// TestAChangeLeavesTheRestOfTheDocument: items come and go by name, under the terms
+// of whole documents, and what is refused leaves everything as it was.
+func TestAChangeLeavesTheRestOfTheDocument(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		f.startGateway("gateway-1")
+		f.mustSend(f.primary(), "order-1", 0)
+		change := func(node *Node, id string, base uint64, text string) (int, api.OrderAnswer) {
+			var answer api.OrderAnswer
+			order := api.ConfigurationChangeOrder{OrderID: id, BaseVersion: base, Change: text}
+			status := f.request(node, http.MethodPatch, api.PathConfiguration, order, &answer)
+			return status, answer
+		}
+		const added = "upsert: {tenants: {added: {weight: 7}}}\nremove: {tenants: [unknown]}"
+		if status, answer := change(f.follower(), "change-1", 1, added); status != http.StatusOK || answer.Version != 2 {
+			t.Fatalf("answered %d %+v", status, answer)
+		}
+		for name, node := range f.nodes {
+			if status, answer := change(node, "change-1", 1, added); status != http.StatusOK || answer.Version != 2 {
+				t.Errorf("sent again to %s: %d %+v", name, status, answer)
+			}
+		}
+		refused := map[string]struct {
+			base uint64
+			text string
+			code api.Code
+		}{
+			"race-lost":   {1, added, api.CodeVersionConflict},
+			"meaningless": {2, "upsert: {tenants: {added: {home: nowhere}}}", api.CodeInvalid},
+			"unreadable":  {2, "upsert: {tenants: {added: {unknown: 1}}}", api.CodeInvalid},
+		}
+		for id, test := range refused {
+			if _, answer := change(f.primary(), id, test.base, test.text); answer.Accepted || answer.Error == nil || answer.Error.Code != test.code {
+				t.Errorf("%s answered %+v", id, answer)
+			}
+		}
+		contents := f.primary().observe().contents
+		if tenant, known := contents.Tenant("added"); !known || tenant.Weight != 7 || contents.Version() != 2 {
+			t.Errorf("version %d, tenant %+v", contents.Version(), tenant)
+		}
+		current, _ := contents.ConfigurationRecord()
+		read, err := configuration.Load(current.Document)
+		if err != nil {
+			t.Fatal(err)
+		}
+		before, err := configuration.Load(document(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(read.Tenants) != len(before.Tenants)+1 || len(read.Routes) != len(before.Routes) {
+			t.Errorf("the document is now %s", current.Document)
+		}
+	})
+}
+
 // fillLog puts so many updates through the log.
 func (f *fleet) fillLog(count int) {
 	f.t.Helper()
--- a/control/http.go
+++ b/control/http.go
@@ -58,6 +58,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+api.PathConfiguration, n.getConfiguration)
 	mux.HandleFunc("PUT "+api.PathConfiguration, n.authorized(n.putConfiguration))
+	mux.HandleFunc("PATCH "+api.PathConfiguration, n.authorized(n.patchConfiguration))
 	mux.HandleFunc("GET "+api.PathZones, n.getZones)
 	mux.HandleFunc("POST "+api.PathEvacuations, n.authorized(n.postEvacuation))
 	mux.HandleFunc("GET "+api.PathStatus, n.getStatus)
@@ -126,6 +127,16 @@
 	n.serveHTTPOrder(w, r, peer.OrderRequest{Configuration: &order})
 }
 
+func (n *Node) patchConfiguration(w http.ResponseWriter, r *http.Request, operator string) {
+	var order api.ConfigurationChangeOrder
+	if problem := readJSON(w, r, maxOrderBody, &order); problem != nil {
+		writeError(w, problem)
+		return
+	}
+	order.Author = authorOf(order.Author, operator)
+	n.serveHTTPOrder(w, r, peer.OrderRequest{ConfigurationChange: &order})
+}
+
 func (n *Node) postEvacuation(w http.ResponseWriter, r *http.Request, operator string) {
 	var order api.EvacuationOrder
 	if problem := readJSON(w, r, maxSmallBody, &order); problem != nil {
--- a/control/routemap.go
+++ b/control/routemap.go
@@ -4,13 +4,16 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"strconv"
 
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/configuration"
 	"github.com/deckpulley/deckpulley/consensus"
 	"github.com/deckpulley/deckpulley/directory"
+	"github.com/deckpulley/deckpulley/documentchange"
 	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/places"
 	"github.com/deckpulley/deckpulley/registry"
@@ -23,9 +26,12 @@
 // order; it is given only on a state that was the newest when the order came.
 
 const (
-	routeMapIDPrefix = "map-"
+	routeMapIDPrefix       = "map-"
+	routeMapChangeIDPrefix = "map-change-"
 	// routeMapIDBytes is the part of the SHA-256 that names an order.
 	routeMapIDBytes = 20
+	// versionMember is the member of a map's text that has its version.
+	versionMember = "version"
 )
 
 // checkRouteMap checks the form of an order for a map of routes.
@@ -33,11 +39,19 @@
 	if len(order.Text) > configuration.MaxDocumentBytes {
 		return invalid("text", fmt.Sprintf("must have at most %d bytes", configuration.MaxDocumentBytes))
 	}
-	if err := order.Map.Validate(); err != nil {
-		return invalidMap(err)
+	kind := "routemap"
+	if order.Change == nil {
+		if err := order.Map.Validate(); err != nil {
+			return invalidMap(err)
+		}
+	} else {
+		kind = "routemap change"
+		if err := order.Change.Text.Validate(); err != nil {
+			return invalidChange(err)
+		}
 	}
 	t.routeMapID = routeMapID(order)
-	t.digest = digestOf("routemap", order.BaseVersion, order.Text)
+	t.digest = digestOf(kind, order.BaseVersion, order.Text)
 	return nil
 }
 
@@ -50,8 +64,40 @@
 }
 
 func routeMapID(order *peer.RouteMapOrder) string {
+	prefix := routeMapIDPrefix
+	if order.Change != nil {
+		prefix = routeMapChangeIDPrefix
+	}
 	sum := sha256.Sum256(fmt.Appendf(nil, "%d\n%s", order.BaseVersion, order.Text))
-	return routeMapIDPrefix + hex.EncodeToString(sum[:routeMapIDBytes])
+	return prefix + hex.EncodeToString(sum[:routeMapIDBytes])
+}
+
+// routeMapResult is the map that an order leads to, and its text.
+type routeMapResult struct {
+	routes *routemap.Map
+	text   string
+}
+
+// resultOf is what an order makes of the current configuration. A change is made
+// to it by the primary, in the order's place in the log.
+func resultOf(order *peer.RouteMapOrder, contents *places.Contents) (routeMapResult, *api.Error) {
+	if order.Change == nil {
+		return routeMapResult{routes: &order.Map, text: order.Text}, nil
+	}
+	current, _ := contents.ConfigurationRecord()
+	version := json.RawMessage(strconv.FormatUint(order.Change.Map.Version, 10))
+	text, err := documentchange.ApplyToLists(current.Document, &order.Change.Text, map[string]json.RawMessage{versionMember: version})
+	if err != nil {
+		return routeMapResult{}, invalidChange(err)
+	}
+	if len(text) > configuration.MaxDocumentBytes {
+		return routeMapResult{}, invalid("text", fmt.Sprintf("the changed document has %d bytes, at most %d", len(text), configuration.MaxDocumentBytes))
+	}
+	routes := contents.RouteMap().Apply(&order.Change.Map)
+	if err := routes.Validate(); err != nil {
+		return routeMapResult{}, invalidMap(err)
+	}
+	return routeMapResult{routes: routes, text: text}, nil
 }
 
 // refuseRouteMap returns why an order may not be carried out on the newest
@@ -67,10 +113,11 @@
 			Message: fmt.Sprintf("built on version %d, the current version is %d", order.BaseVersion, current),
 			Field:   "base_version",
 		}
-	case order.Map.Version <= current:
+	case order.Version() <= current:
 		return invalid("version", fmt.Sprintf("must be above the current version %d", current))
 	default:
-		return nil
+		_, problem := resultOf(order, contents)
+		return problem
 	}
 }
 
@@ -78,12 +125,16 @@
 // on still is.
 func (t *task) planRouteMap(facts orderFacts) (plan, error) {
 	order := t.request.RouteMap
+	result, problem := resultOf(order, facts.contents)
+	if problem != nil {
+		return plan{}, problem
+	}
 	base := configuration.BasePrerequisite(facts.contents.View())
-	changes, err := configuration.MapChanges(facts.contents.View(), &order.Map, order.Zones, order.Text)
+	changes, err := configuration.MapChanges(facts.contents.View(), result.routes, order.Zones, result.text)
 	if err != nil {
 		return plan{}, err
 	}
-	answer := places.Order{Digest: t.digest, Accepted: true, Version: order.Map.Version, Number: facts.number}
+	answer := places.Order{Digest: t.digest, Accepted: true, Version: result.routes.Version, Number: facts.number}
 	return t.decide(facts, answer, "", []registry.Record{base}, changes), nil
 }
 
--- a/control/routemap_test.go
+++ b/control/routemap_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/consensus"
+	"github.com/deckpulley/deckpulley/documentchange"
 	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/places"
 	"github.com/deckpulley/deckpulley/routemap"
@@ -138,6 +139,134 @@
 	})
 }
 
+const mapText = `{"version":%d,"routes":[{"name":"r"}],"services":[{"name":"s"}],"kept":true}`
+
+// routeMapChange is an order that adds a route and removes others.
+func routeMapChange(base, version uint64, added string, removed ...string) peer.OrderRequest {
+	order := routeMapOrder(base, version)
+	route := order.RouteMap.Map.Routes[0]
+	route.Name, route.PathPrefix = added, "/"+added+"/"
+	order.RouteMap.Text = fmt.Sprintf("%d: add %s, remove %v", version, added, removed)
+	order.RouteMap.Map = routemap.Map{}
+	order.RouteMap.Change = &peer.RouteMapChange{
+		Map: routemap.Change{Version: version, Routes: []routemap.Route{route}, RemovedRoutes: removed},
+		Text: documentchange.Change{Sections: []documentchange.Section{{
+			Name:   "routes",
+			Upsert: []documentchange.Item{{Name: added, Value: fmt.Sprintf(`{"name":%q}`, added)}},
+			Remove: removed,
+		}}},
+	}
+	return order
+}
+
+// readableMapOrder is an order for a map whose text can be changed.
+func readableMapOrder(base, version uint64) peer.OrderRequest {
+	order := routeMapOrder(base, version)
+	order.RouteMap.Text = fmt.Sprintf(mapText, version)
+	return order
+}
+
+// TestAChangeIsMadeToTheVersionThatItWasBuiltOn holds what a change leaves: the map,
+// its text, and the same answer for the same change from any node, also later.
+func TestAChangeIsMadeToTheVersionThatItWasBuiltOn(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		f.startGateway("gateway-1")
+		if reply := carryOut(f.primary(), readableMapOrder(0, 3)); !accepted(reply) {
+			t.Fatalf("got %+v", reply)
+		}
+		first := routeMapChange(3, 5, "added", "unknown")
+		if reply := carryOut(f.follower(), first); !accepted(reply) || reply.Answer.Version != 5 {
+			t.Fatalf("got %+v", reply)
+		}
+		second := routeMapChange(5, 8, "again", "r")
+		if reply := carryOut(f.primary(), second); !accepted(reply) {
+			t.Fatalf("got %+v", reply)
+		}
+		for name, node := range f.nodes {
+			if reply := carryOut(node, first); !accepted(reply) || reply.Answer.Version != 5 {
+				t.Errorf("sent again to %s: %+v", name, reply)
+			}
+		}
+		current, _, problem := f.primary().Current(t.Context())
+		want := `{"version":8,"routes":[{"name":"added"},{"name":"again"}],"services":[{"name":"s"}],"kept":true}`
+		if problem != nil || current.Document != want {
+			t.Errorf("got %s, %v", current.Document, problem)
+		}
+		routes := f.primary().observe().contents.PathRoutes()
+		if _, removed := routes["r"]; removed || len(routes) != 2 || routes["added"].PathPrefix != "/added/" {
+			t.Errorf("got %+v", routes)
+		}
+	})
+}
+
+func TestARefusedChangeChangesNothing(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		f.startGateway("gateway-1")
+		if reply := carryOut(f.primary(), readableMapOrder(0, 3)); !accepted(reply) {
+			t.Fatalf("got %+v", reply)
+		}
+		samePlace := routeMapChange(3, 9, "added")
+		samePlace.RouteMap.Change.Map.Routes[0].PathPrefix = "/"
+		noService := routeMapChange(3, 9, "added")
+		noService.RouteMap.Change.Map.RemovedServices = []string{"s"}
+		both := routeMapChange(3, 9, "added", "added")
+		tests := map[string]struct {
+			request peer.OrderRequest
+			code    api.Code
+			field   string
+		}{
+			"race lost":     {routeMapChange(0, 9, "added"), api.CodeVersionConflict, "base_version"},
+			"unknown base":  {routeMapChange(4, 9, "added"), api.CodeVersionConflict, "base_version"},
+			"old version":   {routeMapChange(3, 2, "added"), api.CodeInvalid, "version"},
+			"same version":  {routeMapChange(3, 3, "added"), api.CodeInvalid, "version"},
+			"same place":    {samePlace, api.CodeInvalid, "routes[1].path_prefix"},
+			"service gone":  {noService, api.CodeInvalid, "routes[0].targets[0].service"},
+			"in both lists": {both, api.CodeInvalid, "change.remove.routes[0]"},
+		}
+		for name, test := range tests {
+			for _, node := range []*Node{f.primary(), f.follower()} {
+				reply := carryOut(node, test.request)
+				if reply.Error == nil || reply.Error.Code != test.code || reply.Error.Field != test.field {
+					t.Errorf("%s at %s: got %+v, %+v", name, node.options.Name, reply, reply.Error)
+				}
+			}
+		}
+		current, _, _ := f.primary().Current(t.Context())
+		if current.Document != fmt.Sprintf(mapText, 3) || current.Version != 3 {
+			t.Errorf("got %+v", current)
+		}
+	})
+}
+
+// TestOfAMapAndAChangeOnOneBaseOneWins sends pairs at once through different nodes.
+func TestOfAMapAndAChangeOnOneBaseOneWins(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.start(controlNames...)
+		f.startGateway("gateway-1")
+		if reply := carryOut(f.primary(), readableMapOrder(0, 1)); !accepted(reply) {
+			t.Fatalf("got %+v", reply)
+		}
+		base := uint64(1)
+		for round := range uint64(6) {
+			version := base + 2
+			orders := [2]peer.OrderRequest{readableMapOrder(base, version), routeMapChange(base, version, "added")}
+			var replies [2]peer.OrderReply
+			var both sync.WaitGroup
+			nodes := [2]*Node{f.primary(), f.follower()}
+			for i := range orders {
+				both.Go(func() { replies[i] = carryOut(nodes[(i+int(round))%2], orders[i]) })
+			}
+			both.Wait()
+			if accepted(replies[0]) == accepted(replies[1]) {
+				t.Fatalf("round %d: %+v and %+v", round, replies[0], replies[1])
+			}
+			base = version
+		}
+	})
+}
+
 // listInventory is a list of replicas in memory.
 type listInventory struct {
 	mutex sync.Mutex
--- a/control/task.go
+++ b/control/task.go
@@ -9,6 +9,7 @@
 
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/configuration"
+	"github.com/deckpulley/deckpulley/documentchange"
 	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/places"
 )
@@ -17,7 +18,9 @@
 type task struct {
 	request  peer.OrderRequest
 	document *configuration.Document
-	digest   uint64
+	// change is that of an order which changes the document.
+	change *documentchange.Change
+	digest uint64
 	// routeMapID is the identity of an order for a map of routes.
 	routeMapID string
 	// sent is true once the order may have been carried out.
@@ -36,6 +39,8 @@
 		return t, checkReplicas(request.Replicas)
 	case request.RouteMap != nil:
 		return t, t.checkRouteMap(request.RouteMap)
+	case request.ConfigurationChange != nil:
+		return t, t.checkConfigurationChange(request.ConfigurationChange)
 	default:
 		return nil, invalid("", "the request carries no order")
 	}
@@ -49,6 +54,8 @@
 		return t.request.Evacuation.OrderID
 	case t.request.RouteMap != nil:
 		return t.routeMapID
+	case t.request.ConfigurationChange != nil:
+		return t.request.ConfigurationChange.OrderID
 	default:
 		return ""
 	}
@@ -81,6 +88,28 @@
 	return nil
 }
 
+func (t *task) checkConfigurationChange(order *api.ConfigurationChangeOrder) *api.Error {
+	if problem := checkOrderID(order.OrderID, order.Author); problem != nil {
+		return problem
+	}
+	change, err := configuration.ParseChange(order.Change)
+	if err != nil {
+		return invalidChange(err)
+	}
+	t.change = change
+	t.digest = digestOf("configuration change", order.BaseVersion, order.Change)
+	return nil
+}
+
+// invalidChange names the field of a change that cannot be made.
+func invalidChange(err error) *api.Error {
+	var problem *documentchange.Problem
+	if errors.As(err, &problem) {
+		return invalid("change."+problem.Field, problem.Reason)
+	}
+	return invalid("change", err.Error())
+}
+
 // invalidDocument names the first problem's field; the message has all of them.
 func invalidDocument(err error) *api.Error {
 	answer := invalid("document", err.Error())
--- /dev/null
+++ b/documentchange/change_test.go
@@ -0,0 +1,174 @@
+package documentchange
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+)
+
+func TestValidateNamesWhatIsWrong(t *testing.T) {
+	item := func(name string) Item { return Item{Name: name, Value: "{}"} }
+	tests := map[string]struct {
+		change Change
+		field  string // "" is valid
+	}{
+		"empty":           {Change{}, ""},
+		"kept, removed":   {Change{Sections: []Section{{Name: "a", Upsert: []Item{item("x")}, Remove: []string{"y"}}}}, ""},
+		"same name apart": {Change{Sections: []Section{{Name: "a", Upsert: []Item{item("x")}}, {Name: "b", Remove: []string{"x"}}}}, ""},
+		"in both lists":   {Change{Sections: []Section{{Name: "a", Upsert: []Item{item("x")}, Remove: []string{"x"}}}}, "remove.a[0]"},
+		"upserted twice":  {Change{Sections: []Section{{Name: "a", Upsert: []Item{item("x"), item("x")}}}}, "upsert.a[1]"},
+		"removed twice":   {Change{Sections: []Section{{Name: "a", Remove: []string{"x", "x"}}}}, "remove.a[1]"},
+		"no name":         {Change{Sections: []Section{{Name: "a", Upsert: []Item{item("")}}}}, "upsert.a[0]"},
+		"removes no name": {Change{Sections: []Section{{Name: "a", Remove: []string{""}}}}, "remove.a[0]"},
+		"section twice":   {Change{Sections: []Section{{Name: "a"}, {Name: "a"}}}, "a"},
+		"too many":        {Change{Sections: []Section{{Name: "a", Upsert: manyItems(MaxItems + 1)}}}, "change"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			err := test.change.Validate()
+			var problem *Problem
+			switch {
+			case test.field == "" && err != nil:
+				t.Errorf("got %v", err)
+			case test.field != "" && (!errors.As(err, &problem) || problem.Field != test.field):
+				t.Errorf("got %v, want a problem at %s", err, test.field)
+			}
+		})
+	}
+}
+
+func manyItems(count int) []Item {
+	items := make([]Item, count)
+	for i := range items {
+		items[i] = Item{Name: strings.Repeat("x", 1+i%7) + string(rune('a'+i%26)) + json.Number(strings.Repeat("1", 1+i%3)).String(), Value: "{}"}
+		items[i].Name += string(rune(0x4e00 + i%20000))
+		items[i].Name += string(rune(0x4e00 + i/20000))
+	}
+	return items
+}
+
+const listDocument = `{"version":7,"kept" : [1, 2],"routes":[{"name":"r1","x": 1.50},{"x":2,"name":"r2"},{"name":"r3"}],"limits":{"a":1e3}}`
+
+func TestApplyToLists(t *testing.T) {
+	set := map[string]json.RawMessage{"version": json.RawMessage("9")}
+	tests := map[string]struct {
+		document string
+		change   Change
+		want     string
+	}{
+		"nothing": {listDocument, Change{}, strings.Replace(compactMembers(listDocument), `:7,`, `:9,`, 1)},
+		"replaced in its place": {
+			listDocument,
+			Change{Sections: []Section{{Name: "routes", Upsert: []Item{{Name: "r2", Value: `{"name":"r2","y":3}`}}}}},
+			`{"version":9,"kept":[1, 2],"routes":[{"name":"r1","x": 1.50},{"name":"r2","y":3},{"name":"r3"}],"limits":{"a":1e3}}`,
+		},
+		"added, removed, unknown removed": {
+			listDocument,
+			Change{Sections: []Section{{Name: "routes", Upsert: []Item{{Name: "r4", Value: `{"name":"r4"}`}}, Remove: []string{"r1", "r9"}}}},
+			`{"version":9,"kept":[1, 2],"routes":[{"x":2,"name":"r2"},{"name":"r3"},{"name":"r4"}],"limits":{"a":1e3}}`,
+		},
+		"a list that was missing": {
+			`{"a":1}`,
+			Change{Sections: []Section{{Name: "routes", Upsert: []Item{{Name: "r", Value: `{"name":"r"}`}}}}},
+			`{"a":1,"routes":[{"name":"r"}],"version":9}`,
+		},
+		"no document yet": {"", Change{}, `{"version":9}`},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, err := ApplyToLists(test.document, &test.change, set)
+			if err != nil || got != test.want {
+				t.Errorf("got  %s, %v\nwant %s", got, err, test.want)
+			}
+		})
+	}
+}
+
+// compactMembers takes the space around the members' colons out.
+func compactMembers(text string) string { return strings.Replace(text, `"kept" : `, `"kept":`, 1) }
+
+func TestApplyToListsRefuses(t *testing.T) {
+	change := Change{Sections: []Section{{Name: "routes", Upsert: []Item{{Name: "r", Value: `{`}}}}}
+	for _, document := range []string{`[]`, `{"routes":{}}`, `{"routes":[1]}`, `{"a":`, `{} {}`, `{"routes":[]}`} {
+		var problem *Problem
+		if got, err := ApplyToLists(document, &change, nil); !errors.As(err, &problem) {
+			t.Errorf("%s: got %s, %v", document, got, err)
+		}
+	}
+}
+
+const mappingDocument = `# who may come
+tenants:
+    # the first one
+    acme: {home: north, weight: 2}
+    old: {}
+http:
+    routes:
+        chat: {host: a}
+`
+
+func TestApplyToMappings(t *testing.T) {
+	change := Change{Sections: []Section{
+		{Name: "tenants", Upsert: []Item{{Name: "new", Value: "{weight: 3}"}}, Remove: []string{"old", "unknown"}},
+		{Name: "http.routes", Upsert: []Item{{Name: "chat", Value: `{"host": "b"}`}}},
+		{Name: "http.services", Upsert: []Item{{Name: "s", Value: "{}"}}},
+	}}
+	want := `# who may come
+tenants:
+    # the first one
+    acme: {home: north, weight: 2}
+    new: {weight: 3}
+http:
+    routes:
+        chat: {"host": "b"}
+    services:
+        s: {}
+`
+	if got, err := ApplyToMappings(mappingDocument, &change); err != nil || got != want {
+		t.Errorf("got %s, %v", got, err)
+	}
+}
+
+func TestApplyToMappingsRefuses(t *testing.T) {
+	change := Change{Sections: []Section{{Name: "http.routes", Upsert: []Item{{Name: "r", Value: `{`}}}}}
+	for _, document := range []string{"", "http: 1", "http: {routes: []}", "a: [", "http: {}"} {
+		var problem *Problem
+		if got, err := ApplyToMappings(document, &change); !errors.As(err, &problem) {
+			t.Errorf("%q: got %s, %v", document, got, err)
+		}
+	}
+}
+
+// FuzzApplyToLists holds that a change leaves JSON, keeps what it does not name,
+// and made twice is made once.
+func FuzzApplyToLists(f *testing.F) {
+	f.Add(listDocument, "r1", "r9", "r2")
+	f.Add(`{"routes":[]}`, "", "a", "b")
+	f.Add(`{"routes":[{"name":"a"},{"name":"a"}]}`, "a", "a", "x")
+	f.Fuzz(func(t *testing.T, document, upserted, added, removed string) {
+		name, err := json.Marshal(upserted)
+		if err != nil {
+			return
+		}
+		change := Change{Sections: []Section{{
+			Name:   "routes",
+			Upsert: []Item{{Name: upserted, Value: `{"name":` + string(name) + `}`}},
+			Remove: []string{removed, added},
+		}}}
+		if change.Validate() != nil {
+			return
+		}
+		once, err := ApplyToLists(document, &change, nil)
+		if err != nil {
+			return
+		}
+		if !json.Valid([]byte(once)) {
+			t.Fatalf("%q became %q", document, once)
+		}
+		twice, err := ApplyToLists(once, &change, nil)
+		if err != nil || twice != once {
+			t.Fatalf("%q became %q, then %q, %v", document, once, twice, err)
+		}
+	})
+}
--- /dev/null
+++ b/documentchange/mappings.go
@@ -0,0 +1,112 @@
+package documentchange
+
+import (
+	"fmt"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// ApplyToMappings applies a valid change to a YAML or JSON document whose sections
+// are mappings from names to items. A section's name is the path to it, joined by
+// points: "http.routes". Comments and the order of what is not named stay. The
+// error is a *Problem.
+func ApplyToMappings(document string, change *Change) (string, error) {
+	var root yaml.Node
+	if err := yaml.Unmarshal([]byte(document), &root); err != nil {
+		return "", &Problem{Field: "document", Reason: err.Error()}
+	}
+	if root.Kind != yaml.DocumentNode || len(root.Content) != 1 {
+		return "", &Problem{Field: "document", Reason: "is empty"}
+	}
+	for i := range change.Sections {
+		if err := change.Sections[i].applyToMapping(root.Content[0]); err != nil {
+			return "", err
+		}
+	}
+	text, err := yaml.Marshal(&root)
+	if err != nil {
+		return "", &Problem{Field: "document", Reason: err.Error()}
+	}
+	return string(text), nil
+}
+
+func (s *Section) applyToMapping(root *yaml.Node) error {
+	if len(s.Upsert)+len(s.Remove) == 0 {
+		return nil
+	}
+	section := root
+	for _, step := range strings.Split(s.Name, ".") {
+		next, err := child(section, step)
+		if err != nil {
+			return &Problem{Field: s.Name, Reason: err.Error()}
+		}
+		section = next
+	}
+	if section.Kind != yaml.MappingNode {
+		return &Problem{Field: s.Name, Reason: "is no mapping"}
+	}
+	removeKeys(section, s.removals())
+	for _, item := range s.Upsert {
+		if err := putKey(section, item); err != nil {
+			return &Problem{Field: fmt.Sprintf("upsert.%s.%s", s.Name, item.Name), Reason: err.Error()}
+		}
+	}
+	return nil
+}
+
+// child returns a mapping below a mapping, which is made if it is missing.
+func child(parent *yaml.Node, name string) (*yaml.Node, error) {
+	if parent.Kind != yaml.MappingNode {
+		return nil, fmt.Errorf("%q stands below what is no mapping", name)
+	}
+	if at := keyPosition(parent, name); at >= 0 {
+		return parent.Content[at+1], nil
+	}
+	made := &yaml.Node{Kind: yaml.MappingNode, Tag: "!!map"}
+	parent.Content = append(parent.Content, keyNode(name), made)
+	return made, nil
+}
+
+func keyNode(name string) *yaml.Node {
+	key := &yaml.Node{}
+	key.SetString(name)
+	return key
+}
+
+// keyPosition returns the place of a key among a mapping's nodes, -1 for none.
+func keyPosition(mapping *yaml.Node, name string) int {
+	for i := 0; i+1 < len(mapping.Content); i += 2 {
+		if mapping.Content[i].Value == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func removeKeys(mapping *yaml.Node, removed map[string]bool) {
+	kept := mapping.Content[:0]
+	for i := 0; i+1 < len(mapping.Content); i += 2 {
+		if !removed[mapping.Content[i].Value] {
+			kept = append(kept, mapping.Content[i], mapping.Content[i+1])
+		}
+	}
+	mapping.Content = kept
+}
+
+// putKey adds an item or takes the place of the one of its name.
+func putKey(mapping *yaml.Node, item Item) error {
+	var value yaml.Node
+	if err := yaml.Unmarshal([]byte(item.Value), &value); err != nil {
+		return err
+	}
+	if value.Kind != yaml.DocumentNode || len(value.Content) != 1 {
+		return fmt.Errorf("%q has no value", item.Name)
+	}
+	if at := keyPosition(mapping, item.Name); at >= 0 {
+		mapping.Content[at+1] = value.Content[0]
+		return nil
+	}
+	mapping.Content = append(mapping.Content, keyNode(item.Name), value.Content[0])
+	return nil
+}
--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -36,6 +36,8 @@
 	GrantWithoutContact
 	// LeaseFromArrival counts a lease from the grant's arrival at the holder.
 	LeaseFromArrival
+	// ChangeOldContent makes changes to the value that was current at the election.
+	ChangeOldContent
 
 	count
 )
--- a/internal/simulation/checks.go
+++ b/internal/simulation/checks.go
@@ -348,6 +348,7 @@
 // and the answers to the orders so far.
 type registerState struct {
 	version uint64
+	content uint64
 	answers map[string]answer
 }
 
@@ -360,20 +361,22 @@
 		if first, known := held.answers[asked.ID]; known {
 			return first == given, held
 		}
-		next := registerState{version: held.version, answers: make(map[string]answer, len(held.answers)+1)}
+		next := registerState{version: held.version, content: held.content, answers: make(map[string]answer, len(held.answers)+1)}
 		for id, past := range held.answers {
 			next.answers[id] = past
 		}
 		accepted := asked.Base == held.version
 		if accepted {
 			next.version++
+			next.content = asked.contentAfter(held.content)
 		}
 		next.answers[asked.ID] = given
-		return given.Accepted == accepted && given.Version == next.version, next
+		whole := !accepted || given.Content == next.content
+		return given.Accepted == accepted && given.Version == next.version && whole, next
 	},
 	Equal: func(one, other any) bool {
 		a, b := one.(registerState), other.(registerState)
-		if a.version != b.version || len(a.answers) != len(b.answers) {
+		if a.version != b.version || a.content != b.content || len(a.answers) != len(b.answers) {
 			return false
 		}
 		for id, given := range a.answers {
--- a/internal/simulation/operator.go
+++ b/internal/simulation/operator.go
@@ -14,6 +14,8 @@
 	patienceMost   = 600 * time.Millisecond
 	resendAnswered = 0.3
 	staleBase      = 0.2
+	// changeEvery is how often an order changes the value and does not replace it.
+	changeEvery = 2
 )
 
 // operator sends orders one after another, each until it is answered, and
@@ -72,7 +74,7 @@
 	if reader := pick(o.world, o.world.machines); reader.up() && !o.world.chance(staleBase) {
 		base = max(base, reader.state.version())
 	}
-	return order{ID: fmt.Sprintf("%s-%d", o.name, o.sent), Base: base}
+	return order{ID: fmt.Sprintf("%s-%d", o.name, o.sent), Base: base, Change: o.sent%changeEvery == 0}
 }
 
 // send asks some machine, and another one when no answer comes.
--- a/internal/simulation/orders.go
+++ b/internal/simulation/orders.go
@@ -9,24 +9,42 @@
 	"github.com/deckpulley/deckpulley/registry"
 )
 
-// order changes the one versioned value if it was built on the newest version.
+// order replaces the one versioned value, or changes it, if it was built on the
+// newest version.
 type order struct {
 	ID   string
 	Base uint64
+	// Change says that the order's value is made of the one before it.
+	Change bool
+}
+
+// contentAfter is the value that an order leaves, as a hash of the orders that made
+// it: of itself alone, or of all since the last whole one.
+func (o *order) contentAfter(content uint64) uint64 {
+	hash := fnv.New64a()
+	if o.Change {
+		_, _ = hash.Write(binary.BigEndian.AppendUint64(nil, content))
+	}
+	_, _ = hash.Write([]byte(o.ID))
+	return hash.Sum64()
 }
 
 // answer is the first and only answer to an order.
 type answer struct {
 	Accepted bool   `cbor:"1,keyasint"`
 	Version  uint64 `cbor:"2,keyasint"` // after an accepted order, or at its refusal
+	// Content is the value after an accepted order.
+	Content uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 const (
 	typeVersion = registry.FirstOwnType
 	typeOrder   = registry.FirstOwnType + 1
+	typeContent = registry.FirstOwnType + 2
 
 	apex        registry.Name = "places."
 	versionName registry.Name = "version.places."
+	contentName registry.Name = "content.places."
 	ordersName  registry.Name = "orders.places."
 	firstSerial uint32        = 1
 	// reuseEvery is how often the planted fault of a serial used twice strikes.
@@ -39,6 +57,7 @@
 	made, err := registry.NewSchema(
 		registry.Kind{Type: typeVersion, Name: "VERSION", Singleton: true},
 		registry.Kind{Type: typeOrder, Name: "ORDER", Singleton: true},
+		registry.Kind{Type: typeContent, Name: "CONTENT", Singleton: true},
 	)
 	if err != nil {
 		panic(err)
@@ -83,9 +102,19 @@
 	return registry.Record{Name: versionName, Type: typeVersion, Class: registry.ClassTable, Data: data}
 }
 
+func contentRecord(content uint64) registry.Record {
+	data := binary.BigEndian.AppendUint64(nil, content)
+	return registry.Record{Name: contentName, Type: typeContent, Class: registry.ClassTable, Data: data}
+}
+
 // version returns the version of the value, zero at first.
-func (b *book) version() uint64 {
-	records := b.table.View().Lookup(versionName, typeVersion)
+func (b *book) version() uint64 { return b.number(versionName, typeVersion) }
+
+// content returns the value, zero at first.
+func (b *book) content() uint64 { return b.number(contentName, typeContent) }
+
+func (b *book) number(name registry.Name, kind registry.Type) uint64 {
+	records := b.table.View().Lookup(name, kind)
 	if len(records) == 0 {
 		return 0
 	}
@@ -122,8 +151,9 @@
 }
 
 // decide makes the update that answers an order: the change with its answer, or
-// the refusal. Both hold only if nothing has moved in the meantime.
-func (b *book) decide(asked order) registry.Update {
+// the refusal. Both hold only if nothing has moved in the meantime. content is what
+// an order that changes the value is made to.
+func (b *book) decide(asked order, content uint64) registry.Update {
 	version := b.version()
 	prerequisites := []registry.Record{registry.Absent(orderName(asked.ID), typeOrder)}
 	if version == 0 {
@@ -135,9 +165,10 @@
 		refusal := registry.Add(orderRecord(asked.ID, answer{Version: version}))
 		return registry.NewUpdate(apex, prerequisites, []registry.Record{refusal})
 	}
-	accepted := answer{Accepted: true, Version: version + 1}
+	accepted := answer{Accepted: true, Version: version + 1, Content: asked.contentAfter(content)}
 	return registry.NewUpdate(apex, prerequisites, []registry.Record{
 		registry.Add(versionRecord(version + 1)),
+		registry.Add(contentRecord(accepted.Content)),
 		registry.Add(orderRecord(asked.ID, accepted)),
 	})
 }
--- a/internal/simulation/primary.go
+++ b/internal/simulation/primary.go
@@ -27,6 +27,8 @@
 	proposed map[string]uint64
 	// notified is what the gateways were last told of.
 	notified notice
+	// contentAtFirst is the value when the node began to grant.
+	contentAtFirst uint64
 }
 
 type notice struct {
@@ -58,6 +60,7 @@
 	if m.world.has(defect.LeaseNotWaitedOut) {
 		elected -= notWaited
 	}
+	m.leadership.contentAtFirst = m.state.content()
 	m.leadership.grantor = lease.NewGrantor(lease.DefaultTerms(), m.leadership.term, elected, m.state.serial())
 	m.propose(m.state.claim(m.name))
 }
@@ -94,7 +97,7 @@
 	if _, open := m.leadership.proposed[asked.ID]; open || m.leadership.grantor == nil {
 		return
 	}
-	index, proposed := m.propose(m.state.decide(asked))
+	index, proposed := m.propose(m.state.decide(asked, m.contentToChange()))
 	if !proposed {
 		return
 	}
@@ -104,6 +107,14 @@
 	}
 }
 
+// contentToChange is the value that an order which changes it is made to.
+func (m *machine) contentToChange() uint64 {
+	if m.world.has(defect.ChangeOldContent) {
+		return m.leadership.contentAtFirst
+	}
+	return m.state.content()
+}
+
 func (m *machine) forwardOrder(asked order, from waiting) {
 	leader := m.world.checks.holder(m.node.Status().Leader)
 	if from.forwarded || leader == nil || leader == m {
@@ -125,7 +136,7 @@
 	if err := trial.restore(data); err != nil {
 		panic(err)
 	}
-	update := trial.decide(asked)
+	update := trial.decide(asked, trial.content())
 	trial.table.Apply(&update, nil)
 	given, _ := trial.answer(asked.ID)
 	m.reply(asked.ID, given)
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -88,6 +88,7 @@
 		defect.MissingSync, defect.SnapshotDropsOrders, defect.ReuseSerial,
 		defect.LeaseNotWaitedOut, defect.AcknowledgeProposal, defect.SendBeforeSync,
 		defect.VoteIgnoresLog, defect.TwoMembershipChanges, defect.FreshContact,
+		defect.ChangeOldContent,
 	}
 	// Histories that show a defect within quickHunt of the first are not there for
 	// each; the hunt for these begins where one is.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -5,6 +5,7 @@
 import (
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/consensus"
+	"github.com/deckpulley/deckpulley/documentchange"
 	"github.com/deckpulley/deckpulley/registry"
 	"github.com/deckpulley/deckpulley/routemap"
 	"github.com/deckpulley/deckpulley/transport"
@@ -164,17 +165,38 @@
 	// WaitMS is how long the sender will wait, in milliseconds.
 	WaitMS   int64          `cbor:"5,keyasint"`
 	RouteMap *RouteMapOrder `cbor:"6,keyasint,omitempty"`
+	// ConfigurationChange changes named items of the configuration document.
+	ConfigurationChange *api.ConfigurationChangeOrder `cbor:"7,keyasint,omitempty"`
 }
 
-// RouteMapOrder hands over a whole map of routes by host and path. Its identity
-// is its base version and its text: the same order, sent again, is the same.
+// RouteMapOrder hands over a whole map of routes by host and path, or a change of
+// the current one. Its identity is its base version and its text: the same order,
+// sent again, is the same.
 type RouteMapOrder struct {
-	BaseVersion uint64       `cbor:"1,keyasint"`
-	Map         routemap.Map `cbor:"2,keyasint"`
-	// Text is the map as the operator wrote it, for reading back.
+	BaseVersion uint64 `cbor:"1,keyasint"`
+	// Map is the whole map; it is not used if Change is set.
+	Map routemap.Map `cbor:"2,keyasint"`
+	// Text is the map or the change as the operator wrote it.
 	Text string `cbor:"3,keyasint"`
 	// Zones are the fleet's zones with their regions.
 	Zones map[string]string `cbor:"4,keyasint"`
+	// Change, if set, is made to the map of the base version by the primary.
+	Change *RouteMapChange `cbor:"5,keyasint,omitempty"`
+}
+
+// Version is that of the map that the order leads to.
+func (o *RouteMapOrder) Version() uint64 {
+	if o.Change != nil {
+		return o.Change.Map.Version
+	}
+	return o.Map.Version
+}
+
+// RouteMapChange is a change of a map of routes, and the same change of the text
+// in which operators read the map back.
+type RouteMapChange struct {
+	Map  routemap.Change       `cbor:"1,keyasint"`
+	Text documentchange.Change `cbor:"2,keyasint"`
 }
 
 // OrderReply carries the first answer to the order, or an error that leaves the
--- a/places/contents.go
+++ b/places/contents.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	"github.com/deckpulley/deckpulley/internal/planted"
 	"github.com/deckpulley/deckpulley/registry"
@@ -308,6 +310,18 @@
 // Pools returns the services that routes by host and path lead to.
 func (c *Contents) Pools() map[string]routemap.Service { return c.pools }
 
+// RouteMap returns the map of routes by host and path, in the order of the names.
+func (c *Contents) RouteMap() *routemap.Map {
+	routes := &routemap.Map{Version: c.Version(), Limits: c.requestLimits}
+	for _, name := range slices.Sorted(maps.Keys(c.pathRoutes)) {
+		routes.Routes = append(routes.Routes, c.pathRoutes[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.pools)) {
+		routes.Services = append(routes.Services, c.pools[name])
+	}
+	return routes
+}
+
 // RequestLimits returns what clients of routes by host and path may send.
 func (c *Contents) RequestLimits() routemap.Limits { return c.requestLimits }
 
