Share loads through one aggregator a region; learn the pace of a service's engines

And the reading speed of one engine stood as a constant: these read 2.7 times as fast, the factor of a replica stopped at 0.7, so nearly all prompts of study plans were claimed and the expected waits were far too long. Change: package loadexchange. A gateway reports to its region's aggregator (the owner of the region's name by rendezvous among those that are up), which sends digests to those that report and to the aggregators of other regions. The aggregator's digests are bounded by a budget, so news waits longer with more gateways and costs no more. No election: a silent aggregator is passed over by each gateway for itself, the next owner takes over within about a second; two at a time each know a part. Staleness: up to 0.1 s for prompts of 40 ms and more, 0.3 s for others, 0.24 s for sums, at 29 gateways; other regions up to 0.9 s. A digest is believed from the own aggregator alone, readings up to 10 s. The dispatcher adds the reports up once for each, not for each candidate of each request. The pace of a service (time to a first event = start + factor x work) is learnt from prompts that a replica read alone, by a weighted line that surprising values move less; the constants are the first guess. A replica's slowness is relative to it.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -169,7 +169,7 @@
 // work is what placement must know of the request. Reading times stand for
 // tokens, so that long prompts count as the long time that they take.
 func (s *search) work() placement.Work {
-	tokens := readingSeconds(s.request.Tokens, 0) * readingSpeed
+	tokens := readingWork(s.request.Tokens, 0) * readingSpeed
 	link, found := placement.Affinity(s.request.Chain)
 	if !found || s.service.spec.CacheTokens == 0 {
 		return placement.Work{Tokens: tokens, Key: placement.Hash(s.request.ID)}
@@ -206,9 +206,10 @@
 		c.Penalty += coldPenalty
 	}
 	if s.service.spec.CacheTokens > 0 {
-		c.Speed = readingSpeed / r.slowness
+		line := s.service.pace.now
+		c.Speed = readingSpeed / (line.factor * r.slowness)
 		behind := max(r.overdue(s.now), time.Duration(others.OverdueMS)*time.Millisecond)
-		c.Wait = readingStart + r.backlog.left(s.now).Seconds() + behind.Seconds()
+		c.Wait = line.start + r.backlog.left(s.now).Seconds() + behind.Seconds()
 		c.Cached = float64(cached)
 		room := memoryShare*float64(s.service.spec.CacheTokens) - r.held - float64(others.Held)
 		if room < s.request.Tokens {
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -52,7 +52,7 @@
 // claim waits for claims that crossed the attempt's own. It returns the attempt,
 // or the one that takes its place at another replica.
 func (r *run) claim(ctx context.Context, at *placed) (*placed, *Refusal) {
-	if at.work.own.seconds < claimedReading {
+	if at.work.own.seconds() < claimedReading {
 		return at, nil
 	}
 	timer := time.NewTimer(claimTime)
--- a/dispatch/claim_test.go
+++ b/dispatch/claim_test.go
@@ -65,8 +65,8 @@
 	from.dispatcher.options.Placed = func(prompt peer.PlacedPrompt) {
 		report(peer.ReplicaLoads{Placed: []peer.PlacedPrompt{prompt}})
 	}
-	from.dispatcher.options.Read = func(replica string, slowness float64) {
-		report(peer.ReplicaLoads{Read: []peer.ReadPrompt{{Replica: replica, Slowness: slowness}}})
+	from.dispatcher.options.Read = func(prompt peer.ReadPrompt) {
+		report(peer.ReplicaLoads{Read: []peer.ReadPrompt{prompt}})
 	}
 }
 
@@ -120,7 +120,7 @@
 		for _, f := range []*fixture{pair.first, pair.second} {
 			f.dispatcher.mutex.Lock()
 			for id, r := range f.dispatcher.replicas {
-				if left := r.backlog.left(time.Now()); left > time.Duration(1.5*readingSeconds(longPrompt, 0)*float64(time.Second)) {
+				if left := r.backlog.left(time.Now()); left > time.Duration(1.5*readingWork(longPrompt, 0)*float64(time.Second)) {
 					t.Errorf("%s holds %v of reading for %s, more than one prompt", f.dispatcher.options.Gateway, left, id)
 				}
 			}
@@ -155,7 +155,7 @@
 	f.configure(withPrompts)
 	f.addReplica("a", "east-1")
 	r := &run{dispatcher: f.dispatcher}
-	at := &placed{work: &work{own: reading{seconds: claimedReading / 2}}}
+	at := &placed{work: &work{own: referenceReading(claimedReading / 2)}}
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	if got, refusal := r.claim(ctx, at); got != at || refusal != nil {
@@ -202,9 +202,17 @@
 	})
 }
 
+// referenceReading is a reading at the pace of the reference replica.
+func referenceReading(work float64) reading {
+	return reading{work: work, pace: pace{start: firstStart, factor: 1}}
+}
+
 // TestWhatTellsOfSpeed: other prompts and unknown caches do not.
 func TestWhatTellsOfSpeed(t *testing.T) {
-	certain := reading{seconds: 0.2, certain: true, streams: true}
+	certain := referenceReading(0.2)
+	certain.certain, certain.streams = true, true
+	short := referenceReading(measuredReading * 0.9)
+	short.certain = true
 	tests := map[string]struct {
 		own    reading
 		ahead  time.Duration
@@ -213,11 +221,11 @@
 		want   float64
 	}{
 		"alone":                     {certain, 0, 312 * time.Millisecond, false, 1.5},
-		"short":                     {reading{seconds: 0.03, certain: true}, 0, time.Second, false, 0},
+		"short":                     {short, 0, time.Second, false, 0},
 		"behind another":            {certain, 100 * time.Millisecond, time.Second, false, 0},
 		"joined by another":         {certain, 0, time.Second, true, 0},
-		"quick, perhaps held":       {reading{seconds: 0.2}, 0, 60 * time.Millisecond, false, 0},
-		"slow, although held":       {reading{seconds: 0.2}, 0, 312 * time.Millisecond, false, 1.5},
+		"quick, perhaps held":       {referenceReading(0.2), 0, 60 * time.Millisecond, false, 0},
+		"slow, although held":       {referenceReading(0.2), 0, 312 * time.Millisecond, false, 1.5},
 		"quick, and nothing unread": {certain, 0, 152 * time.Millisecond, false, 0.7},
 	}
 	for name, test := range tests {
@@ -229,11 +237,15 @@
 			if test.joined {
 				r.give(now, time.Millisecond)
 			}
-			got := w.open(now.Add(test.took))
+			took, measured := w.open(now.Add(test.took))
+			got := 0.0
+			if measured {
+				got = (took - firstStart) / test.own.seconds()
+			}
 			if got < test.want-0.01 || got > test.want+0.01 {
 				t.Errorf("got %.3f, want %.3f", got, test.want)
 			}
-			if again := w.open(now.Add(time.Hour)); again != 0 {
+			if again, measured := w.open(now.Add(time.Hour)); measured {
 				t.Errorf("told %.2f a second time", again)
 			}
 		})
@@ -277,7 +289,7 @@
 		var waiting sync.WaitGroup
 		waiting.Go(func() { f.serve(request) })
 		time.Sleep(overdueSlack + 200*time.Millisecond)
-		if loads := f.dispatcher.Loads(ownRegion); loads[holder].OverdueMS < 100 {
+		if loads := f.dispatcher.Loads(); loads[holder].OverdueMS < 100 {
 			t.Errorf("reported %+v, want it to be behind", loads)
 		}
 		f.serve(request)
@@ -286,7 +298,7 @@
 		}
 		close(release)
 		waiting.Wait()
-		if loads := f.dispatcher.Loads(ownRegion); len(loads) != 0 {
+		if loads := f.dispatcher.Loads(); len(loads) != 0 {
 			t.Errorf("loads are left: %+v", loads)
 		}
 	})
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -146,9 +146,9 @@
 	// Placed, if set, is told of each prompt that a replica was given to read. It
 	// must not block.
 	Placed func(prompt peer.PlacedPrompt)
-	// Read, if set, is told of each measured slowness of a replica of the own
-	// region. It must not block.
-	Read func(replica string, slowness float64)
+	// Read, if set, is told of each prompt that a replica of the own region read
+	// alone. It must not block.
+	Read func(prompt peer.ReadPrompt)
 	// Random draws from [0, 1). Default math/rand/v2.
 	Random func() float64
 	Logger *slog.Logger
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -9,9 +9,12 @@
 // loadAge is how long another gateway's report counts.
 const loadAge = 1500 * time.Millisecond
 
-// loadBoard keeps what the other gateways report.
+// loadBoard keeps what others report of their loads.
 type loadBoard struct {
-	reports map[string]loadReport
+	reports map[string]loadReport // by who reports
+	// sums adds the reports up that are not too old, until one of them is.
+	sums  map[string]peer.Load
+	until time.Time
 }
 
 type loadReport struct {
@@ -21,31 +24,54 @@
 
 func newLoadBoard() loadBoard { return loadBoard{reports: make(map[string]loadReport)} }
 
+// report takes the loads of one source in.
+func (b *loadBoard) report(now time.Time, source string, loads map[string]peer.Load) {
+	b.reports[source] = loadReport{at: now, loads: loads}
+	b.sum(now)
+}
+
+// sum adds the reports up.
+func (b *loadBoard) sum(now time.Time) {
+	b.sums = make(map[string]peer.Load)
+	b.until = now.Add(loadAge)
+	for source, report := range b.reports {
+		end := report.at.Add(loadAge)
+		if now.After(end) {
+			delete(b.reports, source)
+			continue
+		}
+		if end.Before(b.until) {
+			b.until = end
+		}
+		for id, load := range report.loads {
+			sum := b.sums[id]
+			sum.Requests += load.Requests
+			sum.Held += load.Held
+			sum.OverdueMS = max(sum.OverdueMS, load.OverdueMS)
+			b.sums[id] = sum
+		}
+	}
+}
+
 // others is what all other gateways have under way at a replica, and the most
 // that one of them finds it behind.
 func (b *loadBoard) others(id string, now time.Time) peer.Load {
-	var sum peer.Load
-	for gateway, report := range b.reports {
-		if now.Sub(report.at) > loadAge {
-			delete(b.reports, gateway)
-			continue
-		}
-		load := report.loads[id]
-		sum.Requests += load.Requests
-		sum.Held += load.Held
-		sum.OverdueMS = max(sum.OverdueMS, load.OverdueMS)
+	if now.After(b.until) {
+		b.sum(now)
 	}
-	return sum
+	return b.sums[id]
 }
 
-// Observe takes another gateway's report of its own load. Prompts that it has
-// placed lengthen the backlogs of their replicas here too, and what it measured
-// of their speed counts as if it was measured here.
+// Observe takes the loads of others in, and what another gateway placed and
+// measured. Prompts that it has placed lengthen the backlogs of their replicas here
+// too, and what it measured of their speed counts as if it was measured here.
 func (d *Dispatcher) Observe(report peer.ReplicaLoads) {
 	now := time.Now()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.loads.reports[report.Gateway] = loadReport{at: now, loads: report.Loads}
+	if report.Loads != nil {
+		d.loads.report(now, report.Gateway, report.Loads)
+	}
 	for _, placed := range report.Placed {
 		if r, known := d.replicas[placed.Replica]; known {
 			reading := time.Duration(placed.ReadingMS) * time.Millisecond
@@ -56,7 +82,7 @@
 	}
 	for _, read := range report.Read {
 		if r, known := d.replicas[read.Replica]; known {
-			r.learn(read.Slowness)
+			d.learn(r, read.Work, read.Took)
 		}
 	}
 }
@@ -68,24 +94,30 @@
 	}
 }
 
-// Loads returns this gateway's own load on the replicas of a region.
-func (d *Dispatcher) Loads(region string) map[string]peer.Load {
+// Loads returns this gateway's own load by replica.
+func (d *Dispatcher) Loads() map[string]peer.Load {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := time.Now()
-	var loads map[string]peer.Load
+	loads := make(map[string]peer.Load)
 	for id, r := range d.replicas {
-		if r.inFlight == 0 || r.region != region {
-			continue
-		}
-		if loads == nil {
-			loads = make(map[string]peer.Load)
+		if r.inFlight > 0 {
+			loads[id] = peer.Load{Requests: r.inFlight, Held: int(r.held), OverdueMS: int(r.overdue(now).Milliseconds())}
 		}
-		loads[id] = peer.Load{Requests: r.inFlight, Held: int(r.held), OverdueMS: int(r.overdue(now).Milliseconds())}
 	}
 	return loads
 }
 
+// RegionOf returns the region of a replica, "" if it is not known.
+func (d *Dispatcher) RegionOf(id string) string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if r, known := d.replicas[id]; known {
+		return r.region
+	}
+	return ""
+}
+
 // backlog is the reading that a replica is known to have before it, by all
 // gateways together: prompts are read one after another.
 type backlog struct {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -35,6 +35,7 @@
 	outliers *outlier.Group
 	index    *placement.Index
 	hold     float64 // smoothed time that a request occupies a slot, seconds
+	pace     paceLearner
 }
 
 // coldMargin is added to the time for which replicas are taken to be cold when
@@ -110,6 +111,7 @@
 				outliers: outlier.NewGroup(outlier.DefaultConfig()),
 				index:    placement.NewIndex(0),
 				hold:     firstHold,
+				pace:     newPaceLearner(),
 			}
 			d.services[name] = known
 		}
--- a/dispatch/relay.go
+++ b/dispatch/relay.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/deckpulley/deckpulley/peer"
 )
 
 // wholeLimit is the largest answer in bytes that is read before any of it is
@@ -112,16 +114,28 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := time.Now()
-	if slowness := at.work.open(now); slowness > 0 && at.replica.region == d.options.Region {
-		at.replica.learn(slowness)
+	if took, measured := at.work.open(now); measured && at.replica.region == d.options.Region {
+		d.learn(at.replica, at.work.own.work, took)
 		if d.options.Read != nil {
-			d.options.Read(at.replica.id, slowness)
+			d.options.Read(peer.ReadPrompt{Replica: at.replica.id, Work: at.work.own.work, Took: took})
 		}
 	}
 	at.replica.reached()
 	d.log.Debug("first event", "replica", at.endpoint.ID, "took", now.Sub(at.work.began), "expected", at.expected, "tokens", at.work.held, "reading", at.work.reading, "ahead", at.work.ahead, "running", at.replica.inFlight, "slowness", at.replica.slowness)
 }
 
+// learn takes in how long a prompt took that a replica read alone, whoever measured
+// it.
+func (d *Dispatcher) learn(r *replica, work, took float64) {
+	known, found := d.services[r.service]
+	if !found || work <= 0 {
+		return
+	}
+	known.pace.learn(work, took)
+	line := known.pace.now
+	r.learn((took - line.start) / (line.factor * work))
+}
+
 // succeeded notes a whole answer.
 func (d *Dispatcher) succeeded(at *placed, status int) {
 	d.mutex.Lock()
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -128,12 +128,12 @@
 		r.activeSince = now
 	}
 	w := &work{replica: r, own: own, ahead: r.backlog.left(now), held: held, began: now}
-	w.reading = time.Duration(own.seconds * r.slowness * float64(time.Second))
+	w.reading = time.Duration(own.seconds() * r.slowness * float64(time.Second))
 	r.inFlight++
 	r.held += held
 	r.give(now, w.reading)
 	w.prompts = r.prompts
-	if own.seconds > 0 && own.streams {
+	if own.work > 0 && own.streams {
 		r.unopened[w] = true
 	}
 	return w
@@ -149,23 +149,25 @@
 	return min(most, mostOverdue)
 }
 
-// open notes that the prompt was read. It returns the slowness that this told, 0
-// if other prompts, the network or an unknown cache had too large a part in it.
-func (w *work) open(now time.Time) (slowness float64) {
+// open notes that the prompt was read. It returns the time that this took, in
+// seconds, and false if other prompts, the network or an unknown cache had too large
+// a part in it.
+func (w *work) open(now time.Time) (took float64, measured bool) {
 	if w.opened {
-		return 0
+		return 0, false
 	}
 	w.opened = true
 	delete(w.replica.unopened, w)
-	alone := w.prompts == w.replica.prompts && w.ahead.Seconds() <= aloneAhead*w.own.seconds
-	if w.own.seconds < measuredReading || !alone {
-		return 0
+	expected := w.own.seconds()
+	alone := w.prompts == w.replica.prompts && w.ahead.Seconds() <= aloneAhead*expected
+	if expected < measuredReading || !alone {
+		return 0, false
 	}
-	slowness = (now.Sub(w.began).Seconds() - readingStart) / w.own.seconds
-	if slowness < uncertainSlowness && !w.own.certain {
-		return 0 // more likely it held parts that this gateway does not know of
+	took = now.Sub(w.began).Seconds()
+	if took < w.own.pace.start+uncertainSlowness*expected && !w.own.certain {
+		return 0, false // more likely it held parts that this gateway does not know of
 	}
-	return slowness
+	return took, true
 }
 
 // end takes the attempt off the replica.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -195,7 +195,8 @@
 	}
 	unread := r.request.Tokens - float64(cached)
 	return reading{
-		seconds: readingSeconds(r.request.Tokens, float64(cached)),
+		work:    readingWork(r.request.Tokens, float64(cached)),
+		pace:    known.pace.now,
 		certain: float64(shared-cached) <= uncertainPart*unread,
 		streams: r.route.Kind == routemap.Stream,
 	}
--- a/dispatch/simulation_days_test.go
+++ b/dispatch/simulation_days_test.go
@@ -59,7 +59,7 @@
 	slow.slowness = 2
 	slow.mutex.Unlock()
 	f.at(troubleAt + 500*time.Millisecond)
-	other := &simulatedReplica{id: "other-at-" + crashed.id, zone: crashed.zone, service: "web-2", address: crashed.address, slowness: 1}
+	other := &simulatedReplica{id: "other-at-" + crashed.id, zone: crashed.zone, service: "web-2", address: crashed.address, slowness: 1, enginePace: 0.5}
 	f.place(other) // the list still names the one that crashed
 	f.at(troubleAt + 1500*time.Millisecond)
 	f.change(registry.DeleteName(places.ReplicaName(crashed.id)))
--- a/dispatch/simulation_replica_test.go
+++ b/dispatch/simulation_replica_test.go
@@ -41,6 +41,8 @@
 	address string
 	// slowness is its time to read over the usual one.
 	slowness float64
+	// enginePace is the pace of its service's engines against the reference.
+	enginePace float64
 
 	mutex     sync.Mutex
 	readUntil time.Time
@@ -51,7 +53,7 @@
 }
 
 func (f *simulatedFleet) addReplica(id, zone, service string) {
-	f.place(&simulatedReplica{id: id, zone: zone, service: service, address: id + ":80", slowness: 1})
+	f.place(&simulatedReplica{id: id, zone: zone, service: service, address: id + ":80", slowness: 1, enginePace: 0.5})
 }
 
 // place starts a replica at its address, in the place of one that was there.
@@ -130,7 +132,7 @@
 		}
 		r.known[link.Hash] = true
 	}
-	reading := r.slowness * (readingStart + readingSeconds(attempt.Request.Tokens, cached))
+	reading := r.slowness * (firstStart + r.enginePace*readingWork(attempt.Request.Tokens, cached))
 	r.readUntil = r.readUntil.Add(time.Duration(reading * float64(time.Second)))
 	return r.readUntil, true
 }
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/deckpulley/deckpulley/configuration"
+	"github.com/deckpulley/deckpulley/loadexchange"
 	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/placement"
 	"github.com/deckpulley/deckpulley/places"
@@ -36,9 +37,6 @@
 	farDelay  = 10 * time.Millisecond
 	// updateDelay is how long a change of the registry takes to a gateway.
 	updateDelay = 60 * time.Millisecond
-	// Intervals of the load reports.
-	nearReports = 80 * time.Millisecond
-	farReports  = 400 * time.Millisecond
 	// patientTries is how often a client comes back when it is told to.
 	patientTries = 2
 )
@@ -95,6 +93,7 @@
 	name       string
 	zone       string
 	dispatcher *Dispatcher
+	exchange   *loadexchange.Node
 	alive      context.Context
 	kill       context.CancelFunc
 	// cutOff gateways hear nothing of the registry and of other gateways.
@@ -128,9 +127,6 @@
 		for zone := range simulatedZones {
 			clients.Go(func() { f.sendFrom(ctx, zone, &clients) })
 		}
-		for _, g := range f.gateways {
-			go g.report(ctx)
-		}
 		day.play(f)
 		clients.Wait()
 		for _, g := range f.gateways {
@@ -181,11 +177,19 @@
 	g.alive, g.kill = context.WithCancel(context.Background())
 	g.dispatcher = New(Options{
 		Gateway: g.name, Zone: g.zone, Region: g.region(), Backend: g, Random: f.draw, Logger: slog.New(slog.DiscardHandler),
-		Placed: func(prompt peer.PlacedPrompt) { g.tell(peer.ReplicaLoads{Placed: []peer.PlacedPrompt{prompt}}, "") },
-		Read: func(replica string, slowness float64) {
-			g.tell(peer.ReplicaLoads{Read: []peer.ReadPrompt{{Replica: replica, Slowness: slowness}}}, "")
+		Placed: func(prompt peer.PlacedPrompt) { g.exchange.Placed(prompt) },
+		Read:   func(prompt peer.ReadPrompt) { g.exchange.Measured(prompt) },
+	})
+	g.exchange = loadexchange.NewNode(loadexchange.Config{
+		Name: g.name, Region: g.region(), Loads: g.dispatcher, Observe: g.dispatcher.Observe,
+		SendReport: func(address string, report *peer.ReplicaLoads) {
+			g.tell(address, func(other *loadexchange.Node) { other.TakeReport(report) })
+		},
+		SendDigest: func(address string, digest *peer.LoadDigest) {
+			g.tell(address, func(other *loadexchange.Node) { other.TakeDigest(digest) })
 		},
 	})
+	go g.exchange.Run(g.alive)
 }
 
 func (f *simulatedFleet) draw() float64 {
@@ -243,6 +247,13 @@
 	}
 	g.serial = contents.Serial()
 	g.dispatcher.Update(contents)
+	up := make(map[string]loadexchange.Gateway)
+	for name, gateway := range contents.Gateways() {
+		if gateway.Up {
+			up[name] = loadexchange.Gateway{Region: gateway.Region, Address: name}
+		}
+	}
+	g.exchange.SetGateways(up)
 }
 
 // end kills the process.
@@ -276,16 +287,25 @@
 	return g.dispatcher, g.alive
 }
 
-// tell sends news to the other gateways of a region, of all if it is empty.
-func (g *simulatedGateway) tell(news peer.ReplicaLoads, region string) {
-	news.Gateway = g.name
+// currentExchange is the exchange of loads of the running process, nil if it ended.
+func (g *simulatedGateway) currentExchange() *loadexchange.Node {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.alive.Err() != nil {
+		return nil
+	}
+	return g.exchange
+}
+
+// tell sends a message to another gateway, whose address is its name.
+func (g *simulatedGateway) tell(address string, take func(*loadexchange.Node)) {
 	for _, other := range g.fleet.gateways {
-		if other == g || other.cutOff.Load() != g.cutOff.Load() || region != "" && other.region() != region {
+		if other.name != address || other.cutOff.Load() != g.cutOff.Load() {
 			continue
 		}
 		time.AfterFunc(delayBetween(g.zone, other.zone), func() {
-			if dispatcher, alive := other.current(); alive.Err() == nil {
-				dispatcher.Observe(news)
+			if exchange := other.currentExchange(); exchange != nil {
+				take(exchange)
 			}
 		})
 	}
@@ -298,32 +318,6 @@
 	return farDelay
 }
 
-// report tells the load at intervals.
-func (g *simulatedGateway) report(ctx context.Context) {
-	near, far := time.NewTicker(nearReports), time.NewTicker(farReports)
-	defer near.Stop()
-	defer far.Stop()
-	for {
-		regions := []string{g.region()}
-		select {
-		case <-ctx.Done():
-			return
-		case <-near.C:
-		case <-far.C:
-			regions = []string{"north", "east", "south"}
-		}
-		dispatcher, alive := g.current()
-		if alive.Err() != nil {
-			continue
-		}
-		for _, region := range regions {
-			if region != g.region() || len(regions) == 1 {
-				g.tell(peer.ReplicaLoads{Loads: dispatcher.Loads(region)}, region)
-			}
-		}
-	}
-}
-
 // Heard implements Backend.
 func (g *simulatedGateway) Heard(address string) time.Time {
 	r := g.fleet.replicaAt(address)
--- a/httpgateway/proxy.go
+++ b/httpgateway/proxy.go
@@ -10,6 +10,7 @@
 
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/dispatch"
+	"github.com/deckpulley/deckpulley/loadexchange"
 	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/places"
 	"github.com/deckpulley/deckpulley/transport"
@@ -34,7 +35,7 @@
 	dispatcher *dispatch.Dispatcher
 	backend    *backend
 	contents   atomic.Pointer[places.Contents]
-	reports    reports
+	exchange   *loadexchange.Node
 }
 
 // NewProxy returns a proxy that refuses requests until the first Update.
@@ -42,17 +43,19 @@
 	if options.Headers == (Headers{}) {
 		options.Headers = DefaultHeaders()
 	}
-	p := &Proxy{options: options, backend: newBackend(options.Headers), reports: newReports()}
+	p := &Proxy{options: options, backend: newBackend(options.Headers)}
 	p.dispatcher = dispatch.New(dispatch.Options{
 		Gateway: options.Info.Name,
 		Zone:    options.Info.Zone,
 		Region:  options.Info.Region,
 		Backend: p.backend,
-		Placed:  p.reports.placed,
-		Read:    p.reports.measured,
+		Placed:  func(prompt peer.PlacedPrompt) { p.exchange.Placed(prompt) },
+		Read:    func(prompt peer.ReadPrompt) { p.exchange.Measured(prompt) },
 		Logger:  options.Logger,
 	})
-	options.Network.Handle(peer.KindReplicaLoads, p.serveLoads)
+	p.exchange = p.newExchange()
+	options.Network.Handle(peer.KindReplicaLoads, p.serveReport)
+	options.Network.Handle(peer.KindLoadDigest, p.serveDigest)
 	return p
 }
 
@@ -60,12 +63,13 @@
 func (p *Proxy) Update(contents *places.Contents) {
 	p.contents.Store(contents)
 	p.dispatcher.Update(contents)
+	p.exchange.SetGateways(gatewaysUp(contents))
 }
 
 // Run tells other gateways of the load and closes idle connections until ctx ends.
 func (p *Proxy) Run(ctx context.Context) {
 	var workers sync.WaitGroup
-	workers.Go(func() { p.reportLoads(ctx) })
+	workers.Go(func() { p.exchange.Run(ctx) })
 	workers.Go(func() { p.backend.reap(ctx) })
 	workers.Wait()
 }
--- /dev/null
+++ b/loadexchange/exchange.go
@@ -0,0 +1,246 @@
+// Package loadexchange shares what the gateways of a fleet have under way at
+// replicas, so that each places requests by the load of all.
+//
+// Each region has an aggregator: the gateway that owns the region's name by
+// rendezvous among those that are up. The gateways of a region report to it, and it
+// sends them digests; aggregators of different regions exchange digests too. So a
+// gateway sends to one other, whatever the number of gateways. The aggregator's
+// digests a second are bounded by a budget: with more gateways in a region, news
+// waits longer there, and costs no more.
+//
+// The role has no election. Whoever gets reports sends digests to those who sent
+// them. A gateway that hears no digests takes its aggregator for lost and reports to
+// the next owner. Two aggregators at a time, as in a cut, each know a part of the
+// load: placement is less even, nothing else rests on it.
+//
+// The package is pure: it takes reports, digests and the time, and returns what is
+// to be sent and what the own gateway has learnt.
+package loadexchange
+
+import (
+	"slices"
+	"time"
+
+	"github.com/deckpulley/deckpulley/peer"
+	"github.com/deckpulley/deckpulley/placement"
+)
+
+const (
+	// reportInterval is the longest time between two reports to the aggregator. It
+	// also renews the gateway's place among those who get digests.
+	reportInterval = 200 * time.Millisecond
+	// reportPause is the least time between two reports, but for urgent news.
+	reportPause = 10 * time.Millisecond
+	// sumsInterval is the time between two digests with the sums of all loads. It
+	// also tells that the aggregator lives.
+	sumsInterval = 240 * time.Millisecond
+	// farInterval is the time between two digests to another region's aggregator,
+	// and farPause the least one with urgent news.
+	farInterval = 480 * time.Millisecond
+	farPause    = 60 * time.Millisecond
+	// digestTime is an aggregator's time for sending one digest to one gateway: its
+	// digests take half of that apart with urgent news, and twice with other news.
+	digestTime = time.Millisecond
+	// memberAge is how long a report makes its sender a member.
+	memberAge = 1500 * time.Millisecond
+	// silence is how long an aggregator may send nothing before it is suspected, and
+	// firstSilence how long one that was just chosen may.
+	silence      = 700 * time.Millisecond
+	firstSilence = 400 * time.Millisecond
+	// firstSuspicion is how long an aggregator is passed over for its silence. It
+	// doubles up to longestSuspicion while nothing is heard of it. It is longer than
+	// the way through several owners that are all lost.
+	firstSuspicion   = 4 * time.Second
+	longestSuspicion = 16 * time.Second
+	// urgentReading is the time to read a prompt that is told within the region
+	// without delay, and longReading one that is told everywhere so.
+	urgentReading = 40
+	longReading   = 200
+	// mostReading bounds the reading of one prompt that is believed, in milliseconds.
+	mostReading = 10_000
+)
+
+// Gateway is another gateway, or the own one.
+type Gateway struct {
+	Region string
+	// Address is its peers' address.
+	Address string
+}
+
+// Loads tells what the own gateway has under way.
+type Loads interface {
+	// Loads returns the own load by replica.
+	Loads() map[string]peer.Load
+	// RegionOf returns the region of a replica, "" if it is not known.
+	RegionOf(replica string) string
+}
+
+// Outgoing is one message and whom it goes to. One of the messages is set.
+type Outgoing struct {
+	Addresses []string
+	Report    *peer.ReplicaLoads
+	Digest    *peer.LoadDigest
+}
+
+// Effects are what follows from a step.
+type Effects struct {
+	Send []Outgoing
+	// Observed is what the own gateway has learnt of others.
+	Observed []peer.ReplicaLoads
+}
+
+// Exchange is one gateway's part. It is not safe for concurrent use.
+type Exchange struct {
+	name     string
+	region   string
+	loads    Loads
+	gateways map[string]Gateway
+	near     []string            // gateways of the own region, the own one included
+	far      map[string][]string // gateways of other regions, by region
+
+	own reporter
+	sum aggregator
+}
+
+// New returns the exchange of a gateway that knows no others yet.
+func New(name, region string, loads Loads) *Exchange {
+	x := &Exchange{name: name, region: region, loads: loads}
+	x.own.suspects = make(map[string]*suspicion)
+	x.sum.members = make(map[string]memberReport)
+	return x
+}
+
+// SetGateways takes over which gateways are up.
+func (x *Exchange) SetGateways(gateways map[string]Gateway) {
+	x.gateways = gateways
+	x.near = nil
+	x.far = make(map[string][]string)
+	for name, gateway := range gateways {
+		if gateway.Region == x.region {
+			x.near = append(x.near, name)
+			continue
+		}
+		x.far[gateway.Region] = append(x.far[gateway.Region], name)
+	}
+	slices.Sort(x.near)
+}
+
+// Placed notes a prompt that the own gateway gave to a replica. It returns true if
+// that is to be told without delay.
+func (x *Exchange) Placed(prompt peer.PlacedPrompt) (urgent bool) {
+	x.own.placed = append(x.own.placed, prompt)
+	urgent = prompt.ReadingMS >= urgentReading
+	x.own.urgent = x.own.urgent || urgent
+	return urgent
+}
+
+// Measured notes what a prompt told of a replica's speed.
+func (x *Exchange) Measured(prompt peer.ReadPrompt) {
+	x.own.read = append(x.own.read, prompt)
+}
+
+// Step does what is due and returns when to step again at the latest.
+func (x *Exchange) Step(now time.Time) (Effects, time.Time) {
+	var effects Effects
+	x.report(now, &effects)
+	x.aggregate(now, &effects)
+	return effects, x.next(now)
+}
+
+// next is the earliest time at which something will be due.
+func (x *Exchange) next(now time.Time) time.Time {
+	next := x.own.due(now)
+	if due, acting := x.sum.due(now); acting && due.Before(next) {
+		next = due
+	}
+	return next
+}
+
+// HandleReport takes a gateway's report in: this gateway is its aggregator.
+func (x *Exchange) HandleReport(now time.Time, report *peer.ReplicaLoads) {
+	x.sum.take(now, report)
+}
+
+// HandleDigest takes a digest in: from the own aggregator, or from that of another
+// region to be passed on.
+func (x *Exchange) HandleDigest(now time.Time, digest *peer.LoadDigest) Effects {
+	var effects Effects
+	sender, known := x.gateways[digest.Aggregator]
+	if !known {
+		return effects
+	}
+	if sender.Region != x.region {
+		x.sum.relay(digest)
+		return effects
+	}
+	if digest.Aggregator == x.own.aggregator {
+		x.own.heard(now)
+		x.observe(digest, &effects)
+	}
+	return effects
+}
+
+// observe returns a digest as what the own gateway learns from it: of others only.
+func (x *Exchange) observe(digest *peer.LoadDigest, effects *Effects) {
+	for i := range digest.Regions {
+		part := &digest.Regions[i]
+		if part.Whole {
+			loads := part.Loads
+			if part.Region == x.region {
+				loads = without(loads, x.own.told)
+			}
+			if loads == nil {
+				loads = map[string]peer.Load{}
+			}
+			effects.Observed = append(effects.Observed, peer.ReplicaLoads{Gateway: part.Aggregator, Loads: loads})
+		}
+		for _, news := range part.News {
+			if news.Gateway == x.name {
+				continue
+			}
+			news.Loads = nil
+			news.Placed = believed(news.Placed)
+			effects.Observed = append(effects.Observed, news)
+		}
+	}
+}
+
+// believed bounds the readings that another gateway tells.
+func believed(placed []peer.PlacedPrompt) []peer.PlacedPrompt {
+	for i := range placed {
+		placed[i].ReadingMS = min(max(placed[i].ReadingMS, -mostReading), mostReading)
+	}
+	return placed
+}
+
+// without takes one gateway's loads off the sums. The digest may be older than
+// them, so nothing falls below zero.
+func without(sums, told map[string]peer.Load) map[string]peer.Load {
+	loads := make(map[string]peer.Load, len(sums))
+	for replica, sum := range sums {
+		own := told[replica]
+		sum.Requests = max(0, sum.Requests-own.Requests)
+		sum.Held = max(0, sum.Held-own.Held)
+		if sum.Requests > 0 || sum.Held > 0 || sum.OverdueMS > 0 {
+			loads[replica] = sum
+		}
+	}
+	return loads
+}
+
+// owner is the gateway of a region that aggregates, passing over some.
+func owner(region string, gateways []string, passed func(name string) bool) string {
+	if passed == nil {
+		return placement.Owner(region, gateways)
+	}
+	var left []string
+	for _, name := range gateways {
+		if !passed(name) {
+			left = append(left, name)
+		}
+	}
+	if len(left) == 0 {
+		left = gateways
+	}
+	return placement.Owner(region, left)
+}
--- /dev/null
+++ b/loadexchange/exchange_test.go
@@ -0,0 +1,238 @@
+package loadexchange
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/deckpulley/deckpulley/peer"
+)
+
+const seeds = 20
+
+// TestNewsReachesEverybody: a prompt is known to the gateways of its region and, if
+// it concerns them, of others, within stated times, once each.
+func TestNewsReachesEverybody(t *testing.T) {
+	tests := map[string]struct {
+		readingMS int
+		near, far time.Duration // 0: not told
+	}{
+		"short": {15, 300 * time.Millisecond, 0},
+		"long":  {60, 100 * time.Millisecond, 900 * time.Millisecond},
+		"huge":  {400, 100 * time.Millisecond, 500 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(seeds) {
+				w := newWorld(t, seed, map[string]int{"north": 29, "south": 12})
+				w.run(3*time.Second + time.Duration(seed)*37*time.Millisecond)
+				placer := w.other("north")
+				began := w.now
+				placer.place("north-replica", test.readingMS)
+				w.run(2 * time.Second)
+				for name, g := range w.gateways {
+					bound := test.near
+					if w.up[name].Region == "south" {
+						bound = test.far
+					}
+					heard := g.heard["north-replica"]
+					switch {
+					case g == placer || bound == 0:
+						if len(heard) != 0 {
+							t.Errorf("seed %d: %s hears of it", seed, name)
+						}
+					case len(heard) != 1 || heard[0].Sub(began) > bound:
+						t.Errorf("seed %d: %s hears of it %d times, within %v", seed, name, len(heard), since(heard, began))
+					}
+				}
+			}
+		})
+	}
+}
+
+func since(heard []time.Time, began time.Time) []time.Duration {
+	var after []time.Duration
+	for _, at := range heard {
+		after = append(after, at.Sub(began))
+	}
+	return after
+}
+
+// TestSumsLeaveTheOwnLoadOut: each gateway knows what the others have under way.
+func TestSumsLeaveTheOwnLoadOut(t *testing.T) {
+	w := newWorld(t, 1, map[string]int{"north": 5, "south": 3})
+	for _, g := range w.gateways {
+		g.load = map[string]peer.Load{"north-replica": {Requests: 2, Held: 1000}, "south-replica": {Requests: 1}}
+	}
+	w.run(4 * time.Second)
+	for name, g := range w.gateways {
+		total := peer.Load{}
+		for _, loads := range g.sums {
+			total.Requests += loads["north-replica"].Requests
+			total.Held += loads["north-replica"].Held
+		}
+		if total.Requests != 14 || total.Held != 7000 {
+			t.Errorf("%s knows of %+v, want the 14 requests of the 7 others", name, total)
+		}
+	}
+}
+
+// TestCostDoesNotGrowWithTheSquare: with ten times the gateways and the same
+// requests a gateway, what one sends and gets stays the same, and an aggregator's
+// digests stay within its budget.
+func TestCostDoesNotGrowWithTheSquare(t *testing.T) {
+	const length = 10
+	counts := []int{13, 134}
+	var sent, got [2]float64
+	for i, count := range counts {
+		w := newWorld(t, 3, map[string]int{"north": count, "south": count})
+		w.run(2 * time.Second)
+		for _, g := range w.gateways {
+			g.sent, g.got = 0, 0
+		}
+		for _, g := range w.gateways {
+			for n := range 9 * length { // nine prompts a second, one in five of them long
+				reading := 15
+				if n%5 == 0 {
+					reading = 60
+				}
+				w.at(time.Duration(w.random.Int64N(int64(length*time.Second))), func() { g.place("north-replica", reading) })
+			}
+		}
+		w.run(length * time.Second)
+		most := 0
+		for name, g := range w.gateways {
+			if g == w.aggregator(w.up[name].Region) {
+				most = max(most, g.sent)
+				continue
+			}
+			sent[i] = max(sent[i], float64(g.sent)/length)
+			got[i] = max(got[i], float64(g.got)/length)
+		}
+		// Urgent news, the sums, and other regions.
+		budget := length * (2*int(time.Second/digestTime) + count*int(time.Second/sumsInterval) + count + int(time.Second/farPause))
+		if most > budget {
+			t.Errorf("%d gateways: an aggregator sent %d messages, its budget is %d", count, most, budget)
+		}
+	}
+	if sent[1] > 1.3*sent[0] || got[1] > got[0] {
+		t.Errorf("messages a second and gateway: %v sent, %v got, with %v gateways a region", sent, got, counts)
+	}
+}
+
+// TestASilentAggregatorIsReplaced: within a second the gateways report to the same
+// successor, news passes again, and it all goes back when the first one does.
+func TestASilentAggregatorIsReplaced(t *testing.T) {
+	for seed := range uint64(seeds) {
+		w := newWorld(t, seed, map[string]int{"north": 12, "south": 3})
+		w.run(3 * time.Second)
+		first := w.aggregator("north")
+		first.frozen = true
+		w.run(silence + 2*reportInterval)
+		second := w.aggregator("north")
+		if second == first {
+			t.Fatalf("seed %d: everybody still reports to a frozen aggregator", seed)
+		}
+		checkNews(t, w, seed, "north-second", first)
+		first.thaw()
+		w.run(longestSuspicion)
+		if w.aggregator("north") != first {
+			t.Errorf("seed %d: nobody reports to the first one again", seed)
+		}
+		checkNews(t, w, seed, "north-third", nil)
+	}
+}
+
+// checkNews places a prompt and holds that all others in touch hear of it, once.
+func checkNews(t *testing.T, w *world, seed uint64, replica string, except *worldGateway) {
+	t.Helper()
+	placer := w.other("north", except)
+	placer.place(replica, 60)
+	w.run(time.Second)
+	for name, g := range w.gateways {
+		if g == placer || g == except || w.up[name].Region != "north" {
+			continue
+		}
+		if count := len(g.heard[replica]); count != 1 {
+			t.Errorf("seed %d: %s hears %d times of %s", seed, name, count, replica)
+		}
+	}
+}
+
+// TestBothSidesOfACutGoOn: each side has an aggregator of its own, and after the cut
+// there is one again.
+func TestBothSidesOfACutGoOn(t *testing.T) {
+	for seed := range uint64(seeds) {
+		w := newWorld(t, seed, map[string]int{"north": 10})
+		w.run(2 * time.Second)
+		side := func(name string) bool { return name < "north-005" }
+		w.cut = func(from, to string) bool { return side(from) != side(to) }
+		w.run(3 * time.Second)
+		low, high := w.gateways["north-001"], w.gateways["north-008"]
+		low.place("north-low", 60)
+		high.place("north-high", 60)
+		w.run(time.Second)
+		for name, g := range w.gateways {
+			own, other := "north-low", "north-high"
+			if !side(name) {
+				own, other = other, own
+			}
+			if g != low && g != high && len(g.heard[own]) != 1 || len(g.heard[other]) != 0 {
+				t.Errorf("seed %d: %s hears %d times of its side, %d of the other", seed, name, len(g.heard[own]), len(g.heard[other]))
+			}
+		}
+		w.cut = func(string, string) bool { return false }
+		w.run(longestSuspicion)
+		checkNews(t, w, seed, "north-after", nil)
+	}
+}
+
+// TestWhatADigestMayNotDo: digests of others than the own
+// aggregator, absurd readings and unknown senders change nothing, or little.
+func TestWhatADigestMayNotDo(t *testing.T) {
+	w := newWorld(t, 1, map[string]int{"north": 4, "south": 2})
+	w.run(2 * time.Second)
+	g := w.other("north")
+	liar := func(name string, readingMS int) Effects {
+		return g.exchange.HandleDigest(w.now, &peer.LoadDigest{Aggregator: name, Regions: []peer.RegionLoads{{
+			Region: "north", Aggregator: name, Whole: true, Loads: map[string]peer.Load{"north-replica": {Requests: 1}},
+			News: []peer.ReplicaLoads{{Gateway: "north-x", Placed: []peer.PlacedPrompt{{Replica: "north-replica", ReadingMS: readingMS}}}},
+		}}})
+	}
+	for i := range 4 {
+		name := fmt.Sprintf("north-%03d", i)
+		if effects := liar(name, 10); (len(effects.Observed) > 0) != (name == w.aggregator("north").name) {
+			t.Errorf("a digest of %s is believed: %+v", name, effects.Observed)
+		}
+	}
+	if effects := liar("nobody", 10); len(effects.Observed) > 0 {
+		t.Errorf("a digest of a gateway that is not up is believed")
+	}
+	for _, absurd := range []int{1 << 40, -1 << 40} {
+		for _, report := range liar(w.aggregator("north").name, absurd).Observed {
+			for _, placed := range report.Placed {
+				if placed.ReadingMS > mostReading || placed.ReadingMS < -mostReading {
+					t.Errorf("a reading of %d ms is believed", placed.ReadingMS)
+				}
+			}
+		}
+	}
+}
+
+// TestAGatewayAloneSendsNothing: one that knows no others, or is the only one.
+func TestAGatewayAloneSendsNothing(t *testing.T) {
+	w := newWorld(t, 1, map[string]int{"north": 1})
+	w.run(2 * time.Second)
+	g := w.gateways["north-000"]
+	g.place("north-replica", 100)
+	w.run(2 * time.Second)
+	fresh := New("fresh", "north", g)
+	fresh.Placed(peer.PlacedPrompt{Replica: "north-replica", ReadingMS: 100})
+	effects, next := fresh.Step(w.now)
+	if g.sent > 0 || len(effects.Send) > 0 {
+		t.Errorf("%d messages sent, and %+v", g.sent, effects.Send)
+	}
+	if !next.After(w.now) {
+		t.Errorf("a step is due at once, again and again")
+	}
+}
--- /dev/null
+++ b/loadexchange/node.go
@@ -0,0 +1,153 @@
+package loadexchange
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/deckpulley/deckpulley/peer"
+)
+
+// Config sets up a Node. All fields are required.
+type Config struct {
+	// Name and Region are the own gateway's.
+	Name   string
+	Region string
+	Loads  Loads
+	// SendReport and SendDigest send one message to a peers' address. They must not
+	// block, and may lose it.
+	SendReport func(address string, report *peer.ReplicaLoads)
+	SendDigest func(address string, digest *peer.LoadDigest)
+	// Observe is told what the own gateway has learnt of others.
+	Observe func(report peer.ReplicaLoads)
+}
+
+// Node runs an Exchange. It is safe for concurrent use.
+type Node struct {
+	config Config
+	// wake asks for a step now.
+	wake chan struct{}
+
+	// inbox has what was placed and measured since the last step. Its lock is taken
+	// by callers that hold locks of their own, and never while another one is.
+	inbox struct {
+		sync.Mutex
+		placed []peer.PlacedPrompt
+		read   []peer.ReadPrompt
+	}
+
+	mutex    sync.Mutex
+	exchange *Exchange
+}
+
+// NewNode returns a node that knows no other gateways yet.
+func NewNode(config Config) *Node {
+	return &Node{
+		config:   config,
+		wake:     make(chan struct{}, 1),
+		exchange: New(config.Name, config.Region, config.Loads),
+	}
+}
+
+// leastPause keeps the loop from turning without pause.
+const leastPause = time.Millisecond
+
+// Run takes part in the exchange until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.wake:
+		case <-timer.C:
+		}
+		timer.Reset(max(time.Until(n.step()), leastPause))
+	}
+}
+
+// step does what is due and returns when to step again.
+func (n *Node) step() time.Time {
+	n.mutex.Lock()
+	n.empty()
+	effects, next := n.exchange.Step(time.Now())
+	n.mutex.Unlock()
+	n.carryOut(effects)
+	return next
+}
+
+// empty hands the inbox over to the exchange.
+func (n *Node) empty() {
+	n.inbox.Lock()
+	placed, read := n.inbox.placed, n.inbox.read
+	n.inbox.placed, n.inbox.read = nil, nil
+	n.inbox.Unlock()
+	for _, prompt := range placed {
+		n.exchange.Placed(prompt)
+	}
+	for _, prompt := range read {
+		n.exchange.Measured(prompt)
+	}
+}
+
+// carryOut sends what is to be sent and tells what was learnt.
+func (n *Node) carryOut(effects Effects) {
+	for _, message := range effects.Send {
+		for _, address := range message.Addresses {
+			if message.Report != nil {
+				n.config.SendReport(address, message.Report)
+				continue
+			}
+			n.config.SendDigest(address, message.Digest)
+		}
+	}
+	for _, report := range effects.Observed {
+		n.config.Observe(report)
+	}
+}
+
+func (n *Node) signal() {
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Placed notes a prompt that the own gateway gave to a replica. It does not block.
+func (n *Node) Placed(prompt peer.PlacedPrompt) {
+	n.inbox.Lock()
+	n.inbox.placed = append(n.inbox.placed, prompt)
+	n.inbox.Unlock()
+	n.signal()
+}
+
+// Measured notes what a prompt told of a replica's speed. It does not block.
+func (n *Node) Measured(prompt peer.ReadPrompt) {
+	n.inbox.Lock()
+	defer n.inbox.Unlock()
+	n.inbox.read = append(n.inbox.read, prompt)
+}
+
+// SetGateways takes over which gateways are up.
+func (n *Node) SetGateways(gateways map[string]Gateway) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.exchange.SetGateways(gateways)
+}
+
+// TakeReport takes another gateway's report in.
+func (n *Node) TakeReport(report *peer.ReplicaLoads) {
+	n.mutex.Lock()
+	n.exchange.HandleReport(time.Now(), report)
+	n.mutex.Unlock()
+	n.signal()
+}
+
+// TakeDigest takes an aggregator's digest in.
+func (n *Node) TakeDigest(digest *peer.LoadDigest) {
+	n.mutex.Lock()
+	effects := n.exchange.HandleDigest(time.Now(), digest)
+	n.mutex.Unlock()
+	n.carryOut(effects)
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -27,7 +27,8 @@
 	KindLoad                                   // one-way RegionLoad, gateway to gateway
 	KindRun                                    // stream Run to RunEvents, gateway to the gateway that granted
 	KindOwner                                  // stream OwnerRequest to RunEvents, gateway to a ticket's owner
-	KindReplicaLoads                           // one-way ReplicaLoads, gateway to gateway
+	KindReplicaLoads                           // one-way ReplicaLoads, gateway to its region's aggregator
+	KindLoadDigest                             // one-way LoadDigest, aggregator to gateways and other aggregators
 )
 
 // ConsensusMessage wraps one message of the replicated log. Cluster keeps the
@@ -289,7 +290,7 @@
 
 // ReplicaLoads tells what a gateway has under way at replicas, and which prompts
 // it has placed since its last message. A lost or late one makes placement less
-// even, nothing else.
+// even, nothing else. Nil loads say nothing of them.
 type ReplicaLoads struct {
 	Gateway string          `cbor:"1,keyasint"`
 	Loads   map[string]Load `cbor:"2,keyasint,omitempty"` // by replica
@@ -297,6 +298,26 @@
 	Read    []ReadPrompt    `cbor:"4,keyasint,omitempty"`
 }
 
+// LoadDigest is what an aggregator has heard: of its own region's gateways, and, to
+// them, of other regions. A lost one makes placement less even, nothing else.
+type LoadDigest struct {
+	// Aggregator is the gateway that sends the digest.
+	Aggregator string        `cbor:"1,keyasint"`
+	Regions    []RegionLoads `cbor:"2,keyasint"`
+}
+
+// RegionLoads is what the gateways of one region have under way.
+type RegionLoads struct {
+	Region string `cbor:"1,keyasint"`
+	// Aggregator is the gateway that added the loads up.
+	Aggregator string `cbor:"2,keyasint"`
+	// Whole says that Loads has the sums of all loads; else it has none.
+	Whole bool            `cbor:"3,keyasint,omitempty"`
+	Loads map[string]Load `cbor:"4,keyasint,omitempty"` // by replica
+	// News is what gateways have placed and measured, without loads.
+	News []ReplicaLoads `cbor:"5,keyasint,omitempty"`
+}
+
 // Load is what one gateway has under way at one replica.
 type Load struct {
 	Requests int `cbor:"1,keyasint"`
@@ -320,6 +341,8 @@
 // ReadPrompt is what one prompt that a replica read alone told of its speed.
 type ReadPrompt struct {
 	Replica string `cbor:"1,keyasint"`
-	// Slowness is the measured time over the expected one.
-	Slowness float64 `cbor:"2,keyasint"`
+	// Work is what there was to read, in seconds of a reference replica, and Took the
+	// seconds that passed until the first event.
+	Work float64 `cbor:"2,keyasint"`
+	Took float64 `cbor:"3,keyasint"`
 }
