--- a/control/describe.go
+++ b/control/describe.go
@@ -15,6 +15,7 @@
 	kindDescribe  transport.Kind = 64 + iota // call describeRequest/description, control to control
 	kindReadIndex                            // call readIndexRequest/readIndexReply, control to the primary
 	kindOverview                             // call overviewRequest/overview, control to the primary
+	kindWhere                                // call whereRequest/whereReply, control without a group to a member
 )
 
 const (
--- a/control/join.go
+++ b/control/join.go
@@ -42,6 +42,7 @@
 			continue
 		}
 		reply, err := n.callJoin(ctx, greeting.address)
+		n.outsider.notePrimary(reply.Primary)
 		if err == nil && !reply.Accepted && reply.Primary != "" && reply.Primary != greeting.address {
 			reply, err = n.callJoin(ctx, reply.Primary)
 		}
--- a/control/node.go
+++ b/control/node.go
@@ -49,6 +49,7 @@
 	machine  *machine // owned by the event loop
 
 	formation formation
+	outsider  outsider
 	describer describer
 	platform  sync.Mutex // one platform list is compared and proposed at a time
 
@@ -110,6 +111,7 @@
 	n.network.Handle(kindDescribe, n.serveDescribe)
 	n.network.Handle(kindReadIndex, n.serveReadIndex)
 	n.network.Handle(kindOverview, n.serveOverview)
+	n.network.Handle(kindWhere, n.serveWhere)
 }
 
 // Start begins to serve peers and to take part in the group.
--- a/control/orders.go
+++ b/control/orders.go
@@ -61,7 +61,7 @@
 	if observed.primary {
 		return n.decideOrder(ctx, observed, task)
 	}
-	primary := observed.leaderAddress()
+	primary := n.primaryAddress(observed)
 	if primary == "" || primary == n.options.PeerAddress {
 		return peer.OrderReply{}, false
 	}
--- a/control/routemap.go
+++ b/control/routemap.go
@@ -11,8 +11,6 @@
 
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/configuration"
-	"github.com/deckpulley/deckpulley/consensus"
-	"github.com/deckpulley/deckpulley/directory"
 	"github.com/deckpulley/deckpulley/documentchange"
 	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/places"
@@ -179,15 +177,3 @@
 	current, configured := observed.contents.ConfigurationRecord()
 	return current, configured, nil
 }
-
-// Where returns the addresses of the gateways that a client of a region should
-// use, at most limit. It is empty when none is known.
-func (n *Node) Where(region string, limit int) []string {
-	observed := n.observe()
-	if observed.contents == nil {
-		return nil
-	}
-	question := directory.Question{Region: region, Limit: limit, Asked: n.options.Name}
-	question.CutOff = observed.status.Leader == consensus.None
-	return question.Answer(observed.contents.Gateways())
-}
--- a/control/routemap_test.go
+++ b/control/routemap_test.go
@@ -364,6 +364,7 @@
 		if got := len(f.voters()); got != voters {
 			t.Errorf("%d voters, want %d", got, voters)
 		}
+		f.checkOutsider()
 		// Two of five may go.
 		stopped := 0
 		for _, name := range controlNames {
@@ -372,12 +373,35 @@
 				stopped++
 			}
 		}
-		if reply := carryOut(f.primary(), routeMapOrder(0, 1)); !accepted(reply) {
+		if reply := carryOut(f.primary(), routeMapOrder(1, 2)); !accepted(reply) {
 			t.Errorf("with two of five voters lost: %+v", reply)
 		}
 	})
 }
 
+// checkOutsider holds that the node which the group did not take in answers clients
+// and operators all the same.
+func (f *fleet) checkOutsider() {
+	f.t.Helper()
+	f.startGateway("gateway-1")
+	var outside *Node
+	for _, node := range f.nodes {
+		if node.observe().outside() {
+			outside = node
+		}
+	}
+	if outside == nil {
+		f.t.Fatal("every node belongs to the group")
+	}
+	f.await("an answer to clients", func() bool { return len(outside.Where("north", 8)) == 1 })
+	if reply := carryOut(outside, routeMapOrder(0, 1)); !accepted(reply) {
+		f.t.Errorf("an order to a node without a group: %+v", reply)
+	}
+	if _, _, problem := outside.Current(f.t.Context()); problem == nil {
+		f.t.Error("a node without a group is sure of the newest configuration")
+	}
+}
+
 // voters lists the voters as the primary knows them.
 func (f *fleet) voters() []consensus.Member {
 	var voters []consensus.Member
--- a/control/traffic.go
+++ b/control/traffic.go
@@ -23,6 +23,7 @@
 	kindDescribe:       "describe",
 	kindReadIndex:      "read_index",
 	kindOverview:       "overview",
+	kindWhere:          "where",
 }
 
 func kindName(kind transport.Kind) string {
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -12,10 +12,6 @@
 	// rereading weighs the reading of a shared part that another replica holds
 	// already, in multiples of the time that it takes.
 	rereading = 1
-	// otherRegionPenalty and otherZonePenalty keep requests near, in seconds of
-	// waiting for the first event.
-	otherRegionPenalty = 0.12
-	otherZonePenalty   = 0.01
 	// coldShare is the part of what a cold replica bears that its feeder sends. Two
 	// gateways that take themselves for the feeder, as in a cut, stay below one and
 	// a half times of it.
@@ -193,14 +189,16 @@
 }
 
 func (s *search) candidate(position int, r *replica, cached int) placement.Candidate {
-	others := s.dispatcher.loads.others(r.id, s.now)
+	others := s.dispatcher.loads.others(r.key, s.now)
+	trip := s.dispatcher.trip(r).Seconds()
 	c := placement.Candidate{
 		Number:  position,
 		Hash:    r.hash,
 		Busy:    float64(r.inFlight + others.Requests),
 		Slots:   float64(s.slots(r)),
 		Hold:    s.service.hold,
-		Penalty: s.distance(r),
+		Wait:    trip,
+		Penalty: crossing * trip,
 	}
 	if s.ramped(r) {
 		c.Penalty += coldPenalty
@@ -209,7 +207,7 @@
 		line := s.service.pace.now
 		c.Speed = readingSpeed / (line.factor * r.slowness)
 		behind := max(r.overdue(s.now), time.Duration(others.OverdueMS)*time.Millisecond)
-		c.Wait = line.start + r.backlog.left(s.now).Seconds() + behind.Seconds()
+		c.Wait += line.start + r.backlog.left(s.now).Seconds() + behind.Seconds()
 		c.Cached = float64(cached)
 		room := memoryShare*float64(s.service.spec.CacheTokens) - r.held - float64(others.Held)
 		if room < s.request.Tokens {
@@ -229,14 +227,3 @@
 		return defaultSlots
 	}
 }
-
-func (s *search) distance(r *replica) float64 {
-	switch {
-	case r.region != s.dispatcher.options.Region:
-		return otherRegionPenalty
-	case r.zone != s.dispatcher.options.Zone:
-		return otherZonePenalty
-	default:
-		return 0
-	}
-}
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -24,13 +24,13 @@
 // claim is a prompt that another gateway has given to a replica.
 type claim struct {
 	at      time.Time
-	gateway string
+	gateway peer.ReplicaKey
 	reading time.Duration
 }
 
 // precedes says whether the claim stands against one of the own gateway. Readings
 // are told in whole milliseconds, and compared so on both sides.
-func (c *claim) precedes(reading time.Duration, gateway string) bool {
+func (c *claim) precedes(reading time.Duration, gateway peer.ReplicaKey) bool {
 	reading = reading.Truncate(time.Millisecond)
 	if c.reading != reading {
 		return c.reading > reading
@@ -39,7 +39,7 @@
 }
 
 // noteClaim keeps another gateway's claim for as long as it may cross an own one.
-func (r *replica) noteClaim(now time.Time, gateway string, reading time.Duration) {
+func (r *replica) noteClaim(now time.Time, gateway peer.ReplicaKey, reading time.Duration) {
 	kept := r.claims[:0]
 	for _, known := range r.claims {
 		if now.Sub(known.at) < claimAge {
@@ -74,9 +74,10 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	since := at.work.began.Add(-claimTime)
+	own := peer.KeyOf(d.options.Gateway)
 	for i := range at.replica.claims {
 		other := &at.replica.claims[i]
-		if other.at.After(since) && other.precedes(at.work.reading, d.options.Gateway) {
+		if other.at.After(since) && other.precedes(at.work.reading, own) {
 			d.withdraw(at)
 			delete(r.tried, at.replica.id)
 			return true
@@ -90,6 +91,6 @@
 	at.work.end()
 	at.replica.backlog.add(time.Now(), -at.work.reading)
 	if d.options.Placed != nil {
-		d.options.Placed(peer.PlacedPrompt{Replica: at.replica.id, ReadingMS: -int(at.work.reading.Milliseconds())})
+		d.options.Placed(peer.PlacedPrompt{Replica: at.replica.key, ReadingMS: -int(at.work.reading.Milliseconds())})
 	}
 }
--- a/dispatch/claim_test.go
+++ b/dispatch/claim_test.go
@@ -58,15 +58,15 @@
 // tell brings one gateway's news to another.
 func tell(from, to *fixture) {
 	name := from.dispatcher.options.Gateway
-	report := func(news peer.ReplicaLoads) {
-		news.Gateway = name
-		time.AfterFunc(newsDelay, func() { to.dispatcher.Observe(news) })
+	report := func(news peer.RegionLoads) {
+		time.AfterFunc(newsDelay, func() { to.dispatcher.Observe(&news) })
 	}
 	from.dispatcher.options.Placed = func(prompt peer.PlacedPrompt) {
-		report(peer.ReplicaLoads{Placed: []peer.PlacedPrompt{prompt}})
+		prompt.Gateway = peer.KeyOf(name)
+		report(peer.RegionLoads{Placed: []peer.PlacedPrompt{prompt}})
 	}
 	from.dispatcher.options.Read = func(prompt peer.ReadPrompt) {
-		report(peer.ReplicaLoads{Read: []peer.ReadPrompt{prompt}})
+		report(peer.RegionLoads{Read: []peer.ReadPrompt{prompt}})
 	}
 }
 
@@ -134,15 +134,15 @@
 		other claim
 		want  bool
 	}{
-		"longer":              {claim{gateway: "g9", reading: 2 * time.Second}, true},
-		"shorter":             {claim{gateway: "g1", reading: time.Millisecond}, false},
-		"alike, name before":  {claim{gateway: "g1", reading: time.Second}, true},
-		"alike, name after":   {claim{gateway: "g9", reading: time.Second}, false},
-		"withdrawn, negative": {claim{gateway: "g1", reading: -time.Second}, false},
+		"longer":              {claim{gateway: 9, reading: 2 * time.Second}, true},
+		"shorter":             {claim{gateway: 1, reading: time.Millisecond}, false},
+		"alike, name before":  {claim{gateway: 1, reading: time.Second}, true},
+		"alike, name after":   {claim{gateway: 9, reading: time.Second}, false},
+		"withdrawn, negative": {claim{gateway: 1, reading: -time.Second}, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			if got := test.other.precedes(time.Second, "g5"); got != test.want {
+			if got := test.other.precedes(time.Second, 5); got != test.want {
 				t.Errorf("got %v", got)
 			}
 		})
@@ -170,8 +170,8 @@
 		names := []string{"a", "b", "c", "d", "e"}
 		for _, holder := range names {
 			pair := newGatewayPair(t, names...)
-			pair.second.dispatcher.Observe(peer.ReplicaLoads{Gateway: "g1", Placed: []peer.PlacedPrompt{
-				{Replica: holder, Prefixes: placement.Hashes(chainOf("shared", 9000))},
+			pair.second.dispatcher.Observe(&peer.RegionLoads{Placed: []peer.PlacedPrompt{
+				{Replica: peer.KeyOf(holder), Prefixes: placement.Hashes(chainOf("shared", 9000))},
 			}})
 			pair.second.serve(func(r *Request) {
 				r.Tokens = 9500
@@ -289,7 +289,7 @@
 		var waiting sync.WaitGroup
 		waiting.Go(func() { f.serve(request) })
 		time.Sleep(overdueSlack + 200*time.Millisecond)
-		if loads := f.dispatcher.Loads(); loads[holder].OverdueMS < 100 {
+		if loads := f.dispatcher.Loads(); loads[peer.KeyOf(holder)].OverdueMS < 100 {
 			t.Errorf("reported %+v, want it to be behind", loads)
 		}
 		f.serve(request)
@@ -345,7 +345,7 @@
 	f.configure(withPrompts)
 	f.addReplica("a", "east-1")
 	f.answer = func(context.Context, *Attempt) (*Answer, error) { return events("id: 1\ndata: x\n\n", nil), nil }
-	f.dispatcher.Observe(peer.ReplicaLoads{Gateway: "g2", Placed: []peer.PlacedPrompt{{Replica: "a", ReadingMS: int(test.backlog.Milliseconds())}}})
+	f.dispatcher.Observe(&peer.RegionLoads{Placed: []peer.PlacedPrompt{{Replica: peer.KeyOf("a"), ReadingMS: int(test.backlog.Milliseconds())}}})
 	_, refusal := f.serve(func(r *Request) { r.Tokens = test.tokens })
 	if refused := refusal != nil; refused != test.refused {
 		t.Errorf("refused: %v, %v", refused, refusal)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -163,10 +163,13 @@
 
 	mutex    sync.Mutex
 	replicas map[string]*replica
+	byKey    map[peer.ReplicaKey]*replica
 	services map[string]*service
 	budget   *retry.Budget
 	loads    loadBoard
-	counts   Counts
+	// distances are those from this gateway.
+	distances distances
+	counts    Counts
 }
 
 // Counts are totals since the start.
@@ -193,10 +196,13 @@
 		log:      options.Logger,
 		planned:  make(chan struct{}),
 		replicas: make(map[string]*replica),
+		byKey:    make(map[peer.ReplicaKey]*replica),
 		services: make(map[string]*service),
 		budget:   retry.NewBudget(retryRatio),
 		loads:    newLoadBoard(),
-		counts:   Counts{Refused: make(map[Code]uint64), Failed: make(map[Failure]uint64)},
+
+		distances: newDistances(),
+		counts:    Counts{Refused: make(map[Code]uint64), Failed: make(map[Failure]uint64)},
 	}
 }
 
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -13,26 +13,26 @@
 type loadBoard struct {
 	reports map[string]loadReport // by who reports
 	// sums adds the reports up that are not too old, until one of them is.
-	sums  map[string]peer.Load
+	sums  map[peer.ReplicaKey]peer.Load
 	until time.Time
 }
 
 type loadReport struct {
 	at    time.Time
-	loads map[string]peer.Load
+	loads map[peer.ReplicaKey]peer.Load
 }
 
 func newLoadBoard() loadBoard { return loadBoard{reports: make(map[string]loadReport)} }
 
 // report takes the loads of one source in.
-func (b *loadBoard) report(now time.Time, source string, loads map[string]peer.Load) {
+func (b *loadBoard) report(now time.Time, source string, loads map[peer.ReplicaKey]peer.Load) {
 	b.reports[source] = loadReport{at: now, loads: loads}
 	b.sum(now)
 }
 
 // sum adds the reports up.
 func (b *loadBoard) sum(now time.Time) {
-	b.sums = make(map[string]peer.Load)
+	b.sums = make(map[peer.ReplicaKey]peer.Load)
 	b.until = now.Add(loadAge)
 	for source, report := range b.reports {
 		end := report.at.Add(loadAge)
@@ -43,50 +43,54 @@
 		if end.Before(b.until) {
 			b.until = end
 		}
-		for id, load := range report.loads {
-			sum := b.sums[id]
-			sum.Requests += load.Requests
-			sum.Held += load.Held
-			sum.OverdueMS = max(sum.OverdueMS, load.OverdueMS)
-			b.sums[id] = sum
+		for replica, load := range report.loads {
+			b.sums[replica] = b.sums[replica].Add(load)
 		}
 	}
 }
 
 // others is what all other gateways have under way at a replica, and the most
 // that one of them finds it behind.
-func (b *loadBoard) others(id string, now time.Time) peer.Load {
+func (b *loadBoard) others(replica peer.ReplicaKey, now time.Time) peer.Load {
 	if now.After(b.until) {
 		b.sum(now)
 	}
-	return b.sums[id]
+	return b.sums[replica]
 }
 
-// Observe takes the loads of others in, and what another gateway placed and
-// measured. Prompts that it has placed lengthen the backlogs of their replicas here
-// too, and what it measured of their speed counts as if it was measured here.
-func (d *Dispatcher) Observe(report peer.ReplicaLoads) {
+// Observe takes in what other gateways have under way, placed and measured. Prompts
+// that they placed lengthen the backlogs of their replicas here too, and what they
+// measured counts as if it was measured here.
+func (d *Dispatcher) Observe(loads *peer.RegionLoads) {
 	now := time.Now()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if report.Loads != nil {
-		d.loads.report(now, report.Gateway, report.Loads)
+	if loads.Whole {
+		d.loads.report(now, loads.Aggregator, loads.Loads)
 	}
-	for _, placed := range report.Placed {
-		if r, known := d.replicas[placed.Replica]; known {
+	for _, added := range loads.Added {
+		if r, known := d.byKey[added.Replica]; known {
+			r.give(now, time.Duration(added.ReadingMS)*time.Millisecond)
+		}
+	}
+	for _, placed := range loads.Placed {
+		if r, known := d.byKey[placed.Replica]; known {
 			reading := time.Duration(placed.ReadingMS) * time.Millisecond
 			r.give(now, reading)
-			r.noteClaim(now, report.Gateway, reading)
+			r.noteClaim(now, placed.Gateway, reading)
 			d.holds(r, placed.Prefixes)
 		}
 	}
-	for _, read := range report.Read {
-		if r, known := d.replicas[read.Replica]; known {
-			d.learn(r, read.Work, read.Took)
+	for _, read := range loads.Read {
+		if r, known := d.byKey[read.Replica]; known {
+			d.learn(r, microseconds(read.WorkUS), microseconds(read.TookUS))
 		}
 	}
 }
 
+// microseconds turns a number of them into seconds.
+func microseconds(count uint32) float64 { return float64(count) / 1e6 }
+
 // holds notes the shared parts that a replica will hold.
 func (d *Dispatcher) holds(r *replica, prefixes []uint64) {
 	if known, found := d.services[r.service]; found && len(prefixes) > 0 {
@@ -95,24 +99,24 @@
 }
 
 // Loads returns this gateway's own load by replica.
-func (d *Dispatcher) Loads() map[string]peer.Load {
+func (d *Dispatcher) Loads() map[peer.ReplicaKey]peer.Load {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := time.Now()
-	loads := make(map[string]peer.Load)
-	for id, r := range d.replicas {
+	loads := make(map[peer.ReplicaKey]peer.Load)
+	for key, r := range d.byKey {
 		if r.inFlight > 0 {
-			loads[id] = peer.Load{Requests: r.inFlight, Held: int(r.held), OverdueMS: int(r.overdue(now).Milliseconds())}
+			loads[key] = peer.Load{Requests: r.inFlight, Held: int(r.held), OverdueMS: int(r.overdue(now).Milliseconds())}
 		}
 	}
 	return loads
 }
 
 // RegionOf returns the region of a replica, "" if it is not known.
-func (d *Dispatcher) RegionOf(id string) string {
+func (d *Dispatcher) RegionOf(replica peer.ReplicaKey) string {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if r, known := d.replicas[id]; known {
+	if r, known := d.byKey[replica]; known {
 		return r.region
 	}
 	return ""
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -137,6 +137,7 @@
 		if !found {
 			known = newReplica(id)
 			d.replicas[id] = known
+			d.byKey[known.key] = known
 		}
 		d.describe(known, listed, contents, now)
 	}
@@ -145,6 +146,7 @@
 
 func (d *Dispatcher) dropReplica(id string) {
 	address := d.replicas[id].address
+	delete(d.byKey, d.replicas[id].key)
 	delete(d.replicas, id)
 	for _, other := range d.replicas {
 		if other.address == address {
--- a/dispatch/relay.go
+++ b/dispatch/relay.go
@@ -117,7 +117,7 @@
 	if took, measured := at.work.open(now); measured && at.replica.region == d.options.Region {
 		d.learn(at.replica, at.work.own.work, took)
 		if d.options.Read != nil {
-			d.options.Read(peer.ReadPrompt{Replica: at.replica.id, Work: at.work.own.work, Took: took})
+			d.options.Read(peer.ReadPrompt{Replica: at.replica.key, WorkUS: uint32(1e6 * at.work.own.work), TookUS: uint32(1e6 * took)})
 		}
 	}
 	at.replica.reached()
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/placement"
 )
 
@@ -24,6 +25,7 @@
 // replica is one incarnation of a replica. The dispatcher's mutex guards it.
 type replica struct {
 	id      string
+	key     peer.ReplicaKey
 	number  int // in the service's index of prompts; -1 before it has one
 	hash    uint64
 	service string
@@ -63,7 +65,7 @@
 }
 
 func newReplica(id string) *replica {
-	return &replica{id: id, number: -1, hash: placement.Hash(id), slowness: 1, unopened: make(map[*work]bool)}
+	return &replica{id: id, key: peer.KeyOf(id), number: -1, hash: placement.Hash(id), slowness: 1, unopened: make(map[*work]bool)}
 }
 
 // isCold says whether the ramp of cold replicas binds.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -177,13 +177,29 @@
 	if d.options.Placed == nil || taken.reading == 0 {
 		return
 	}
+	if r.sharedReading(known) < toldShared {
+		prefixes = nil
+	}
 	d.options.Placed(peer.PlacedPrompt{
-		Replica:   taken.replica.id,
+		Replica:   taken.replica.key,
 		ReadingMS: int(taken.reading.Milliseconds()),
 		Prefixes:  prefixes,
 	})
 }
 
+// toldShared is the least reading of shared parts that others are told of, in
+// seconds: shorter ones are not worth the news.
+const toldShared = 0.01
+
+// sharedReading is the time that the shared parts take to read, in seconds.
+func (r *run) sharedReading(known *service) float64 {
+	link, found := placement.Affinity(r.request.Chain)
+	if !found {
+		return 0
+	}
+	return known.pace.now.factor * readingWork(float64(link.Tokens), 0)
+}
+
 // reading is what a replica has to read of the prompt that holds a part of it.
 func (r *run) reading(known *service, cached int) reading {
 	if known.spec.CacheTokens == 0 {
--- a/httpgateway/backend.go
+++ b/httpgateway/backend.go
@@ -32,8 +32,8 @@
 	headers Headers
 }
 
-func newBackend(headers Headers) *backend {
-	return &backend{pool: upstream.NewPool(upstream.Config{}), headers: headers}
+func newBackend(headers Headers, connected func(address string, took time.Duration)) *backend {
+	return &backend{pool: upstream.NewPool(upstream.Config{Connected: connected}), headers: headers}
 }
 
 func (b *backend) Heard(address string) time.Time { return b.pool.Heard(address) }
--- a/httpgateway/door_test.go
+++ b/httpgateway/door_test.go
@@ -70,7 +70,7 @@
 			if test.refused {
 				response.Header.Set(headers.NotExecuted, "1")
 			}
-			err := newBackend(headers).judge(response, "id")
+			err := newBackend(headers, nil).judge(response, "id")
 			var failure *dispatch.AttemptError
 			got := dispatch.Failure("")
 			if errors.As(err, &failure) {
--- a/httpgateway/proxy.go
+++ b/httpgateway/proxy.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -43,7 +44,8 @@
 	if options.Headers == (Headers{}) {
 		options.Headers = DefaultHeaders()
 	}
-	p := &Proxy{options: options, backend: newBackend(options.Headers)}
+	p := &Proxy{options: options}
+	p.backend = newBackend(options.Headers, func(address string, took time.Duration) { p.dispatcher.Connected(address, took) })
 	p.dispatcher = dispatch.New(dispatch.Options{
 		Gateway: options.Info.Name,
 		Zone:    options.Info.Zone,
--- a/loadexchange/aggregator.go
+++ b/loadexchange/aggregator.go
@@ -24,30 +24,7 @@
 // memberReport is the newest load that a gateway reported.
 type memberReport struct {
 	at    time.Time
-	loads map[string]peer.Load
-}
-
-// news is what gateways placed and measured, by gateway in the order of arrival.
-type news struct {
-	items  []peer.ReplicaLoads
-	urgent bool
-}
-
-func (n *news) add(report *peer.ReplicaLoads, urgentReading int) {
-	if len(report.Placed)+len(report.Read) == 0 {
-		return
-	}
-	n.items = append(n.items, peer.ReplicaLoads{Gateway: report.Gateway, Placed: report.Placed, Read: report.Read})
-	for _, placed := range report.Placed {
-		n.urgent = n.urgent || placed.ReadingMS >= urgentReading
-	}
-}
-
-// take returns the news, once.
-func (n *news) take() []peer.ReplicaLoads {
-	items := n.items
-	*n = news{}
-	return items
+	loads map[peer.ReplicaKey]peer.Load
 }
 
 // take takes one report in.
@@ -59,8 +36,15 @@
 
 // relay keeps another region's loads for the members.
 func (a *aggregator) relay(digest *peer.LoadDigest) {
-	if len(a.members) > 0 {
-		a.relayed = append(a.relayed, digest.Regions...)
+	if len(a.members) == 0 {
+		return
+	}
+	for i := range digest.Regions {
+		part := digest.Regions[i]
+		a.relayed = slices.DeleteFunc(a.relayed, func(older peer.RegionLoads) bool {
+			return part.Whole && older.Aggregator == part.Aggregator && len(older.Placed)+len(older.Added) == 0
+		})
+		a.relayed = append(a.relayed, part)
 	}
 }
 
@@ -74,7 +58,7 @@
 }
 
 // due is when the next digest of any kind is to be sent, if this gateway acts.
-func (a *aggregator) due(time.Time) (due time.Time, acting bool) {
+func (a *aggregator) due() (due time.Time, acting bool) {
 	if len(a.members) == 0 {
 		return time.Time{}, false
 	}
@@ -87,7 +71,7 @@
 
 func (a *aggregator) dueNear() time.Time {
 	due := a.sentSums.Add(sumsInterval)
-	if len(a.near.items) == 0 {
+	if a.near.placed == 0 {
 		return due
 	}
 	if soon := a.sentNear.Add(a.pause()); soon.Before(due) {
@@ -128,78 +112,81 @@
 	}
 }
 
-// sendNear sends a digest to the members, with sums when these are due.
+// sendNear sends each member a digest of what the others told, with sums and
+// measured prompts when these are due.
 func (x *Exchange) sendNear(now time.Time, effects *Effects) {
 	a := &x.sum
-	part := peer.RegionLoads{Region: x.region, Aggregator: x.name, News: a.near.take()}
-	if !now.Before(a.sentSums.Add(sumsInterval)) {
-		part.Whole, part.Loads = true, a.sums()
+	whole := !now.Before(a.sentSums.Add(sumsInterval))
+	var sums map[peer.ReplicaKey]peer.Load
+	if whole {
 		a.sentSums = now
+		sums = a.sums()
 	}
-	digest := &peer.LoadDigest{Aggregator: x.name, Regions: append([]peer.RegionLoads{part}, a.relayed...)}
-	a.relayed = nil
 	a.sentNear = now
-	var addresses []string
+	items := a.near.take(whole)
 	for _, name := range slices.Sorted(maps.Keys(a.members)) {
-		if name == x.name {
-			continue
-		}
-		if member, up := x.gateways[name]; up {
-			addresses = append(addresses, member.Address)
+		part := items.without(name)
+		part.Region, part.Aggregator = x.region, x.name
+		if whole {
+			part.Whole, part.Loads = true, a.othersOf(name, sums)
 		}
+		digest := &peer.LoadDigest{Aggregator: x.name, Regions: append([]peer.RegionLoads{part}, a.relayed...)}
+		x.sendMember(now, name, digest, effects)
 	}
-	if len(addresses) > 0 {
-		effects.Send = append(effects.Send, Outgoing{Addresses: addresses, Digest: digest})
+	a.relayed = nil
+}
+
+// sendMember sends a digest to a member, which may be the own gateway.
+func (x *Exchange) sendMember(now time.Time, name string, digest *peer.LoadDigest, effects *Effects) {
+	if name == x.name {
+		if x.own.aggregator == x.name {
+			x.own.heard(now)
+			observe(digest, effects)
+		}
+		return
 	}
-	if x.own.aggregator == x.name {
-		x.own.heard(now)
-		x.observe(digest, effects)
+	if member, up := x.gateways[name]; up {
+		effects.Send = append(effects.Send, Outgoing{Address: member.Address, Digest: digest})
 	}
 }
 
 // sums adds the members' loads up.
-func (a *aggregator) sums() map[string]peer.Load {
-	sums := make(map[string]peer.Load)
+func (a *aggregator) sums() map[peer.ReplicaKey]peer.Load {
+	sums := make(map[peer.ReplicaKey]peer.Load)
 	for _, member := range a.members {
 		for replica, load := range member.loads {
-			sum := sums[replica]
-			sum.Requests += load.Requests
-			sum.Held += load.Held
-			sum.OverdueMS = max(sum.OverdueMS, load.OverdueMS)
-			sums[replica] = sum
+			sums[replica] = sums[replica].Add(load)
 		}
 	}
 	return sums
 }
 
+// othersOf takes a member's own load off the sums.
+func (a *aggregator) othersOf(name string, sums map[peer.ReplicaKey]peer.Load) map[peer.ReplicaKey]peer.Load {
+	own := a.members[name].loads
+	others := make(map[peer.ReplicaKey]peer.Load, len(sums))
+	for replica, sum := range sums {
+		sum.Requests -= own[replica].Requests
+		sum.Held -= own[replica].Held
+		if sum.Requests > 0 || sum.Held > 0 || sum.OverdueMS > 0 {
+			others[replica] = sum
+		}
+	}
+	return others
+}
+
 // sendFar sends a digest to the aggregator of each other region.
 func (x *Exchange) sendFar(now time.Time, effects *Effects) {
 	a := &x.sum
 	a.sentFar = now
-	items := a.far.take()
+	items := a.far.take(true)
 	sums := a.sums()
 	for _, region := range slices.Sorted(maps.Keys(x.far)) {
 		to := x.gateways[owner(region, x.far[region], nil)]
-		part := peer.RegionLoads{Region: x.region, Aggregator: x.name, Whole: true, Loads: sums, News: x.concerning(region, items)}
+		part := items.concerning(func(replica peer.ReplicaKey) bool { return x.loads.RegionOf(replica) == region })
+		part.Region, part.Aggregator = x.region, x.name
+		part.Whole, part.Loads = true, sums
 		digest := &peer.LoadDigest{Aggregator: x.name, Regions: []peer.RegionLoads{part}}
-		effects.Send = append(effects.Send, Outgoing{Addresses: []string{to.Address}, Digest: digest})
-	}
-}
-
-// concerning leaves out what another region need not know: short prompts that were
-// given to replicas outside of it.
-func (x *Exchange) concerning(region string, items []peer.ReplicaLoads) []peer.ReplicaLoads {
-	var open []peer.ReplicaLoads
-	for _, item := range items {
-		told := peer.ReplicaLoads{Gateway: item.Gateway, Read: item.Read}
-		for _, placed := range item.Placed {
-			if placed.ReadingMS >= urgentReading || x.loads.RegionOf(placed.Replica) == region {
-				told.Placed = append(told.Placed, placed)
-			}
-		}
-		if len(told.Placed)+len(told.Read) > 0 {
-			open = append(open, told)
-		}
+		effects.Send = append(effects.Send, Outgoing{Address: to.Address, Digest: digest})
 	}
-	return open
 }
--- a/loadexchange/exchange.go
+++ b/loadexchange/exchange.go
@@ -70,23 +70,23 @@
 // Loads tells what the own gateway has under way.
 type Loads interface {
 	// Loads returns the own load by replica.
-	Loads() map[string]peer.Load
+	Loads() map[peer.ReplicaKey]peer.Load
 	// RegionOf returns the region of a replica, "" if it is not known.
-	RegionOf(replica string) string
+	RegionOf(replica peer.ReplicaKey) string
 }
 
 // Outgoing is one message and whom it goes to. One of the messages is set.
 type Outgoing struct {
-	Addresses []string
-	Report    *peer.ReplicaLoads
-	Digest    *peer.LoadDigest
+	Address string
+	Report  *peer.ReplicaLoads
+	Digest  *peer.LoadDigest
 }
 
 // Effects are what follows from a step.
 type Effects struct {
 	Send []Outgoing
 	// Observed is what the own gateway has learnt of others.
-	Observed []peer.ReplicaLoads
+	Observed []peer.RegionLoads
 }
 
 // Exchange is one gateway's part. It is not safe for concurrent use.
@@ -128,6 +128,7 @@
 // Placed notes a prompt that the own gateway gave to a replica. It returns true if
 // that is to be told without delay.
 func (x *Exchange) Placed(prompt peer.PlacedPrompt) (urgent bool) {
+	prompt.Gateway = peer.KeyOf(x.name)
 	x.own.placed = append(x.own.placed, prompt)
 	urgent = prompt.ReadingMS >= urgentReading
 	x.own.urgent = x.own.urgent || urgent
@@ -150,7 +151,7 @@
 // next is the earliest time at which something will be due.
 func (x *Exchange) next(now time.Time) time.Time {
 	next := x.own.due(now)
-	if due, acting := x.sum.due(now); acting && due.Before(next) {
+	if due, acting := x.sum.due(); acting && due.Before(next) {
 		next = due
 	}
 	return next
@@ -175,58 +176,27 @@
 	}
 	if digest.Aggregator == x.own.aggregator {
 		x.own.heard(now)
-		x.observe(digest, &effects)
+		observe(digest, &effects)
 	}
 	return effects
 }
 
-// observe returns a digest as what the own gateway learns from it: of others only.
-func (x *Exchange) observe(digest *peer.LoadDigest, effects *Effects) {
+// observe returns a digest as what the own gateway learns from it.
+func observe(digest *peer.LoadDigest, effects *Effects) {
 	for i := range digest.Regions {
-		part := &digest.Regions[i]
-		if part.Whole {
-			loads := part.Loads
-			if part.Region == x.region {
-				loads = without(loads, x.own.told)
-			}
-			if loads == nil {
-				loads = map[string]peer.Load{}
-			}
-			effects.Observed = append(effects.Observed, peer.ReplicaLoads{Gateway: part.Aggregator, Loads: loads})
+		part := digest.Regions[i]
+		for j := range part.Added {
+			part.Added[j].ReadingMS = believed(part.Added[j].ReadingMS)
 		}
-		for _, news := range part.News {
-			if news.Gateway == x.name {
-				continue
-			}
-			news.Loads = nil
-			news.Placed = believed(news.Placed)
-			effects.Observed = append(effects.Observed, news)
+		for j := range part.Placed {
+			part.Placed[j].ReadingMS = believed(part.Placed[j].ReadingMS)
 		}
+		effects.Observed = append(effects.Observed, part)
 	}
 }
 
-// believed bounds the readings that another gateway tells.
-func believed(placed []peer.PlacedPrompt) []peer.PlacedPrompt {
-	for i := range placed {
-		placed[i].ReadingMS = min(max(placed[i].ReadingMS, -mostReading), mostReading)
-	}
-	return placed
-}
-
-// without takes one gateway's loads off the sums. The digest may be older than
-// them, so nothing falls below zero.
-func without(sums, told map[string]peer.Load) map[string]peer.Load {
-	loads := make(map[string]peer.Load, len(sums))
-	for replica, sum := range sums {
-		own := told[replica]
-		sum.Requests = max(0, sum.Requests-own.Requests)
-		sum.Held = max(0, sum.Held-own.Held)
-		if sum.Requests > 0 || sum.Held > 0 || sum.OverdueMS > 0 {
-			loads[replica] = sum
-		}
-	}
-	return loads
-}
+// believed bounds a reading that another gateway tells.
+func believed(readingMS int) int { return min(max(readingMS, -mostReading), mostReading) }
 
 // owner is the gateway of a region that aggregates, passing over some.
 func owner(region string, gateways []string, passed func(name string) bool) string {
--- a/loadexchange/exchange_test.go
+++ b/loadexchange/exchange_test.go
@@ -62,14 +62,13 @@
 func TestSumsLeaveTheOwnLoadOut(t *testing.T) {
 	w := newWorld(t, 1, map[string]int{"north": 5, "south": 3})
 	for _, g := range w.gateways {
-		g.load = map[string]peer.Load{"north-replica": {Requests: 2, Held: 1000}, "south-replica": {Requests: 1}}
+		g.load = map[peer.ReplicaKey]peer.Load{w.key("north-replica"): {Requests: 2, Held: 1000}, w.key("south-replica"): {Requests: 1}}
 	}
 	w.run(4 * time.Second)
 	for name, g := range w.gateways {
 		total := peer.Load{}
 		for _, loads := range g.sums {
-			total.Requests += loads["north-replica"].Requests
-			total.Held += loads["north-replica"].Held
+			total = total.Add(loads[w.key("north-replica")])
 		}
 		if total.Requests != 14 || total.Held != 7000 {
 			t.Errorf("%s knows of %+v, want the 14 requests of the 7 others", name, total)
@@ -77,47 +76,79 @@
 	}
 }
 
-// TestCostDoesNotGrowWithTheSquare: with ten times the gateways and the same
-// requests a gateway, what one sends and gets stays the same, and an aggregator's
+// Load of a region in TestCostDoesNotGrowWithTheSquare: prompts a second, one in five
+// of them long, for so many replicas.
+const (
+	regionPrompts  = 310
+	regionReplicas = 40
+	costSeconds    = 10
+	// mostBytes is what a gateway may get a second, mostAggregatorBytes what an
+	// aggregator of 29 gateways may send: a third of a link of 10 Mbit/s.
+	mostBytes           = 14_000
+	mostAggregatorBytes = 10_000_000 / 8 / 3
+)
+
+// TestCostDoesNotGrowWithTheSquare: with ten times the gateways and the same requests
+// a region, what one gateway sends and gets does not grow, and an aggregator's
 // digests stay within its budget.
 func TestCostDoesNotGrowWithTheSquare(t *testing.T) {
-	const length = 10
-	counts := []int{13, 134}
-	var sent, got [2]float64
-	for i, count := range counts {
-		w := newWorld(t, 3, map[string]int{"north": count, "south": count})
-		w.run(2 * time.Second)
-		for _, g := range w.gateways {
-			g.sent, g.got = 0, 0
-		}
-		for _, g := range w.gateways {
-			for n := range 9 * length { // nine prompts a second, one in five of them long
-				reading := 15
-				if n%5 == 0 {
-					reading = 60
-				}
-				w.at(time.Duration(w.random.Int64N(int64(length*time.Second))), func() { g.place("north-replica", reading) })
-			}
-		}
-		w.run(length * time.Second)
-		most := 0
-		for name, g := range w.gateways {
-			if g == w.aggregator(w.up[name].Region) {
-				most = max(most, g.sent)
-				continue
-			}
-			sent[i] = max(sent[i], float64(g.sent)/length)
-			got[i] = max(got[i], float64(g.got)/length)
-		}
+	few, many := exchangeCost(t, 13), exchangeCost(t, 134)
+	if many.sent > 1.3*few.sent || many.got > few.got || many.gotBytes > 1.3*few.gotBytes {
+		t.Errorf("a second and gateway: %+v with 13 gateways a region, %+v with 134", few, many)
+	}
+	if few.gotBytes > mostBytes {
+		t.Errorf("a gateway gets %.0f bytes a second, more than %d", few.gotBytes, mostBytes)
+	}
+	for _, cost := range []regionCost{few, many} {
 		// Urgent news, the sums, and other regions.
-		budget := length * (2*int(time.Second/digestTime) + count*int(time.Second/sumsInterval) + count + int(time.Second/farPause))
-		if most > budget {
-			t.Errorf("%d gateways: an aggregator sent %d messages, its budget is %d", count, most, budget)
+		budget := 2/digestTime.Seconds() + float64(cost.gateways)*(1/sumsInterval.Seconds()+1) + 1/farPause.Seconds()
+		if cost.aggregator > budget {
+			t.Errorf("%d gateways: an aggregator sends %.0f digests a second, its budget is %.0f", cost.gateways, cost.aggregator, budget)
+		}
+	}
+	if middle := exchangeCost(t, 29); middle.gotBytes*29 > mostAggregatorBytes {
+		t.Errorf("an aggregator of 29 gateways sends %.0f bytes a second", middle.gotBytes*29)
+	}
+}
+
+// regionCost is what the exchange costs a second: a gateway at the most, and the
+// aggregator.
+type regionCost struct {
+	gateways            int
+	sent, got, gotBytes float64
+	aggregator          float64
+}
+
+func exchangeCost(t *testing.T, gateways int) regionCost {
+	t.Helper()
+	w := newWorld(t, 3, map[string]int{"north": gateways, "south": gateways})
+	w.run(2 * time.Second)
+	for _, g := range w.gateways {
+		g.sent, g.got, g.gotBytes = 0, 0, 0
+	}
+	for n := range 2 * regionPrompts * costSeconds {
+		region := []string{"north", "south"}[n%2]
+		g := w.gateways[fmt.Sprintf("%s-%03d", region, w.random.IntN(gateways))]
+		reading := 15
+		if w.random.IntN(5) == 0 {
+			reading = 60
 		}
+		replica := fmt.Sprintf("%s-replica-%d", region, w.random.IntN(regionReplicas))
+		g.load[w.key(replica)] = peer.Load{Requests: 1, Held: 12_000}
+		w.at(time.Duration(w.random.Int64N(int64(costSeconds*time.Second))), func() { g.place(replica, reading) })
 	}
-	if sent[1] > 1.3*sent[0] || got[1] > got[0] {
-		t.Errorf("messages a second and gateway: %v sent, %v got, with %v gateways a region", sent, got, counts)
+	w.run(costSeconds * time.Second)
+	cost := regionCost{gateways: gateways}
+	for name, g := range w.gateways {
+		if g == w.aggregator(w.up[name].Region) {
+			cost.aggregator = max(cost.aggregator, float64(g.sent)/costSeconds)
+			continue
+		}
+		cost.sent = max(cost.sent, float64(g.sent)/costSeconds)
+		cost.got = max(cost.got, float64(g.got)/costSeconds)
+		cost.gotBytes = max(cost.gotBytes, float64(g.gotBytes)/costSeconds)
 	}
+	return cost
 }
 
 // TestASilentAggregatorIsReplaced: within a second the gateways report to the same
@@ -195,8 +226,9 @@
 	g := w.other("north")
 	liar := func(name string, readingMS int) Effects {
 		return g.exchange.HandleDigest(w.now, &peer.LoadDigest{Aggregator: name, Regions: []peer.RegionLoads{{
-			Region: "north", Aggregator: name, Whole: true, Loads: map[string]peer.Load{"north-replica": {Requests: 1}},
-			News: []peer.ReplicaLoads{{Gateway: "north-x", Placed: []peer.PlacedPrompt{{Replica: "north-replica", ReadingMS: readingMS}}}},
+			Region: "north", Aggregator: name, Whole: true,
+			Added:  []peer.AddedReading{{Replica: w.key("north-replica"), ReadingMS: readingMS}},
+			Placed: []peer.PlacedPrompt{{Replica: w.key("north-replica"), ReadingMS: readingMS}},
 		}}})
 	}
 	for i := range 4 {
@@ -209,10 +241,10 @@
 		t.Errorf("a digest of a gateway that is not up is believed")
 	}
 	for _, absurd := range []int{1 << 40, -1 << 40} {
-		for _, report := range liar(w.aggregator("north").name, absurd).Observed {
-			for _, placed := range report.Placed {
-				if placed.ReadingMS > mostReading || placed.ReadingMS < -mostReading {
-					t.Errorf("a reading of %d ms is believed", placed.ReadingMS)
+		for _, part := range liar(w.aggregator("north").name, absurd).Observed {
+			for _, told := range []int{part.Added[0].ReadingMS, part.Placed[0].ReadingMS} {
+				if told > mostReading || told < -mostReading {
+					t.Errorf("a reading of %d ms is believed", told)
 				}
 			}
 		}
@@ -227,7 +259,7 @@
 	g.place("north-replica", 100)
 	w.run(2 * time.Second)
 	fresh := New("fresh", "north", g)
-	fresh.Placed(peer.PlacedPrompt{Replica: "north-replica", ReadingMS: 100})
+	fresh.Placed(peer.PlacedPrompt{Replica: w.key("north-replica"), ReadingMS: 100})
 	effects, next := fresh.Step(w.now)
 	if g.sent > 0 || len(effects.Send) > 0 {
 		t.Errorf("%d messages sent, and %+v", g.sent, effects.Send)
--- a/loadexchange/node.go
+++ b/loadexchange/node.go
@@ -19,7 +19,7 @@
 	SendReport func(address string, report *peer.ReplicaLoads)
 	SendDigest func(address string, digest *peer.LoadDigest)
 	// Observe is told what the own gateway has learnt of others.
-	Observe func(report peer.ReplicaLoads)
+	Observe func(loads *peer.RegionLoads)
 }
 
 // Node runs an Exchange. It is safe for concurrent use.
@@ -94,16 +94,14 @@
 // carryOut sends what is to be sent and tells what was learnt.
 func (n *Node) carryOut(effects Effects) {
 	for _, message := range effects.Send {
-		for _, address := range message.Addresses {
-			if message.Report != nil {
-				n.config.SendReport(address, message.Report)
-				continue
-			}
-			n.config.SendDigest(address, message.Digest)
+		if message.Report != nil {
+			n.config.SendReport(message.Address, message.Report)
+			continue
 		}
+		n.config.SendDigest(message.Address, message.Digest)
 	}
-	for _, report := range effects.Observed {
-		n.config.Observe(report)
+	for i := range effects.Observed {
+		n.config.Observe(&effects.Observed[i])
 	}
 }
 
--- a/loadexchange/reporter.go
+++ b/loadexchange/reporter.go
@@ -9,11 +9,9 @@
 // reporter is a gateway's side towards its aggregator.
 type reporter struct {
 	// placed and read are what the aggregator has yet to be told.
-	placed []peer.PlacedPrompt
-	read   []peer.ReadPrompt
-	urgent bool
-	// told are the loads of the last report, at reported.
-	told     map[string]peer.Load
+	placed   []peer.PlacedPrompt
+	read     []peer.ReadPrompt
+	urgent   bool
 	reported time.Time
 
 	aggregator string
@@ -44,13 +42,13 @@
 	x.chooseAggregator(now)
 	report := &peer.ReplicaLoads{Gateway: x.name, Loads: x.loads.Loads(), Placed: own.placed, Read: own.read}
 	own.placed, own.read, own.urgent = nil, nil, false
-	own.told, own.reported = report.Loads, now
+	own.reported = now
 	if own.aggregator == x.name {
 		x.sum.take(now, report)
 		return
 	}
 	address := x.gateways[own.aggregator].Address
-	effects.Send = append(effects.Send, Outgoing{Addresses: []string{address}, Report: report})
+	effects.Send = append(effects.Send, Outgoing{Address: address, Report: report})
 }
 
 // due is when the next report is to be sent.
--- a/loadexchange/world_test.go
+++ b/loadexchange/world_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/deckpulley/deckpulley/peer"
 )
 
@@ -20,6 +22,7 @@
 	sequence int
 	up       map[string]Gateway
 	gateways map[string]*worldGateway
+	replicas map[peer.ReplicaKey]string
 	// cut says that messages between two gateways are lost.
 	cut func(from, to string) bool
 }
@@ -33,13 +36,13 @@
 	frozen   bool
 	waiting  []func() // what arrives while it is frozen
 	// load is its own.
-	load map[string]peer.Load
+	load map[peer.ReplicaKey]peer.Load
 	// sums is what it was told of others' loads, by source.
-	sums map[string]map[string]peer.Load
-	// heard is when each prompt of others came to be known, by replica.
+	sums map[string]map[peer.ReplicaKey]peer.Load
+	// heard is when readings of others came to be known, by replica.
 	heard map[string][]time.Time
-	// sent and got count messages.
-	sent, got int
+	// sent and got count messages, and gotBytes what they held.
+	sent, got, gotBytes int
 }
 
 type event struct {
@@ -78,14 +81,14 @@
 func newWorld(t *testing.T, seed uint64, regions map[string]int) *world {
 	w := &world{
 		t: t, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 7)),
-		up: make(map[string]Gateway), gateways: make(map[string]*worldGateway),
+		up: make(map[string]Gateway), gateways: make(map[string]*worldGateway), replicas: make(map[peer.ReplicaKey]string),
 		cut: func(string, string) bool { return false },
 	}
 	for region, count := range regions {
 		for i := range count {
 			name := fmt.Sprintf("%s-%03d", region, i)
 			w.up[name] = Gateway{Region: region, Address: name}
-			g := &worldGateway{world: w, name: name, load: map[string]peer.Load{}, sums: map[string]map[string]peer.Load{}, heard: map[string][]time.Time{}}
+			g := &worldGateway{world: w, name: name, load: map[peer.ReplicaKey]peer.Load{}, sums: map[string]map[peer.ReplicaKey]peer.Load{}, heard: map[string][]time.Time{}}
 			g.exchange = New(name, region, g)
 			w.gateways[name] = g
 		}
@@ -98,10 +101,18 @@
 }
 
 // Loads implements Loads.
-func (g *worldGateway) Loads() map[string]peer.Load { return g.load }
+func (g *worldGateway) Loads() map[peer.ReplicaKey]peer.Load { return g.load }
 
 // RegionOf implements Loads: a replica's name begins with its region.
-func (g *worldGateway) RegionOf(replica string) string { return replica[:len("north")] }
+func (g *worldGateway) RegionOf(replica peer.ReplicaKey) string {
+	return g.world.replicas[replica][:len("north")]
+}
+
+// key is the key of a replica that is made by being named.
+func (w *world) key(replica string) peer.ReplicaKey {
+	w.replicas[peer.KeyOf(replica)] = replica
+	return peer.KeyOf(replica)
+}
 
 // at runs something after a delay.
 func (w *world) at(delay time.Duration, run func()) {
@@ -138,42 +149,58 @@
 
 func (g *worldGateway) carryOut(effects Effects) {
 	for _, message := range effects.Send {
-		for _, address := range message.Addresses {
-			g.send(address, message)
-		}
+		g.send(message)
 	}
-	for _, report := range effects.Observed {
-		if report.Loads != nil {
-			g.sums[report.Gateway] = report.Loads
+	for _, part := range effects.Observed {
+		if part.Whole {
+			g.sums[part.Aggregator] = part.Loads
 		}
-		for _, placed := range report.Placed {
-			if report.Gateway == g.name {
+		for _, added := range part.Added {
+			g.hear(added.Replica)
+		}
+		for _, placed := range part.Placed {
+			if placed.Gateway == peer.KeyOf(g.name) {
 				g.world.t.Errorf("%s hears of its own prompt", g.name)
 			}
-			g.heard[placed.Replica] = append(g.heard[placed.Replica], g.world.now)
+			g.hear(placed.Replica)
 		}
 	}
 }
 
-func (g *worldGateway) send(address string, message Outgoing) {
+func (g *worldGateway) hear(replica peer.ReplicaKey) {
+	name := g.world.replicas[replica]
+	g.heard[name] = append(g.heard[name], g.world.now)
+}
+
+// send brings a message to another gateway as the network does, encoded.
+func (g *worldGateway) send(message Outgoing) {
 	g.sent++
-	to := g.world.gateways[address]
-	if g.world.cut(g.name, address) {
+	to := g.world.gateways[message.Address]
+	if g.world.cut(g.name, message.Address) {
 		return
 	}
 	delay := nearDelay
-	if g.world.up[g.name].Region != g.world.up[address].Region {
+	if g.world.up[g.name].Region != g.world.up[message.Address].Region {
 		delay = farDelay
 	}
-	g.world.at(delay, func() { to.receive(message) })
+	encoded, err := cbor.Marshal(message)
+	if err != nil {
+		g.world.t.Fatal(err)
+	}
+	g.world.at(delay, func() { to.receive(encoded) })
 }
 
-func (g *worldGateway) receive(message Outgoing) {
+func (g *worldGateway) receive(encoded []byte) {
 	if g.frozen {
-		g.waiting = append(g.waiting, func() { g.receive(message) })
+		g.waiting = append(g.waiting, func() { g.receive(encoded) })
 		return
 	}
+	var message Outgoing
+	if err := cbor.Unmarshal(encoded, &message); err != nil {
+		g.world.t.Fatal(err)
+	}
 	g.got++
+	g.gotBytes += len(encoded)
 	if message.Report != nil {
 		g.exchange.HandleReport(g.world.now, message.Report)
 		g.step()
@@ -184,7 +211,7 @@
 
 // place gives a prompt to a replica, as the dispatcher does.
 func (g *worldGateway) place(replica string, readingMS int) {
-	g.exchange.Placed(peer.PlacedPrompt{Replica: replica, ReadingMS: readingMS})
+	g.exchange.Placed(peer.PlacedPrompt{Replica: g.world.key(replica), ReadingMS: readingMS})
 	g.step()
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -3,6 +3,8 @@
 package peer
 
 import (
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/consensus"
 	"github.com/deckpulley/deckpulley/documentchange"
@@ -288,18 +290,27 @@
 	Attempts int `cbor:"5,keyasint,omitempty"`
 }
 
-// ReplicaLoads tells what a gateway has under way at replicas, and which prompts
-// it has placed since its last message. A lost or late one makes placement less
-// even, nothing else. Nil loads say nothing of them.
+// ReplicaKey names a replica in messages that are sent often: a part of its id's
+// hash. Two replicas of one key would be taken for one another's load, which makes
+// placement less even, nothing else.
+type ReplicaKey uint32
+
+// KeyOf is the key of a replica, or of a gateway.
+func KeyOf(id string) ReplicaKey { return ReplicaKey(xxhash.Sum64String(id)) }
+
+// ReplicaLoads tells a region's aggregator what a gateway has under way at replicas,
+// and which prompts it has placed and measured since its last message. A lost or
+// late one makes placement less even, nothing else.
 type ReplicaLoads struct {
-	Gateway string          `cbor:"1,keyasint"`
-	Loads   map[string]Load `cbor:"2,keyasint,omitempty"` // by replica
-	Placed  []PlacedPrompt  `cbor:"3,keyasint,omitempty"`
-	Read    []ReadPrompt    `cbor:"4,keyasint,omitempty"`
+	Gateway string              `cbor:"1,keyasint"`
+	Loads   map[ReplicaKey]Load `cbor:"2,keyasint,omitempty"`
+	Placed  []PlacedPrompt      `cbor:"3,keyasint,omitempty"`
+	Read    []ReadPrompt        `cbor:"4,keyasint,omitempty"`
 }
 
 // LoadDigest is what an aggregator has heard: of its own region's gateways, and, to
-// them, of other regions. A lost one makes placement less even, nothing else.
+// them, of other regions. What a gateway is told leaves out what it told itself. A
+// lost one makes placement less even, nothing else.
 type LoadDigest struct {
 	// Aggregator is the gateway that sends the digest.
 	Aggregator string        `cbor:"1,keyasint"`
@@ -312,37 +323,62 @@
 	// Aggregator is the gateway that added the loads up.
 	Aggregator string `cbor:"2,keyasint"`
 	// Whole says that Loads has the sums of all loads; else it has none.
-	Whole bool            `cbor:"3,keyasint,omitempty"`
-	Loads map[string]Load `cbor:"4,keyasint,omitempty"` // by replica
-	// News is what gateways have placed and measured, without loads.
-	News []ReplicaLoads `cbor:"5,keyasint,omitempty"`
+	Whole bool                `cbor:"3,keyasint,omitempty"`
+	Loads map[ReplicaKey]Load `cbor:"4,keyasint,omitempty"`
+	// Added are readings of short prompts, added up.
+	Added []AddedReading `cbor:"5,keyasint,omitempty"`
+	// Placed are the prompts that are told one by one.
+	Placed []PlacedPrompt `cbor:"6,keyasint,omitempty"`
+	// Read is the newest measured prompt of each replica that has one.
+	Read []ReadPrompt `cbor:"7,keyasint,omitempty"`
 }
 
-// Load is what one gateway has under way at one replica.
+// Load is what one gateway or several have under way at one replica.
 type Load struct {
-	Requests int `cbor:"1,keyasint"`
+	_        struct{} `cbor:",toarray"`
+	Requests int
 	// Held are the tokens of all its requests.
-	Held int `cbor:"2,keyasint,omitempty"`
+	Held int
 	// OverdueMS is how far the replica is behind what was expected of it, in
 	// milliseconds.
-	OverdueMS int `cbor:"3,keyasint,omitempty"`
+	OverdueMS int
+}
+
+// Add adds another load up; the worse word on being behind counts.
+func (l Load) Add(other Load) Load {
+	l.Requests += other.Requests
+	l.Held += other.Held
+	l.OverdueMS = max(l.OverdueMS, other.OverdueMS)
+	return l
+}
+
+// AddedReading is what replicas were given to read by short prompts.
+type AddedReading struct {
+	_         struct{} `cbor:",toarray"`
+	Replica   ReplicaKey
+	ReadingMS int // below zero for prompts that were taken back
 }
 
 // PlacedPrompt is a prompt that a replica has been given to read.
 type PlacedPrompt struct {
-	Replica string `cbor:"1,keyasint"`
-	// ReadingMS is the expected time to read it, in milliseconds.
-	ReadingMS int `cbor:"2,keyasint"`
+	_       struct{} `cbor:",toarray"`
+	Replica ReplicaKey
+	// ReadingMS is the expected time to read it, in milliseconds; below zero for one
+	// that was taken back.
+	ReadingMS int
+	// Gateway is the key of the gateway that placed it.
+	Gateway ReplicaKey
 	// Prefixes are the hashes of the shared parts that the replica will hold, the
-	// outermost first.
-	Prefixes []uint64 `cbor:"3,keyasint,omitempty"`
+	// outermost first. Short ones are not told.
+	Prefixes []uint64
 }
 
 // ReadPrompt is what one prompt that a replica read alone told of its speed.
 type ReadPrompt struct {
-	Replica string `cbor:"1,keyasint"`
-	// Work is what there was to read, in seconds of a reference replica, and Took the
-	// seconds that passed until the first event.
-	Work float64 `cbor:"2,keyasint"`
-	Took float64 `cbor:"3,keyasint"`
+	_       struct{} `cbor:",toarray"`
+	Replica ReplicaKey
+	// WorkUS is what there was to read, in microseconds of a reference replica, and
+	// TookUS the microseconds that passed until the first event.
+	WorkUS uint32
+	TookUS uint32
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -42,6 +42,9 @@
 	// IdleLimit is how long an idle connection is kept when its replica does not
 	// announce a time.
 	IdleLimit time.Duration
+	// Connected, if set, is told how long each connection took to make. It must not
+	// block.
+	Connected func(address string, took time.Duration)
 	// Dial replaces the dialling of TCP, for tests.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -207,10 +210,14 @@
 func (p *Pool) connect(ctx context.Context, address string) (*connection, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.config.DialTimeout)
 	defer cancel()
+	began := time.Now()
 	raw, err := p.config.Dial(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("connecting: %w", err)
 	}
+	if p.config.Connected != nil {
+		p.config.Connected(address, time.Since(began))
+	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	known, found := p.peers[address]
