Let the widest links aggregate, within a share of them

Change: gateways tell what their link carries (a setting; the platform hands it over), it stands in their member records, and the region's owner is drawn among the widest. Digests take at most a fifth of the aggregator's link: beyond it they wait, say only that it lives, and tell readings as sums a replica. Sums every 0.48 s, far ones 0.96 s.

--- a/cmd/deckpulley-gateway/daemon.go
+++ b/cmd/deckpulley-gateway/daemon.go
@@ -99,6 +99,7 @@
 		Region:      loaded.Region,
 		PeerAddress: loaded.PeerAddress,
 		HTTPAddress: loaded.CallerAddress,
+		LinkMbps:    loaded.LinkMbps,
 	}
 	d.gateway, err = gateway.New(gateway.Options{
 		Info:          info,
--- a/control/leases.go
+++ b/control/leases.go
@@ -264,6 +264,7 @@
 		HTTPAddress: state.info.HTTPAddress,
 		Up:          !state.info.Leaving,
 		MayHold:     !state.info.Leaving,
+		LinkMbps:    state.info.LinkMbps,
 	}
 	returned := known && !old.Up && old.Incarnation == wanted.Incarnation
 	if returned && now-state.since < m.options.GatewayGrace {
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -7,7 +7,7 @@
 )
 
 // loadAge is how long another gateway's report counts.
-const loadAge = 1500 * time.Millisecond
+const loadAge = 2500 * time.Millisecond
 
 // loadBoard keeps what others report of their loads.
 type loadBoard struct {
--- a/httpgateway/loads.go
+++ b/httpgateway/loads.go
@@ -30,7 +30,7 @@
 	up := make(map[string]loadexchange.Gateway)
 	for name, gateway := range contents.Gateways() {
 		if gateway.Up {
-			up[name] = loadexchange.Gateway{Region: gateway.Region, Address: gateway.PeerAddress}
+			up[name] = loadexchange.Gateway{Region: gateway.Region, Address: gateway.PeerAddress, LinkMbps: gateway.LinkMbps}
 		}
 	}
 	return up
--- a/loadexchange/aggregator.go
+++ b/loadexchange/aggregator.go
@@ -16,9 +16,11 @@
 	near, far news
 	// relayed are other regions' loads that the members have yet to hear.
 	relayed []peer.RegionLoads
-	// Times of the last digest to the members, of the last with sums, and of the
-	// last to other regions.
-	sentNear, sentSums, sentFar time.Time
+	// Times of the last digest to the members, of the last with news, of the last
+	// with sums, and of the last to other regions.
+	sentNear, sentNews, sentSums, sentFar time.Time
+	// paidAt is when the link has carried what was sent, at its share.
+	paidAt time.Time
 }
 
 // memberReport is the newest load that a gateway reported.
@@ -70,16 +72,32 @@
 }
 
 func (a *aggregator) dueNear() time.Time {
-	due := a.sentSums.Add(sumsInterval)
+	due := a.sentNear.Add(heartbeat)
 	if a.near.placed == 0 {
 		return due
 	}
-	if soon := a.sentNear.Add(a.pause()); soon.Before(due) {
+	soon := a.sentNear.Add(a.pause())
+	if soon.Before(a.paidAt) {
+		soon = a.paidAt
+	}
+	if soon.Before(due) {
 		return soon
 	}
 	return due
 }
 
+// pay notes bytes that were sent, and when the link's share has carried them.
+func (a *aggregator) pay(now time.Time, bytes, linkMbps int) {
+	if linkMbps <= 0 {
+		linkMbps = defaultLinkMbps
+	}
+	perSecond := linkShare * float64(linkMbps) * 1e6 / 8
+	if a.paidAt.Before(now) {
+		a.paidAt = now
+	}
+	a.paidAt = a.paidAt.Add(time.Duration(float64(bytes) / perSecond * float64(time.Second)))
+}
+
 func (a *aggregator) dueFar() time.Time {
 	if a.far.urgent {
 		return a.sentFar.Add(farPause)
@@ -113,17 +131,29 @@
 }
 
 // sendNear sends each member a digest of what the others told, with sums and
-// measured prompts when these are due.
+// measured prompts when these are due. While the link has yet to carry what was sent,
+// the digests only tell that the aggregator lives; news that waited long for that are
+// told as sums of readings.
 func (x *Exchange) sendNear(now time.Time, effects *Effects) {
 	a := &x.sum
+	a.sentNear = now
+	if now.Before(a.paidAt) {
+		for name := range a.members {
+			x.sendMember(now, name, &peer.LoadDigest{Aggregator: x.name}, effects)
+		}
+		return
+	}
+	coarse := !a.sentNews.IsZero() && now.Sub(a.sentNews) > 2*heartbeat
+	a.sentNews = now
 	whole := !now.Before(a.sentSums.Add(sumsInterval))
 	var sums map[peer.ReplicaKey]peer.Load
 	if whole {
 		a.sentSums = now
 		sums = a.sums()
 	}
-	a.sentNear = now
 	items := a.near.take(whole)
+	items.coarse = coarse
+	bytes := 0
 	for _, name := range slices.Sorted(maps.Keys(a.members)) {
 		part := items.without(name)
 		part.Region, part.Aggregator = x.region, x.name
@@ -132,8 +162,33 @@
 		}
 		digest := &peer.LoadDigest{Aggregator: x.name, Regions: append([]peer.RegionLoads{part}, a.relayed...)}
 		x.sendMember(now, name, digest, effects)
+		bytes += sizeOf(digest)
 	}
 	a.relayed = nil
+	a.pay(now, bytes, x.gateways[x.name].LinkMbps)
+}
+
+// Bytes of a message and of its parts, about: what they take when encoded.
+const (
+	digestBytes = 120 // with what the network adds
+	loadBytes   = 14
+	addedBytes  = 9
+	placedBytes = 15
+	prefixBytes = 9
+	readBytes   = 14
+)
+
+// sizeOf is about the size of a digest in bytes.
+func sizeOf(digest *peer.LoadDigest) int {
+	size := digestBytes
+	for i := range digest.Regions {
+		part := &digest.Regions[i]
+		size += loadBytes*len(part.Loads) + addedBytes*len(part.Added) + readBytes*len(part.Read)
+		for j := range part.Placed {
+			size += placedBytes + prefixBytes*len(part.Placed[j].Prefixes)
+		}
+	}
+	return size
 }
 
 // sendMember sends a digest to a member, which may be the own gateway.
@@ -182,7 +237,7 @@
 	items := a.far.take(true)
 	sums := a.sums()
 	for _, region := range slices.Sorted(maps.Keys(x.far)) {
-		to := x.gateways[owner(region, x.far[region], nil)]
+		to := x.gateways[x.owner(region, x.far[region], nobody)]
 		part := items.concerning(func(replica peer.ReplicaKey) bool { return x.loads.RegionOf(replica) == region })
 		part.Region, part.Aggregator = x.region, x.name
 		part.Whole, part.Loads = true, sums
--- a/loadexchange/exchange.go
+++ b/loadexchange/exchange.go
@@ -2,11 +2,11 @@
 // replicas, so that each places requests by the load of all.
 //
 // Each region has an aggregator: the gateway that owns the region's name by
-// rendezvous among those that are up. The gateways of a region report to it, and it
+// rendezvous among those that are up and have the widest links. The gateways of a region report to it, and it
 // sends them digests; aggregators of different regions exchange digests too. So a
 // gateway sends to one other, whatever the number of gateways. The aggregator's
-// digests a second are bounded by a budget: with more gateways in a region, news
-// waits longer there, and costs no more.
+// digests are bounded by a budget of messages and of bytes a second: with more
+// gateways in a region, news waits longer there, and costs no more.
 //
 // The role has no election. Whoever gets reports sends digests to those who sent
 // them. A gateway that hears no digests takes its aggregator for lost and reports to
@@ -31,16 +31,21 @@
 	reportInterval = 200 * time.Millisecond
 	// reportPause is the least time between two reports, but for urgent news.
 	reportPause = 10 * time.Millisecond
-	// sumsInterval is the time between two digests with the sums of all loads. It
-	// also tells that the aggregator lives.
-	sumsInterval = 240 * time.Millisecond
+	// heartbeat is the longest time between two digests: they also tell that the
+	// aggregator lives. sumsInterval is the one between two with the sums of all loads.
+	heartbeat    = 240 * time.Millisecond
+	sumsInterval = 480 * time.Millisecond
 	// farInterval is the time between two digests to another region's aggregator,
 	// and farPause the least one with urgent news.
-	farInterval = 480 * time.Millisecond
+	farInterval = 960 * time.Millisecond
 	farPause    = 60 * time.Millisecond
 	// digestTime is an aggregator's time for sending one digest to one gateway: its
 	// digests take half of that apart with urgent news, and twice with other news.
 	digestTime = time.Millisecond
+	// linkShare is the part of an aggregator's link that its digests may take, and
+	// defaultLinkMbps is taken for a link that is not told.
+	linkShare       = 0.2
+	defaultLinkMbps = 10
 	// memberAge is how long a report makes its sender a member.
 	memberAge = 1500 * time.Millisecond
 	// silence is how long an aggregator may send nothing before it is suspected, and
@@ -65,6 +70,8 @@
 	Region string
 	// Address is its peers' address.
 	Address string
+	// LinkMbps is what its network link carries, in Mbit/s; 0 is not told.
+	LinkMbps int
 }
 
 // Loads tells what the own gateway has under way.
@@ -198,19 +205,26 @@
 // believed bounds a reading that another gateway tells.
 func believed(readingMS int) int { return min(max(readingMS, -mostReading), mostReading) }
 
-// owner is the gateway of a region that aggregates, passing over some.
-func owner(region string, gateways []string, passed func(name string) bool) string {
-	if passed == nil {
-		return placement.Owner(region, gateways)
-	}
+// owner is the gateway of a region that aggregates: one with the widest link, passing
+// over some.
+func (x *Exchange) owner(region string, names []string, passed func(name string) bool) string {
+	widest := -1
 	var left []string
-	for _, name := range gateways {
-		if !passed(name) {
-			left = append(left, name)
+	for _, name := range names {
+		link := x.gateways[name].LinkMbps
+		if passed(name) || link < widest {
+			continue
 		}
+		if link > widest {
+			widest, left = link, nil
+		}
+		left = append(left, name)
 	}
 	if len(left) == 0 {
-		left = gateways
+		left = names
 	}
 	return placement.Owner(region, left)
 }
+
+// nobody is passed over.
+func nobody(string) bool { return false }
--- a/loadexchange/news.go
+++ b/loadexchange/news.go
@@ -18,6 +18,8 @@
 // items are news by their origin.
 type items struct {
 	origins []origin
+	// coarse says that no prompt is told by itself.
+	coarse bool
 }
 
 // origin is the news of one gateway's report.
@@ -84,7 +86,7 @@
 		for _, placed := range each.placed {
 			switch {
 			case !wanted(placed):
-			case placed.ReadingMS >= urgentReading || len(placed.Prefixes) > 0:
+			case !s.coarse && (placed.ReadingMS >= urgentReading || len(placed.Prefixes) > 0):
 				part.Placed = append(part.Placed, placed)
 			default:
 				added[placed.Replica] += placed.ReadingMS
--- a/loadexchange/reporter.go
+++ b/loadexchange/reporter.go
@@ -74,7 +74,7 @@
 		known, suspected := own.suspects[name]
 		return suspected && now.Before(known.until)
 	}
-	chosen := owner(x.region, x.near, passed)
+	chosen := x.owner(x.region, x.near, passed)
 	if chosen == "" {
 		chosen = x.name // the registry does not name this gateway yet
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -93,6 +93,8 @@
 	PeerAddress string `cbor:"5,keyasint"`
 	HTTPAddress string `cbor:"6,keyasint"`
 	Leaving     bool   `cbor:"7,keyasint,omitempty"` // drains and goes: give the lease up
+	// LinkMbps is what its network link carries, in Mbit/s; 0 is not told.
+	LinkMbps int `cbor:"8,keyasint,omitempty"`
 }
 
 // Renew asks for a lease and reports what the gateway holds. The gateway counts
--- a/places/places.go
+++ b/places/places.go
@@ -162,6 +162,8 @@
 	// MayHold is true from before its first lease until its last one has run out:
 	// a new primary waits only for gateways of which it is true.
 	MayHold bool `cbor:"7,keyasint,omitempty"`
+	// LinkMbps is what its network link carries, in Mbit/s; 0 is not told.
+	LinkMbps int `cbor:"8,keyasint,omitempty"`
 }
 
 // Order keeps the first answer to an order.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,6 +30,9 @@
 	// HTTPAddress is a gateway's host:port for requests that are routed by host
 	// and path; empty for none.
 	HTTPAddress string `yaml:"http_address,omitempty"`
+	// LinkMbps is what a gateway's network link carries, in Mbit/s. In each region the
+	// gateways with the widest links add the loads up for the others. 0 is not told.
+	LinkMbps int `yaml:"link_mbps,omitempty"`
 	// OperatorAddress is the host:port for operators, the platform and metrics.
 	OperatorAddress string `yaml:"operator_address"`
 	// Seeds are peers' addresses of three other processes, a first contact only.
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -73,6 +73,9 @@
 		if s.HTTPAddress != "" {
 			v.fail("http_address", "is for gateways only")
 		}
+		if s.LinkMbps != 0 {
+			v.fail("link_mbps", "is for gateways only")
+		}
 	case RoleGateway:
 		if s.DataFolder != "" {
 			v.fail("data_folder", "is for control nodes only: a gateway keeps nothing on disk")
