Wait for far control nodes at the first renewal; leave digests unchanged once sent

A node without power costs only the 100 ms of its first dial. Change: 450 ms, doubled for each node by itself; a short suspicion while nothing is held. Readings are bounded in a copy.

--- a/gateway/agent/agent.go
+++ b/gateway/agent/agent.go
@@ -55,8 +55,8 @@
 	asking     string
 	stopAsking context.CancelFunc
 	holder     *lease.Holder
-	// unanswered counts the renewals in a row that got no answer.
-	unanswered int
+	// unanswered counts the renewals in a row that a node did not answer, by address.
+	unanswered map[string]int
 	// leaseTerm is the term of the newest lease.
 	leaseTerm uint64
 	table     *registry.Table
@@ -82,6 +82,8 @@
 		holder:   lease.NewHolder(options.Terms),
 		table:    registry.NewSecondary(places.Apex, places.Schema()),
 		changed:  make(chan struct{}),
+
+		unanswered: make(map[string]int),
 	}
 	options.Network.Handle(peer.KindNotify, a.serveNotify)
 	options.Network.Handle(peer.KindRenew, a.serveRenew)
--- a/gateway/agent/renew.go
+++ b/gateway/agent/renew.go
@@ -16,10 +16,12 @@
 	// maxHints bounds how often hints are followed without a pause.
 	maxHints = 4
 	// firstTimeout bounds a renewal that brings a whole table. It is reached by
-	// doubling from searchTimeout, so that a node that does not answer, as one that
-	// has just lost its power, is soon left for another.
+	// doubling from searchTimeout for each node by itself, so that one that does not
+	// answer is soon left for another. One without power is left sooner, since it
+	// cannot be dialled; searchTimeout has room for the four round trips of a first
+	// renewal to a node 100 ms away.
 	firstTimeout  = 3 * time.Second
-	searchTimeout = 250 * time.Millisecond
+	searchTimeout = 450 * time.Millisecond
 	// leaveTimeout bounds giving the lease up.
 	leaveTimeout = time.Second
 	// callShare is the part of a lease that one renewal may take.
@@ -79,15 +81,15 @@
 			a.holder.Leave()
 		}
 		a.refusals.Add(1)
-		a.unanswered++
-		a.contacts.failed(address, now+a.options.Terms.Length/callShare)
+		a.unanswered[address]++
+		a.contacts.failed(address, now+a.suspicion(&request))
 		a.log.Debug("renewal failed", "address", address, "error", err)
 		return searchPause, false
 	}
 	if grant.Term < a.holder.Term() {
 		grant.Primary, grant.Control = "", nil // a node that lags names the primary of the past
 	}
-	a.unanswered = 0
+	delete(a.unanswered, address)
 	a.contacts.learn(grant.Control)
 	hinted = a.contacts.answered(now, address, grant.Granted, grant.Primary)
 	if !grant.Granted {
@@ -121,11 +123,22 @@
 		request.Active = active.Serial()
 		request.ActiveVersion = active.Version()
 	}
+	address := a.contacts.next()
 	timeout := a.options.Terms.Length / callShare
 	if request.Held == 0 {
-		timeout = min(firstTimeout, searchTimeout<<min(a.unanswered, maxDoublings))
+		timeout = min(firstTimeout, searchTimeout<<min(a.unanswered[address], maxDoublings))
 	}
-	return a.contacts.next(), request, timeout
+	return address, request, timeout
+}
+
+// suspicion is how long others' word is not followed to a node that did not answer.
+// While nothing is held here it is short: after a loss of all power nodes come back
+// one after the other, and the first primary is one that was asked too early.
+func (a *Agent) suspicion(request *peer.Renew) time.Duration {
+	if request.Held == 0 {
+		return searchTimeout / 2
+	}
+	return a.options.Terms.Length / callShare
 }
 
 // granted takes a grant and returns the wait before the next renewal.
--- a/loadexchange/exchange.go
+++ b/loadexchange/exchange.go
@@ -188,22 +188,34 @@
 	return effects
 }
 
-// observe returns a digest as what the own gateway learns from it.
+// observe returns a digest as what the own gateway learns from it. The digest may be
+// on its way to others, so nothing in it is changed.
 func observe(digest *peer.LoadDigest, effects *Effects) {
 	for i := range digest.Regions {
 		part := digest.Regions[i]
-		for j := range part.Added {
-			part.Added[j].ReadingMS = believed(part.Added[j].ReadingMS)
-		}
-		for j := range part.Placed {
-			part.Placed[j].ReadingMS = believed(part.Placed[j].ReadingMS)
-		}
+		part.Added = bounded(part.Added, func(added *peer.AddedReading) *int { return &added.ReadingMS })
+		part.Placed = bounded(part.Placed, func(placed *peer.PlacedPrompt) *int { return &placed.ReadingMS })
 		effects.Observed = append(effects.Observed, part)
 	}
 }
 
-// believed bounds a reading that another gateway tells.
-func believed(readingMS int) int { return min(max(readingMS, -mostReading), mostReading) }
+// bounded returns a list with readings that can be believed: a new one if any was
+// beyond the bounds.
+func bounded[Item any](list []Item, reading func(*Item) *int) []Item {
+	believed := func(item Item) bool {
+		value := *reading(&item)
+		return value >= -mostReading && value <= mostReading
+	}
+	if !slices.ContainsFunc(list, func(item Item) bool { return !believed(item) }) {
+		return list
+	}
+	list = slices.Clone(list)
+	for i := range list {
+		value := reading(&list[i])
+		*value = min(max(*value, -mostReading), mostReading)
+	}
+	return list
+}
 
 // owner is the gateway of a region that aggregates: one with the widest link, passing
 // over some.
