--- /dev/null
+++ b/loadexchange/example_test.go
@@ -0,0 +1,45 @@
+package loadexchange_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/deckpulley/deckpulley/loadexchange"
+	"github.com/deckpulley/deckpulley/peer"
+)
+
+// idle is a gateway without requests of its own.
+type idle struct{}
+
+func (idle) Loads() map[peer.ReplicaKey]peer.Load    { return nil }
+func (idle) RegionOf(replica peer.ReplicaKey) string { return "north" }
+
+// Two gateways: one reports a prompt to the other, which has the wider link and
+// aggregates.
+func Example() {
+	gateways := map[string]loadexchange.Gateway{
+		"gateway-1": {Region: "north", Address: "10.0.0.1:7000", LinkMbps: 10},
+		"gateway-2": {Region: "north", Address: "10.0.0.2:7000", LinkMbps: 100},
+	}
+	reporter := loadexchange.New("gateway-1", "north", idle{})
+	aggregator := loadexchange.New("gateway-2", "north", idle{})
+	reporter.SetGateways(gateways)
+	aggregator.SetGateways(gateways)
+
+	now := time.Now()
+	reporter.Placed(peer.PlacedPrompt{Replica: peer.KeyOf("replica-a"), ReadingMS: 120})
+	effects, _ := reporter.Step(now)
+	for _, message := range effects.Send {
+		fmt.Println("to", message.Address, len(message.Report.Placed), "prompt")
+		aggregator.HandleReport(now, message.Report)
+	}
+	effects, _ = aggregator.Step(now)
+	for _, part := range effects.Observed {
+		for _, placed := range part.Placed {
+			fmt.Println("learnt of", placed.ReadingMS, "ms at replica-a:", placed.Replica == peer.KeyOf("replica-a"))
+		}
+	}
+	// Output:
+	// to 10.0.0.2:7000 1 prompt
+	// learnt of 120 ms at replica-a: true
+}
