Let a node outside of the group wait for the primary's answer to an order

Cause: forwardOrder gives a call up when another node leads, by the node's own log. Change: the wait goes by the primary that was told, as the call does. Members act as before.

--- a/control/forward.go
+++ b/control/forward.go
@@ -83,7 +83,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
-		n.waitUntil(ctx, func(o *observation) bool { return o.leaderAddress() != primary })
+		n.waitUntil(ctx, func(o *observation) bool { return n.primaryAddress(o) != primary })
 		cancel()
 	}()
 	request.Hops++
