--- a/cmd/deckpulley-fleet/faults.go
+++ b/cmd/deckpulley-fleet/faults.go
@@ -134,10 +134,8 @@
 	if err := flags.record.save(record); err != nil {
 		return err
 	}
-	for _, of := range outcomes {
-		if !of.good() {
-			return errBroken
-		}
+	if bad := badScenarios(outcomes); len(bad) > 0 {
+		return fmt.Errorf("%w: %s", errBroken, strings.Join(bad, "; "))
 	}
 	if !record.Partial && len(unexercised(merged)) > 0 {
 		return fmt.Errorf("%w: not exercised: %v", errBroken, unexercised(merged))
@@ -145,6 +143,23 @@
 	return nil
 }
 
+// badScenarios says of each scenario that was not good why, a line each: the
+// end of a long output may be all that is left of it.
+func badScenarios(outcomes []outcome) []string {
+	var list []string
+	for _, of := range outcomes {
+		switch {
+		case of.good():
+		case of.err != nil:
+			list = append(list, fmt.Sprintf("%s: %s", of.scenario.Name, firstLine(of.err)))
+		default:
+			list = append(list, fmt.Sprintf("%s: broken %s, not exercised %s, %d problems", of.scenario.Name,
+				orDash(brokenPromises(of.result.Report)), orDash(of.result.Unexercised()), len(of.result.Problems)))
+		}
+	}
+	return list
+}
+
 // unexercised lists the promises of which a whole run examined nothing.
 func unexercised(of checker.Report) []checker.Promise {
 	var list []checker.Promise
