Give the exchange of loads its metrics

Cause: who aggregates, how many report to it and how old its news is could be seen only in debug logs.

Change: loadexchange.Status with counts; five metrics under deckpulley_http_exchange_, in docs/METRICS.md with what to look for. Exchange.Placed no longer returns what nobody used.

--- a/httpgateway/metrics.go
+++ b/httpgateway/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/dispatch"
+	"github.com/deckpulley/deckpulley/loadexchange"
 )
 
 // metricsNamespace begins every metric's name.
@@ -17,9 +18,10 @@
 type figures interface {
 	Counts() dispatch.Counts
 	Replicas() []api.HTTPReplicaStatus
+	Exchange() loadexchange.Status
 }
 
-// collector gives the figures of a dispatcher out as metrics.
+// collector gives the figures of a proxy out as metrics.
 type collector struct {
 	figures  figures
 	requests *prometheus.Desc
@@ -29,6 +31,7 @@
 	resumed  *prometheus.Desc
 	replicas *prometheus.Desc
 	running  *prometheus.Desc
+	exchange exchangeDescriptions
 }
 
 func newCollector(source figures) *collector {
@@ -44,11 +47,13 @@
 		resumed:  describe("resumed_total", "Streams that went on at another replica."),
 		replicas: describe("replicas", "Replicas by service and state.", "service", "state"),
 		running:  describe("running_requests", "Attempts of this gateway under way, by service.", "service"),
+		exchange: newExchangeDescriptions(describe),
 	}
 }
 
 func (c *collector) descriptions() []*prometheus.Desc {
-	return []*prometheus.Desc{c.requests, c.attempts, c.failures, c.retries, c.resumed, c.replicas, c.running}
+	own := []*prometheus.Desc{c.requests, c.attempts, c.failures, c.retries, c.resumed, c.replicas, c.running}
+	return append(own, c.exchange.all()...)
 }
 
 // Describe implements prometheus.Collector.
@@ -75,6 +80,7 @@
 	count(c.retries, counts.Retries)
 	count(c.resumed, counts.Resumed)
 	c.collectReplicas(metrics)
+	c.exchange.collect(c.figures.Exchange(), metrics)
 }
 
 func (c *collector) collectReplicas(metrics chan<- prometheus.Metric) {
--- a/httpgateway/metrics_test.go
+++ b/httpgateway/metrics_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/dispatch"
 	"github.com/deckpulley/deckpulley/internal/metricspage"
+	"github.com/deckpulley/deckpulley/loadexchange"
 )
 
 // fixedFigures is a source of figures that do not move.
@@ -32,6 +34,10 @@
 	}
 }
 
+func (fixedFigures) Exchange() loadexchange.Status {
+	return loadexchange.Status{Aggregator: "gateway-1", Silence: 200 * time.Millisecond}
+}
+
 func TestCollector(t *testing.T) {
 	collector := newCollector(fixedFigures{})
 	metricspage.Compare(t, "../docs/METRICS.md", "deckpulley_http_", collector)
--- a/httpgateway/proxy.go
+++ b/httpgateway/proxy.go
@@ -82,8 +82,11 @@
 // Counts returns the totals since the start.
 func (p *Proxy) Counts() dispatch.Counts { return p.dispatcher.Counts() }
 
+// Exchange returns the gateway's part in the exchange of loads.
+func (p *Proxy) Exchange() loadexchange.Status { return p.exchange.Status() }
+
 // Replicas returns what this gateway holds of every replica.
 func (p *Proxy) Replicas() []api.HTTPReplicaStatus { return p.dispatcher.Replicas() }
 
 // Collector gives the proxy's figures out as metrics.
-func (p *Proxy) Collector() prometheus.Collector { return newCollector(p.dispatcher) }
+func (p *Proxy) Collector() prometheus.Collector { return newCollector(p) }
--- a/loadexchange/exchange.go
+++ b/loadexchange/exchange.go
@@ -105,8 +105,9 @@
 	near     []string            // gateways of the own region, the own one included
 	far      map[string][]string // gateways of other regions, by region
 
-	own reporter
-	sum aggregator
+	own    reporter
+	sum    aggregator
+	counts Counts
 }
 
 // New returns the exchange of a gateway that knows no others yet.
@@ -132,14 +133,12 @@
 	slices.Sort(x.near)
 }
 
-// Placed notes a prompt that the own gateway gave to a replica. It returns true if
-// that is to be told without delay.
-func (x *Exchange) Placed(prompt peer.PlacedPrompt) (urgent bool) {
+// Placed notes a prompt that the own gateway gave to a replica. A long one is told
+// with the next step, without delay.
+func (x *Exchange) Placed(prompt peer.PlacedPrompt) {
 	prompt.Gateway = peer.KeyOf(x.name)
 	x.own.placed = append(x.own.placed, prompt)
-	urgent = prompt.ReadingMS >= urgentReading
-	x.own.urgent = x.own.urgent || urgent
-	return urgent
+	x.own.urgent = x.own.urgent || prompt.ReadingMS >= urgentReading
 }
 
 // Measured notes what a prompt told of a replica's speed.
@@ -152,6 +151,7 @@
 	var effects Effects
 	x.report(now, &effects)
 	x.aggregate(now, &effects)
+	x.counts.count(effects.Send)
 	return effects, x.next(now)
 }
 
@@ -166,6 +166,7 @@
 
 // HandleReport takes a gateway's report in: this gateway is its aggregator.
 func (x *Exchange) HandleReport(now time.Time, report *peer.ReplicaLoads) {
+	x.counts.ReportsTaken++
 	x.sum.take(now, report)
 }
 
@@ -173,6 +174,7 @@
 // region to be passed on.
 func (x *Exchange) HandleDigest(now time.Time, digest *peer.LoadDigest) Effects {
 	var effects Effects
+	x.counts.DigestsTaken++
 	sender, known := x.gateways[digest.Aggregator]
 	if !known {
 		return effects
--- a/loadexchange/exchange_test.go
+++ b/loadexchange/exchange_test.go
@@ -294,3 +294,33 @@
 		t.Errorf("a step is due at once, again and again")
 	}
 }
+
+// TestStatusNamesTheAggregator: one gateway of a region counts all as its members,
+// the others name it and heard it lately, and its loss is counted.
+func TestStatusNamesTheAggregator(t *testing.T) {
+	w := newWorld(t, 11, map[string]int{"north": 12, "south": 3})
+	w.run(3 * time.Second)
+	first := w.aggregator("north")
+	for name, g := range w.gateways {
+		if w.up[name].Region != "north" {
+			continue
+		}
+		status := g.exchange.Status(w.now)
+		if status.Aggregator != first.name || status.Silence > silence {
+			t.Errorf("%s names %q, silent for %v; want %s", name, status.Aggregator, status.Silence, first.name)
+		}
+		if g == first && (status.Members != 12 || status.Counts.DigestsSent == 0 || status.Counts.ReportsTaken == 0) {
+			t.Errorf("the aggregator's status is %+v", status)
+		}
+		if g != first && (status.Members != 0 || status.Counts.ReportsSent == 0 || status.Counts.DigestsTaken == 0) {
+			t.Errorf("%s's status is %+v", name, status)
+		}
+	}
+	first.frozen = true
+	w.run(2 * silence)
+	for name, g := range w.gateways {
+		if w.up[name].Region == "north" && g != first && g.exchange.Status(w.now).Counts.Suspicions == 0 {
+			t.Errorf("%s did not count the loss of its aggregator", name)
+		}
+	}
+}
--- a/loadexchange/node.go
+++ b/loadexchange/node.go
@@ -127,6 +127,13 @@
 	n.inbox.read = append(n.inbox.read, prompt)
 }
 
+// Status returns the gateway's part in the exchange.
+func (n *Node) Status() Status {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.exchange.Status(time.Now())
+}
+
 // SetGateways takes over which gateways are up.
 func (n *Node) SetGateways(gateways map[string]Gateway) {
 	n.mutex.Lock()
--- a/loadexchange/reporter.go
+++ b/loadexchange/reporter.go
@@ -69,6 +69,7 @@
 	own := &x.own
 	if own.aggregator != "" && own.aggregator != x.name && now.Sub(own.heardAt) > own.patience() {
 		own.suspect(now)
+		x.counts.Suspicions++
 	}
 	passed := func(name string) bool {
 		known, suspected := own.suspects[name]
