Let config apply and config change share one command

Cause: the two bodies were the same but for what they read and send. Change: versionedOrder holds what they share. Measured: the command's tests pass.

--- a/cmd/deckpulleyctl/config.go
+++ b/cmd/deckpulleyctl/config.go
@@ -195,52 +195,31 @@
 }
 
 func configApply(shared *options) *cobra.Command {
-	var flags orderFlags
-	var base int64
-	command := &cobra.Command{
-		Use:   "apply FILE",
-		Short: "Hand over a whole configuration and wait until it is in force everywhere",
-		Long: `Hand over a whole configuration and wait until it is in force everywhere.
+	return versionedOrder{
+		use:   "apply FILE",
+		short: "Hand over a whole configuration and wait until it is in force everywhere",
+		long: `Hand over a whole configuration and wait until it is in force everywhere.
 
 Without --base-version the file replaces the version that is current when the
 command starts. Give the version that the file was built on, so that a change by
 somebody else in the meantime is not undone. Repeat a lost order with the same
 --order-id and --base-version.`,
-		Args: cobra.ExactArgs(1),
-		RunE: func(command *cobra.Command, arguments []string) error {
-			text, _, err := readDocument(command, arguments[0])
-			if err != nil {
-				return err
-			}
-			connection, ctx, cancel, err := shared.connect(command)
-			if err != nil {
-				return err
-			}
-			defer cancel()
-			version, err := baseVersion(ctx, connection, base)
-			if err != nil {
-				return err
-			}
-			order := api.ConfigurationOrder{OrderID: flags.id(), BaseVersion: version, Author: flags.author, Document: text}
-			answer, err := connection.Apply(ctx, &order)
-			if err != nil {
-				return flags.explain(command, err, fmt.Sprintf(" --base-version %d", version))
-			}
-			return shared.showOrder(command, answer)
+		base: "version that the file was built on; default the current one",
+		read: func(command *cobra.Command, path string) (string, error) {
+			text, _, err := readDocument(command, path)
+			return text, err
 		},
-	}
-	flags.add(command)
-	command.Flags().Int64Var(&base, "base-version", -1, "version that the file was built on; default the current one")
-	return command
+		send: func(ctx context.Context, connection *client.Client, id, author, text string, version uint64) (*api.OrderAnswer, error) {
+			return connection.Apply(ctx, &api.ConfigurationOrder{OrderID: id, BaseVersion: version, Author: author, Document: text})
+		},
+	}.command(shared)
 }
 
 func configChange(shared *options) *cobra.Command {
-	var flags orderFlags
-	var base int64
-	command := &cobra.Command{
-		Use:   "change FILE",
-		Short: "Add, replace or remove named items and wait until that is in force everywhere",
-		Long: `Add, replace or remove named items of the configuration, and leave the rest as it
+	return versionedOrder{
+		use:   "change FILE",
+		short: "Add, replace or remove named items and wait until that is in force everywhere",
+		long: `Add, replace or remove named items of the configuration, and leave the rest as it
 is. The file has the items by section and name:
 
   upsert:
@@ -255,14 +234,48 @@
 made to the version given by --base-version, by default the one that is current
 when the command starts, and is refused if another one has become current. Repeat
 a lost order with the same --order-id and --base-version.`,
-		Args: cobra.ExactArgs(1),
+		base: "version that the change is made to; default the current one",
+		read: readChange,
+		send: func(ctx context.Context, connection *client.Client, id, author, text string, version uint64) (*api.OrderAnswer, error) {
+			return connection.Change(ctx, &api.ConfigurationChangeOrder{OrderID: id, BaseVersion: version, Author: author, Change: text})
+		},
+	}.command(shared)
+}
+
+// readChange reads a change of named items and checks its form.
+func readChange(command *cobra.Command, path string) (string, error) {
+	text, err := readText(command, path)
+	if err != nil {
+		return "", usageError{err}
+	}
+	if _, err := configuration.ParseChange(text); err != nil {
+		return "", usageError{fmt.Errorf("%s: %w", path, err)}
+	}
+	return text, nil
+}
+
+// versionedOrder is a command that hands a file over, on top of a version of the
+// configuration.
+type versionedOrder struct {
+	use, short, long string
+	// base is the help of --base-version.
+	base string
+	read func(command *cobra.Command, path string) (text string, err error)
+	send func(ctx context.Context, connection *client.Client, id, author, text string, version uint64) (*api.OrderAnswer, error)
+}
+
+func (o versionedOrder) command(shared *options) *cobra.Command {
+	var flags orderFlags
+	var base int64
+	command := &cobra.Command{
+		Use:   o.use,
+		Short: o.short,
+		Long:  o.long,
+		Args:  cobra.ExactArgs(1),
 		RunE: func(command *cobra.Command, arguments []string) error {
-			text, err := readText(command, arguments[0])
+			text, err := o.read(command, arguments[0])
 			if err != nil {
-				return usageError{err}
-			}
-			if _, err := configuration.ParseChange(text); err != nil {
-				return usageError{fmt.Errorf("%s: %w", arguments[0], err)}
+				return err
 			}
 			connection, ctx, cancel, err := shared.connect(command)
 			if err != nil {
@@ -273,8 +286,7 @@
 			if err != nil {
 				return err
 			}
-			order := api.ConfigurationChangeOrder{OrderID: flags.id(), BaseVersion: version, Author: flags.author, Change: text}
-			answer, err := connection.Change(ctx, &order)
+			answer, err := o.send(ctx, connection, flags.id(), flags.author, text, version)
 			if err != nil {
 				return flags.explain(command, err, fmt.Sprintf(" --base-version %d", version))
 			}
@@ -282,7 +294,7 @@
 		},
 	}
 	flags.add(command)
-	command.Flags().Int64Var(&base, "base-version", -1, "version that the change is made to; default the current one")
+	command.Flags().Int64Var(&base, "base-version", -1, o.base)
 	return command
 }
 
