--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -206,8 +206,7 @@
 	if s.service.spec.CacheTokens > 0 {
 		line := s.service.pace.now
 		c.Speed = readingSpeed / (line.factor * r.slowness)
-		behind := max(r.overdue(s.now), time.Duration(others.OverdueMS)*time.Millisecond)
-		c.Wait += line.start + r.backlog.left(s.now).Seconds() + behind.Seconds()
+		c.Wait += line.start + r.backlog.left(s.now).Seconds()
 		c.Cached = float64(cached)
 		room := memoryShare*float64(s.service.spec.CacheTokens) - r.held - float64(others.Held)
 		if room < s.request.Tokens {
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -49,8 +49,7 @@
 	}
 }
 
-// others is what all other gateways have under way at a replica, and the most
-// that one of them finds it behind.
+// others is what all other gateways have under way at a replica.
 func (b *loadBoard) others(replica peer.ReplicaKey, now time.Time) peer.Load {
 	if now.After(b.until) {
 		b.sum(now)
@@ -102,11 +101,10 @@
 func (d *Dispatcher) Loads() map[peer.ReplicaKey]peer.Load {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	now := time.Now()
 	loads := make(map[peer.ReplicaKey]peer.Load)
 	for key, r := range d.byKey {
 		if r.inFlight > 0 {
-			loads[key] = peer.Load{Requests: r.inFlight, Held: int(r.held), OverdueMS: int(r.overdue(now).Milliseconds())}
+			loads[key] = peer.Load{Requests: r.inFlight, Held: int(r.held)}
 		}
 	}
 	return loads
--- a/dispatch/reading.go
+++ b/dispatch/reading.go
@@ -1,7 +1,5 @@
 package dispatch
 
-import "time"
-
 // The time that a replica takes to read a prompt. It grows with the tokens that
 // are not in its cache, and with what each of them has to attend to. The shape is
 // that of a reference replica, a large model on one machine of eight accelerators;
@@ -19,10 +17,6 @@
 	// measuredReading is the least expected time that tells of a replica's speed:
 	// of shorter ones the network takes too large a part.
 	measuredReading = 0.02
-	// overdueSlack is the network's part in a first event, which is not counted as
-	// being behind, and mostOverdue bounds what is.
-	overdueSlack = 60 * time.Millisecond
-	mostOverdue  = 2 * time.Second
 	// uncertainSlowness is the least slowness that is believed of a reading of which
 	// the replica may have held a part.
 	uncertainSlowness = 0.9
@@ -41,8 +35,6 @@
 	pace pace
 	// certain says that the replica can hold little more of it than is known.
 	certain bool
-	// streams says that the answer's first event tells when it was read.
-	streams bool
 }
 
 // seconds is the expected time to read it, at a slowness of 1.
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -53,8 +53,6 @@
 	measured int
 	// prompts counts those that it was given by any gateway.
 	prompts int
-	// unopened are this gateway's attempts whose first event has not come.
-	unopened map[*work]bool
 	// claims are the newest prompts that other gateways gave it.
 	claims []claim
 	// activeSince is when it was last given work while it had none.
@@ -65,7 +63,7 @@
 }
 
 func newReplica(id string) *replica {
-	return &replica{id: id, key: peer.KeyOf(id), number: -1, hash: placement.Hash(id), slowness: 1, unopened: make(map[*work]bool)}
+	return &replica{id: id, key: peer.KeyOf(id), number: -1, hash: placement.Hash(id), slowness: 1}
 }
 
 // isCold says whether the ramp of cold replicas binds.
@@ -135,22 +133,9 @@
 	r.held += held
 	r.give(now, w.reading)
 	w.prompts = r.prompts
-	if own.work > 0 && own.streams {
-		r.unopened[w] = true
-	}
 	return w
 }
 
-// overdue is how far the replica is behind what was expected of it, by the prompt
-// that should have been read the longest ago.
-func (r *replica) overdue(now time.Time) time.Duration {
-	most := time.Duration(0)
-	for w := range r.unopened {
-		most = max(most, now.Sub(w.began)-w.ahead-w.reading-overdueSlack)
-	}
-	return min(most, mostOverdue)
-}
-
 // open notes that the prompt was read. It returns the time that this took, in
 // seconds, and false if other prompts, the network or an unknown cache had too large
 // a part in it.
@@ -159,7 +144,6 @@
 		return 0, false
 	}
 	w.opened = true
-	delete(w.replica.unopened, w)
 	expected := w.own.seconds()
 	alone := w.prompts == w.replica.prompts && w.ahead.Seconds() <= aloneAhead*expected
 	if expected < measuredReading || !alone {
@@ -178,7 +162,6 @@
 		return
 	}
 	w.ended = true
-	delete(w.replica.unopened, w)
 	w.replica.inFlight--
 	w.replica.held -= w.held
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -214,7 +214,6 @@
 		work:    readingWork(r.request.Tokens, float64(cached)),
 		pace:    known.pace.now,
 		certain: float64(shared-cached) <= uncertainPart*unread,
-		streams: r.route.Kind == routemap.Stream,
 	}
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -352,16 +352,12 @@
 	Requests int
 	// Held are the tokens of all its requests.
 	Held int
-	// OverdueMS is how far the replica is behind what was expected of it, in
-	// milliseconds.
-	OverdueMS int
 }
 
-// Add adds another load up; the worse word on being behind counts.
+// Add adds another load up.
 func (l Load) Add(other Load) Load {
 	l.Requests += other.Requests
 	l.Held += other.Held
-	l.OverdueMS = max(l.OverdueMS, other.OverdueMS)
 	return l
 }
 
