Share loads by groups of gateways in large regions

In virtual time (TestLongPromptsReachALargeRegion) 1 to 8% of the news was told one by one, the rest as sums after 0.3 s and more: an aggregator of 100 members spends its link on digests' heads and on sums, and prompts of 200 ms from other regions brought all sums every 60 ms, which it kept and passed on to everybody until they were out.

Change: a region's gateways form groups of about 16, a power of two of them, each with its aggregator; these exchange digests. Other regions' digests come to one group and are passed on; prompts given to other regions' replicas are told there as sums. Members get one list of sums, a few members at a time, once in 0.96 s; heads of digests take half of the link's share at most. A step that is due because of a digest is made at once.

Tests: far news of long prompts every 0.24 s in place of 0.06; the budget of TestCostDoesNotGrowWithTheSquare is as before and its bound on a narrow link is now on what the aggregator itself sends, all of it.

--- a/loadexchange/aggregator.go
+++ b/loadexchange/aggregator.go
@@ -12,23 +12,39 @@
 // while somebody reports to it.
 type aggregator struct {
 	members map[string]memberReport
-	// near and far are what the members and the other regions have yet to hear.
+	// others are the newest sums of other groups and regions, by their aggregators.
+	others map[string]memberReport
+	// near and far are what the region's gateways and other regions have yet to hear
+	// of the members.
 	near, far news
-	// relayed are other regions' loads that the members have yet to hear.
-	relayed []peer.RegionLoads
+	// relayed is what the members have yet to hear of other groups and regions, and
+	// forwarded what the other groups have yet to hear of other regions.
+	relayed, forwarded relayed
+	// peers are the other groups of the region, by number.
+	peers map[int]peerGroup
 	// Times of the last digest to the members, of the last with news, of the last
-	// with sums, and of the last to other regions.
-	sentNear, sentNews, sentSums, sentFar time.Time
+	// with sums, of the last to other regions and of the last there with sums.
+	sentNear, sentNews, sentSums, sentFar, sentFarSums time.Time
+	// sumsTurn is the member that is told the sums next, and sumsCredit the part of a
+	// turn that has passed since the last one.
+	sumsTurn   int
+	sumsCredit float64
+	// linkMbps is what the own link carries, in Mbit/s; 0 is not told.
+	linkMbps int
 	// paidAt is when the link has carried what was sent, at its share.
 	paidAt time.Time
 }
 
-// memberReport is the newest load that a gateway reported.
+// memberReport is the newest load that a gateway reported, or an aggregator told.
 type memberReport struct {
 	at    time.Time
 	loads map[peer.ReplicaKey]peer.Load
 }
 
+func newAggregator() aggregator {
+	return aggregator{members: make(map[string]memberReport), others: make(map[string]memberReport), peers: make(map[int]peerGroup)}
+}
+
 // take takes one report in.
 func (a *aggregator) take(now time.Time, report *peer.ReplicaLoads) {
 	a.members[report.Gateway] = memberReport{at: now, loads: report.Loads}
@@ -36,27 +52,50 @@
 	a.far.add(report, longReading)
 }
 
-// relay keeps another region's loads for the members.
-func (a *aggregator) relay(digest *peer.LoadDigest) {
+// relayFar keeps what another region tells for the members and the other groups.
+func (a *aggregator) relayFar(now time.Time, digest *peer.LoadDigest) {
 	if len(a.members) == 0 {
 		return
 	}
-	for i := range digest.Regions {
-		part := digest.Regions[i]
-		a.relayed = slices.DeleteFunc(a.relayed, func(older peer.RegionLoads) bool {
-			return part.Whole && older.Aggregator == part.Aggregator && len(older.Placed)+len(older.Added) == 0
-		})
-		a.relayed = append(a.relayed, part)
+	a.forwarded.add(digest.Regions)
+	a.relayPeer(now, digest)
+}
+
+// relayPeer keeps what another group of the region tells for the members.
+func (a *aggregator) relayPeer(now time.Time, digest *peer.LoadDigest) {
+	if len(a.members) == 0 {
+		return
+	}
+	news := slices.Clone(digest.Regions)
+	for i := range news {
+		if news[i].Whole {
+			a.others[news[i].Aggregator] = memberReport{at: now, loads: news[i].Loads}
+			news[i].Whole, news[i].Loads = false, nil
+		}
 	}
+	a.relayed.add(news)
 }
 
-// pause is the least time between two digests to the members.
+// pause is the least time between two digests to the members and the other groups.
+// With urgent news half of the aggregator's time, and of its link's share, may go
+// into sending digests as such, without what they tell.
 func (a *aggregator) pause() time.Duration {
-	pause := digestTime * time.Duration(len(a.members))
-	if a.near.urgent {
-		return pause / 2
+	receivers := len(a.members) + len(a.peers)
+	pause := max(digestTime*time.Duration(receivers)/2, a.sending(2*receivers*digestBytes))
+	if a.near.urgent || a.relayed.urgent {
+		return pause
 	}
-	return 2 * pause
+	return calmPause * pause
+}
+
+// sending is how long the link's share takes to carry so many bytes.
+func (a *aggregator) sending(bytes int) time.Duration {
+	link := a.linkMbps
+	if link <= 0 {
+		link = defaultLinkMbps
+	}
+	perSecond := linkShare * float64(link) * 1e6 / 8
+	return time.Duration(float64(bytes) / perSecond * float64(time.Second))
 }
 
 // due is when the next digest of any kind is to be sent, if this gateway acts.
@@ -73,7 +112,7 @@
 
 func (a *aggregator) dueNear() time.Time {
 	due := a.sentNear.Add(heartbeat)
-	if a.near.placed == 0 {
+	if a.near.placed == 0 && !a.relayed.urgent {
 		return due
 	}
 	soon := a.sentNear.Add(a.pause())
@@ -87,30 +126,29 @@
 }
 
 // pay notes bytes that were sent, and when the link's share has carried them.
-func (a *aggregator) pay(now time.Time, bytes, linkMbps int) {
-	if linkMbps <= 0 {
-		linkMbps = defaultLinkMbps
-	}
-	perSecond := linkShare * float64(linkMbps) * 1e6 / 8
+func (a *aggregator) pay(now time.Time, bytes int) {
 	if a.paidAt.Before(now) {
 		a.paidAt = now
 	}
-	a.paidAt = a.paidAt.Add(time.Duration(float64(bytes) / perSecond * float64(time.Second)))
+	a.paidAt = a.paidAt.Add(a.sending(bytes))
 }
 
+// dueFar is when other regions are told the next time.
 func (a *aggregator) dueFar() time.Time {
-	if a.far.urgent {
-		return a.sentFar.Add(farPause)
+	due := a.sentFarSums.Add(farInterval)
+	if soon := a.sentFar.Add(farPause); a.far.urgent && soon.Before(due) {
+		return soon
 	}
-	return a.sentFar.Add(farInterval)
+	return due
 }
 
 // aggregate sends the digests that are due.
 func (x *Exchange) aggregate(now time.Time, effects *Effects) {
 	a := &x.sum
 	a.prune(now)
+	a.linkMbps = x.gateways[x.name].LinkMbps
 	if len(a.members) == 0 {
-		*a = aggregator{members: a.members}
+		*a = newAggregator()
 		return
 	}
 	if !now.Before(a.dueNear()) {
@@ -121,51 +159,103 @@
 	}
 }
 
-// prune forgets the gateways that no longer report here.
+// prune forgets the gateways that no longer report here, and old sums.
 func (a *aggregator) prune(now time.Time) {
 	for name, member := range a.members {
 		if now.Sub(member.at) > memberAge {
 			delete(a.members, name)
 		}
 	}
+	for name, other := range a.others {
+		if now.Sub(other.at) > othersAge {
+			delete(a.others, name)
+		}
+	}
 }
 
-// sendNear sends each member a digest of what the others told, with sums and
-// measured prompts when these are due. While the link has yet to carry what was sent,
-// the digests only tell that the aggregator lives; news that waited long for that are
-// told as sums of readings.
+// sendNear sends each member a digest of what the others told, and the other groups
+// one of what the members told, with measured prompts and sums when these are due.
+// While the link has yet to carry what was sent, the digests only tell that the
+// aggregator lives; news that waited long for that are told as sums of readings.
 func (x *Exchange) sendNear(now time.Time, effects *Effects) {
 	a := &x.sum
 	a.sentNear = now
 	if now.Before(a.paidAt) {
-		for name := range a.members {
-			x.sendMember(now, name, &peer.LoadDigest{Aggregator: x.name}, effects)
-		}
+		x.sendHeartbeats(now, effects)
 		return
 	}
-	coarse := !a.sentNews.IsZero() && now.Sub(a.sentNews) > 2*heartbeat
+	first := a.sentNews.IsZero()
+	waited := min(now.Sub(a.sentNews), sumsInterval)
 	a.sentNews = now
 	whole := !now.Before(a.sentSums.Add(sumsInterval))
-	var sums map[peer.ReplicaKey]peer.Load
 	if whole {
 		a.sentSums = now
-		sums = a.sums()
 	}
 	items := a.near.take(whole)
-	items.coarse = coarse
-	bytes := 0
-	for _, name := range slices.Sorted(maps.Keys(a.members)) {
+	items.coarse = waited >= coarseAge && !first
+	bytes := x.sendPeers(now, whole, &items, effects)
+	relayed := a.relayed.take(items.coarse)
+	names := slices.Sorted(maps.Keys(a.members))
+	due := a.dueSums(names, waited)
+	var all map[peer.ReplicaKey]peer.Load
+	if len(due) > 0 {
+		all = sumOf(a.members, a.others)
+	}
+	for _, name := range names {
 		part := items.without(name)
 		part.Region, part.Aggregator = x.region, x.name
-		if whole {
-			part.Whole, part.Loads = true, a.othersOf(name, sums)
+		if due[name] {
+			part.Whole, part.Loads = true, a.othersOf(name, all)
 		}
-		digest := &peer.LoadDigest{Aggregator: x.name, Regions: append([]peer.RegionLoads{part}, a.relayed...)}
+		digest := &peer.LoadDigest{Aggregator: x.name, Regions: append([]peer.RegionLoads{part}, relayed...)}
 		x.sendMember(now, name, digest, effects)
 		bytes += sizeOf(digest)
 	}
-	a.relayed = nil
-	a.pay(now, bytes, x.gateways[x.name].LinkMbps)
+	a.pay(now, bytes)
+}
+
+// sendHeartbeats tells the members that the aggregator lives.
+func (x *Exchange) sendHeartbeats(now time.Time, effects *Effects) {
+	a := &x.sum
+	for name := range a.members {
+		x.sendMember(now, name, &peer.LoadDigest{Aggregator: x.name}, effects)
+	}
+	a.pay(now, len(a.members)*digestBytes)
+}
+
+// dueSums are the members whose turn it is to be told the sums of all loads: all of
+// them once within sumsInterval, a few at a time, so that news need not wait for the
+// link. waited is the time since the last turn.
+func (a *aggregator) dueSums(names []string, waited time.Duration) map[string]bool {
+	a.sumsCredit += float64(len(names)) * waited.Seconds() / sumsInterval.Seconds()
+	due := make(map[string]bool)
+	for ; a.sumsCredit >= 1 && len(due) < len(names); a.sumsCredit-- {
+		due[names[a.sumsTurn%len(names)]] = true
+		a.sumsTurn++
+	}
+	a.sumsCredit = min(a.sumsCredit, 1)
+	return due
+}
+
+// sendPeers sends the aggregators of the other groups what the members told, and what
+// other regions did. It returns the bytes that this takes.
+func (x *Exchange) sendPeers(now time.Time, whole bool, items *items, effects *Effects) (bytes int) {
+	a := &x.sum
+	forwarded := a.forwarded.take(items.coarse)
+	peers := x.peers(now)
+	part := items.whole()
+	part.Region, part.Aggregator = x.region, x.name
+	if whole {
+		part.Whole, part.Loads = true, sumOf(a.members)
+	}
+	if len(peers) == 0 || isEmpty(&part) && len(forwarded) == 0 {
+		return 0
+	}
+	digest := &peer.LoadDigest{Aggregator: x.name, Regions: append([]peer.RegionLoads{part}, forwarded...)}
+	for _, name := range peers {
+		effects.Send = append(effects.Send, Outgoing{Address: x.gateways[name].Address, Digest: digest})
+	}
+	return len(peers) * sizeOf(digest)
 }
 
 // Bytes of a message and of its parts, about: what they take when encoded.
@@ -205,12 +295,14 @@
 	}
 }
 
-// sums adds the members' loads up.
-func (a *aggregator) sums() map[peer.ReplicaKey]peer.Load {
+// sumOf adds loads up.
+func sumOf(reports ...map[string]memberReport) map[peer.ReplicaKey]peer.Load {
 	sums := make(map[peer.ReplicaKey]peer.Load)
-	for _, member := range a.members {
-		for replica, load := range member.loads {
-			sums[replica] = sums[replica].Add(load)
+	for _, list := range reports {
+		for _, report := range list {
+			for replica, load := range report.loads {
+				sums[replica] = sums[replica].Add(load)
+			}
 		}
 	}
 	return sums
@@ -223,25 +315,38 @@
 	for replica, sum := range sums {
 		sum.Requests -= own[replica].Requests
 		sum.Held -= own[replica].Held
-		if sum.Requests > 0 || sum.Held > 0 || sum.OverdueMS > 0 {
+		if sum.Requests > 0 || sum.Held > 0 {
 			others[replica] = sum
 		}
 	}
 	return others
 }
 
-// sendFar sends a digest to the aggregator of each other region.
+// sendFar sends a digest to an aggregator of each other region, with sums when these
+// are due.
 func (x *Exchange) sendFar(now time.Time, effects *Effects) {
 	a := &x.sum
 	a.sentFar = now
-	items := a.far.take(true)
-	sums := a.sums()
-	for _, region := range slices.Sorted(maps.Keys(x.far)) {
-		to := x.gateways[x.owner(region, x.far[region], nobody)]
+	whole := !now.Before(a.sentFarSums.Add(farInterval))
+	items := a.far.take(whole)
+	var sums map[peer.ReplicaKey]peer.Load
+	if whole {
+		a.sentFarSums = now
+		sums = sumOf(a.members)
+	}
+	bytes := 0
+	for _, region := range slices.Sorted(maps.Keys(x.groups)) {
+		name := x.correspondent(region)
+		if region == x.region || name == "" {
+			continue
+		}
+		to := x.gateways[name]
 		part := items.concerning(func(replica peer.ReplicaKey) bool { return x.loads.RegionOf(replica) == region })
 		part.Region, part.Aggregator = x.region, x.name
-		part.Whole, part.Loads = true, sums
+		part.Whole, part.Loads = whole, sums
 		digest := &peer.LoadDigest{Aggregator: x.name, Regions: []peer.RegionLoads{part}}
 		effects.Send = append(effects.Send, Outgoing{Address: to.Address, Digest: digest})
+		bytes += sizeOf(digest)
 	}
+	a.pay(now, bytes)
 }
--- a/loadexchange/exchange.go
+++ b/loadexchange/exchange.go
@@ -1,12 +1,14 @@
 // Package loadexchange shares what the gateways of a fleet have under way at
 // replicas, so that each places requests by the load of all.
 //
-// Each region has an aggregator: the gateway that owns the region's name by
-// rendezvous among those that are up and have the widest links. The gateways of a region report to it, and it
-// sends them digests; aggregators of different regions exchange digests too. So a
-// gateway sends to one other, whatever the number of gateways. The aggregator's
-// digests are bounded by a budget of messages and of bytes a second: with more
-// gateways in a region, news waits longer there, and costs no more.
+// The gateways of a region form groups of at most about 16, and each group has an
+// aggregator: the gateway that owns the region's name by rendezvous among those that
+// are up and have the widest links. The gateways of a group report to it, and it
+// sends them digests; the aggregators of one region exchange digests, and so do those
+// of different regions, more seldom: a digest from another region goes to one group,
+// which passes it on to the others. So a gateway sends to one other, whatever the
+// number of gateways, and an aggregator to its group and one of each other group. Its
+// digests are bounded by a budget of messages and of bytes a second.
 //
 // The role has no election. Whoever gets reports sends digests to those who sent
 // them. A gateway that hears no digests takes its aggregator for lost and reports to
@@ -32,22 +34,27 @@
 	// reportPause is the least time between two reports, but for urgent news.
 	reportPause = 10 * time.Millisecond
 	// heartbeat is the longest time between two digests: they also tell that the
-	// aggregator lives. sumsInterval is the one between two with the sums of all loads.
+	// aggregator lives. sumsInterval is the one between two with the sums of all loads,
+	// and coarseAge how long news wait before prompts are no longer told by themselves.
 	heartbeat    = 240 * time.Millisecond
-	sumsInterval = 480 * time.Millisecond
-	// farInterval is the time between two digests to another region's aggregator,
-	// and farPause the least one with urgent news.
+	sumsInterval = 960 * time.Millisecond
+	coarseAge    = 480 * time.Millisecond
+	// farInterval is the time between two digests with sums to another region's
+	// aggregator, and farPause the least one between two of any kind.
 	farInterval = 960 * time.Millisecond
-	farPause    = 60 * time.Millisecond
-	// digestTime is an aggregator's time for sending one digest to one gateway: its
-	// digests take half of that apart with urgent news, and twice with other news.
+	farPause    = 240 * time.Millisecond
+	// digestTime is an aggregator's time for sending one digest to one gateway, and
+	// calmPause how much longer the pause between two is without urgent news.
 	digestTime = time.Millisecond
+	calmPause  = 4
 	// linkShare is the part of an aggregator's link that its digests may take, and
 	// defaultLinkMbps is taken for a link that is not told.
 	linkShare       = 0.2
 	defaultLinkMbps = 10
 	// memberAge is how long a report makes its sender a member.
 	memberAge = 1500 * time.Millisecond
+	// othersAge is how long the sums of other groups and regions count.
+	othersAge = 2500 * time.Millisecond
 	// silence is how long an aggregator may send nothing before it is suspected, and
 	// firstSilence how long one that was just chosen may.
 	silence      = 700 * time.Millisecond
@@ -94,6 +101,8 @@
 	Send []Outgoing
 	// Observed is what the own gateway has learnt of others.
 	Observed []peer.RegionLoads
+	// Step says that the next step is due earlier than was told.
+	Step bool
 }
 
 // Exchange is one gateway's part. It is not safe for concurrent use.
@@ -102,8 +111,7 @@
 	region   string
 	loads    Loads
 	gateways map[string]Gateway
-	near     []string            // gateways of the own region, the own one included
-	far      map[string][]string // gateways of other regions, by region
+	groups   map[string][][]string // the gateways of each region, by group
 
 	own    reporter
 	sum    aggregator
@@ -114,23 +122,21 @@
 func New(name, region string, loads Loads) *Exchange {
 	x := &Exchange{name: name, region: region, loads: loads}
 	x.own.suspects = make(map[string]*suspicion)
-	x.sum.members = make(map[string]memberReport)
+	x.sum = newAggregator()
 	return x
 }
 
 // SetGateways takes over which gateways are up.
 func (x *Exchange) SetGateways(gateways map[string]Gateway) {
 	x.gateways = gateways
-	x.near = nil
-	x.far = make(map[string][]string)
+	regions := make(map[string][]string)
 	for name, gateway := range gateways {
-		if gateway.Region == x.region {
-			x.near = append(x.near, name)
-			continue
-		}
-		x.far[gateway.Region] = append(x.far[gateway.Region], name)
+		regions[gateway.Region] = append(regions[gateway.Region], name)
+	}
+	x.groups = make(map[string][][]string, len(regions))
+	for region, names := range regions {
+		x.groups[region] = split(names)
 	}
-	slices.Sort(x.near)
 }
 
 // Placed notes a prompt that the own gateway gave to a replica. A long one is told
@@ -171,7 +177,7 @@
 }
 
 // HandleDigest takes a digest in: from the own aggregator, or from that of another
-// region to be passed on.
+// group or region to be passed on.
 func (x *Exchange) HandleDigest(now time.Time, digest *peer.LoadDigest) Effects {
 	var effects Effects
 	x.counts.DigestsTaken++
@@ -179,13 +185,16 @@
 	if !known {
 		return effects
 	}
-	if sender.Region != x.region {
-		x.sum.relay(digest)
-		return effects
-	}
-	if digest.Aggregator == x.own.aggregator {
+	switch {
+	case sender.Region != x.region:
+		x.sum.relayFar(now, digest)
+	case digest.Aggregator == x.own.aggregator:
 		x.own.heard(now)
 		observe(digest, &effects)
+	case x.groupOf(digest.Aggregator) != x.groupOf(x.name):
+		x.sum.peers[x.groupOf(digest.Aggregator)] = peerGroup{heard: digest.Aggregator, at: now}
+		x.sum.relayPeer(now, digest)
+		effects.Step = x.sum.relayed.urgent
 	}
 	return effects
 }
@@ -219,7 +228,7 @@
 	return list
 }
 
-// owner is the gateway of a region that aggregates: one with the widest link, passing
+// owner is the gateway of a group that aggregates: one with the widest link, passing
 // over some.
 func (x *Exchange) owner(region string, names []string, passed func(name string) bool) string {
 	widest := -1
--- a/loadexchange/exchange_test.go
+++ b/loadexchange/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -108,7 +109,7 @@
 	}
 	for _, gateways := range []int{29, 134} {
 		narrow := exchangeCost(t, gateways, 0)
-		if sent := narrow.gotBytes * float64(gateways); sent > narrowLink {
+		if sent := narrow.aggregatorBytes; sent > narrowLink {
 			t.Errorf("an aggregator of %d gateways sends %.0f bytes a second over a link of 10 Mbit/s", gateways, sent)
 		}
 	}
@@ -138,7 +139,8 @@
 type regionCost struct {
 	gateways            int
 	sent, got, gotBytes float64
-	aggregator          float64
+	// aggregator and aggregatorBytes are what the one that sends most does.
+	aggregator, aggregatorBytes float64
 }
 
 func exchangeCost(t *testing.T, gateways, linkMbps int) regionCost {
@@ -150,7 +152,7 @@
 	}
 	w.run(2 * time.Second)
 	for _, g := range w.gateways {
-		g.sent, g.got, g.gotBytes = 0, 0, 0
+		g.sent, g.got, g.gotBytes, g.sentBytes = 0, 0, 0, 0
 	}
 	for n := range 2 * regionPrompts * costSeconds {
 		region := []string{"north", "south"}[n%2]
@@ -165,9 +167,10 @@
 	}
 	w.run(costSeconds * time.Second)
 	cost := regionCost{gateways: gateways}
-	for name, g := range w.gateways {
-		if g == w.aggregator(w.up[name].Region) {
+	for _, g := range w.gateways {
+		if len(g.exchange.sum.members) > 0 {
 			cost.aggregator = max(cost.aggregator, float64(g.sent)/costSeconds)
+			cost.aggregatorBytes = max(cost.aggregatorBytes, float64(g.sentBytes)/costSeconds)
 			continue
 		}
 		cost.sent = max(cost.sent, float64(g.sent)/costSeconds)
@@ -324,3 +327,80 @@
 		}
 	}
 }
+
+// TestLongPromptsReachALargeRegion: in three regions of 100 gateways, with prompts
+// that take longer to read than what is told everywhere at once, news stays fresh
+// within the region and an aggregator's digests stay within its link.
+func TestLongPromptsReachALargeRegion(t *testing.T) {
+	const (
+		gateways, replicas = 100, 53
+		prompts            = 270 // a second and region
+		length             = 4   // seconds
+		readingMS          = longReading + 10
+		mostAge            = 150 * time.Millisecond
+		mostDigest         = 16 << 10
+	)
+	regions := []string{"east1", "north", "south"}
+	for seed := range uint64(3) {
+		w := newWorld(t, seed, map[string]int{"east1": gateways, "north": gateways, "south": gateways})
+		w.run(2 * time.Second)
+		w.ages = nil
+		for _, g := range w.gateways {
+			g.sentBytes, g.largest = 0, 0
+		}
+		for n := range 3 * prompts * length {
+			region := regions[n%3]
+			g := w.gateways[fmt.Sprintf("%s-%03d", region, w.random.IntN(gateways))]
+			replica := fmt.Sprintf("%s-replica-%d", region, w.random.IntN(replicas))
+			g.load[w.key(replica)] = peer.Load{Requests: 1, Held: 12_000}
+			w.at(time.Duration(w.random.Int64N(int64(length*time.Second))), func() { g.place(replica, readingMS+n) })
+		}
+		w.run((length + 1) * time.Second)
+		if age := share(w.ages, 0.95); age > mostAge {
+			t.Errorf("seed %d: a twentieth of the news is older than %v within its region, want %v", seed, age, mostAge)
+		}
+		if want := prompts * length * (gateways - 1) * 3; len(w.ages) < want*99/100 {
+			t.Errorf("seed %d: %d news told one by one within their regions, want %d", seed, len(w.ages), want)
+		}
+		for name, g := range w.gateways {
+			if sent := float64(g.sentBytes) / length; sent > narrowLink {
+				t.Errorf("seed %d: %s sends %.0f bytes a second over a link of 10 Mbit/s", seed, name, sent)
+			}
+			if g.largest > mostDigest {
+				t.Errorf("seed %d: %s sends a message of %d bytes", seed, name, g.largest)
+			}
+		}
+	}
+}
+
+// share is the value that a part of the sorted list is not above.
+func share(list []time.Duration, part float64) time.Duration {
+	if len(list) == 0 {
+		return 0
+	}
+	slices.Sort(list)
+	return list[int(part*float64(len(list)-1))]
+}
+
+// TestARegionThatIsNotNamedYet: while the registry names gateways of other regions
+// alone, the own gateway aggregates for itself and tells them.
+func TestARegionThatIsNotNamedYet(t *testing.T) {
+	w := newWorld(t, 4, map[string]int{"north": 1, "south": 3})
+	alone := w.gateways["north-000"]
+	others := map[string]Gateway{}
+	for name, gateway := range w.up {
+		if gateway.Region == "south" {
+			others[name] = gateway
+		}
+	}
+	alone.exchange.SetGateways(others)
+	w.run(time.Second)
+	alone.place("south-replica", 400)
+	w.run(2 * time.Second)
+	if status := alone.exchange.Status(w.now); status.Aggregator != "north-000" || status.Members != 1 {
+		t.Errorf("its status is %+v", status)
+	}
+	if heard := len(w.other("south").heard["south-replica"]); heard != 1 {
+		t.Errorf("the other region hears of its prompt %d times", heard)
+	}
+}
--- a/loadexchange/news.go
+++ b/loadexchange/news.go
@@ -60,47 +60,91 @@
 
 // without is what one gateway is told: the news of all others.
 func (s *items) without(gateway string) peer.RegionLoads {
-	return s.told(func(each *origin) bool { return each.gateway != gateway }, func(peer.PlacedPrompt) bool { return true })
+	return s.told(func(each *origin) bool { return each.gateway != gateway }, bySelf)
 }
 
-// concerning is what another region is told: long prompts, and those that were given
-// to its replicas.
+// whole is what other groups are told: all news.
+func (s *items) whole() peer.RegionLoads {
+	return s.told(func(*origin) bool { return true }, bySelf)
+}
+
+// concerning is what another region is told: prompts that were given to its replicas
+// as the own region is told of them, and the readings of other long ones.
 func (s *items) concerning(own func(replica peer.ReplicaKey) bool) peer.RegionLoads {
-	wanted := func(placed peer.PlacedPrompt) bool {
-		return placed.ReadingMS >= urgentReading || own(placed.Replica)
+	as := func(placed *peer.PlacedPrompt) telling {
+		switch {
+		case own(placed.Replica):
+			return bySelf(placed)
+		case isUrgent(placed):
+			return asSum
+		default:
+			return notAtAll
+		}
+	}
+	return s.told(func(*origin) bool { return true }, as)
+}
+
+// telling is how a prompt is told.
+type telling int
+
+const (
+	notAtAll telling = iota
+	asSum            // its reading is added to others
+	byItself
+)
+
+// bySelf tells long prompts and those with shared parts by themselves.
+func bySelf(placed *peer.PlacedPrompt) telling {
+	if isUrgent(placed) || len(placed.Prefixes) > 0 {
+		return byItself
 	}
-	return s.told(func(*origin) bool { return true }, wanted)
+	return asSum
 }
 
-// told collects news: long prompts and those with shared parts one by one, the
-// readings of others added up, and the newest measured prompt of each replica.
-func (s *items) told(from func(*origin) bool, wanted func(peer.PlacedPrompt) bool) peer.RegionLoads {
+// told collects news: prompts by themselves, the readings of others added up, and the
+// newest measured prompt of each replica.
+func (s *items) told(from func(*origin) bool, as func(*peer.PlacedPrompt) telling) peer.RegionLoads {
 	var part peer.RegionLoads
-	added := make(map[peer.ReplicaKey]int)
+	added := newReadings()
 	read := make(map[peer.ReplicaKey]peer.ReadPrompt)
 	for i := range s.origins {
 		each := &s.origins[i]
 		if !from(each) {
 			continue
 		}
-		for _, placed := range each.placed {
-			switch {
-			case !wanted(placed):
-			case !s.coarse && (placed.ReadingMS >= urgentReading || len(placed.Prefixes) > 0):
-				part.Placed = append(part.Placed, placed)
+		for j := range each.placed {
+			placed := &each.placed[j]
+			switch how := as(placed); {
+			case how == notAtAll:
+			case how == asSum || s.coarse:
+				added.add(placed.Replica, placed.ReadingMS)
 			default:
-				added[placed.Replica] += placed.ReadingMS
+				part.Placed = append(part.Placed, *placed)
 			}
 		}
 		for _, prompt := range each.read {
 			read[prompt.Replica] = prompt
 		}
 	}
-	for _, replica := range slices.Sorted(maps.Keys(added)) {
-		part.Added = append(part.Added, peer.AddedReading{Replica: replica, ReadingMS: added[replica]})
-	}
+	part.Added = added.list()
 	for _, replica := range slices.Sorted(maps.Keys(read)) {
 		part.Read = append(part.Read, read[replica])
 	}
 	return part
 }
+
+// readings adds up the readings of prompts by replica.
+type readings map[peer.ReplicaKey]int
+
+func newReadings() readings { return make(readings) }
+
+func (r readings) add(replica peer.ReplicaKey, readingMS int) { r[replica] += readingMS }
+
+// list returns the sums in the order of the replicas.
+func (r readings) list() []peer.AddedReading {
+	var list []peer.AddedReading
+	for _, replica := range slices.Sorted(maps.Keys(r)) {
+		list = append(list, peer.AddedReading{Replica: replica, ReadingMS: r[replica]})
+	}
+	return list
+}
--- a/loadexchange/node.go
+++ b/loadexchange/node.go
@@ -155,4 +155,7 @@
 	effects := n.exchange.HandleDigest(time.Now(), digest)
 	n.mutex.Unlock()
 	n.carryOut(effects)
+	if effects.Step {
+		n.signal()
+	}
 }
--- a/loadexchange/reporter.go
+++ b/loadexchange/reporter.go
@@ -64,7 +64,7 @@
 }
 
 // chooseAggregator suspects one that is silent, and names the first owner of the
-// region who is not suspected.
+// group who is not suspected.
 func (x *Exchange) chooseAggregator(now time.Time) {
 	own := &x.own
 	if own.aggregator != "" && own.aggregator != x.name && now.Sub(own.heardAt) > own.patience() {
@@ -75,7 +75,7 @@
 		known, suspected := own.suspects[name]
 		return suspected && now.Before(known.until)
 	}
-	chosen := x.owner(x.region, x.near, passed)
+	chosen := x.owner(x.region, x.near(), passed)
 	if chosen == "" {
 		chosen = x.name // the registry does not name this gateway yet
 	}
--- a/loadexchange/world_test.go
+++ b/loadexchange/world_test.go
@@ -23,6 +23,10 @@
 	up       map[string]Gateway
 	gateways map[string]*worldGateway
 	replicas map[peer.ReplicaKey]string
+	// placed is when prompts were given to replicas, by their readings, and ages are
+	// how long news of them took to gateways of the region.
+	placed map[int]time.Time
+	ages   []time.Duration
 	// cut says that messages between two gateways are lost.
 	cut func(from, to string) bool
 }
@@ -41,8 +45,9 @@
 	sums map[string]map[peer.ReplicaKey]peer.Load
 	// heard is when readings of others came to be known, by replica.
 	heard map[string][]time.Time
-	// sent and got count messages, and gotBytes what they held.
-	sent, got, gotBytes int
+	// sent and got count messages, gotBytes and sentBytes what they held, and largest
+	// is the largest one sent.
+	sent, got, gotBytes, sentBytes, largest int
 }
 
 type event struct {
@@ -82,7 +87,8 @@
 	w := &world{
 		t: t, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 7)),
 		up: make(map[string]Gateway), gateways: make(map[string]*worldGateway), replicas: make(map[peer.ReplicaKey]string),
-		cut: func(string, string) bool { return false },
+		placed: make(map[int]time.Time),
+		cut:    func(string, string) bool { return false },
 	}
 	for region, count := range regions {
 		for i := range count {
@@ -163,6 +169,9 @@
 				g.world.t.Errorf("%s hears of its own prompt", g.name)
 			}
 			g.hear(placed.Replica)
+			if part.Region == g.world.up[g.name].Region {
+				g.world.ages = append(g.world.ages, g.world.now.Sub(g.world.placed[placed.ReadingMS]))
+			}
 		}
 	}
 }
@@ -187,6 +196,8 @@
 	if err != nil {
 		g.world.t.Fatal(err)
 	}
+	g.sentBytes += len(encoded)
+	g.largest = max(g.largest, len(encoded))
 	g.world.at(delay, func() { to.receive(encoded) })
 }
 
@@ -206,11 +217,16 @@
 		g.step()
 		return
 	}
-	g.carryOut(g.exchange.HandleDigest(g.world.now, message.Digest))
+	effects := g.exchange.HandleDigest(g.world.now, message.Digest)
+	g.carryOut(effects)
+	if effects.Step {
+		g.step()
+	}
 }
 
 // place gives a prompt to a replica, as the dispatcher does.
 func (g *worldGateway) place(replica string, readingMS int) {
+	g.world.placed[readingMS] = g.world.now
 	g.exchange.Placed(peer.PlacedPrompt{Replica: g.world.key(replica), ReadingMS: readingMS})
 	g.step()
 }
