Test that a stalled disk does not keep the leadership

Change: a disk of the group's tests that answers nothing for 8 s; TestAStalledDiskDoesNotKeepTheLeadership.

--- /dev/null
+++ b/control/disk_test.go
@@ -0,0 +1,68 @@
+package control
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/deckpulley/deckpulley/consensus"
+	"github.com/deckpulley/deckpulley/lease"
+	"github.com/deckpulley/deckpulley/storage"
+)
+
+// stallingDisk answers nothing for a time.
+type stallingDisk struct {
+	storage.Store
+
+	mutex sync.Mutex
+	until time.Time
+}
+
+func (d *stallingDisk) stall(length time.Duration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.until = time.Now().Add(length)
+}
+
+// Save implements storage.Store.
+func (d *stallingDisk) Save(state *consensus.HardState, entries []consensus.Entry) error {
+	d.mutex.Lock()
+	wait := time.Until(d.until)
+	d.mutex.Unlock()
+	time.Sleep(wait)
+	return d.Store.Save(state, entries)
+}
+
+// TestAStalledDiskDoesNotKeepTheLeadership: a primary whose disk answers nothing is
+// replaced as soon as it has to write, an order that it holds is carried out once by
+// its successor, and it follows when its disk answers again.
+func TestAStalledDiskDoesNotKeepTheLeadership(t *testing.T) {
+	const stall = 8 * time.Second
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.stores = make(map[string]*stallingDisk)
+		for _, name := range controlNames {
+			f.stores[name] = &stallingDisk{Store: f.disks[name]}
+		}
+		f.start(controlNames...)
+		f.mustSend(f.primary(), "order-1", 0)
+		old, through := f.primary(), f.follower()
+		f.stores[old.options.Name].stall(stall)
+		started := time.Now()
+		f.mustSend(through, "order-2", 1)
+		if took := time.Since(started); took > lease.DefaultTerms().Window()+2*time.Second {
+			t.Errorf("with a primary whose disk stalls an order took %v", took)
+		}
+		if successor := f.primary(old.options.Name); successor == old {
+			t.Error("the node with the stalled disk still leads")
+		}
+		time.Sleep(stall)
+		f.await("the stalled node to follow", func() bool {
+			o := old.observe()
+			return o.status.Role == consensus.Follower && o.contents.Version() == 2
+		})
+		_, again := f.send(old, "order-2", 1, document(t))
+		if !again.Accepted || again.Version != 2 {
+			t.Errorf("the order repeated at the stalled node: %+v", again)
+		}
+	})
+}
--- a/control/fixture_test.go
+++ b/control/fixture_test.go
@@ -27,11 +27,13 @@
 // fleet is a group of control nodes and gateways in one process. It lives in a
 // synctest bubble: time passes only while everything waits.
 type fleet struct {
-	t        *testing.T
-	network  *transport.Memory
-	options  map[string]Options
-	disks    map[string]*storage.Memory
-	nodes    map[string]*Node
+	t       *testing.T
+	network *transport.Memory
+	options map[string]Options
+	disks   map[string]*storage.Memory
+	nodes   map[string]*Node
+	// stores take the places of disks where they are named.
+	stores   map[string]*stallingDisk
 	gateways map[string]*testGateway
 	wipes    int
 }
@@ -99,6 +101,9 @@
 		options := f.options[name]
 		options.Network = f.network.Node(name, options.PeerAddress)
 		options.Store = f.disks[name]
+		if store, named := f.stores[name]; named {
+			options.Store = store
+		}
 		node, err := New(options)
 		if err != nil {
 			f.t.Fatalf("making %s: %v", name, err)
