Do less in digests to other groups, and name what stands twice

Found on reading the whole change again; behaviour stays. A region of one group worked out all news and sums for other groups and threw them away with each digest: sendPeers now returns first. relayFar no longer repeats relayPeer's check, isUrgent stands for its copy, groupOf for another, and the three wraps of one error in PackTransfer are one. Comments that named a region's aggregator name the group's.

--- a/cmd/deckpulley-fleet/faults.go
+++ b/cmd/deckpulley-fleet/faults.go
@@ -143,8 +143,8 @@
 	return nil
 }
 
-// badScenarios says of each scenario that was not good why, a line each: the
-// end of a long output may be all that is left of it.
+// badScenarios says of each scenario that was not good why: the end of a long
+// output may be all that is left of it.
 func badScenarios(outcomes []outcome) []string {
 	var list []string
 	for _, of := range outcomes {
--- a/loadexchange/aggregator.go
+++ b/loadexchange/aggregator.go
@@ -54,10 +54,9 @@
 
 // relayFar keeps what another region tells for the members and the other groups.
 func (a *aggregator) relayFar(now time.Time, digest *peer.LoadDigest) {
-	if len(a.members) == 0 {
-		return
+	if len(a.members) > 0 {
+		a.forwarded.add(digest.Regions)
 	}
-	a.forwarded.add(digest.Regions)
 	a.relayPeer(now, digest)
 }
 
@@ -243,12 +242,15 @@
 	a := &x.sum
 	forwarded := a.forwarded.take(items.coarse)
 	peers := x.peers(now)
+	if len(peers) == 0 {
+		return 0
+	}
 	part := items.whole()
 	part.Region, part.Aggregator = x.region, x.name
 	if whole {
 		part.Whole, part.Loads = true, sumOf(a.members)
 	}
-	if len(peers) == 0 || isEmpty(&part) && len(forwarded) == 0 {
+	if isEmpty(&part) && len(forwarded) == 0 {
 		return 0
 	}
 	digest := &peer.LoadDigest{Aggregator: x.name, Regions: append([]peer.RegionLoads{part}, forwarded...)}
--- a/loadexchange/exchange.go
+++ b/loadexchange/exchange.go
@@ -144,7 +144,7 @@
 func (x *Exchange) Placed(prompt peer.PlacedPrompt) {
 	prompt.Gateway = peer.KeyOf(x.name)
 	x.own.placed = append(x.own.placed, prompt)
-	x.own.urgent = x.own.urgent || prompt.ReadingMS >= urgentReading
+	x.own.urgent = x.own.urgent || isUrgent(&prompt)
 }
 
 // Measured notes what a prompt told of a replica's speed.
--- a/loadexchange/groups.go
+++ b/loadexchange/groups.go
@@ -56,15 +56,16 @@
 	if len(groups) == 0 {
 		return nil // the registry names no gateway of the region yet
 	}
-	return groups[groupOf(x.name, len(groups))]
+	return groups[x.groupOf(x.name)]
 }
 
 // peers are the aggregators of the other groups of the region: those whose digests
 // came lately, else the owners.
 func (x *Exchange) peers(now time.Time) []string {
 	var peers []string
+	own := x.groupOf(x.name)
 	for at, names := range x.groups[x.region] {
-		if len(names) == 0 || at == x.groupOf(x.name) {
+		if len(names) == 0 || at == own {
 			continue
 		}
 		if known, found := x.sum.peers[at]; found && now.Sub(known.at) < silence {
--- a/peer/packed.go
+++ b/peer/packed.go
@@ -30,18 +30,26 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer: packing a transfer: %w", err)
 	}
-	var packed bytes.Buffer
-	writer, err := flate.NewWriter(&packed, flate.BestSpeed)
+	packed, err := compress(encoded)
 	if err != nil {
 		return nil, fmt.Errorf("peer: packing a transfer: %w", err)
 	}
-	if _, err := writer.Write(encoded); err != nil {
-		return nil, fmt.Errorf("peer: packing a transfer: %w", err)
+	return packed, nil
+}
+
+func compress(data []byte) ([]byte, error) {
+	var compressed bytes.Buffer
+	writer, err := flate.NewWriter(&compressed, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := writer.Write(data); err != nil {
+		return nil, err
 	}
 	if err := writer.Close(); err != nil {
-		return nil, fmt.Errorf("peer: packing a transfer: %w", err)
+		return nil, err
 	}
-	return packed.Bytes(), nil
+	return compressed.Bytes(), nil
 }
 
 // Unpack returns the transfer.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -29,7 +29,7 @@
 	KindLoad                                   // one-way RegionLoad, gateway to gateway
 	KindRun                                    // stream Run to RunEvents, gateway to the gateway that granted
 	KindOwner                                  // stream OwnerRequest to RunEvents, gateway to a ticket's owner
-	KindReplicaLoads                           // one-way ReplicaLoads, gateway to its region's aggregator
+	KindReplicaLoads                           // one-way ReplicaLoads, gateway to its group's aggregator
 	KindLoadDigest                             // one-way LoadDigest, aggregator to gateways and other aggregators
 )
 
@@ -311,7 +311,7 @@
 // KeyOf is the key of a replica, or of a gateway.
 func KeyOf(id string) ReplicaKey { return ReplicaKey(xxhash.Sum64String(id)) }
 
-// ReplicaLoads tells a region's aggregator what a gateway has under way at replicas,
+// ReplicaLoads tells a group's aggregator what a gateway has under way at replicas,
 // and which prompts it has placed and measured since its last message. A lost or
 // late one makes placement less even, nothing else.
 type ReplicaLoads struct {
@@ -321,8 +321,8 @@
 	Read    []ReadPrompt        `cbor:"4,keyasint,omitempty"`
 }
 
-// LoadDigest is what an aggregator has heard: of its own region's gateways, and, to
-// them, of other regions. What a gateway is told leaves out what it told itself. A
+// LoadDigest is what an aggregator has heard: of its own group's gateways, and, to
+// them, of other groups and regions. What a gateway is told leaves out what it told itself. A
 // lost one makes placement less even, nothing else.
 type LoadDigest struct {
 	// Aggregator is the gateway that sends the digest.
