--- a/scripts/vary-site.py
+++ b/scripts/vary-site.py
@@ -3,9 +3,11 @@
 
 Usage: vary-site.py SITE.toml OUT-FOLDER SEED
 
-Sizes, delays, disks and bounds are drawn from the seed, and every kind of trouble that the bench lists joins
-the site's own, so that `fleetbench hunt OUT-FOLDER/NAME.toml` mixes them. The variant is for hunts alone: it
-has no marks, and it stays out of the repository.
+Sizes, delays, disks, the engines' speeds, the distance between regions (about 5 to 80 ms where a site has 35)
+and the replicas of each zone are drawn from the seed, and every kind of trouble that the bench lists joins the
+site's own, so that `fleetbench hunt OUT-FOLDER/NAME.toml` mixes them. The variant is for hunts alone: its marks
+are the site's and mean nothing, and it stays out of the repository. The draws of 2026-12-02 differ from those
+before: seeds 11 to 14 name other variants since.
 """
 import pathlib
 import random
@@ -71,18 +73,30 @@
     return float if "." in number else int
 
 
+def uneven(servers, draw):
+    """Gives each zone another number of replicas, at least one."""
+    return re.sub(
+        r"count = (\d+)",
+        lambda found: f"count = {max(1, round(int(found[1]) * draw.choice([0.7, 1.0, 1.4])))}",
+        servers,
+    )
+
+
 def main():
     source, folder, seed = pathlib.Path(sys.argv[1]), pathlib.Path(sys.argv[2]), int(sys.argv[3])
     draw = random.Random(seed)
     text = source.read_text()
     name = f"{source.stem}-v{seed}"
     text = text.replace(f'name = "{source.stem}"', f'name = "{name}"', 1)
-    text = scaled(text, "cross_region_ms", draw.choice([0.3, 0.6, 2.0, 3.0]))
+    text = scaled(text, "cross_region_ms", draw.choice([0.15, 0.6, 1.5, 2.3]))
     text = scaled(text, "cross_zone_ms", draw.choice([0.5, 1.0, 2.0]))
     text = scaled(text, "sync_ms", draw.choice([0.5, 1.0, 3.0]))
     text = scaled(text, "lag_ms", draw.choice([0.5, 1.0, 1.5]))
     text = scaled(text, "cpu_share", draw.choice([0.7, 1.0, 1.5]))
     text = scaled(text, "per_s", draw.choice([0.6, 1.0, 1.3]))
+    text = scaled(text, "prefill_tokens_per_ms", draw.choice([0.5, 0.8, 1.3]))
+    text = scaled(text, "first_ms", draw.choice([0.5, 1.0, 2.0]))
+    text = re.sub(r"servers = \[[^]]*\]", lambda found: uneven(found[0], draw), text)
     text = text.replace("troubles = [", "troubles = [" + MORE, 1)
     folder.mkdir(parents=True, exist_ok=True)
     (folder / f"{name}.toml").write_text(text)
