Take the bounds of retries and of cold replicas from the settings

Cause: retryRatio (0.12) and coldShare (0.7) were constants, although the platform tells retry_budget_ratio and cold_overshoot: a deployment with stricter bounds would have broken them. Found beside it: a number in a node's settings file could not be read at all; link_mbps, in the docs since the exchange, was answered 'must be a text' and would have panicked in quotes.

The file's reader reads numbers; link_mbps is checked.

TestNumbersAreRead fails with the reader as it was. Tests of settings, platform, dispatch and the daemon pass; lint clean.

--- a/cmd/deckpulley-gateway/daemon.go
+++ b/cmd/deckpulley-gateway/daemon.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/deckpulley/deckpulley/dispatch"
 	"github.com/deckpulley/deckpulley/gateway"
 	"github.com/deckpulley/deckpulley/httpgateway"
 	"github.com/deckpulley/deckpulley/peer"
@@ -103,7 +104,7 @@
 	}
 	d.gateway, err = gateway.New(gateway.Options{
 		Info:          info,
-		HTTP:          d.newProxy(info),
+		HTTP:          d.newProxy(info, loaded.HTTPBounds),
 		Seeds:         loaded.Seeds,
 		Keys:          keys,
 		Terms:         loaded.LeaseTerms(),
@@ -124,11 +125,16 @@
 }
 
 // newProxy prepares what serves the HTTP address; nil without one.
-func (d *daemon) newProxy(info peer.GatewayInfo) gateway.HTTPProxy {
+func (d *daemon) newProxy(info peer.GatewayInfo, granted settings.HTTPBounds) gateway.HTTPProxy {
 	if d.proxyAt == nil {
 		return nil
 	}
-	proxy := httpgateway.NewProxy(httpgateway.ProxyOptions{Info: info, Network: d.network, Logger: d.log})
+	proxy := httpgateway.NewProxy(httpgateway.ProxyOptions{
+		Info:    info,
+		Network: d.network,
+		Bounds:  dispatch.Bounds{RetryRatio: granted.RetryRatio, ColdOvershoot: granted.ColdOvershoot},
+		Logger:  d.log,
+	})
 	d.proxied = proxy.Server()
 	return proxy
 }
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -12,10 +12,6 @@
 	// rereading weighs the reading of a shared part that another replica holds
 	// already, in multiples of the time that it takes.
 	rereading = 1
-	// coldShare is the part of what a cold replica bears that its feeder sends. Two
-	// gateways that take themselves for the feeder, as in a cut, stay below one and
-	// a half times of it.
-	coldShare = 0.7
 	// coldPenalty keeps requests off a cold replica while a warm one is nearly as
 	// good, in seconds.
 	coldPenalty = 0.05
@@ -140,7 +136,7 @@
 	}
 	chosen := list[position]
 	if s.ramped(chosen) {
-		gap := time.Duration(float64(time.Second) / (coldShare * s.service.spec.ColdPerSecond))
+		gap := time.Duration(float64(time.Second) / (s.dispatcher.options.Bounds.coldShare() * s.service.spec.ColdPerSecond))
 		chosen.nextCold = s.now.Add(gap)
 	}
 	return &choice{
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -143,6 +143,8 @@
 	Zone    string
 	Region  string
 	Backend Backend
+	// Bounds are what all gateways together are granted.
+	Bounds Bounds
 	// Placed, if set, is told of each prompt that a replica was given to read. It
 	// must not block.
 	Placed func(prompt peer.PlacedPrompt)
@@ -191,6 +193,7 @@
 	if options.Logger == nil {
 		options.Logger = slog.Default()
 	}
+	options.Bounds = options.Bounds.withDefaults()
 	return &Dispatcher{
 		options:  options,
 		log:      options.Logger,
@@ -198,7 +201,7 @@
 		replicas: make(map[string]*replica),
 		byKey:    make(map[peer.ReplicaKey]*replica),
 		services: make(map[string]*service),
-		budget:   retry.NewBudget(retryRatio),
+		budget:   retry.NewBudget(options.Bounds.retryRatio()),
 		loads:    newLoadBoard(),
 
 		distances: newDistances(),
@@ -206,9 +209,6 @@
 	}
 }
 
-// retryRatio is the aim for retries over first attempts.
-const retryRatio = 0.12
-
 // Counts returns the totals since the start.
 func (d *Dispatcher) Counts() Counts {
 	d.mutex.Lock()
--- a/httpgateway/gateway.go
+++ b/httpgateway/gateway.go
@@ -26,7 +26,7 @@
 	"github.com/deckpulley/deckpulley/transport"
 )
 
-// Options sets up a Gateway. All fields but Headers are required.
+// Options sets up a Gateway. All fields but Headers and Bounds are required.
 type Options struct {
 	// Info is what the primary and the other gateways learn of this one.
 	Info  peer.GatewayInfo
@@ -36,7 +36,9 @@
 	Network transport.Network
 	// Headers name the headers of requests. Default DefaultHeaders.
 	Headers Headers
-	Logger  *slog.Logger
+	// Bounds are what all gateways together are granted. Default dispatch.Bounds.
+	Bounds dispatch.Bounds
+	Logger *slog.Logger
 }
 
 // Gateway is safe for concurrent use.
@@ -57,6 +59,7 @@
 		Info:    options.Info,
 		Network: options.Network,
 		Headers: options.Headers,
+		Bounds:  options.Bounds,
 		Logger:  options.Logger,
 	})
 	started := time.Now()
--- a/httpgateway/proxy.go
+++ b/httpgateway/proxy.go
@@ -26,7 +26,9 @@
 	Network transport.Network
 	// Headers name the headers of requests. Default DefaultHeaders.
 	Headers Headers
-	Logger  *slog.Logger
+	// Bounds are what all gateways together are granted. Default dispatch.Bounds.
+	Bounds dispatch.Bounds
+	Logger *slog.Logger
 }
 
 // Proxy carries HTTP requests to replicas by the registry's map of routes. What
@@ -51,6 +53,7 @@
 		Zone:    options.Info.Zone,
 		Region:  options.Info.Region,
 		Backend: p.backend,
+		Bounds:  options.Bounds,
 		Placed:  func(prompt peer.PlacedPrompt) { p.exchange.Placed(prompt) },
 		Read:    func(prompt peer.ReadPrompt) { p.exchange.Measured(prompt) },
 		Logger:  options.Logger,
--- a/settings/load.go
+++ b/settings/load.go
@@ -4,8 +4,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"os"
 	"reflect"
+	"strconv"
 	"strings"
 	"time"
 
@@ -167,6 +169,8 @@
 		r.readList(path, node, into)
 	case into.Kind() == reflect.Map:
 		r.readMap(path, node, into)
+	case into.Kind() == reflect.Int || into.Kind() == reflect.Float64:
+		r.readNumber(path, node, into)
 	default:
 		r.readString(path, node, into)
 	}
@@ -238,6 +242,28 @@
 	into.SetString(node.Value)
 }
 
+func (r *fieldReader) readNumber(path string, node *yaml.Node, into reflect.Value) {
+	if node.Kind != yaml.ScalarNode || node.Tag != "!!int" && node.Tag != "!!float" {
+		r.fail(path, node, "must be a number")
+		return
+	}
+	if into.Kind() == reflect.Float64 {
+		number, err := strconv.ParseFloat(node.Value, 64)
+		if err != nil || math.IsNaN(number) || math.IsInf(number, 0) {
+			r.fail(path, node, "%s is not a number such as 0.2", node.Value)
+			return
+		}
+		into.SetFloat(number)
+		return
+	}
+	number, err := strconv.Atoi(node.Value)
+	if err != nil {
+		r.fail(path, node, "%s is not a whole number", node.Value)
+		return
+	}
+	into.SetInt(int64(number))
+}
+
 func (r *fieldReader) readDuration(path string, node *yaml.Node, into reflect.Value) {
 	if node.Kind != yaml.ScalarNode {
 		r.fail(path, node, "must be a duration such as 300ms")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,6 +30,8 @@
 	// HTTPAddress is a gateway's host:port for requests that are routed by host
 	// and path; empty for none.
 	HTTPAddress string `yaml:"http_address,omitempty"`
+	// HTTPBounds are what all gateways together are granted at the HTTP address.
+	HTTPBounds HTTPBounds `yaml:"http_bounds,omitempty"`
 	// LinkMbps is what a gateway's network link carries, in Mbit/s. In each region the
 	// gateways with the widest links add the loads up for the others. 0 is not told.
 	LinkMbps int `yaml:"link_mbps,omitempty"`
@@ -57,6 +59,17 @@
 	file string
 }
 
+// HTTPBounds bound what gateways send to the replicas of services that are reached
+// by host and path. 0 stands for the default.
+type HTTPBounds struct {
+	// RetryRatio bounds attempts beyond the first of each request, over the requests.
+	// Default 0.2.
+	RetryRatio float64 `yaml:"retry_ratio,omitempty"`
+	// ColdOvershoot is the factor by which a cold replica may get more than it bears.
+	// Default 1.5.
+	ColdOvershoot float64 `yaml:"cold_overshoot,omitempty"`
+}
+
 // Log says how to log.
 type Log struct {
 	Level  string `yaml:"level,omitempty"`  // debug, info, warn, error; default info
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -119,6 +119,18 @@
 	}
 }
 
+// TestNumbersAreRead: a wide link and the bounds of HTTP requests are numbers.
+func TestNumbersAreRead(t *testing.T) {
+	text := gatewayFile + "link_mbps: 100\nhttp_address: 127.0.0.1:7009\nhttp_bounds: {retry_ratio: 0.1, cold_overshoot: 2}\n"
+	gateway, err := load(t, newFolder(t), RoleGateway, text, Overrides{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if gateway.LinkMbps != 100 || gateway.HTTPBounds != (HTTPBounds{RetryRatio: 0.1, ColdOvershoot: 2}) {
+		t.Errorf("got %d, %+v", gateway.LinkMbps, gateway.HTTPBounds)
+	}
+}
+
 func TestFlagsOverruleTheFile(t *testing.T) {
 	f := newFolder(t)
 	parse := func(role Role, arguments ...string) Overrides {
@@ -201,6 +213,14 @@
 		{"gateway with initial control", RoleGateway, gatewayFile + "initial_control: {a: 127.0.0.1:1}\n", "initial_control: is for control nodes only"},
 		{"control with callers", RoleControl, controlFile + "caller_address: 127.0.0.1:9\n", "caller_address: is for gateways only"},
 		{"control with HTTP", RoleControl, controlFile + "http_address: 127.0.0.1:9\n", "http_address: is for gateways only"},
+		{"control with bounds", RoleControl, controlFile + "http_bounds: {retry_ratio: 0.1}\n", "http_bounds: are for gateways only"},
+		{"bounds without HTTP", RoleGateway, gateway("caller_address: 127.0.0.1:7003\n", "caller_address: 127.0.0.1:7003\nhttp_bounds: {retry_ratio: 0.1}\n"), "http_bounds: are for gateways with an http_address"},
+		{"retries above all", RoleGateway, gateway("caller_address: 127.0.0.1:7003\n", "caller_address: 127.0.0.1:7003\nhttp_address: 127.0.0.1:7009\nhttp_bounds: {retry_ratio: 1.5}\n"), "http_bounds.retry_ratio: 1.5 must be from 0 to 1"},
+		{"overshoot below 1", RoleGateway, gateway("caller_address: 127.0.0.1:7003\n", "caller_address: 127.0.0.1:7003\nhttp_address: 127.0.0.1:7009\nhttp_bounds: {cold_overshoot: 0.5}\n"), "http_bounds.cold_overshoot: 0.5 must be 1 or more"},
+		{"a link in words", RoleGateway, gateway("caller_address: 127.0.0.1:7003\n", "caller_address: 127.0.0.1:7003\nlink_mbps: wide\n"), "link_mbps: must be a number (line 8)"},
+		{"a negative link", RoleGateway, gateway("caller_address: 127.0.0.1:7003\n", "caller_address: 127.0.0.1:7003\nlink_mbps: -1\n"), "link_mbps: -1 must be 0 or more"},
+		{"half a link", RoleGateway, gateway("caller_address: 127.0.0.1:7003\n", "caller_address: 127.0.0.1:7003\nlink_mbps: 0.5\n"), "link_mbps: 0.5 is not a whole number (line 8)"},
+		{"no end of retries", RoleGateway, gateway("caller_address: 127.0.0.1:7003\n", "caller_address: 127.0.0.1:7003\nhttp_bounds: {retry_ratio: .inf}\n"), "http_bounds.retry_ratio: .inf is not a number such as 0.2 (line 8)"},
 		{"HTTP on a taken address", RoleGateway, gateway("caller_address: 127.0.0.1:7003\n", "caller_address: 127.0.0.1:7003\nhttp_address: 127.0.0.1:7003\n"), "http_address: 127.0.0.1:7003 is also the caller_address"},
 		{"gateway without callers", RoleGateway, gateway("caller_address: 127.0.0.1:7003\n", ""), "caller_address: is required"},
 		{"overlapping addresses", RoleGateway, gateway("127.0.0.1:7003", "127.0.0.1:7001"), "caller_address: 127.0.0.1:7001 is also the peer_address"},
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -76,6 +76,9 @@
 		if s.LinkMbps != 0 {
 			v.fail("link_mbps", "is for gateways only")
 		}
+		if s.HTTPBounds != (HTTPBounds{}) {
+			v.fail("http_bounds", "are for gateways only")
+		}
 	case RoleGateway:
 		if s.DataFolder != "" {
 			v.fail("data_folder", "is for control nodes only: a gateway keeps nothing on disk")
@@ -83,6 +86,10 @@
 		if len(s.InitialControl) > 0 {
 			v.fail("initial_control", "is for control nodes only")
 		}
+		if s.LinkMbps < 0 {
+			v.fail("link_mbps", "%d must be 0 or more", s.LinkMbps)
+		}
+		v.httpBounds()
 	case "":
 		v.fail("role", "is required: %q or %q", RoleControl, RoleGateway)
 	default:
@@ -90,6 +97,20 @@
 	}
 }
 
+// httpBounds must leave something to send.
+func (v *validator) httpBounds() {
+	bounds := v.settings.HTTPBounds
+	if bounds != (HTTPBounds{}) && v.settings.HTTPAddress == "" {
+		v.fail("http_bounds", "are for gateways with an http_address")
+	}
+	if bounds.RetryRatio < 0 || bounds.RetryRatio > 1 {
+		v.fail("http_bounds.retry_ratio", "%v must be from 0 to 1", bounds.RetryRatio)
+	}
+	if bounds.ColdOvershoot != 0 && bounds.ColdOvershoot < 1 {
+		v.fail("http_bounds.cold_overshoot", "%v must be 1 or more", bounds.ColdOvershoot)
+	}
+}
+
 // dataFolder must exist: a missing one is more often a disk that is not mounted
 // than a new node.
 func (v *validator) dataFolder() {
