Never refuse for waiting what may have run

Ruled out: the retry budget (it denied one of them), attempts (two are allowed).

Change: a request that may have run is placed however long it will wait.

Measured: TestARepeatIsNotRefusedForWaiting fails without it, before the first event and after.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -41,7 +41,9 @@
 	route      *routemap.Route
 	request    *Request
 	tried      map[string]bool
-	now        time.Time
+	// repeats says that the request may have run: it cannot be refused as not run.
+	repeats bool
+	now     time.Time
 }
 
 // rank orders replicas by how willingly they are used.
@@ -131,7 +133,7 @@
 	cached := s.cached()
 	candidates := s.candidates(list, cached)
 	position, expected := placement.Choose(candidates, work)
-	if s.route.FirstEvent > 0 && expected > s.longest(&candidates[position], work) {
+	if s.refusable() && expected > s.longest(&candidates[position], work) {
 		return nil, &Refusal{Code: Overloaded, RetryAfter: busyRetryAfter}
 	}
 	chosen := list[position]
@@ -146,6 +148,10 @@
 	}, nil
 }
 
+// refusable says whether a request may be refused for waiting. One that may have run
+// would not come again as one that has not: a late answer is worth more to it.
+func (s *search) refusable() bool { return s.route.FirstEvent > 0 && !s.repeats }
+
 // longest is the expected time to the first event, in seconds, beyond which the
 // request is refused: it would be late for waiting. When it comes again it may be
 // in time; here it would only delay others.
--- a/dispatch/claim_test.go
+++ b/dispatch/claim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -284,6 +285,48 @@
 	}
 }
 
+// TestARepeatIsNotRefusedForWaiting: a request whose first attempt broke off cannot
+// be told that it has not run, so that a late answer is better than none.
+func TestARepeatIsNotRefusedForWaiting(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		t.Run(fmt.Sprint("begun ", begun), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkRepeat(t, begun) })
+		})
+	}
+}
+
+func checkRepeat(t *testing.T, begun bool) {
+	t.Helper()
+	f := newFixture(t)
+	f.configure(func(route *routemap.Route, service *routemap.Service) {
+		withPrompts(route, service)
+		route.Resumable = true
+	})
+	for _, name := range []string{"a", "b"} {
+		f.addReplica(name, "east-1")
+	}
+	f.answer = func(context.Context, *Attempt) (*Answer, error) { return events("id: 1\ndata: x\n\n", nil), nil }
+	f.fillRetryBudget()
+	busy := func(name string) peer.PlacedPrompt {
+		return peer.PlacedPrompt{Replica: peer.KeyOf(name), ReadingMS: 1500}
+	}
+	f.answer = func(context.Context, *Attempt) (*Answer, error) {
+		f.dispatcher.Observe(&peer.RegionLoads{Placed: []peer.PlacedPrompt{busy("a"), busy("b")}})
+		switch {
+		case len(f.replicasAsked()) > 1:
+			return events("id: 2\ndata: y\n\n", nil), nil
+		case begun:
+			return events("id: 1\ndata: x\n\n", errReset), nil
+		default:
+			return nil, attemptError(Broken)
+		}
+	}
+	client, refusal := f.serve(nil)
+	if refusal != nil || len(f.replicasAsked()) != 2 || !strings.HasSuffix(client.body.String(), "data: y\n\n") {
+		t.Errorf("got %v, %q, asked %v", refusal, client.body.String(), f.replicasAsked())
+	}
+}
+
 // waitingCase is a request that finds a backlog.
 type waitingCase struct {
 	backlog time.Duration
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -148,7 +148,16 @@
 		r.noted = true
 		d.budget.NoteFirst(now)
 	}
-	looking := &search{dispatcher: d, plan: r.plan, service: known, route: r.route, request: r.request, tried: r.tried, now: now}
+	looking := &search{
+		dispatcher: d,
+		plan:       r.plan,
+		service:    known,
+		route:      r.route,
+		request:    r.request,
+		tried:      r.tried,
+		repeats:    r.attempts > 0,
+		now:        now,
+	}
 	choice, refusal := looking.find()
 	if refusal != nil {
 		return nil, refusal
