Stand by a vote until the news of a won election may be here

Members that had voted for the winner, and had not heard from it yet, granted pre-votes to a loser whose first time-out (100 to 400 ms) had passed: round trips of 40 ms, and three of them for a first connection, are no longer short beside it. Ruled out: a loss of quorum (all five answered), the disk (5 ms), a second start.

Change: a member that has just given its vote, to itself too, neither begins another election nor grants a pre-vote for half an election time-out.

--- a/consensus/election.go
+++ b/consensus/election.go
@@ -10,6 +10,8 @@
 //     frozen or cut off does not disturb the group when it returns
 //   - a member that has heard its leader within ElectionTimeout helps nobody
 //     else, unless the leader itself asked for the election
+//   - a member that has just given its vote begins no other election and helps
+//     to none until the news that it was won may be here
 
 func (n *Node) resetElectionDeadline() {
 	least := n.config.ElectionTimeout
@@ -25,6 +27,10 @@
 // startupSpread is the range of the first elections' times, in StartupTimeouts.
 const startupSpread = 3
 
+// backingPart divides ElectionTimeout into the time for which a member that has given
+// its vote helps no other one: as long as the news of a won election may take.
+const backingPart = 2
+
 // hearsLeader tells whether this member knows a present leader.
 func (n *Node) hearsLeader() bool {
 	if n.role == Leader {
@@ -100,7 +106,7 @@
 	n.vote = n.config.ID
 	n.ballots = map[ID]bool{n.config.ID: true}
 	n.transferred = transfer
-	n.resetElectionDeadline()
+	n.back()
 	n.askVoters(Message{Kind: MessageVote, Transfer: transfer})
 	n.countBallots()
 }
@@ -120,7 +126,7 @@
 }
 
 func (n *Node) handlePreVote(message Message) {
-	if n.hearsLeader() && !message.Transfer {
+	if n.hearsLeader() && !message.Transfer || n.backsAnother(message.From) {
 		return
 	}
 	granted := message.Term > n.term && n.acceptableLog(message)
@@ -132,12 +138,25 @@
 	n.send(reply)
 }
 
+// back stands by the vote that was just given: this member neither begins another
+// election nor helps to one before the news of a won election could be here.
+func (n *Node) back() {
+	n.backedUntil = n.now + n.config.ElectionTimeout/backingPart
+	n.resetElectionDeadline()
+	n.electionDeadline = max(n.electionDeadline, n.backedUntil)
+}
+
+// backsAnother says whether this member has just voted for another one than asks.
+// That one may lead without having been heard here, and a new election would unseat
+// it.
+func (n *Node) backsAnother(asking ID) bool { return n.now < n.backedUntil && n.vote != asking }
+
 func (n *Node) handleVote(message Message) {
 	free := n.vote == None && n.leader == None || n.vote == message.From
 	granted := free && n.acceptableLog(message)
 	if granted {
 		n.vote = message.From
-		n.resetElectionDeadline()
+		n.back()
 	}
 	n.send(Message{Kind: MessageVoteReply, To: message.From, Reject: !granted})
 }
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -62,6 +62,7 @@
 	now              time.Duration
 	electionDeadline time.Duration
 	heardLeader      time.Duration
+	backedUntil      time.Duration // until when the member that got the vote is backed
 	ballots          map[ID]bool
 	askAgain         time.Duration // when voters without a ballot are asked again
 	transferred      bool          // the leader itself asked for the election
