Pace large transfers to gateways to half of the link

Change: large differences fill half of a control node's link at most; a gateway that gets none with one renewal goes on under its lease and gets it with a later one. Whole tables for gateways that hold none are not held back.

TestLargeTransfersLeaveRoomOnTheLink fails without it (2.47 MB at once).

--- a/control/gatewaywrites_test.go
+++ b/control/gatewaywrites_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"crypto/rand"
 	"fmt"
 	"testing"
 	"time"
@@ -113,6 +114,56 @@
 	}
 }
 
+// TestLargeTransfersLeaveRoomOnTheLink: when the records of all gateways change at
+// once, the differences go out over some renewals and fill half of the link at most.
+// Everybody keeps the lease meanwhile, and has the difference in the end.
+func TestLargeTransfersLeaveRoomOnTheLink(t *testing.T) {
+	const gateways, interval, mostIntervals = 300, 50 * time.Millisecond, 60
+	m := loneMachine(t)
+	now := time.Duration(0)
+	m.advance(t, &now, 5*time.Second)
+	crowd := newCrowd(gateways, "1")
+	for range 4 {
+		crowd.renew(t, m, now)
+		m.advance(t, &now, interval)
+	}
+	others := newCrowd(gateways, "1")
+	for i := range others {
+		others[i].Gateway.Name += "-other"
+		others[i].Gateway.Incarnation = rand.Text()
+	}
+	others.renew(t, m, now) // as many new records
+	m.advance(t, &now, interval)
+	bound := transferShare * defaultLinkMbps * 1e6 / 8 * (interval + pacedBurst).Seconds()
+	for range mostIntervals {
+		sent, behind := 0, 0
+		for i := range crowd {
+			m.tick(now)
+			grant := m.renew(now, crowd[i])
+			sent += len(grant.Packed)
+			if grant.LeaseMS == 0 {
+				t.Fatalf("%s lost its lease", crowd[i].Gateway.Name)
+			}
+			if transfer, err := grant.Difference(); err != nil {
+				t.Fatal(err)
+			} else if transfer != nil {
+				crowd[i].Held = transfer.To
+			}
+			if crowd[i].Held != m.table.Serial() {
+				behind++
+			}
+		}
+		if float64(sent) > bound+64<<10 { // and one transfer that was begun
+			t.Fatalf("%d octets at once, want at most %.0f", sent, bound)
+		}
+		if behind == 0 {
+			return
+		}
+		m.advance(t, &now, interval)
+	}
+	t.Errorf("some gateways are behind after %v", mostIntervals*interval)
+}
+
 // crowd is the renewals of many gateways.
 type crowd []peer.Renew
 
--- a/control/leases.go
+++ b/control/leases.go
@@ -145,7 +145,7 @@
 	leadership, serving := m.serving()
 	if !serving {
 		grant.Primary = m.addressOf(status.Membership, status.Leader)
-		m.addFirstTable(&grant, renew)
+		m.addFirstTable(now, &grant, renew)
 		return grant
 	}
 	if m.foreign(renew, status.Term) {
@@ -173,7 +173,7 @@
 	if m.mayLease(renew.Gateway) {
 		grant.LeaseMS = decision.Length.Milliseconds()
 	}
-	m.addTransfer(&grant, renew.Held)
+	m.addTransfer(now, &grant, renew.Held)
 	return grant
 }
 
@@ -181,10 +181,10 @@
 // the primary: the gateway may hold it, and makes nothing of it active before the
 // primary says so. After a loss of power the primary alone could not send a whole
 // table to all gateways at once.
-func (m *machine) addFirstTable(grant *peer.Grant, renew peer.Renew) {
+func (m *machine) addFirstTable(now time.Duration, grant *peer.Grant, renew peer.Renew) {
 	known := renew.Cluster == "" || renew.Cluster == m.cluster
 	if renew.Held == 0 && known && grant.Primary != "" && m.table != nil {
-		m.addTransfer(grant, renew.Held)
+		m.addTransfer(now, grant, renew.Held)
 	}
 }
 
--- a/control/machine.go
+++ b/control/machine.go
@@ -44,6 +44,7 @@
 	// heard holds addresses of members that other nodes told.
 	heard     map[consensus.ID]string
 	transfers transferCache
+	pacer     pacer
 	failure   error // a failed write outside a batch; ends the node
 }
 
@@ -63,6 +64,7 @@
 		cluster:  loaded.Cluster,
 		waiters:  make(map[uint64]waiter),
 		heard:    make(map[consensus.ID]string),
+		pacer:    newPacer(options.LinkMbps),
 	}
 	if err := m.finishAdoption(loaded.Snapshot); err != nil {
 		return nil, err
--- a/control/options.go
+++ b/control/options.go
@@ -22,11 +22,14 @@
 	defaultOrderWait         = 10 * time.Second
 	defaultSnapshotInterval  = 4096
 	defaultInventoryInterval = 500 * time.Millisecond
+	defaultLinkMbps          = 100
 )
 
 // Options sets up a Node. Network, Store and the names are required; every
 // zero duration stands for its default.
 type Options struct {
+	// LinkMbps is what the node's network link carries, in Mbit/s. Default 100.
+	LinkMbps int
 	// Name is unique in the fleet; Zone and Region say where the node stands.
 	Name   string
 	Zone   string
@@ -121,6 +124,9 @@
 	setDefault(&o.GatewayGrace, defaultGatewayGrace)
 	setDefault(&o.OrderWait, defaultOrderWait)
 	setDefault(&o.InventoryInterval, defaultInventoryInterval)
+	if o.LinkMbps <= 0 {
+		o.LinkMbps = defaultLinkMbps
+	}
 	if o.SnapshotInterval == 0 {
 		o.SnapshotInterval = defaultSnapshotInterval
 	}
--- a/control/transfers.go
+++ b/control/transfers.go
@@ -1,11 +1,17 @@
 package control
 
 import (
+	"time"
+
 	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/places"
 	"github.com/deckpulley/deckpulley/registry"
 )
 
+// transferShare is the part of a control node's link that large transfers to gateways
+// may fill.
+const transferShare = 0.5
+
 // transferCache keeps the differences between one serial and those that
 // gateways hold, since many hold the same.
 type transferCache struct {
@@ -23,8 +29,37 @@
 	c.byHeld = nil
 }
 
-// addTransfer gives a grant what brings a copy at the serial up to date.
-func (m *machine) addTransfer(grant *peer.Grant, held uint32) {
+// pacer bounds the octets of large transfers, which many gateways ask for at once
+// when many records change: a link that is full of them would hold up the heartbeats
+// that keep the leadership.
+type pacer struct {
+	perSecond float64
+	left      float64
+	at        time.Duration
+}
+
+// pacedBurst is the time whose octets may go out at once: gateways that were told of
+// a change together renew together, an interval between renewals apart.
+const pacedBurst = 300 * time.Millisecond
+
+func newPacer(linkMbps int) pacer {
+	return pacer{perSecond: transferShare * float64(linkMbps) * 1e6 / 8}
+}
+
+// allow says whether so many octets may go out now, and counts them if so.
+func (p *pacer) allow(now time.Duration, octets int) bool {
+	p.left = min(p.left+p.perSecond*(now-p.at).Seconds(), p.perSecond*pacedBurst.Seconds())
+	p.at = now
+	if p.left <= 0 {
+		return false
+	}
+	p.left -= float64(octets)
+	return true
+}
+
+// addTransfer gives a grant what brings a copy at the serial up to date. A gateway
+// that holds a copy may get a large difference with a later renewal.
+func (m *machine) addTransfer(now time.Duration, grant *peer.Grant, held uint32) {
 	serial := m.table.Serial()
 	if held == serial {
 		return
@@ -37,6 +72,9 @@
 		known = m.differenceFrom(held)
 		m.transfers.byHeld[held] = known
 	}
+	if held != 0 && known.packed != nil && !m.pacer.allow(now, len(known.packed)) {
+		return
+	}
 	grant.Transfer, grant.Packed = known.transfer, known.packed
 }
 
