Keep seed, commit and machine of a fault scenario that was not good

Change: such a scenario leaves finding.txt in its run folder under out/, beside its logs: deployment, seed, commit, machine and load, what was broken, and the command that plays it again; the suite prints the folder.

--- a/Makefile
+++ b/Makefile
@@ -85,7 +85,7 @@
 
 .PHONY: faults-short
 faults-short: build ## the short fault suite on real processes
-	bin/deckpulley-fleet faults --deployment $(DEPLOYMENT) --short
+	bin/deckpulley-fleet faults --deployment $(DEPLOYMENT) --short --commit $(COMMIT)
 
 .PHONY: faults
 faults: build ## the whole fault suite; SCENARIO=name DEPLOYMENT=name for one
--- a/cmd/deckpulley-fleet/faults.go
+++ b/cmd/deckpulley-fleet/faults.go
@@ -102,6 +102,7 @@
 // outcome is one scenario's end.
 type outcome struct {
 	scenario *scenario.Scenario
+	folder   string // with its logs
 	result   *scenario.Result
 	summary  *report.Summary
 	page     string
@@ -134,6 +135,9 @@
 	if err := flags.record.save(record); err != nil {
 		return err
 	}
+	if err := keepFindings(out, outcomes, flags.common, record.Build); err != nil {
+		return err
+	}
 	if bad := badScenarios(outcomes); len(bad) > 0 {
 		return fmt.Errorf("%w: %s", errBroken, strings.Join(bad, "; "))
 	}
@@ -199,6 +203,7 @@
 		done.err = err
 		return done
 	}
+	done.folder = folder
 	done.result, done.err = scenario.Run(ctx, scenario.Options{
 		Scenario: of, Deployment: deployment, Programs: flags.programs, Folder: folder,
 		Seed: flags.seed, LogLevel: flags.logLevel, Progress: progress(os.Stderr, fmt.Sprintf("%-22s ", of.Name)),
