Tell pressing prompts to other regions at once

Other regions' long prompts were told every 0.24 s, and a digest that brought one waited for the next turn where it came in.

Change: a prompt of 0.3 s and more goes to other regions within 0.04 s, and urgent news from there is passed on at once.

TestNewsReachesEverybody/pressing fails without it; the tests of cost are as before. Row huge is now a prompt of 250 ms, since one of 400 is pressing and held to a stricter bound.

--- a/loadexchange/aggregator.go
+++ b/loadexchange/aggregator.go
@@ -135,7 +135,11 @@
 // dueFar is when other regions are told the next time.
 func (a *aggregator) dueFar() time.Time {
 	due := a.sentFarSums.Add(farInterval)
-	if soon := a.sentFar.Add(farPause); a.far.urgent && soon.Before(due) {
+	pause := farPause
+	if a.far.pressing {
+		pause = pressingPause
+	}
+	if soon := a.sentFar.Add(pause); a.far.urgent && soon.Before(due) {
 		return soon
 	}
 	return due
--- a/loadexchange/exchange.go
+++ b/loadexchange/exchange.go
@@ -43,6 +43,9 @@
 	// aggregator, and farPause the least one between two of any kind.
 	farInterval = 960 * time.Millisecond
 	farPause    = 240 * time.Millisecond
+	// pressingPause takes the place of farPause when a pressing prompt is to be told:
+	// they are few, and whoever does not know of one waits as long behind it.
+	pressingPause = 40 * time.Millisecond
 	// digestTime is an aggregator's time for sending one digest to one gateway, and
 	// calmPause how much longer the pause between two is without urgent news.
 	digestTime = time.Millisecond
@@ -65,9 +68,11 @@
 	firstSuspicion   = 4 * time.Second
 	longestSuspicion = 16 * time.Second
 	// urgentReading is the time to read a prompt that is told within the region
-	// without delay, and longReading one that is told everywhere so.
-	urgentReading = 40
-	longReading   = 200
+	// without delay, longReading one that is told everywhere so, and pressingReading
+	// one that is told everywhere before all others.
+	urgentReading   = 40
+	longReading     = 200
+	pressingReading = 300
 	// mostReading bounds the reading of one prompt that is believed, in milliseconds.
 	mostReading = 10_000
 )
@@ -188,6 +193,7 @@
 	switch {
 	case sender.Region != x.region:
 		x.sum.relayFar(now, digest)
+		effects.Step = x.sum.relayed.urgent
 	case digest.Aggregator == x.own.aggregator:
 		x.own.heard(now)
 		observe(digest, &effects)
--- a/loadexchange/exchange_test.go
+++ b/loadexchange/exchange_test.go
@@ -20,7 +20,9 @@
 	}{
 		"short": {15, 300 * time.Millisecond, 0},
 		"long":  {60, 100 * time.Millisecond, 1400 * time.Millisecond},
-		"huge":  {400, 100 * time.Millisecond, 500 * time.Millisecond},
+		"huge":  {250, 100 * time.Millisecond, 500 * time.Millisecond},
+		// One that makes others late by itself is known far away soon.
+		"pressing": {400, 100 * time.Millisecond, 180 * time.Millisecond},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/loadexchange/news.go
+++ b/loadexchange/news.go
@@ -10,9 +10,11 @@
 // news is what gateways placed and measured and others have yet to hear.
 type news struct {
 	items
-	// placed counts the prompts, and urgent says that one of them is.
-	placed int
-	urgent bool
+	// placed counts the prompts, urgent says that one of them is to be told soon, and
+	// pressing that one of them makes others late by itself.
+	placed   int
+	urgent   bool
+	pressing bool
 }
 
 // items are news by their origin.
@@ -38,6 +40,7 @@
 	n.placed += len(report.Placed)
 	for _, placed := range report.Placed {
 		n.urgent = n.urgent || placed.ReadingMS >= urgentReading
+		n.pressing = n.pressing || placed.ReadingMS >= pressingReading
 	}
 }
 
--- a/loadexchange/relayed.go
+++ b/loadexchange/relayed.go
@@ -22,6 +22,9 @@
 		for j := range part.Placed {
 			r.urgent = r.urgent || isUrgent(&part.Placed[j])
 		}
+		for _, added := range part.Added {
+			r.urgent = r.urgent || added.ReadingMS >= pressingReading
+		}
 		at := slices.IndexFunc(r.parts, func(known peer.RegionLoads) bool {
 			return known.Aggregator == part.Aggregator || known.Region == part.Region && !known.Whole && !part.Whole
 		})
