Keep to open connections, leave silent zones, pass over replaced replicas

Changes: a replica without an idle connection costs one more round trip and 5 ms; after three replicas of a zone gave no sign and none was heard the zone is used last for a second; four replaced replicas may answer one request, within the budget of retries (two full ones, as before).

TestOpenConnectionsAreKeptTo, TestASilentZoneIsAvoided and TestReplicasThatWereReplacedTogetherArePassedOver fail without them.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -15,6 +15,9 @@
 	// coldPenalty keeps requests off a cold replica while a warm one is nearly as
 	// good, in seconds.
 	coldPenalty = 0.05
+	// connectingPrice is what a new connection costs beside its round trip, in seconds:
+	// work at both ends, and a part of the replica's connections.
+	connectingPrice = 0.005
 	// connectionShare is the part of a replica's connections that all gateways use.
 	connectionShare = 0.8
 	// leastConnections is what every gateway may use.
@@ -116,7 +119,7 @@
 	if s.now.Before(r.avoidedUntil) || r.silent(s.now, d.options.Backend.Heard(r.address)) {
 		return avoided
 	}
-	if s.now.Before(s.service.outliers.EjectedUntil(r.id)) {
+	if s.now.Before(s.service.outliers.EjectedUntil(r.id)) || s.now.Before(d.zone(r.zone).avoidedUntil) {
 		return avoided
 	}
 	return usable
@@ -202,6 +205,10 @@
 		Wait:    trip,
 		Penalty: crossing * trip,
 	}
+	if !s.dispatcher.options.Backend.Idle(r.address) {
+		c.Wait += trip
+		c.Penalty += connectingPrice
+	}
 	if s.ramped(r) {
 		c.Penalty += coldPenalty
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -84,7 +84,9 @@
 	Failure Failure
 	// RetryAfter is when a full replica wants to be asked again, 0 if not told.
 	RetryAfter time.Duration
-	Err        error
+	// Silent says of an unsent attempt that nothing at all came back.
+	Silent bool
+	Err    error
 }
 
 func (e *AttemptError) Error() string { return "dispatch: " + string(e.Failure) + ": " + e.Err.Error() }
@@ -98,6 +100,8 @@
 	Send(ctx context.Context, attempt *Attempt) (*Answer, error)
 	// Heard returns when bytes last came from an address.
 	Heard(address string) time.Time
+	// Idle says whether a connection to an address is open and free.
+	Idle(address string) bool
 	// Forget drops what is kept of an address.
 	Forget(address string)
 }
@@ -169,6 +173,7 @@
 	services map[string]*service
 	budget   *retry.Budget
 	loads    loadBoard
+	zones    map[string]*zoneWatch
 	// distances are those from this gateway.
 	distances distances
 	counts    Counts
@@ -203,6 +208,7 @@
 		services: make(map[string]*service),
 		budget:   retry.NewBudget(options.Bounds.retryRatio()),
 		loads:    newLoadBoard(),
+		zones:    make(map[string]*zoneWatch),
 
 		distances: newDistances(),
 		counts:    Counts{Refused: make(map[Code]uint64), Failed: make(map[Failure]uint64)},
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -11,9 +11,11 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/deckpulley/deckpulley/configuration"
+	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/places"
 	"github.com/deckpulley/deckpulley/registry"
 	"github.com/deckpulley/deckpulley/routemap"
@@ -34,6 +36,8 @@
 	sent    []Attempt
 	answer  func(ctx context.Context, attempt *Attempt) (*Answer, error)
 	heardAt time.Time
+	// connected are the addresses with an idle connection; nil is all.
+	connected map[string]bool
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -77,6 +81,12 @@
 	return f.heardAt
 }
 
+func (f *fixture) Idle(address string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.connected == nil || f.connected[address]
+}
+
 func (f *fixture) Forget(string) {}
 
 // apply changes the registry and makes it decide.
@@ -300,6 +310,125 @@
 	}
 }
 
+// TestOpenConnectionsAreKeptTo: among replicas that are about as good, a gateway keeps
+// to those it has a connection to, and leaves them for one that is clearly better.
+func TestOpenConnectionsAreKeptTo(t *testing.T) {
+	synctest.Test(t, checkOpenConnections)
+}
+
+func checkOpenConnections(t *testing.T) {
+	f := newFixture(t)
+	f.configure(withPrompts)
+	for i := range 12 {
+		f.addReplica(fmt.Sprint("r", i), "east-1")
+	}
+	f.answer = func(context.Context, *Attempt) (*Answer, error) { return events("id: 1\ndata: x\n\n", nil), nil }
+	f.connected = map[string]bool{"r3:1": true}
+	ask := func(i int) {
+		f.serve(func(r *Request) {
+			r.ID = fmt.Sprint("id-", i)
+			r.Chain, r.Tokens = chainOf(fmt.Sprint("part-", i), 10), 20
+		})
+		time.Sleep(10 * time.Millisecond)
+	}
+	for i := range 20 {
+		ask(i)
+	}
+	for _, name := range f.replicasAsked() {
+		if name != "r3" {
+			t.Fatalf("asked %v", f.replicasAsked())
+		}
+	}
+	f.dispatcher.Observe(&peer.RegionLoads{Placed: []peer.PlacedPrompt{{Replica: peer.KeyOf("r3"), ReadingMS: 200}}})
+	f.sent = nil
+	ask(20)
+	if asked := f.replicasAsked(); len(asked) != 1 || asked[0] == "r3" {
+		t.Errorf("a busy replica is kept to: %v", asked)
+	}
+}
+
+// TestASilentZoneIsAvoided: after three of its replicas gave no sign the others are
+// left alone while another zone has some, until one of them answers or a second has
+// passed.
+func TestASilentZoneIsAvoided(t *testing.T) {
+	synctest.Test(t, checkSilentZone)
+}
+
+func checkSilentZone(t *testing.T) {
+	f := newFixture(t)
+	f.configure(func(_ *routemap.Route, service *routemap.Service) { service.Slots = 1 })
+	for i := range 8 {
+		f.addReplica(fmt.Sprint("cut", i), "east-1")
+		f.addReplica(fmt.Sprint("far", i), "west-1")
+	}
+	const hanging = 300 * time.Millisecond
+	hung := 0
+	cut := true
+	f.answer = func(_ context.Context, attempt *Attempt) (*Answer, error) {
+		if cut && strings.HasPrefix(attempt.Replica.ID, "cut") {
+			hung++
+			time.Sleep(hanging)
+			return nil, &AttemptError{Failure: Unsent, Silent: true, Err: errors.New("i/o timeout")}
+		}
+		return whole(200, "served"), nil
+	}
+	began := time.Now()
+	for i := range 12 {
+		if _, refusal := f.serve(func(r *Request) { r.ID = fmt.Sprint("id-", i) }); refusal != nil {
+			t.Errorf("request %d: %v", i, refusal)
+		}
+	}
+	if hung != silentReplicas || time.Since(began) > silentReplicas*hanging {
+		t.Errorf("%d connections hung, for %v", hung, time.Since(began))
+	}
+	time.Sleep(zoneAvoidance)
+	cut = false
+	f.sent = nil
+	f.serve(nil)
+	if asked := f.replicasAsked(); len(asked) != 1 || !strings.HasPrefix(asked[0], "cut") {
+		t.Errorf("after the cut: asked %v", asked)
+	}
+	for _, id := range []string{"cut0", "cut1", "cut2"} {
+		f.dispatcher.zone("east-1").noteSilent(time.Now(), id)
+	}
+	f.dispatcher.zone("east-1").noteHeard()
+	f.sent = nil
+	f.serve(nil)
+	if asked := f.replicasAsked(); len(asked) != 1 || !strings.HasPrefix(asked[0], "cut") {
+		t.Errorf("after one was heard: asked %v", asked)
+	}
+}
+
+// TestReplicasThatWereReplacedTogetherArePassedOver: when many replicas are replaced
+// at once, the list is late, and several in a row may be others by now. They did not
+// run the request, and answer at once.
+func TestReplicasThatWereReplacedTogetherArePassedOver(t *testing.T) {
+	f := newFixture(t)
+	f.configure(nil)
+	for _, name := range []string{"a", "b", "c", "d"} {
+		f.addReplica(name, "east-1")
+	}
+	for range 40 {
+		f.serve(nil)
+	}
+	f.sent = nil
+	f.answer = func(context.Context, *Attempt) (*Answer, error) {
+		if len(f.replicasAsked()) < 4 {
+			return nil, attemptError(Replaced)
+		}
+		return whole(200, "served"), nil
+	}
+	client, refusal := f.serve(nil)
+	if refusal != nil || client.body.String() != "served" {
+		t.Errorf("got %v, %q after %v", refusal, client.body.String(), f.replicasAsked())
+	}
+	f.sent = nil
+	f.answer = func(context.Context, *Attempt) (*Answer, error) { return nil, attemptError(Full) }
+	if _, refusal := f.serve(nil); refusal == nil || len(f.replicasAsked()) > mostRefused {
+		t.Errorf("full replicas: %v after %v", refusal, f.replicasAsked())
+	}
+}
+
 // TestARefusalAfterABreakDoesNotSayNotRun: once something may have run, no refusal
 // promises the contrary.
 func TestARefusalAfterABreakDoesNotSayNotRun(t *testing.T) {
--- a/dispatch/example_test.go
+++ b/dispatch/example_test.go
@@ -29,6 +29,8 @@
 
 func (exampleBackend) Heard(string) time.Time { return time.Now() }
 
+func (exampleBackend) Idle(string) bool { return true }
+
 func (exampleBackend) Forget(string) {}
 
 // exampleClient prints the answer.
--- a/dispatch/relay.go
+++ b/dispatch/relay.go
@@ -121,6 +121,7 @@
 		}
 	}
 	at.replica.reached()
+	d.zone(at.replica.zone).noteHeard()
 	d.log.Debug("first event", "replica", at.endpoint.ID, "took", now.Sub(at.work.began), "expected", at.expected, "tokens", at.work.held, "reading", at.work.reading, "ahead", at.work.ahead, "running", at.replica.inFlight, "slowness", at.replica.slowness)
 }
 
@@ -142,6 +143,7 @@
 	defer d.mutex.Unlock()
 	now := time.Now()
 	at.replica.reached()
+	d.zone(at.replica.zone).noteHeard()
 	if status >= http.StatusInternalServerError {
 		at.service.outliers.Failure(now, at.replica.id)
 		return
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -14,8 +14,11 @@
 const (
 	// mostUnsent bounds the replicas that are tried without reaching one.
 	mostUnsent = 4
-	// mostRefused bounds the replicas that may refuse one request.
-	mostRefused = 2
+	// mostRefused bounds the full replicas that may refuse one request, and
+	// mostReplaced those that were replaced: they answer at once, and many are replaced
+	// together.
+	mostRefused  = 2
+	mostReplaced = 4
 )
 
 // run is one request on its way.
@@ -297,21 +300,24 @@
 	d.log.Debug("attempt failed", "request", r.request.ID, "replica", at.endpoint.ID, "failure", string(failure.Failure), "error", failure.Err)
 	switch failure.Failure {
 	case Unsent:
-		return r.afterUnsent(at, now)
+		return r.afterUnsent(at, now, failure.Silent)
 	case Replaced:
 		at.replica.replaced = true
-		return r.afterRefusal(now, &Refusal{Code: NoReplica, RetryAfter: absentRetryAfter})
+		return r.afterRefusal(now, mostReplaced, &Refusal{Code: NoReplica, RetryAfter: absentRetryAfter})
 	case Full:
 		at.replica.fullUntil = now.Add(max(fullAvoidance, failure.RetryAfter))
 		at.service.outliers.Refusal(now, at.replica.id)
-		return r.afterRefusal(now, &Refusal{Code: Overloaded, RetryAfter: busyRetryAfter})
+		return r.afterRefusal(now, mostRefused, &Refusal{Code: Overloaded, RetryAfter: busyRetryAfter})
 	default:
 		return r.afterBreak(at, now)
 	}
 }
 
-func (r *run) afterUnsent(at *placed, now time.Time) (bool, *Refusal) {
+func (r *run) afterUnsent(at *placed, now time.Time, silent bool) (bool, *Refusal) {
 	at.replica.unreachable(now)
+	if silent {
+		r.dispatcher.zone(at.replica.zone).noteSilent(now, at.replica.id)
+	}
 	r.unsent++
 	if r.unsent >= mostUnsent {
 		return false, &Refusal{Code: NoReplica, RetryAfter: absentRetryAfter}
@@ -319,11 +325,11 @@
 	return true, nil
 }
 
-// afterRefusal tries another replica within the budget: the refused attempt
-// arrived at a replica as any other.
-func (r *run) afterRefusal(now time.Time, refusal *Refusal) (bool, *Refusal) {
+// afterRefusal tries another replica within a number of them and the budget: the
+// refused attempt arrived at a replica as any other.
+func (r *run) afterRefusal(now time.Time, most int, refusal *Refusal) (bool, *Refusal) {
 	r.refused++
-	if r.refused >= mostRefused || !r.dispatcher.budget.Allow(now) {
+	if r.refused >= most || !r.dispatcher.budget.Allow(now) {
 		return false, refusal
 	}
 	r.dispatcher.counts.Retries++
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -319,6 +319,8 @@
 }
 
 // Heard implements Backend.
+func (g *simulatedGateway) Idle(string) bool { return true }
+
 func (g *simulatedGateway) Heard(address string) time.Time {
 	r := g.fleet.replicaAt(address)
 	if r == nil {
--- a/httpgateway/backend.go
+++ b/httpgateway/backend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -38,6 +39,8 @@
 
 func (b *backend) Heard(address string) time.Time { return b.pool.Heard(address) }
 
+func (b *backend) Idle(address string) bool { return b.pool.Idle(address) }
+
 func (b *backend) Forget(address string) { b.pool.Forget(address) }
 
 func (b *backend) Send(ctx context.Context, attempt *dispatch.Attempt) (*dispatch.Answer, error) {
@@ -48,7 +51,9 @@
 		if errors.As(err, &unanswered) && !unanswered.Sent {
 			failure = dispatch.Unsent
 		}
-		return nil, &dispatch.AttemptError{Failure: failure, Err: err}
+		var network net.Error
+		silent := errors.As(err, &network) && network.Timeout()
+		return nil, &dispatch.AttemptError{Failure: failure, Silent: silent, Err: err}
 	}
 	if err := b.judge(response, attempt.Request.ID); err != nil {
 		response.Body.Close()
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -121,6 +121,14 @@
 	return time.Time{}
 }
 
+// Idle says whether a connection to an address is open and free.
+func (p *Pool) Idle(address string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	known, found := p.peers[address]
+	return found && len(known.idle) > 0 && time.Now().Before(known.idle[len(known.idle)-1].usableUntil)
+}
+
 // Forget closes the idle connections to an address.
 func (p *Pool) Forget(address string) {
 	p.mutex.Lock()
