--- a/cmd/deckpulley-scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -1,4 +1,4 @@
-package main
+package scale
 
 import (
 	"context"
--- a/cmd/deckpulley-scale/process.go
+++ b/internal/scale/process.go
@@ -1,4 +1,4 @@
-package main
+package scale
 
 import (
 	"bufio"
@@ -11,8 +11,8 @@
 	"time"
 )
 
-// childArgument makes this program serve orders on its standard input.
-const childArgument = "child"
+// ChildArgument makes this program serve orders on its standard input.
+const ChildArgument = "child"
 
 // process is one child of this program.
 type process struct {
@@ -27,7 +27,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &process{command: exec.CommandContext(ctx, path, childArgument)}
+	p := &process{command: exec.CommandContext(ctx, path, ChildArgument)}
 	p.command.Stderr = os.Stderr
 	if p.input, err = p.command.StdinPipe(); err != nil {
 		return nil, err
--- a/cmd/deckpulley-scale/sample.go
+++ b/internal/scale/sample.go
@@ -1,4 +1,4 @@
-package main
+package scale
 
 import (
 	"bufio"
@@ -117,8 +117,8 @@
 	close()
 }
 
-// serveOrders runs a child until its input ends.
-func serveOrders(input io.Reader, output io.Writer) error {
+// ServeChild runs a child until its input ends.
+func ServeChild(input io.Reader, output io.Writer) error {
 	scanner := bufio.NewScanner(input)
 	scanner.Buffer(nil, 1<<20)
 	encoder := json.NewEncoder(output)
--- a/cmd/deckpulley-scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -1,4 +1,4 @@
-package main
+package scale
 
 import (
 	"context"
@@ -15,10 +15,10 @@
 
 // The tests start this binary again as the children of a measurement.
 func TestMain(m *testing.M) {
-	if len(os.Args) == 2 && os.Args[1] == childArgument {
-		if err := serveOrders(os.Stdin, os.Stdout); err != nil {
+	if len(os.Args) == 2 && os.Args[1] == ChildArgument {
+		if err := ServeChild(os.Stdin, os.Stdout); err != nil {
 			fmt.Fprintln(os.Stderr, err)
-			os.Exit(exitFailure)
+			os.Exit(1)
 		}
 		os.Exit(0)
 	}
@@ -176,20 +176,20 @@
 }
 
 func TestPlansAreChecked(t *testing.T) {
-	good := plan{gateways: []int{1, 2, 3}, replicas: []int{1, 2, 3}, streams: []int{1, 2, 3}}
-	if err := good.check(); err != nil {
+	good := Plan{Gateways: []int{1, 2, 3}, Replicas: []int{1, 2, 3}, Streams: []int{1, 2, 3}}
+	if err := good.Check(); err != nil {
 		t.Error(err)
 	}
-	one := plan{nodes: 402, replicas: []int{12000}}
-	if err := one.check(); err != nil {
+	one := Plan{Nodes: 402, Replicas: []int{12000}}
+	if err := one.Check(); err != nil {
 		t.Error(err)
 	}
 	two, page := one, one
-	two.replicas, page.page = []int{1, 2}, "page"
+	two.Replicas, page.Page = []int{1, 2}, "page"
 	short, zero := good, good
-	short.streams, zero.gateways = []int{1, 2}, []int{0, 1, 2}
-	for _, bad := range []plan{short, zero, two, page} {
-		if bad.check() == nil {
+	short.Streams, zero.Gateways = []int{1, 2}, []int{0, 1, 2}
+	for _, bad := range []Plan{short, zero, two, page} {
+		if bad.Check() == nil {
 			t.Errorf("accepted %+v", bad)
 		}
 	}
