Play hints of other control nodes in the leases' histories

Cause: a gateway now takes the term, and at first a table, from a control node that only follows the primary; the invariant's test did not play that.

Change: the histories hold hints of any primary's term, present or past, with committed tables of any age to holders that hold nothing.

--- a/lease/simulation_test.go
+++ b/lease/simulation_test.go
@@ -126,7 +126,11 @@
 		s.serial = nextSerial(s.serial)
 		s.newest().grantor.SetSerial(s.serial)
 	case 2:
-		s.notify()
+		if s.choose(4) == 0 {
+			s.hint()
+		} else {
+			s.notify()
+		}
 	case 3, 4:
 		s.real += time.Duration(1+s.choose(s.longestPause())) * time.Millisecond
 	case 5:
@@ -321,6 +325,20 @@
 	h.activateUpTo(message.decision.Activate)
 }
 
+// hint is what a node that follows a primary tells a holder: the primary's term, and
+// to one that holds nothing a table that is committed, though it may be old.
+func (s *simulation) hint() {
+	primary := s.primaries[s.choose(len(s.primaries))]
+	h := s.holders[s.choose(len(s.holders))]
+	if h.holder.Observe(primary.grantor.Term(), "cluster") != nil || len(h.copies) > 0 {
+		return
+	}
+	age := uint32(s.choose(4))
+	if age < s.serial {
+		h.copies = append(h.copies, s.serial-age)
+	}
+}
+
 // notify tells a holder an activation, whether it has a lease or not.
 func (s *simulation) notify() {
 	primary := s.primaries[s.choose(len(s.primaries))]
