--- a/review/_standins/site.go
+++ b/review/_standins/platform/site.go
@@ -1,6 +1,7 @@
-// Command standins runs the cases of this review. It starts the project's programs as
+// Command platform runs the cases of this review. It starts the project's programs as
 // separate processes, with the commands of deploy/system.toml, and plays the platform,
-// the operator, the clients and the replicas itself.
+// the operator, the clients and the replicas itself. Like the other stand-ins of the
+// platform it is in a folder of that name, since only those may use the platform's names.
 package main
 
 import (
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 [ -x target/deckpulley-platform ] || bash -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)"
-go build -o target/review/standins ./review/_standins
+go build -o target/review/standins ./review/_standins/platform
