upstream: limit the header of a response

Cause: readHeader reads with http.ReadResponse, which limits neither the status line nor the fields nor their number, and skips any number of informational responses. Only the request's deadline ended it.

Change: the connection counts what it receives while it reads the headers of a response, informational ones included, and charges each line 128 bytes more for its entry in the map.

Why it works: every byte passes receiver.Read, which refuses the next read once the limit is used up; bufio's buffer is the only excess (4 KiB).

--- a/upstream/config.go
+++ b/upstream/config.go
@@ -11,9 +11,12 @@
 	DefaultDialTimeout           = 300 * time.Millisecond
 	DefaultUnacknowledgedTimeout = 1500 * time.Millisecond
 	DefaultIdleTimeout           = 4 * time.Second
+	// DefaultMaxResponseHeaderBytes is far above what replicas send, and small beside the
+	// memory of a process that has hundreds of requests in flight.
+	DefaultMaxResponseHeaderBytes = 64 << 10
 )
 
-// Config configures a Pool. A zero timeout selects its default.
+// Config configures a Pool. A zero timeout or size selects its default.
 type Config struct {
 	// DialTimeout is the maximum time to establish a connection.
 	DialTimeout time.Duration
@@ -23,6 +26,11 @@
 	// IdleTimeout is how long an idle connection stays in the pool if its replica
 	// announces no timeout in a Keep-Alive header.
 	IdleTimeout time.Duration
+	// MaxResponseHeaderBytes is the maximum size of the header of a response, including
+	// those of informational responses before it. Each line is charged 128 bytes in
+	// addition to its own. A larger header fails the request. Raising the limit raises
+	// the memory that a faulty replica can take for each request in flight.
+	MaxResponseHeaderBytes int
 	// OnConnect, if set, is called for each new connection with the time that it
 	// took to establish the connection. It must not block.
 	OnConnect func(address string, took time.Duration)
@@ -31,7 +39,7 @@
 }
 
 // setDefault sets a field that is zero to value.
-func setDefault(field *time.Duration, value time.Duration) {
+func setDefault[T time.Duration | int](field *T, value T) {
 	if *field == 0 {
 		*field = value
 	}
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -32,8 +32,9 @@
 	pool         *Pool
 	address      string
 	raw          net.Conn
-	reader       *bufio.Reader
-	idleDeadline time.Time // end of the time for which an idle connection may be reused
+	receiver     *receiver
+	reader       *bufio.Reader // buffers what receiver reads
+	idleDeadline time.Time     // end of the time for which an idle connection may be reused
 
 	// The fields below belong to the current request.
 
@@ -45,22 +46,11 @@
 
 func newConnection(pool *Pool, address string, raw net.Conn) *connection {
 	c := &connection{pool: pool, address: address, raw: raw}
-	c.reader = bufio.NewReaderSize(receiveRecorder{c}, readBufferBytes)
+	c.receiver = &receiver{conn: c}
+	c.reader = bufio.NewReaderSize(c.receiver, readBufferBytes)
 	return c
 }
 
-// receiveRecorder is an io.Reader that reads from a connection and records in the pool
-// when it received bytes.
-type receiveRecorder struct{ conn *connection }
-
-func (r receiveRecorder) Read(buffer []byte) (int, error) {
-	count, err := r.conn.raw.Read(buffer)
-	if count > 0 {
-		r.conn.pool.recordReceived(r.conn.address)
-	}
-	return count, err
-}
-
 // roundTrip writes a request and reads the header of its response. When the body of the
 // response has been read to its end, the connection is released if it is reusable. It is
 // discarded if reading fails or the body is closed before its end.
@@ -116,15 +106,16 @@
 }
 
 // readHeader reads the header of the final response and skips informational (1xx)
-// responses.
+// responses. All these headers together are limited to Config.MaxResponseHeaderBytes.
 func (c *connection) readHeader(request *http.Request) (*http.Response, error) {
+	c.receiver.beginHeader()
 	for {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
-			return nil, err
+			return nil, c.receiver.endHeader(err)
 		}
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
-			return response, nil
+			return response, c.receiver.endHeader(nil)
 		}
 	}
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -42,6 +42,7 @@
 	setDefault(&config.DialTimeout, DefaultDialTimeout)
 	setDefault(&config.UnacknowledgedTimeout, DefaultUnacknowledgedTimeout)
 	setDefault(&config.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&config.MaxResponseHeaderBytes, DefaultMaxResponseHeaderBytes)
 	pool := &Pool{config: config, addresses: make(map[string]*addressState)}
 	if pool.config.Dial == nil {
 		pool.config.Dial = pool.dialTCP
