--- a/gateway/callers_http_test.go
+++ b/gateway/callers_http_test.go
@@ -119,14 +119,14 @@
 	if got := g.send(t, request); got.outcome() != "success" {
 		t.Fatal(got.outcome())
 	}
-	if !g.bodyBudget.acquire(maxBodyBytesInFlight) {
+	if !g.bodyBudget.Acquire(maxBodyBytesInFlight) {
 		t.Fatal("part of the budget is already in use")
 	}
 	got := g.send(t, request)
 	if got.outcome() != "overloaded/unknown" || !got.failure.Retry {
 		t.Errorf("without budget: outcome %s, want overloaded/unknown with retry", got.outcome())
 	}
-	g.bodyBudget.release(maxBodyBytesInFlight)
+	g.bodyBudget.Release(maxBodyBytesInFlight)
 	if got := g.send(t, request); got.outcome() != "success" {
 		t.Errorf("after the budget was released: outcome %s, want success", got.outcome())
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,6 +38,7 @@
 
 	"github.com/deckpulley/deckpulley/catalog"
 	"github.com/deckpulley/deckpulley/gateway/agent"
+	"github.com/deckpulley/deckpulley/internal/bytebudget"
 	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/ticket"
 )
@@ -52,7 +53,7 @@
 	sealer        atomic.Pointer[ticket.Sealer]
 	tickets       *ticketStore
 	offers        *offerTable
-	bodyBudget    *byteBudget
+	bodyBudget    *bytebudget.Budget
 	registry      *prometheus.Registry
 	metrics       *metrics
 	offerSequence atomic.Uint64 // part of the ids of offers, which makes them unique
@@ -86,7 +87,7 @@
 		router:           options.Router,
 		tickets:          newTicketStore(options.Clock),
 		offers:           newOfferTable(),
-		bodyBudget:       newByteBudget(maxBodyBytesInFlight),
+		bodyBudget:       bytebudget.New(maxBodyBytesInFlight),
 		activity:         newActivityCounter(),
 		polling:          newPollTracker(),
 		overflowWaiters:  &concurrencyLimit{limit: maxOverflowWaiters},
--- a/gateway/http.go
+++ b/gateway/http.go
@@ -13,6 +13,7 @@
 
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/gateway/connlimit"
+	"github.com/deckpulley/deckpulley/internal/bytebudget"
 )
 
 // Timeouts for the connections of callers and operators.
@@ -88,8 +89,8 @@
 	if err := controller.SetReadDeadline(time.Now().Add(readBodyTimeout)); err != nil {
 		return newError(api.CodeInternal, api.OutcomeRefused, "setting the read deadline: %v", err)
 	}
-	body := &budgetReader{source: http.MaxBytesReader(w, r.Body, api.MaxBodyBytes), budget: g.bodyBudget}
-	defer body.release()
+	body := g.bodyBudget.NewReader(http.MaxBytesReader(w, r.Body, api.MaxBodyBytes))
+	defer body.Release()
 	failure := decodeStrict(body, into)
 	if failure != nil {
 		w.Header().Set("Connection", "close")
@@ -116,7 +117,7 @@
 			err = errors.New("more than one JSON document")
 		}
 	}
-	if errors.Is(err, errBodyBudgetExceeded) {
+	if errors.Is(err, bytebudget.ErrExhausted) {
 		return newRetryableError(api.CodeOverloaded, "too many request bodies are being received")
 	}
 	var tooLarge *http.MaxBytesError
--- a/httpgateway/proxy.go
+++ b/httpgateway/proxy.go
@@ -12,6 +12,7 @@
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/catalog"
 	"github.com/deckpulley/deckpulley/dispatch"
+	"github.com/deckpulley/deckpulley/internal/bytebudget"
 	"github.com/deckpulley/deckpulley/loadexchange"
 	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/transport"
@@ -39,6 +40,8 @@
 	dispatcher   *dispatch.Dispatcher
 	backend      *backend
 	loadExchange *loadexchange.Node
+	// bodyBudget limits the memory for the bodies of requests.
+	bodyBudget *bytebudget.Budget
 	// state is the state of the registry from the last Update; nil before the first.
 	state atomic.Pointer[catalog.State]
 }
@@ -49,7 +52,7 @@
 	if options.Headers == (Headers{}) {
 		options.Headers = DefaultHeaders()
 	}
-	p := &Proxy{options: options}
+	p := &Proxy{options: options, bodyBudget: bytebudget.New(maxBodyBytesInFlight)}
 	p.backend = newBackend(options.Headers, func(address string, took time.Duration) { p.dispatcher.RecordConnect(address, took) })
 	p.dispatcher = dispatch.New(dispatch.Options{
 		Gateway:   options.Info.Name,
--- a/httpgateway/response.go
+++ b/httpgateway/response.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/deckpulley/deckpulley/dispatch"
 )
@@ -48,11 +49,17 @@
 		w.Header().Set(p.options.Headers.RequestID, id)
 	}
 	if requestErr.RetryAfter > 0 {
-		w.Header().Set(headerRetryAfter, strconv.FormatFloat(requestErr.RetryAfter.Seconds(), 'f', 3, 64))
+		setRetryAfter(w.Header(), requestErr.RetryAfter)
 	}
 	WriteProblem(w, statusOf(requestErr.Code), requestProblem(string(requestErr.Code)))
 }
 
+// setRetryAfter sets the Retry-After header. Unlike in standard HTTP, the number of seconds
+// may have a fraction.
+func setRetryAfter(header http.Header, after time.Duration) {
+	header.Set(headerRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+}
+
 // statusOf returns the HTTP status for a code. The status 503 is reserved for requests
 // that have not run and may be retried.
 func statusOf(code dispatch.Code) int {
