upstream: give each request a state of its own

Cause: the state of a request lived in its connection, where the next request overwrote it. release returned the connection to the pool from within a sync.Once that the next request replaced: fatal error. The Close of the former body, which every caller defers, ended the next request.

Change: an exchange is one request and its response. It owns the connection until it has ended, ends once by an atomic flag and touches nothing afterwards. Streams of transport, stream.Reader, the watchdog and client timers were read for the same pattern; they don't have it.

--- a/httpgateway/body_test.go
+++ b/httpgateway/body_test.go
@@ -62,13 +62,16 @@
 	}
 	t.Cleanup(func() { conn.Close() })
 	client := &bodyClient{Conn: conn, reader: bufio.NewReader(conn)}
-	id := httpgateway.DefaultHeaders().RequestID
-	if _, err := fmt.Fprintf(conn, "POST /x HTTP/1.1\r\nHost: example.test\r\n%s: q\r\nTransfer-Encoding: chunked\r\n%s\r\n", id, fields); err != nil {
-		t.Fatal(err)
-	}
+	client.begin(fields)
 	return client
 }
 
+// begin writes the header of a request. An error shows when the answer is read.
+func (c *bodyClient) begin(fields string) {
+	id := httpgateway.DefaultHeaders().RequestID
+	fmt.Fprintf(c, "POST /x HTTP/1.1\r\nHost: example.test\r\n%s: q\r\nTransfer-Encoding: chunked\r\n%s\r\n", id, fields)
+}
+
 // writeChunk writes a part of the body. An error means that the gateway has closed the
 // connection.
 func (c *bodyClient) writeChunk(size int) error {
@@ -193,6 +196,6 @@
 			t.Fatalf("got %+v, %v, want a success", got, err)
 		}
 		time.Sleep(2 * timeout)
-		fmt.Fprintf(client, "POST /x HTTP/1.1\r\nHost: example.test\r\n%s: q\r\nTransfer-Encoding: chunked\r\n\r\n", httpgateway.DefaultHeaders().RequestID)
+		client.begin("")
 	}
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -60,9 +60,8 @@
 	if err != nil {
 		return nil, &RequestError{Err: err}
 	}
-	response, err := conn.roundTrip(ctx, request, body)
+	response, err := newExchange(ctx, conn).roundTrip(request, body)
 	if err != nil {
-		conn.discard()
 		return nil, &RequestError{Sent: true, Err: err}
 	}
 	return response, nil
