dispatch: keep a retry budget for each service

Cause: one budget counted the first attempts of all services; the rule holds for each.

Change: the budget belongs to the service and goes with it. Two metrics show limit and use by service.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -48,7 +48,7 @@
 	now := time.Now()
 	if !t.countedInBudget {
 		t.countedInBudget = true
-		d.budget.RecordFirstAttempt(now)
+		service.budget.RecordFirstAttempt(now)
 	}
 	selector := &selector{
 		dispatcher: d,
@@ -192,11 +192,11 @@
 		return t.afterUnsent(attempt, now, failure.NoResponse)
 	case FailureReplaced:
 		attempt.replica.replaced = true
-		return t.afterRejection(now, maxReplacedRejections, noReplicaError())
+		return t.afterRejection(attempt, now, maxReplacedRejections, noReplicaError())
 	case FailureRejected:
 		attempt.replica.rejectedUntil = now.Add(max(minRejectedAvoidance, failure.RetryAfter))
 		attempt.service.outliers.RecordRejection(now, attempt.replica.id)
-		return t.afterRejection(now, maxRejections, overloadedError())
+		return t.afterRejection(attempt, now, maxRejections, overloadedError())
 	default:
 		return t.afterIndeterminate(attempt, now)
 	}
@@ -219,12 +219,12 @@
 }
 
 // afterRejection records an attempt that a replica rejected. It reports whether to make
-// another attempt, which depends on the limit of rejections and on the retry budget: a
+// another attempt, which depends on the limit of rejections and on the service's retry budget: a
 // rejected attempt has arrived at a replica like any other. Otherwise it returns
 // requestErr. The caller holds the Dispatcher's mutex.
-func (t *transaction) afterRejection(now time.Time, limit int, requestErr *RequestError) (bool, *RequestError) {
+func (t *transaction) afterRejection(attempt *placedAttempt, now time.Time, limit int, requestErr *RequestError) (bool, *RequestError) {
 	t.rejections++
-	if t.rejections >= limit || !t.dispatcher.budget.Allow(now) {
+	if t.rejections >= limit || !attempt.service.budget.Allow(now) {
 		return false, requestErr
 	}
 	t.dispatcher.counts.Retries++
@@ -240,7 +240,7 @@
 func (t *transaction) afterIndeterminate(attempt *placedAttempt, now time.Time) (retry bool, requestErr *RequestError) {
 	attempt.replica.recordUnreachable(now)
 	attempt.service.outliers.RecordFailure(now, attempt.replica.id)
-	if !t.mayRepeat() || !t.dispatcher.budget.Allow(now) {
+	if !t.mayRepeat() || !attempt.service.budget.Allow(now) {
 		return false, &RequestError{Code: CodeOutcomeUnknown}
 	}
 	counts := &t.dispatcher.counts
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -16,7 +16,6 @@
 	"sync/atomic"
 
 	"github.com/deckpulley/deckpulley/peer"
-	"github.com/deckpulley/deckpulley/retry"
 )
 
 // Options configure a Dispatcher.
@@ -55,7 +54,6 @@
 	replicas   map[string]*replica
 	byKey      map[peer.ReplicaKey]*replica
 	services   map[string]*service
-	budget     *retry.Budget
 	loads      loadTable
 	zones      map[string]*zoneHealth
 	roundTrips roundTrips
@@ -96,7 +94,6 @@
 		replicas:   make(map[string]*replica),
 		byKey:      make(map[peer.ReplicaKey]*replica),
 		services:   make(map[string]*service),
-		budget:     retry.NewBudget(options.Bounds.retryRatio()),
 		loads:      newLoadTable(),
 		zones:      make(map[string]*zoneHealth),
 		roundTrips: newRoundTrips(),
--- a/dispatch/snapshot.go
+++ b/dispatch/snapshot.go
@@ -9,6 +9,7 @@
 	"github.com/deckpulley/deckpulley/catalog"
 	"github.com/deckpulley/deckpulley/outlier"
 	"github.com/deckpulley/deckpulley/placement"
+	"github.com/deckpulley/deckpulley/retry"
 	"github.com/deckpulley/deckpulley/routemap"
 )
 
@@ -45,6 +46,9 @@
 	spec     routemap.Service
 	replicas []*replica // sorted by id
 	outliers *outlier.Group
+	// budget limits the attempts that arrive at replicas of the service after the first one
+	// of the same request.
+	budget *retry.Budget
 	// index estimates which shared prefixes each replica has in its cache.
 	index *placement.Index
 	// serviceTime is the smoothed time in seconds for which a request occupies a slot.
@@ -118,7 +122,7 @@
 	for name, spec := range state.HTTPServices() {
 		service, found := d.services[name]
 		if !found {
-			service = newService()
+			service = newService(d.options.Bounds.retryRatio())
 			d.services[name] = service
 		}
 		service.spec = spec
@@ -130,8 +134,10 @@
 	}
 }
 
-func newService() *service {
+// newService returns a service without replicas and measurements.
+func newService(retryRatio float64) *service {
 	return &service{
+		budget:      retry.NewBudget(retryRatio),
 		outliers:    outlier.NewGroup(outlier.DefaultConfig()),
 		index:       placement.NewIndex(0),
 		serviceTime: initialServiceTime,
--- a/dispatch/status.go
+++ b/dispatch/status.go
@@ -24,6 +24,28 @@
 	return all
 }
 
+// RetryBudget is the state of a service's retry budget in this gateway, for the window
+// retry.Window.
+type RetryBudget struct {
+	// Ratio is the maximum ratio of retries to first attempts.
+	Ratio float64
+	// Used is the measured ratio, 0 without first attempts.
+	Used float64
+}
+
+// RetryBudgets returns the state of the retry budget of each service, by its name.
+func (d *Dispatcher) RetryBudgets() map[string]RetryBudget {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := time.Now()
+	budgets := make(map[string]RetryBudget, len(d.services))
+	for name, service := range d.services {
+		ratio, used := service.budget.Status(now)
+		budgets[name] = RetryBudget{Ratio: ratio, Used: used}
+	}
+	return budgets
+}
+
 // status returns the status of one replica. The caller holds the mutex.
 func (d *Dispatcher) status(r *replica, now time.Time) api.HTTPReplicaStatus {
 	return api.HTTPReplicaStatus{
--- a/httpgateway/metrics.go
+++ b/httpgateway/metrics.go
@@ -19,6 +19,7 @@
 type metricsSource interface {
 	Counts() dispatch.Counts
 	Replicas() []api.HTTPReplicaStatus
+	RetryBudgets() map[string]dispatch.RetryBudget
 	LoadExchangeStatus() loadexchange.Status
 }
 
@@ -32,6 +33,8 @@
 	resumed  *prometheus.Desc
 	replicas *prometheus.Desc
 	running  *prometheus.Desc
+	budget   *prometheus.Desc
+	used     *prometheus.Desc
 	exchange loadExchangeDescriptions
 }
 
@@ -48,13 +51,15 @@
 		resumed:  describe("resumed_total", "Streams that went on at another replica."),
 		replicas: describe("replicas", "Replicas by service and state.", "service", "state"),
 		running:  describe("running_requests", "Attempts of this gateway under way, by service.", "service"),
+		budget:   describe("retry_budget_ratio", "Most retries for each first attempt in ten seconds, by service.", "service"),
+		used:     describe("retry_ratio", "Retries for each first attempt in the last ten seconds, by service.", "service"),
 		exchange: newLoadExchangeDescriptions(describe),
 	}
 }
 
 // descriptions returns the descriptions of all metrics of the collector.
 func (c *collector) descriptions() []*prometheus.Desc {
-	own := []*prometheus.Desc{c.requests, c.attempts, c.failures, c.retries, c.resumed, c.replicas, c.running}
+	own := []*prometheus.Desc{c.requests, c.attempts, c.failures, c.retries, c.resumed, c.replicas, c.running, c.budget, c.used}
 	return append(own, c.exchange.all()...)
 }
 
@@ -82,9 +87,18 @@
 	count(c.retries, counts.Retries)
 	count(c.resumed, counts.Resumed)
 	c.collectReplicas(metrics)
+	c.collectBudgets(metrics)
 	c.exchange.collect(c.source.LoadExchangeStatus(), metrics)
 }
 
+// collectBudgets sends the retry budget of each service and how much of it was used.
+func (c *collector) collectBudgets(metrics chan<- prometheus.Metric) {
+	for service, budget := range c.source.RetryBudgets() {
+		metrics <- prometheus.MustNewConstMetric(c.budget, prometheus.GaugeValue, budget.Ratio, service)
+		metrics <- prometheus.MustNewConstMetric(c.used, prometheus.GaugeValue, budget.Used, service)
+	}
+}
+
 // collectReplicas sends the number of replicas by service and state, and the number of
 // running requests by service.
 func (c *collector) collectReplicas(metrics chan<- prometheus.Metric) {
--- a/httpgateway/metrics_test.go
+++ b/httpgateway/metrics_test.go
@@ -34,6 +34,10 @@
 	}
 }
 
+func (fixedMetrics) RetryBudgets() map[string]dispatch.RetryBudget {
+	return map[string]dispatch.RetryBudget{"s": {Ratio: 0.12, Used: 0.05}}
+}
+
 func (fixedMetrics) LoadExchangeStatus() loadexchange.Status {
 	return loadexchange.Status{Aggregator: "gateway-1", SinceLastContact: 200 * time.Millisecond}
 }
--- a/httpgateway/proxy.go
+++ b/httpgateway/proxy.go
@@ -98,5 +98,8 @@
 // Replicas returns the status of each replica from this gateway's point of view.
 func (p *Proxy) Replicas() []api.HTTPReplicaStatus { return p.dispatcher.Replicas() }
 
+// RetryBudgets returns the state of the retry budget of each service, by its name.
+func (p *Proxy) RetryBudgets() map[string]dispatch.RetryBudget { return p.dispatcher.RetryBudgets() }
+
 // Collector returns a Prometheus collector of the Proxy's metrics.
 func (p *Proxy) Collector() prometheus.Collector { return newCollector(p) }
