upstream, httpgateway: send the request target as the client sent it

Cause: the target went through url.URL.Opaque, to which net/http adds the scheme in that case. Absolute-form targets were passed on unchanged, and net/http answered OPTIONS * itself with a 200 of no replica.

Routes are matched against the bytes sent. Absolute form becomes origin form (RFC 9112, 3.2.1); OPTIONS * goes to the handler, where no route has it.

--- a/httpgateway/backend.go
+++ b/httpgateway/backend.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -93,14 +92,11 @@
 	if attempt.LastEventID != "" {
 		header.Set(headerLastEventID, attempt.LastEventID)
 	}
-	if _, set := header["User-Agent"]; !set {
-		header["User-Agent"] = nil // stops net/http from adding its default
-	}
 	return &http.Request{
-		Method: attempt.Request.Method,
-		URL:    &url.URL{Scheme: "http", Host: attempt.Request.Host, Opaque: attempt.Request.Target},
-		Host:   attempt.Request.Host,
-		Header: header,
+		Method:     attempt.Request.Method,
+		RequestURI: attempt.Request.Target,
+		Host:       attempt.Request.Host,
+		Header:     header,
 	}
 }
 
--- a/httpgateway/body_test.go
+++ b/httpgateway/body_test.go
@@ -28,22 +28,28 @@
 		w.Header().Set(headers.RequestID, r.Header.Get(headers.RequestID))
 	}))
 	t.Cleanup(replica.Close)
+	return startProxyFor(t, strings.TrimPrefix(replica.URL, "http://"))
+}
+
+// startProxyFor serves a proxy with a replica at an address.
+func startProxyFor(tb testing.TB, replica string) string {
+	tb.Helper()
 	proxy := httpgateway.NewProxy(httpgateway.ProxyOptions{
 		Info:    peer.GatewayInfo{Name: "gateway-1", Zone: "north-1", Region: "north"},
 		Network: transport.NewMemory().Node("gateway-1", "gateway-1:1"),
 	})
-	state, err := exampleState(strings.TrimPrefix(replica.URL, "http://"))
+	state, err := exampleState(replica)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	proxy.Update(state)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	server := proxy.Server()
 	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Close() })
+	tb.Cleanup(func() { _ = server.Close() })
 	return listener.Addr().String()
 }
 
--- a/httpgateway/server.go
+++ b/httpgateway/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/deckpulley/deckpulley/dispatch"
@@ -38,6 +39,8 @@
 		ReadHeaderTimeout: HeaderTimeout,
 		IdleTimeout:       IdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		// Otherwise net/http itself responds to "OPTIONS *", with a success of no replica.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
@@ -99,13 +102,15 @@
 	if err != nil {
 		return nil, reader.Release, &readError{status: readErrorStatus(err), err: err}
 	}
+	target := originForm(r)
+	path, _, _ := strings.Cut(target, "?")
 	chain, tokens := headers.parsePrompt(r.Header)
 	request = &dispatch.Request{
 		ID:            r.Header.Get(headers.RequestID),
 		Method:        r.Method,
 		Host:          r.Host,
-		Path:          r.URL.EscapedPath(),
-		Target:        r.RequestURI,
+		Path:          path,
+		Target:        target,
 		Header:        endToEndHeaders(r.Header),
 		Body:          body,
 		ClientTimeout: clientTimeout,
@@ -116,6 +121,30 @@
 	return request, reader.Release, nil
 }
 
+// originForm returns the target to send to a replica. It is the target that the client
+// sent, unchanged, unless that is in absolute form: a replica gets the path and the query of
+// it (RFC 9112, section 3.2.1), and "*" for OPTIONS without either (section 3.2.4).
+func originForm(r *http.Request) string {
+	if r.URL.Scheme == "" || strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	_, authority, found := strings.Cut(r.RequestURI, "://")
+	if !found {
+		return r.RequestURI
+	}
+	start := strings.IndexAny(authority, "/?")
+	switch {
+	case start < 0 && r.Method == http.MethodOptions:
+		return "*"
+	case start < 0:
+		return "/"
+	case authority[start] == '?':
+		return "/" + authority[start:]
+	default:
+		return authority[start:]
+	}
+}
+
 // bodyReadTimeout returns the maximum time to read the body of a request. A body that
 // arrives later than the client waits for the response is of no use.
 func bodyReadTimeout(clientTimeout time.Duration) time.Duration {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -77,13 +77,7 @@
 // latest when the connection is closed.
 func (e *exchange) write(request *http.Request, body []byte) error {
 	var message bytes.Buffer
-	outgoing := request.Clone(request.Context())
-	outgoing.ContentLength = int64(len(body))
-	outgoing.Body = http.NoBody
-	if len(body) > 0 {
-		outgoing.Body = io.NopCloser(bytes.NewReader(body))
-	}
-	if err := outgoing.Write(&message); err != nil {
+	if err := writeMessage(&message, request, body); err != nil {
 		return err
 	}
 	if message.Len() <= maxInlineBytes {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -52,7 +52,8 @@
 
 // Do sends a request to an address and returns when it has read the header of the
 // response. The request must have no body of its own: the parameter body is sent, with
-// its Content-Length. The error is always a *RequestError. If ctx ends, the request is
+// its Content-Length. If request.RequestURI is set, it is sent as the request target
+// unchanged, in place of that of request.URL. The error is always a *RequestError. If ctx ends, the request is
 // aborted, even while the caller reads the body of the response. The caller must close
 // the response's body.
 func (p *Pool) Do(ctx context.Context, address string, request *http.Request, body []byte) (*http.Response, error) {
