control, platform: refuse an evacuation that a newer one overtook

Cause: orders carry no id; each call became an operation of its own, without a prerequisite, and the primary accepted it in any state.

Change: the node sends with the order the registry serial that it knew when it accepted the order's connection, or had answered the last call on it. The primary refuses an order that would change a zone that changed after it, and pins the zone's record by a prerequisite. The golden files keep their bytes; one message is added. TestNextEqualsRead leaves out the two fields that a read of the view can't know; TestEvacuationChangedSince checks them.

--- a/catalog/state.go
+++ b/catalog/state.go
@@ -31,6 +31,11 @@
 	pathRoutes     objects[routemap.Route]
 	pools          objects[routemap.Service]
 	requestLimits  routemap.Limits
+	// evacuationSerials has the serial of the last change of a zone's evacuation, by the
+	// zone's registry name, as far as Next has seen it. Earlier changes were at readSerial at
+	// the latest, which is the serial of the view that Read decoded.
+	evacuationSerials map[registry.Name]uint32
+	readSerial        uint32
 }
 
 // decodedNames are the registry names below which Read decodes records. Everything else
@@ -44,6 +49,7 @@
 func Read(view registry.View) (*State, error) {
 	state := &State{
 		view:           view,
+		readSerial:     view.Serial(),
 		services:       objects[Service]{},
 		regions:        objects[Region]{},
 		zones:          objects[Zone]{},
@@ -102,6 +108,9 @@
 			return nil, err
 		}
 	}
+	if cloned[TypeEvacuation] {
+		next.recordEvacuations(transfer)
+	}
 	next.limits = next.limits.withDefaults()
 	if cloned[TypeReplica] || cloned[TypeZone] {
 		next.setReplicaRegions()
@@ -109,6 +118,20 @@
 	return &next, nil
 }
 
+// recordEvacuations records the serial of a transfer for the evacuations that it changes.
+func (s *State) recordEvacuations(transfer registry.Transfer) {
+	serials := maps.Clone(s.evacuationSerials)
+	if serials == nil {
+		serials = make(map[registry.Name]uint32)
+	}
+	for _, record := range slices.Concat(transfer.Removed, transfer.Added) {
+		if record.Type == TypeEvacuation {
+			serials[record.Name] = transfer.To
+		}
+	}
+	s.evacuationSerials = serials
+}
+
 // setReplicaRegions derives each replica's region from its zone, since a
 // configuration may have moved the zone after the platform listed the replica.
 func (s *State) setReplicaRegions() {
@@ -251,6 +274,16 @@
 	return found && !planted.Active(planted.IgnoreEvacuation)
 }
 
+// EvacuationChangedSince reports whether the evacuation of a zone was begun or ended after a
+// serial, or may have been: a state knows no changes from before it was first read.
+func (s *State) EvacuationChangedSince(zone string, serial uint32) bool {
+	changed, found := s.evacuationSerials[ZoneName(zone)]
+	if !found {
+		changed = s.readSerial
+	}
+	return registry.SerialLess(serial, changed)
+}
+
 // Evacuations returns all evacuations by zone.
 func (s *State) Evacuations() map[string]Evacuation { return s.evacuations }
 
--- a/catalog/state_test.go
+++ b/catalog/state_test.go
@@ -104,7 +104,8 @@
 		t.Fatal(err)
 	}
 	complete := read(t, table)
-	options := []cmp.Option{cmp.AllowUnexported(State{}), cmpopts.IgnoreFields(State{}, "view")}
+	// What Next has seen change is not in the view; TestEvacuationChangedSince checks it.
+	options := []cmp.Option{cmp.AllowUnexported(State{}), cmpopts.IgnoreFields(State{}, "view", "evacuationSerials", "readSerial")}
 	if difference := cmp.Diff(complete, next, options...); difference != "" {
 		t.Errorf("Next differs from Read (-read +next):\n%s", difference)
 	}
@@ -122,6 +123,50 @@
 	}
 }
 
+// TestEvacuationChangedSince checks that a state knows the serial of each change of a zone's
+// evacuation since it was read, also if the zone is as before, and no serial of earlier ones.
+func TestEvacuationChangedSince(t *testing.T) {
+	table := newTable(t)
+	state := read(t, table)
+	readAt := state.Serial()
+	check := func(zone string, serial uint32, want bool) {
+		t.Helper()
+		if got := state.EvacuationChangedSince(zone, serial); got != want {
+			t.Errorf("at serial %d: %s changed since %d: got %v, want %v", state.Serial(), zone, serial, got, want)
+		}
+	}
+	next := func(change registry.Record) {
+		t.Helper()
+		apply(t, table, change)
+		following, err := state.Next(table.View(), table.TransferSince(state.Serial()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		state = following
+	}
+	check("north-1", readAt, false)
+	check("north-1", readAt-1, true) // not known
+	next(registry.DeleteRRset(ZoneName("north-1"), TypeEvacuation))
+	ended := state.Serial()
+	next(EvacuationRecord("north-1", Evacuation{OperationID: "again"}))
+	begun := state.Serial()
+	former := state
+	next(registry.DeleteRRset(ZoneName("north-1"), TypeEvacuation))
+	for _, serial := range []uint32{readAt, ended, begun} {
+		check("north-1", serial, true)
+	}
+	check("north-1", state.Serial(), false)
+	next(RouteRecord("other", Route{Service: "explain"}))
+	check("north-1", state.Serial()-1, false)
+	check("north-2", readAt, false)
+	if former.EvacuationChangedSince("north-1", begun) {
+		t.Error("Next modified the state that it was called on")
+	}
+	if state = read(t, table); !state.EvacuationChangedSince("north-1", state.Serial()-1) {
+		t.Error("a state that was read anew knows earlier changes")
+	}
+}
+
 func TestReplicaRegionIsCurrentRegionOfZone(t *testing.T) {
 	table := newTable(t)
 	state := read(t, table)
--- a/control/executor/decide.go
+++ b/control/executor/decide.go
@@ -27,6 +27,11 @@
 			return attempt
 		}
 	}
+	if execution.IsEvacuation() {
+		if reason := execution.RefuseEvacuation(state.Catalog); reason != nil {
+			return rejected(reason)
+		}
+	}
 	decision, err := execution.Decide(operation.Facts{Catalog: state.Catalog, Sequence: state.Sequence, ExcessOperations: state.ExcessOperations})
 	if err != nil {
 		return rejected(apierror.Internal(err))
--- a/control/node.go
+++ b/control/node.go
@@ -299,6 +299,13 @@
 	return n.executor.Submit(ctx, request)
 }
 
+// Serial returns the serial of this node's copy of the registry, and whether it has one.
+// Other nodes may have a newer copy.
+func (n *Node) Serial() (serial uint32, known bool) {
+	observed := n.engine.Observe()
+	return observed.Serial, observed.Catalog != nil
+}
+
 // CurrentConfiguration returns the newest configuration with its version and text as
 // submitted; the boolean is false if there is none yet. The read is linearizable: it
 // reflects every configuration acknowledged before the call.
--- a/control/operation/decide.go
+++ b/control/operation/decide.go
@@ -116,8 +116,26 @@
 	return o.accept(facts, version, author, unchangedPrerequisite(facts), changes), nil
 }
 
+// RefuseEvacuation returns the reason why an evacuation may not be executed on a state, nil
+// if it may: its operator did not know the last change of the zone, so that it may be an
+// operation from before that change, which was delayed on its way. The refusal is not
+// stored.
+func (o *Operation) RefuseEvacuation(current *catalog.State) *api.Error {
+	request := o.request.Evacuation
+	known := o.request.KnownSerial
+	unchanged := current.IsEvacuated(request.Zone) != request.Withdraw
+	if known == nil || unchanged || !current.EvacuationChangedSince(request.Zone, *known) {
+		return nil
+	}
+	return &api.Error{
+		Code:    api.CodeVersionConflict,
+		Outcome: api.OutcomeRefused,
+		Message: fmt.Sprintf("the evacuation of zone %q may have changed after serial %d", request.Zone, *known),
+	}
+}
+
 // decideEvacuation evacuates a zone of the current configuration, or ends its
-// evacuation.
+// evacuation. The decision is valid only while the zone's evacuation is unchanged.
 func (o *Operation) decideEvacuation(facts Facts) Decision {
 	request := o.request.Evacuation
 	name := catalog.ZoneName(request.Zone)
@@ -132,8 +150,20 @@
 	if !request.Withdraw {
 		change = registry.Add(catalog.EvacuationRecord(request.Zone, catalog.Evacuation{Author: request.Author, OperationID: request.OperationID}))
 	}
-	exists := registry.Exists(name, catalog.TypeZone)
-	return o.accept(facts, facts.Catalog.Version(), request.Author, exists, []registry.Record{change})
+	decision := o.accept(facts, facts.Catalog.Version(), request.Author, registry.Exists(name, catalog.TypeZone), []registry.Record{change})
+	if o.request.KnownSerial != nil {
+		decision.Update.Prerequisites = append(decision.Update.Prerequisites, unchangedEvacuation(facts.Catalog, request.Zone))
+	}
+	return decision
+}
+
+// unchangedEvacuation requires that the evacuation of a zone is as in a state.
+func unchangedEvacuation(current *catalog.State, zone string) registry.Record {
+	name := catalog.ZoneName(zone)
+	for _, record := range current.View().Lookup(name, catalog.TypeEvacuation) {
+		return registry.Equals(record)
+	}
+	return registry.Absent(name, catalog.TypeEvacuation)
 }
 
 // accept returns a decision with changes, valid under a prerequisite. The version is
--- a/control/operation/operation.go
+++ b/control/operation/operation.go
@@ -74,6 +74,9 @@
 // IsRouteMap reports whether the operation changes the route map.
 func (o *Operation) IsRouteMap() bool { return o.request.RouteMap != nil }
 
+// IsEvacuation reports whether the operation evacuates a zone or ends an evacuation.
+func (o *Operation) IsEvacuation() bool { return o.request.Evacuation != nil }
+
 // ID returns the id of the operation, empty for a list of replicas.
 func (o *Operation) ID() string {
 	switch {
--- a/peer/golden_messages_test.go
+++ b/peer/golden_messages_test.go
@@ -112,7 +112,10 @@
 		add(fmt.Sprintf("UpdateReply code %d", code), reply)
 	}
 	add("UpdateReply empty", peer.UpdateReply{})
-	add("OrderRequest all", filled[peer.OperationRequest]())
+	everything := filled[peer.OperationRequest]()
+	everything.KnownSerial = nil // from before that field: older programs send this one
+	add("OrderRequest all", everything)
+	add("OrderRequest all, known serial", filled[peer.OperationRequest]())
 	add("OrderRequest configuration", peer.OperationRequest{Configuration: filledPointer[api.ConfigurationOperation](), Hops: 1, WaitMS: 2})
 	add("OrderRequest evacuation", peer.OperationRequest{Evacuation: filledPointer[api.EvacuationOperation](), Hops: 1, WaitMS: 2})
 	add("OrderRequest replicas", peer.OperationRequest{Replicas: filledPointer[api.ReplicaList](), Hops: 1, WaitMS: 2})
--- a/peer/operation.go
+++ b/peer/operation.go
@@ -37,6 +37,11 @@
 	RouteMap      *RouteMapOperation          `cbor:"6,keyasint,omitempty"`
 	// ConfigurationChange changes named items of the configuration document.
 	ConfigurationChange *api.ConfigurationPatchOperation `cbor:"7,keyasint,omitempty"`
+	// KnownSerial, if set, is the registry serial up to which the operator may have known the
+	// zone of an evacuation. The evacuation is rejected with api.CodeVersionConflict if it
+	// would change the zone and the zone changed after that serial, or may have. Earlier
+	// versions ignore it.
+	KnownSerial *uint32 `cbor:"8,keyasint,omitempty"`
 }
 
 // OperationReply answers OperationRequest with the first result of the operation, or
