--- a/gateway/attempt_test.go
+++ b/gateway/attempt_test.go
@@ -137,7 +137,9 @@
 func TestRetries(t *testing.T) {
 	f := newFleet(t)
 	replicas := []*fakeReplica{f.replica("r1", "north"), f.replica("r2", "north"), f.replica("r3", "north")}
-	g := f.gateway("g1", "north", "a", nil)
+	// Frequent polls would suspect all replicas when the machine is busy, so that none is
+	// left to retry at.
+	g := f.gateway("g1", "north", "a", func(options *Options) { options.PollInterval = time.Hour })
 	f.awaitReady(g)
 	for range 60 { // adds to the retry budget
 		request := newRequest("warm")
@@ -185,6 +187,7 @@
 		{"fails, then refused", true, false, 2, "replica_broken/unknown"},
 	}
 	for _, test := range tests {
+		waitFor(t, "three usable replicas", func() bool { return g.usableReplicas() == len(replicas) })
 		request := newRequest(test.id)
 		request.Repeatable, request.Stream = test.repeatable, test.stream
 		request, _ = g.where(t, request)
