soak: play seeded schedules of overlapping disturbances on real processes

Change: internal/soak draws a schedule from a seed (signals, restarts, configurations by two operators, evacuations, replaced replicas, crowds, departing and trickling clients, malformed responses; in series that overlap) and writes it as a file; internal/soak/platform plays it on processes of deckpulley-platform with the stand-ins that exist and judges from outside: ends, memory, answers, what ran, recovery, the configuration, descriptors. The stand-in replica sends 52 forms of malformed responses: each part of a message endless, cut off, doubled or interleaved.

--- a/Makefile
+++ b/Makefile
@@ -72,6 +72,16 @@
 calm: ## run the platform test for a minute without faults, with stand-ins for external services
 	go test ./platform -run TestCalmDay -calm 60s -v -count 1
 
+# Seeds of the short soak. CI prints KNOWN-RED.txt, which names those that broke a rule.
+SOAK_SEED := 4
+SOAK_SEEDS := 2
+
+.PHONY: soak-short
+soak-short: ## play two seeded schedules of overlapping disturbances on real processes
+	mkdir -p bin
+	go build -o bin/ ./cmd/deckpulley-platform ./cmd/deckpulley-soak
+	bin/deckpulley-soak run --program bin/deckpulley-platform --seed $(SOAK_SEED) --seeds $(SOAK_SEEDS) --length 15s
+
 .PHONY: quickstart
 quickstart: build ## run and check the three-node fleet of the README
 	examples/quickstart/walk.sh
--- /dev/null
+++ b/cmd/deckpulley-soak/main.go
@@ -0,0 +1,141 @@
+// Command deckpulley-soak plays seeded schedules of overlapping disturbances on real processes
+// of deckpulley-platform and judges what comes of them. It is not part of a deployment.
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/deckpulley/deckpulley/internal/soak"
+	"github.com/deckpulley/deckpulley/internal/soak/platform"
+	standin "github.com/deckpulley/deckpulley/internal/standin/platform"
+)
+
+const (
+	defaultLength   = 20 * time.Second
+	defaultGateways = 4
+)
+
+// errFindings makes the program exit with status 1.
+var errFindings = errors.New("a rule was broken")
+
+// options are the command-line flags.
+type options struct {
+	seed     uint64
+	seeds    int
+	length   time.Duration
+	gateways int
+	program  string
+	folder   string
+	race     bool
+}
+
+func main() {
+	if err := newCommand().Execute(); err != nil {
+		os.Exit(1)
+	}
+}
+
+func newCommand() *cobra.Command {
+	var flags options
+	root := &cobra.Command{
+		Use: "deckpulley-soak", Short: "Play overlapping disturbances on real processes and judge them", SilenceUsage: true,
+	}
+	set := root.PersistentFlags()
+	set.StringVar(&flags.program, "program", "target/deckpulley-platform", "path of the deckpulley-platform program")
+	set.StringVar(&flags.folder, "folder", "", "folder for schedules, logs and records (default: a temporary one)")
+	set.BoolVar(&flags.race, "race", false, "the program was built with the race detector")
+	run := &cobra.Command{
+		Use: "run", Short: "Draw schedules from seeds and play them", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return runSeeds(flags) },
+	}
+	run.Flags().Uint64Var(&flags.seed, "seed", 1, "first seed")
+	run.Flags().IntVar(&flags.seeds, "seeds", 1, "number of seeds")
+	run.Flags().DurationVar(&flags.length, "length", defaultLength, "length of each schedule")
+	run.Flags().IntVar(&flags.gateways, "gateways", defaultGateways, "number of machines with a gateway, at least 3")
+	replay := &cobra.Command{
+		Use: "replay SCHEDULE", Short: "Play a schedule that was written by run", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, arguments []string) error { return replaySchedule(flags, arguments[0]) },
+	}
+	root.AddCommand(run, replay)
+	return root
+}
+
+// runSeeds plays the schedules of some seeds, one after the other.
+func runSeeds(flags options) error {
+	broken := false
+	for number := range flags.seeds {
+		schedule := soak.Draw(soak.Options{
+			Seed: flags.seed + uint64(number), Length: flags.length, Gateways: flags.gateways, MalformedForms: standin.MalformedForms,
+		})
+		found, err := play(flags, schedule)
+		if err != nil {
+			return err
+		}
+		broken = broken || found
+	}
+	if broken {
+		return errFindings
+	}
+	return nil
+}
+
+func replaySchedule(flags options, path string) error {
+	schedule, err := soak.Read(path)
+	if err != nil {
+		return err
+	}
+	found, err := play(flags, schedule)
+	if err == nil && found {
+		err = errFindings
+	}
+	return err
+}
+
+// play plays a schedule, which it writes first, and writes and prints the result. It reports
+// whether there are findings.
+func play(flags options, schedule soak.Schedule) (found bool, err error) {
+	folder := flags.folder
+	if folder == "" {
+		if folder, err = os.MkdirTemp("", "deckpulley-soak-"); err != nil {
+			return false, err
+		}
+	}
+	folder = filepath.Join(folder, fmt.Sprintf("seed-%d", schedule.Seed))
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return false, err
+	}
+	if err := schedule.Write(filepath.Join(folder, "schedule.json")); err != nil {
+		return false, err
+	}
+	result, err := platform.Play(schedule, platform.Options{Program: flags.program, Folder: folder, Race: flags.race})
+	if err != nil {
+		return false, fmt.Errorf("seed %d: %w", schedule.Seed, err)
+	}
+	text, err := json.MarshalIndent(result, "", "  ")
+	if err != nil {
+		return false, err
+	}
+	if err := os.WriteFile(filepath.Join(folder, "record.json"), append(text, '\n'), 0o600); err != nil {
+		return false, err
+	}
+	printResult(result, folder)
+	return len(result.Findings) > 0, nil
+}
+
+func printResult(result platform.Result, folder string) {
+	fmt.Printf("seed %d: %d events, %d restarts, requests by status %v, peak %d MB, %d findings\n",
+		result.Seed, result.Events, result.Restarts, result.Statuses, result.PeakMB, len(result.Findings))
+	for _, finding := range result.Findings {
+		fmt.Printf("  %s at %v: %s\n", finding.Rule, finding.At.Round(time.Millisecond), finding.Text)
+	}
+	if len(result.Findings) > 0 {
+		fmt.Printf("  kept in %s\n", folder)
+	}
+}
--- a/internal/docscheck/architecture_test.go
+++ b/internal/docscheck/architecture_test.go
@@ -60,7 +60,7 @@
 	var found []*declarations
 	for folder, declared := range parsed {
 		tool := strings.HasPrefix(folder, "cmd/standin-") || slices.Contains([]string{
-			"cmd/deckpulley-bench", "cmd/deckpulley-experiment", "cmd/deckpulley-fleet", "cmd/deckpulley-scale", "cmd/deckpulley-simulate",
+			"cmd/deckpulley-bench", "cmd/deckpulley-experiment", "cmd/deckpulley-fleet", "cmd/deckpulley-scale", "cmd/deckpulley-simulate", "cmd/deckpulley-soak",
 		}, folder)
 		if !tool && !strings.HasPrefix(folder, "internal/") && !strings.HasPrefix(folder, "examples") {
 			found = append(found, declared)
--- a/internal/fleet/process/process.go
+++ b/internal/fleet/process/process.go
@@ -128,6 +128,12 @@
 	return p.signal(syscall.SIGCONT)
 }
 
+// HangUp sends SIGHUP to the process.
+func (p *Process) HangUp() error { return p.signal(syscall.SIGHUP) }
+
+// Exited returns a channel that is closed once the process has ended.
+func (p *Process) Exited() <-chan struct{} { return p.exited }
+
 // Frozen reports whether the process is suspended.
 func (p *Process) Frozen() bool {
 	p.mutex.Lock()
--- a/internal/fleet/process/usage.go
+++ b/internal/fleet/process/usage.go
@@ -44,6 +44,15 @@
 	return usage, nil
 }
 
+// Descriptors returns the number of open file descriptors. It fails if the process has ended.
+func (p *Process) Descriptors() (int, error) {
+	entries, err := os.ReadDir(filepath.Join("/proc", strconv.Itoa(p.PID()), "fd"))
+	if err != nil {
+		return 0, fmt.Errorf("reading descriptors of %s: %w", p.name, err)
+	}
+	return len(entries), nil
+}
+
 // readUsage reads the usage from a process's folder in /proc.
 func readUsage(folder string) (Usage, error) {
 	stat, err := os.ReadFile(filepath.Join(folder, "stat"))
--- /dev/null
+++ b/internal/soak/platform/operator.go
@@ -0,0 +1,125 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// callTimeout is how long the operator waits for one response.
+	callTimeout = time.Second
+	// orderTimeout is how long the operator sends an order again.
+	orderTimeout = 30 * time.Second
+	orderPause   = 100 * time.Millisecond
+)
+
+// document is a configuration; its version is the only thing that differs.
+const document = `{"version":%d,"routes":[
+ {"name":"once","host":"h.test","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":3000,"service":"s"},
+ {"name":"again","host":"h.test","path_prefix":"/again/","kind":"idempotent","timeout_ms":3000,"service":"s","max_attempts":3},
+ {"name":"stream","host":"h.test","path_prefix":"/stream/","kind":"streaming","timeout_ms":3000,"service":"s","max_attempts":3,"resumable":true}],
+ "services":[{"name":"s","max_connections":1000}],
+ "limits":{"max_header_bytes":4000,"max_body_bytes":4000}}`
+
+// operators sends orders as the platform's operators do: to any node, and again when the
+// answer is not clear.
+type operators struct {
+	site *site
+	http http.Client
+
+	mutex        sync.Mutex
+	acknowledged int // newest acknowledged version
+	sent         int // newest version that was sent
+}
+
+func newOperators(s *site) *operators {
+	return &operators{site: s, http: http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
+// order sends an order until it gets a clear answer, and returns its status.
+func (o *operators) order(method, path, base, body string, first int) (status int, text string, err error) {
+	deadline := time.Now().Add(orderTimeout)
+	for attempt := first; time.Now().Before(deadline); attempt++ {
+		address := o.site.controls[attempt%len(o.site.controls)].settings.ListenAddrs.Control
+		status, text = o.call(method, "http://"+address+path, base, body)
+		if status > 0 && status < http.StatusInternalServerError && status != http.StatusTooManyRequests && status != http.StatusRequestTimeout {
+			return status, text, nil
+		}
+		time.Sleep(orderPause)
+	}
+	return 0, "", errNotTaken
+}
+
+func (o *operators) call(method, url, base, body string) (status int, text string) {
+	request, err := http.NewRequestWithContext(context.Background(), method, url, strings.NewReader(body))
+	if err != nil {
+		return 0, ""
+	}
+	if base != "" {
+		request.Header.Set("If-Match", base)
+	}
+	response, err := o.http.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer response.Body.Close()
+	read, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return response.StatusCode, string(read)
+}
+
+// configure submits the next version. Two operators that come at once build on the same
+// version: one of them wins, or both are the same.
+func (o *operators) configure(first int) error {
+	o.mutex.Lock()
+	base, next := o.acknowledged, o.acknowledged+1
+	o.sent = max(o.sent, next)
+	o.mutex.Unlock()
+	status, _, err := o.order(http.MethodPut, "/config", strconv.Itoa(base), fmt.Sprintf(document, next), first)
+	if err != nil {
+		return err
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	switch status {
+	case http.StatusOK:
+		o.acknowledged = max(o.acknowledged, next)
+	case http.StatusPreconditionFailed, http.StatusBadRequest: // another one won
+	default:
+		o.site.record.report(RuleConfiguration, "version %d on %d was answered %d", next, base, status)
+	}
+	return nil
+}
+
+// evacuate empties a zone and takes that back.
+func (o *operators) evacuate(zone string, length time.Duration, first int) error {
+	if _, _, err := o.order(http.MethodPost, "/evacuate/"+zone, "", "", first); err != nil {
+		return err
+	}
+	time.Sleep(length)
+	_, _, err := o.order(http.MethodDelete, "/evacuate/"+zone, "", "", first+1)
+	return err
+}
+
+// checkConfiguration reads the configuration back at the end.
+func (o *operators) checkConfiguration() {
+	status, text, err := o.order(http.MethodGet, "/config", "", "", 0)
+	if err != nil || status != http.StatusOK {
+		o.site.record.report(RuleConfiguration, "the configuration can't be read back: status %d, %v", status, err)
+		return
+	}
+	for version := o.acknowledged; version <= o.sent; version++ {
+		if text == fmt.Sprintf(document, version) {
+			return
+		}
+	}
+	o.site.record.report(RuleConfiguration, "version %d is acknowledged, read back was %.60q", o.acknowledged, text)
+}
--- a/internal/standin/platform/replica.go
+++ b/internal/standin/platform/replica.go
@@ -74,6 +74,9 @@
 	runs    map[string]int // by request id
 	served  int            // number of requests, including refused ones
 	manners []Manner       // used in turn, one for each request
+
+	malformedForm  int
+	malformedUntil time.Time
 }
 
 // NewReplica starts a replica. It uses the manners in turn, one for each request; without
@@ -139,6 +142,10 @@
 	if err != nil {
 		return
 	}
+	if form, malformed := r.nextMalformed(); malformed {
+		r.respondMalformed(w, request, body, form)
+		return
+	}
 	if manner == Late {
 		time.Sleep(lateDelay)
 	}
