--- a/internal/soak/platform/finding.go
+++ b/internal/soak/platform/finding.go
@@ -1,11 +1,17 @@
 package platform
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 	"time"
+
+	standin "github.com/deckpulley/deckpulley/internal/standin/platform"
 )
 
+// contactTime is how long after a disturbance the rules that need calm don't count.
+const contactTime = 3 * time.Second
+
 // Rule is a rule that a run is judged by.
 type Rule string
 
@@ -21,6 +27,8 @@
 	RuleOnce Rule = "TWICE"
 	// RuleRefused: a request that was answered 503, 429 or 408 has not run.
 	RuleRefused Rule = "REFUSED"
+	// RuleLost: away from all disturbances, a request gets an answer.
+	RuleLost Rule = "LOST"
 	// RuleRecovery: at the end, after a quiet time, requests are served and configurations
 	// are taken.
 	RuleRecovery Rule = "RECOVER"
@@ -45,11 +53,18 @@
 	started  time.Time
 	findings []Finding
 	statuses map[string]int // requests by their status, or "none"
-	restarts int
-	peak     int64 // of the resident memory of any process, in bytes
+	failures map[string]int // requests without an answer, by the cause
+	// disturbances is the number of disturbances under way, and lastEnded when the last one
+	// ended.
+	disturbances int
+	lastEnded    time.Time
+	restarts     int
+	peak         int64 // of the resident memory of any process, in bytes
 }
 
-func newRecord() *record { return &record{started: time.Now(), statuses: make(map[string]int)} }
+func newRecord() *record {
+	return &record{started: time.Now(), statuses: make(map[string]int), failures: make(map[string]int)}
+}
 
 // report adds a finding.
 func (r *record) report(rule Rule, format string, arguments ...any) {
@@ -59,14 +74,48 @@
 }
 
 // count counts the result of a request.
-func (r *record) count(status int) {
+func (r *record) count(answer standin.Answer) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if answer.Status > 0 {
+		r.statuses[fmt.Sprint(answer.Status)]++
+		return
+	}
+	r.statuses["none"]++
+	r.failures[causeOf(answer.Err)]++
+}
+
+// causeOf returns the innermost error's text, which has no addresses.
+func causeOf(err error) string {
+	for err != nil {
+		inner := errors.Unwrap(err)
+		if inner == nil {
+			return err.Error()
+		}
+		err = inner
+	}
+	return "unknown"
+}
+
+// isCalm reports whether no disturbance is under way and none was within contactTime before a
+// time.
+func (r *record) isCalm(since time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.disturbances == 0 && since.Sub(r.lastEnded) > contactTime
+}
+
+// disturb records that a disturbance begins. The returned function records its end.
+func (r *record) disturb() (end func()) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	name := "none"
-	if status > 0 {
-		name = fmt.Sprint(status)
+	r.disturbances++
+	return func() {
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		r.disturbances--
+		r.lastEnded = time.Now()
 	}
-	r.statuses[name]++
 }
 
 func (r *record) countRestart() {
--- a/internal/soak/platform/play.go
+++ b/internal/soak/platform/play.go
@@ -27,6 +27,8 @@
 	Seed     uint64         `json:"seed"`
 	Findings []Finding      `json:"findings"`
 	Statuses map[string]int `json:"requests_by_status"`
+	// Failures has the requests without an answer, by the cause.
+	Failures map[string]int `json:"failures,omitempty"`
 	Restarts int            `json:"restarts"`
 	Events   int            `json:"events"`
 	PeakMB   int64          `json:"peak_resident_mb"`
@@ -61,6 +63,7 @@
 
 // awaitService submits the first configuration and waits until each gateway serves.
 func awaitService(load *traffic, orders *operators) error {
+	defer load.record.disturb()() // clients may come before anything is up
 	if err := orders.configure(0); err != nil {
 		return err
 	}
@@ -80,6 +83,7 @@
 
 // strike plays one event to its end.
 func (s *site) strike(event soak.Event, load *traffic, orders *operators) {
+	defer s.record.disturb()()
 	var err error
 	switch event.Kind {
 	case soak.Terminate:
@@ -100,6 +104,7 @@
 		s.replace(event.Node, drainTime)
 	case soak.Malform:
 		s.replica(event.Node).Malform(event.Detail, time.Now().Add(event.For))
+		time.Sleep(event.For)
 	case soak.Crowd:
 		load.crowd(event)
 	case soak.Depart:
@@ -179,7 +184,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return Result{
-		Seed: schedule.Seed, Findings: r.findings, Statuses: r.statuses, Restarts: r.restarts,
+		Seed: schedule.Seed, Findings: r.findings, Statuses: r.statuses, Failures: r.failures, Restarts: r.restarts,
 		Events: len(schedule.Events), PeakMB: r.peak >> 20,
 	}
 }
--- a/internal/soak/platform/traffic.go
+++ b/internal/soak/platform/traffic.go
@@ -55,8 +55,12 @@
 	request := standin.Request{
 		ID: fmt.Sprintf("%s-%d", kind, t.number.Add(1)), Method: http.MethodPost, Path: "/" + kind + "/x", Body: "body of " + kind, Wait: requestTimeout,
 	}
+	sent := time.Now()
 	answer := client.Do(context.Background(), request)
-	t.record.count(answer.Status)
+	t.record.count(answer)
+	if answer.Status == 0 && t.record.isCalm(sent) {
+		t.record.report(RuleLost, "%s got no answer: %v", request.ID, answer.Err)
+	}
 	if reason := wrongAnswer(request, answer); reason != "" {
 		t.record.report(RuleAnswer, "%s: %s", request.ID, reason)
 	}
