--- a/cmd/deckpulley-soak/main.go
+++ b/cmd/deckpulley-soak/main.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"time"
@@ -107,8 +108,7 @@
 			return false, err
 		}
 	}
-	folder = filepath.Join(folder, fmt.Sprintf("seed-%d", schedule.Seed))
-	if err := os.MkdirAll(folder, 0o700); err != nil {
+	if folder, err = newFolder(filepath.Join(folder, fmt.Sprintf("seed-%d", schedule.Seed))); err != nil {
 		return false, err
 	}
 	if err := schedule.Write(filepath.Join(folder, "schedule.json")); err != nil {
@@ -129,6 +129,24 @@
 	return len(result.Findings) > 0, nil
 }
 
+// newFolder creates a folder, or one with a number after its name if there is one already: a
+// run must not start on the data of another one.
+func newFolder(path string) (string, error) {
+	if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
+		return "", err
+	}
+	for number := 1; ; number++ {
+		folder := path
+		if number > 1 {
+			folder = fmt.Sprintf("%s-%d", path, number)
+		}
+		err := os.Mkdir(folder, 0o700)
+		if err == nil || !errors.Is(err, fs.ErrExist) {
+			return folder, err
+		}
+	}
+}
+
 func printResult(result platform.Result, folder string) {
 	fmt.Printf("seed %d: %d events, %d restarts, requests by status %v, peak %d MB, %d findings\n",
 		result.Seed, result.Events, result.Restarts, result.Statuses, result.PeakMB, len(result.Findings))
--- a/internal/soak/platform/site.go
+++ b/internal/soak/platform/site.go
@@ -93,8 +93,9 @@
 // ports are the ports of all machines, each of which has an address of its own.
 type ports struct{ front, control, directory, readiness, peers int }
 
-func findPorts() (ports, error) {
-	addresses, err := freeport.Addresses("127.0.0.1", 6)
+// findPorts returns ports that are free on the first address of a network.
+func findPorts(network string) (ports, error) {
+	addresses, err := freeport.Addresses(network+".1", 5)
 	if err != nil {
 		return ports{}, err
 	}
@@ -113,14 +114,29 @@
 	return ports{numbers[0], numbers[1], numbers[2], numbers[3], numbers[4]}, nil
 }
 
+// Numbers of the loopback networks 127.a.b.0/24 that runs use. Each run has a network of its
+// own, so that runs at the same time don't take each other's ports.
+const (
+	firstNetwork    = 64
+	networkCount    = 64
+	subnetworkCount = 250
+)
+
+// loopbackNetwork returns the network of this program's runs, without the last number.
+func loopbackNetwork() string {
+	id := os.Getpid()
+	return fmt.Sprintf("127.%d.%d", firstNetwork+id%networkCount, id/networkCount%subnetworkCount)
+}
+
 // addUnits makes the processes of all machines.
 func (s *site) addUnits(schedule soak.Schedule) error {
-	found, err := findPorts()
+	network := loopbackNetwork()
+	found, err := findPorts(network)
 	if err != nil {
 		return err
 	}
 	for number := range schedule.Gateways {
-		settings := s.settings(schedule, number, found)
+		settings := s.settings(schedule, number, network, found)
 		if number < schedule.Controls {
 			control := settings
 			control.ListenAddrs.Front, control.ListenAddrs.Readiness = "", ""
@@ -138,10 +154,10 @@
 }
 
 // settings returns the settings of a machine.
-func (s *site) settings(schedule soak.Schedule, number int, found ports) platform.Settings {
-	address := func(machine, port int) string { return fmt.Sprintf("127.45.0.%d:%d", machine+1, port) }
+func (s *site) settings(schedule soak.Schedule, number int, network string, found ports) platform.Settings {
+	address := func(machine, port int) string { return fmt.Sprintf("%s.%d:%d", network, machine+1, port) }
 	var settings platform.Settings
-	settings.IP = fmt.Sprintf("127.45.0.%d", number+1)
+	settings.IP = fmt.Sprintf("%s.%d", network, number+1)
 	settings.NodeName = "node-" + settings.IP
 	settings.Zone = zoneOf(number)
 	settings.Zones = map[string]string{"z1": "r1", "z2": "r1", "z3": "r2"}
