standin: say in one place what a whole answer is

Cause: the soak brought a second copy of the judgement of an answer from TestCalmDay, and the malformed responses a third copy of a stream's text.

Change: the stand-in has wholeBody, which its replica sends and its client's WrongAnswer compares with; both users call it. bothErrors, which takes any number of calls, is simultaneously. No check is looser; the report of a wrong body is cut after 200 bytes in TestCalmDay too.

No product code changed.

--- a/internal/soak/platform/judge_test.go
+++ b/internal/soak/platform/judge_test.go
@@ -89,7 +89,7 @@
 	unsigned, foreign := whole, whole
 	unsigned.Signature, foreign.Body = "", "POST /again/x another"
 	for reason, answer := range map[string]standin.Answer{"": whole, "a success without a signature": unsigned, "got the body": foreign} {
-		if got := wrongAnswer(request, answer); !strings.HasPrefix(got, reason) || (reason == "") != (got == "") {
+		if got := standin.WrongAnswer(request, answer); !strings.HasPrefix(got, reason) || (reason == "") != (got == "") {
 			t.Errorf("%+v: got %q, want %q", answer, got, reason)
 		}
 	}
--- a/internal/soak/platform/play.go
+++ b/internal/soak/platform/play.go
@@ -97,7 +97,7 @@
 	case soak.RestartAll:
 		err = s.restartAll(event.Role)
 	case soak.Configure:
-		err = bothErrors(func() error { return orders.configure(event.Node) }, func() error { return orders.configure(event.Node + 1) })
+		err = simultaneously(func() error { return orders.configure(event.Node) }, func() error { return orders.configure(event.Node + 1) })
 	case soak.Evacuate:
 		err = orders.evacuate(zoneOf(event.Node), event.For, event.Node)
 	case soak.Drain:
@@ -123,11 +123,11 @@
 	for _, u := range s.ofRole(role) {
 		kills = append(kills, u.kill)
 	}
-	return bothErrors(kills...)
+	return simultaneously(kills...)
 }
 
-// bothErrors calls functions at the same time and returns one of their errors, if any.
-func bothErrors(calls ...func() error) error {
+// simultaneously calls functions at the same time and returns one of their errors, if any.
+func simultaneously(calls ...func() error) error {
 	errs := make(chan error, len(calls))
 	for _, call := range calls {
 		go func() { errs <- call() }()
--- a/internal/soak/platform/traffic.go
+++ b/internal/soak/platform/traffic.go
@@ -61,7 +61,7 @@
 	if answer.Status == 0 && t.record.isCalm(sent) {
 		t.record.report(RuleLost, "%s got no answer: %v", request.ID, answer.Err)
 	}
-	if reason := wrongAnswer(request, answer); reason != "" {
+	if reason := standin.WrongAnswer(request, answer); reason != "" {
 		t.record.report(RuleAnswer, "%s: %s", request.ID, reason)
 	}
 	t.mutex.Lock()
@@ -70,32 +70,6 @@
 	return answer.Status
 }
 
-// wrongAnswer says what is wrong with a success, "" if nothing is.
-func wrongAnswer(request standin.Request, answer standin.Answer) string {
-	if answer.Status != http.StatusOK {
-		return ""
-	}
-	if answer.Signature == "" {
-		return "a success without a signature"
-	}
-	if want := wholeAnswer(request); answer.Body != want {
-		return fmt.Sprintf("got the body %.200q, want %q", answer.Body, want)
-	}
-	return ""
-}
-
-// wholeAnswer returns the body of the whole answer to a request.
-func wholeAnswer(request standin.Request) string {
-	if !strings.HasPrefix(request.Path, "/stream/") {
-		return request.Method + " " + request.Path + " " + request.Body
-	}
-	var events strings.Builder
-	for number := 1; number <= standin.StreamEvents; number++ {
-		fmt.Fprintf(&events, "id: %d\ndata: %s\n\n", number, request.Body)
-	}
-	return events.String()
-}
-
 // run sends the usual traffic until ctx ends.
 func (t *traffic) run(ctx context.Context, ratePerGateway int) {
 	var clients sync.WaitGroup
--- a/internal/standin/platform/client.go
+++ b/internal/standin/platform/client.go
@@ -60,6 +60,21 @@
 	Err error
 }
 
+// WrongAnswer says what is wrong with a success, "" if nothing is or the answer is none.
+// Rejections and errors that a gateway reports count as correct.
+func WrongAnswer(request Request, answer Answer) string {
+	if answer.Status != http.StatusOK {
+		return ""
+	}
+	if answer.Signature == "" {
+		return "a success without a signature"
+	}
+	if want := wholeBody(request.Method, request.Path, request.Body); answer.Body != want {
+		return fmt.Sprintf("got the body %.200q, want %q", answer.Body, want)
+	}
+	return ""
+}
+
 // Do sends a request once. It reports a failure in the Err field of the answer.
 func (c *Client) Do(ctx context.Context, request Request) Answer {
 	address, err := c.address(ctx)
--- a/internal/standin/platform/malformed.go
+++ b/internal/standin/platform/malformed.go
@@ -68,7 +68,7 @@
 	if err := connection.SetDeadline(time.Now().Add(endlessTime)); err != nil {
 		return
 	}
-	parts := responseParts(id, "by-"+r.ID, wholeBody(request, body), strings.HasPrefix(request.URL.Path, streamPath))
+	parts := responseParts(id, "by-"+r.ID, wholeBody(request.Method, request.RequestURI, string(body)), strings.HasPrefix(request.URL.Path, streamPath))
 	text, repeated := malform(parts, form)
 	if _, err := connection.Write([]byte(text)); err != nil || repeated == "" {
 		return
@@ -87,18 +87,6 @@
 	}
 }
 
-// wholeBody returns the body of the regular response to a request.
-func wholeBody(request *http.Request, body []byte) string {
-	if !strings.HasPrefix(request.URL.Path, streamPath) {
-		return echo(request, body)
-	}
-	var events strings.Builder
-	for number := 1; number <= StreamEvents; number++ {
-		fmt.Fprintf(&events, "id: %d\ndata: %s\n\n", number, body)
-	}
-	return events.String()
-}
-
 // responseParts returns the parts of a response with a chunked body.
 func responseParts(id, signature, body string, stream bool) []string {
 	contentType := "text/plain"
--- a/internal/standin/platform/replica.go
+++ b/internal/standin/platform/replica.go
@@ -164,7 +164,25 @@
 
 // echo returns the body of a response that is not a stream.
 func echo(request *http.Request, body []byte) string {
-	return fmt.Sprintf("%s %s %s", request.Method, request.RequestURI, body)
+	return wholeBody(request.Method, request.RequestURI, string(body))
+}
+
+// wholeBody returns the whole body of the regular response to a request: all events of a
+// stream, or what the request was.
+func wholeBody(method, target, body string) string {
+	if !strings.HasPrefix(target, streamPath) {
+		return method + " " + target + " " + body
+	}
+	var events strings.Builder
+	for number := 1; number <= StreamEvents; number++ {
+		events.WriteString(eventText(number, body))
+	}
+	return events.String()
+}
+
+// eventText returns an event of a stream.
+func eventText(number int, body string) string {
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", number, body)
 }
 
 // streamEvents sends the events after the last one that the client has received. If
@@ -173,7 +191,7 @@
 	w.Header().Set("Content-Type", typeEvents)
 	last, _ := strconv.Atoi(request.Header.Get(headerLastEvent)) // 0 for none
 	for number := last + 1; number <= StreamEvents; number++ {
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", number, body)
+		_, _ = io.WriteString(w, eventText(number, string(body)))
 		_ = http.NewResponseController(w).Flush()
 		if breakOff {
 			panic(http.ErrAbortHandler) // closes the connection
