--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-go build -o target/review-2/ ./review/_standins-2/rolling
+go build -o target/review-2/rolling ./review/_standins-2/platform
