agent, control, platform: find control nodes that were all replaced

Cause: a gateway asked only the seeds of its start and the members of its last grant; with all of them gone it tried dead addresses for ever. Changed settings were checked and not applied. Control nodes had the same fault: fixed seeds, and no new address once 64 were learned.

Change: without a granted renewal for a second a gateway sends Hello to the nodes it knows, former members and eight other gateways, and to whoever they name; control nodes ask gateways too after four rounds without a leader, and forward to the primary that they were told of. Changed seeds are applied, on SIGHUP and on the platform by reading the file each second. Answers of another cluster are not used. Why it works: each of these ways leads to a present control node, and only what a control node says of itself is recorded. New log messages say when the search starts and ends.

Evidence: with the search switched off TestFindsReplacedCoreThroughGateway and TestFindsReplacedCoreThroughFormerMember fail ("no lease of the new primary 4s after it could have found it"); the other tests need the new calls.

--- a/cmd/deckpulley-control/daemon.go
+++ b/cmd/deckpulley-control/daemon.go
@@ -159,7 +159,7 @@
 	return d.node.Stop()
 }
 
-// reload reads the settings again and applies the log level, the keys and the tokens.
+// reload reads the settings again and applies the seeds, the log level, the keys and the tokens.
 // After an error none of them has changed.
 func (d *daemon) reload() {
 	loaded, err := d.source.load()
@@ -176,5 +176,6 @@
 	d.level.Set(loaded.LogLevel())
 	d.tokens.Store(&tokens)
 	d.network.SetKeys(keys)
+	d.node.SetSeeds(loaded.Seeds)
 	d.logger.Info("settings reloaded", "keys", len(keys))
 }
--- a/cmd/deckpulley-gateway/daemon.go
+++ b/cmd/deckpulley-gateway/daemon.go
@@ -258,6 +258,7 @@
 		return err
 	}
 	d.network.SetKeys(keys)
+	d.gateway.Agent().SetSeeds(loaded.Seeds)
 	d.tokens.Store(&tokens)
 	d.level.Set(loaded.LogLevel())
 	return nil
--- a/cmd/deckpulley-platform/main.go
+++ b/cmd/deckpulley-platform/main.go
@@ -12,7 +12,6 @@
 	"log/slog"
 	"os"
 	"os/signal"
-	"sync"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -43,7 +42,7 @@
 
 // runFunc runs the process of one role, control node or gateway, until the context is
 // canceled.
-type runFunc func(ctx context.Context, settings *platform.Settings, logger *slog.Logger) error
+type runFunc func(ctx context.Context, settings *platform.Settings, watcher *platform.SettingsWatcher, logger *slog.Logger) error
 
 func newCommand() *cobra.Command {
 	level := "warn"
@@ -73,42 +72,20 @@
 			if err := minimum.UnmarshalText([]byte(*level)); err != nil {
 				return fmt.Errorf("%w: --log-level: %w", errUsage, err)
 			}
-			settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+			path := os.Getenv(platform.SettingsVariable)
+			settings, err := platform.LoadSettings(path)
 			if err != nil {
 				return err
 			}
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
 			logger := platform.NewLogger(settings, minimum)
-			defer watchSettings(logger)()
-			return run(ctx, settings, logger)
+			signal.Ignore(syscall.SIGPIPE)
+			return run(ctx, settings, platform.NewSettingsWatcher(path, logger), logger)
 		},
 	}
 }
 
-// watchSettings validates the settings file on each SIGHUP and logs an error if it is
-// invalid. It applies no setting: only the seeds may change while a process runs, and
-// a running process already has the addresses of the other nodes. stop ends the
-// goroutine and waits for it.
-func watchSettings(logger *slog.Logger) (stop func()) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	signal.Ignore(syscall.SIGPIPE)
-	var checks sync.WaitGroup
-	checks.Go(func() {
-		for range signals {
-			if _, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable)); err != nil {
-				logger.Error("the changed settings file is invalid", "error", err)
-			}
-		}
-	})
-	return func() {
-		signal.Stop(signals)
-		close(signals)
-		checks.Wait()
-	}
-}
-
 func newCheckCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "check FILE",
--- a/control/bootstrap/bootstrap.go
+++ b/control/bootstrap/bootstrap.go
@@ -25,6 +25,11 @@
 	"github.com/deckpulley/deckpulley/transport"
 )
 
+// roundsBeforeGateways is the number of rounds of discovery in succession in which no
+// control node knew a leader, after which gateways are asked too. Each round waits for
+// the slowest answer, so gateways that are down would delay a restart.
+const roundsBeforeGateways = 4
+
 // Config configures a Bootstrapper. All fields but InitialControl are required.
 type Config struct {
 	// Name, PeerAddress and Zone describe this node as a member of the group.
@@ -53,6 +58,9 @@
 	log     *slog.Logger
 	engine  *engine.Engine
 	greeter *discovery.Greeter
+	// roundsWithoutLeader is the number of rounds in succession in which no control node
+	// knew a leader. Only Run uses it.
+	roundsWithoutLeader int
 
 	mutex sync.Mutex
 	// coordinator is the disk identity of the node that this node lets bootstrap the
@@ -95,7 +103,8 @@
 // discover runs one round: it sends a Hello to every known node and, depending on the
 // replies, bootstraps a group, asks to join one, or completes a bootstrap.
 func (b *Bootstrapper) discover(ctx context.Context) {
-	greetings := b.greeter.Greet(ctx)
+	greetings := b.greeter.Greet(ctx, b.roundsWithoutLeader >= roundsBeforeGateways)
+	b.countRound(greetings)
 	b.config.Contacts.AddFromGreetings(ctx, greetings)
 	observed := b.engine.Observe()
 	switch {
@@ -108,6 +117,16 @@
 	}
 }
 
+// countRound counts the rounds in succession in which no control node knew a leader.
+func (b *Bootstrapper) countRound(greetings []discovery.Greeting) {
+	b.roundsWithoutLeader++
+	for _, greeting := range greetings {
+		if greeting.Reply.Leader != consensus.None {
+			b.roundsWithoutLeader = 0
+		}
+	}
+}
+
 // stableMember reports whether this node's log lists it as a voter with its current name,
 // address and zone.
 func (b *Bootstrapper) stableMember(observed *engine.Observation) bool {
--- a/control/discovery/contacts.go
+++ b/control/discovery/contacts.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/deckpulley/deckpulley/consensus"
@@ -12,20 +13,28 @@
 	"github.com/deckpulley/deckpulley/peer"
 )
 
-// maxLearned bounds the addresses that are stored from answers of other nodes.
-const maxLearned = 64
+const (
+	// maxLearned bounds the addresses that are stored from answers of other nodes. The one
+	// that was reported last the longest ago makes room for a new one.
+	maxLearned = 64
+	// gatewaysPerRound is the number of gateways that one round of discovery asks. A later
+	// round asks others.
+	gatewaysPerRound = 8
+)
 
 // Contacts are the addresses of other control nodes that a node knows. Its methods
 // are safe for concurrent use.
 type Contacts struct {
 	engine         *engine.Engine
 	peerAddress    string
-	seeds          []string
 	initialControl map[string]string
 
 	mutex sync.Mutex
-	// learned are the addresses in answers of other nodes.
-	learned map[string]bool
+	seeds []string
+	// learned are the addresses in answers of other nodes, the newest last.
+	learned []string
+	// gatewayCursor is the position of the next gateway that Gateways returns.
+	gatewayCursor int
 	// primary is the peer address of the primary according to the last answer of a
 	// member.
 	primary string
@@ -38,12 +47,41 @@
 	return &Contacts{
 		engine:         engine,
 		peerAddress:    peerAddress,
-		seeds:          seeds,
+		seeds:          slices.Clone(seeds),
 		initialControl: initialControl,
-		learned:        make(map[string]bool),
 	}
 }
 
+// SetSeeds replaces the seeds.
+func (c *Contacts) SetSeeds(seeds []string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.seeds = slices.Clone(seeds)
+}
+
+// Gateways returns the peer addresses of at most gatewaysPerRound gateways in the
+// registry, which know the control nodes. Successive calls go through all of them.
+func (c *Contacts) Gateways() []string {
+	catalog := c.engine.Observe().Catalog
+	if catalog == nil {
+		return nil
+	}
+	var addresses []string
+	for _, gateway := range catalog.Gateways() {
+		addresses = append(addresses, gateway.PeerAddress)
+	}
+	slices.Sort(addresses)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	count := min(len(addresses), gatewaysPerRound)
+	sample := make([]string, 0, count)
+	for range count {
+		sample = append(sample, addresses[c.gatewayCursor%len(addresses)])
+		c.gatewayCursor++
+	}
+	return sample
+}
+
 // Addresses returns the peer addresses of the seeds, the initial control nodes and the
 // members, and the learned addresses; each once, without this node's own.
 func (c *Contacts) Addresses() []string {
@@ -55,18 +93,19 @@
 			addresses = append(addresses, address)
 		}
 	}
+	members := membership.Addresses(c.engine.Observe().Status.Membership)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	for _, address := range c.seeds {
 		include(address)
 	}
 	for _, address := range c.initialControl {
 		include(address)
 	}
-	for _, address := range membership.Addresses(c.engine.Observe().Status.Membership) {
+	for _, address := range members {
 		include(address)
 	}
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for address := range c.learned {
+	for _, address := range c.learned {
 		include(address)
 	}
 	return addresses
@@ -80,10 +119,10 @@
 	}
 	c.mutex.Lock()
 	for _, member := range members {
-		if len(c.learned) < maxLearned {
-			c.learned[member.Address] = true
-		}
+		c.learned = slices.DeleteFunc(c.learned, func(address string) bool { return address == member.Address })
+		c.learned = append(c.learned, member.Address)
 	}
+	c.learned = c.learned[max(0, len(c.learned)-maxLearned):]
 	c.mutex.Unlock()
 	c.engine.RecordAddresses(ctx, members)
 }
@@ -119,12 +158,13 @@
 }
 
 // PrimaryAddress returns the peer address of the primary according to an observation. If
-// this node belongs to no group, it returns ReportedPrimary. It is empty if unknown.
+// this node's log names none, since the node belongs to no group or was replaced in it, it
+// returns ReportedPrimary. It is empty if unknown.
 func (c *Contacts) PrimaryAddress(observed *engine.Observation) string {
-	if observed.KnowsNoMembership() {
-		return c.ReportedPrimary()
+	if address := observed.LeaderAddress(); address != "" {
+		return address
 	}
-	return observed.LeaderAddress()
+	return c.ReportedPrimary()
 }
 
 // Greeting is an answer to Hello and the address that it came from.
--- a/control/discovery/greeter.go
+++ b/control/discovery/greeter.go
@@ -23,9 +23,13 @@
 	return &Greeter{name: name, engine: engine, network: network, contacts: contacts, callTimeout: callTimeout}
 }
 
-// Greet sends Hello to all contacts concurrently and returns the answers.
-func (g *Greeter) Greet(ctx context.Context) []Greeting {
+// Greet sends Hello to all contacts concurrently, and to some gateways if includeGateways
+// is set, and returns the answers.
+func (g *Greeter) Greet(ctx context.Context, includeGateways bool) []Greeting {
 	targets := g.contacts.Addresses()
+	if includeGateways {
+		targets = append(targets, g.contacts.Gateways()...)
+	}
 	answers := make(chan *Greeting, len(targets))
 	for _, address := range targets {
 		go func() {
--- a/control/fixture_test.go
+++ b/control/fixture_test.go
@@ -255,6 +255,7 @@
 	notify  chan struct{}
 
 	mutex       sync.Mutex
+	hello       func() peer.HelloReply // answers Hello; may be nil
 	holder      *lease.Holder
 	copy        *registry.Table
 	received    uint32
@@ -291,6 +292,7 @@
 		g.control = append(g.control, f.options[name].PeerAddress)
 	}
 	g.network.Handle(peer.KindNotify, g.serveNotify)
+	g.network.Handle(peer.KindHello, g.answerHello)
 	if err := g.network.Start(); err != nil {
 		f.t.Fatal(err)
 	}
--- a/control/node.go
+++ b/control/node.go
@@ -55,6 +55,7 @@
 	executor     *executor.Executor
 	bootstrapper *bootstrap.Bootstrapper
 	describer    *discovery.Describer
+	contacts     *discovery.Contacts
 	locator      *locator.Locator
 	reporter     *status.Reporter
 	updates      *updates.Forwarder
@@ -120,6 +121,7 @@
 func (n *Node) assemble(nodeMetrics *metrics.Metrics) {
 	options := n.options
 	contacts := discovery.NewContacts(n.engine, options.PeerAddress, options.Seeds, options.InitialControl)
+	n.contacts = contacts
 	n.describer = discovery.NewDescriber(n.description(), n.engine, n.network, options.CallTimeout)
 	n.reader = readindex.New(n.engine, n.network, options.PeerAddress, options.CallTimeout)
 	n.locator = locator.New(options.Name, n.engine, n.network, contacts, n.log)
@@ -239,6 +241,10 @@
 	n.queue.Close()
 }
 
+// SetSeeds replaces the seeds, the peer addresses of other processes that are used to
+// discover the group.
+func (n *Node) SetSeeds(seeds []string) { n.contacts.SetSeeds(seeds) }
+
 // Done returns a channel that is closed when the node has stopped; Err then returns the
 // cause.
 func (n *Node) Done() <-chan struct{} { return n.queue.Done() }
--- a/gateway/agent/agent.go
+++ b/gateway/agent/agent.go
@@ -46,6 +46,8 @@
 	logger  *slog.Logger
 	// wake interrupts the wait of Run, so that it renews immediately.
 	wake chan struct{}
+	// seedsChanged interrupts the wait of runSearch.
+	seedsChanged chan struct{}
 	// leaseExpiry is the clock reading, in nanoseconds, at which the lease expires.
 	leaseExpiry      atomic.Int64
 	active           atomic.Pointer[catalog.State]
@@ -62,6 +64,10 @@
 	// consecutiveFailures counts, for each address, the failed renewals since its last
 	// response.
 	consecutiveFailures map[string]int
+	// lastGrant is the time of the last granted renewal, or that of New. searching is true
+	// while no renewal was granted for searchAfter.
+	lastGrant time.Duration
+	searching bool
 	// leaseTerm is the term of the primary that granted the latest lease.
 	leaseTerm uint64
 	table     *registry.Table
@@ -81,10 +87,12 @@
 		options:      options,
 		logger:       options.Logger,
 		wake:         make(chan struct{}, 1),
+		seedsChanged: make(chan struct{}, 1),
 		controlNodes: newControlNodes(options.Seeds, options.Gateway.Name),
 		holder:       lease.NewHolder(options.LeaseConfig),
 		table:        registry.NewSecondary(catalog.Apex, catalog.Schema()),
 		activated:    make(chan struct{}),
+		lastGrant:    options.Clock(),
 
 		consecutiveFailures: make(map[string]int),
 	}
--- a/gateway/agent/agent_test.go
+++ b/gateway/agent/agent_test.go
@@ -38,7 +38,8 @@
 	network  transport.Network
 	mutex    sync.Mutex
 	grant    peer.Grant
-	table    *registry.Table // added to a grant as a transfer if the gateway is behind; may be nil
+	hello    *peer.HelloReply // the answer to Hello; nil for an error
+	table    *registry.Table  // added to a grant as a transfer if the gateway is behind; may be nil
 	renewals int
 	last     peer.Renew
 	// unresponsive makes calls wait until their timeout, as with a node without power.
@@ -72,6 +73,14 @@
 		}
 		return &grant, nil
 	})
+	c.network.Handle(peer.KindHello, func(context.Context, string, func(any) error) (any, error) {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		if c.hello == nil {
+			return nil, errNoControlNode
+		}
+		return c.hello, nil
+	})
 	if err := c.network.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/gateway/agent/control.go
+++ b/gateway/agent/control.go
@@ -9,6 +9,9 @@
 	"github.com/deckpulley/deckpulley/placement"
 )
 
+// maxFormerMembers bounds the number of former members whose addresses are kept.
+const maxFormerMembers = 16
+
 // controlNodes selects the control node for the next renewal. It starts with the
 // seeds and updates the member addresses from the responses of the control nodes, so
 // that the agent stays connected even after every seed has been replaced. It is
@@ -16,8 +19,10 @@
 type controlNodes struct {
 	seeds   []string
 	members []string // as last reported by a control node
-	primary string   // empty if unknown
-	cursor  int      // round-robin position in addresses while the primary is unknown
+	// former has the addresses of former members, newest first. Only a search uses them.
+	former  []string
+	primary string // empty if unknown
+	cursor  int    // round-robin position in addresses while the primary is unknown
 	// suspected is the address that failed most recently. Redirects to it are ignored
 	// until suspectedUntil.
 	suspected      string
@@ -34,8 +39,24 @@
 // setMembers replaces the members with those that a control node reported. An empty
 // list changes nothing.
 func (c *controlNodes) setMembers(members []string) {
-	if len(members) > 0 {
-		c.members = slices.Clone(members)
+	if len(members) == 0 {
+		return
+	}
+	for _, address := range c.members {
+		if !slices.Contains(members, address) && !slices.Contains(c.former, address) {
+			c.former = slices.Insert(c.former, 0, address)
+		}
+	}
+	c.former = slices.DeleteFunc(c.former, func(address string) bool { return slices.Contains(members, address) })
+	c.former = c.former[:min(len(c.former), maxFormerMembers)]
+	c.members = slices.Clone(members)
+}
+
+// addFound adds a control node that a search has found to the members, until a control
+// node reports its members again.
+func (c *controlNodes) addFound(address string) {
+	if !slices.Contains(c.members, address) {
+		c.members = slices.Insert(slices.Clone(c.members), 0, address)
 	}
 }
 
--- a/gateway/agent/handlers.go
+++ b/gateway/agent/handlers.go
@@ -29,10 +29,7 @@
 		return nil, nil
 	}
 	if notify.Primary != "" {
-		a.controlNodes.primary = notify.Primary
-		if a.renewalAddress != "" && a.renewalAddress != notify.Primary {
-			a.cancelRenewal()
-		}
+		a.followPrimary(notify.Primary)
 	}
 	if notify.ActivationSerial != 0 && a.Valid() && a.leaseTerm == notify.Term {
 		a.activate(notify.ActivationSerial)
--- a/gateway/agent/renew.go
+++ b/gateway/agent/renew.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 	"time"
 
 	"github.com/deckpulley/deckpulley/internal/planted"
@@ -33,8 +35,12 @@
 	maxDoublings = 4
 )
 
-// Run renews the lease periodically until the context ends.
+// Run renews the lease periodically, and searches for the control nodes if renewals are
+// not granted, until the context ends.
 func (a *Agent) Run(ctx context.Context) {
+	var search sync.WaitGroup
+	search.Go(func() { a.runSearch(ctx) })
+	defer search.Wait()
 	redirects := 0
 	for ctx.Err() == nil {
 		wait, redirected := a.renew(ctx)
@@ -82,6 +88,9 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	now := a.options.Clock()
+	if err == nil && a.isForeign(&grant) {
+		err = errOtherCluster
+	}
 	if err != nil {
 		a.handleFailure(now, address, &request, err)
 		return searchInterval, false
@@ -102,6 +111,17 @@
 	return a.handleGrant(sent, &grant), false
 }
 
+// errOtherCluster means that a node of another cluster answered a renewal: its address
+// belonged to a control node of this gateway's cluster before.
+var errOtherCluster = errors.New("agent: the node belongs to another cluster")
+
+// isForeign reports whether a grant is from another cluster than this gateway's. Nothing in
+// it may be used then, including the addresses of that cluster's control nodes. The caller
+// holds the mutex.
+func (a *Agent) isForeign(grant *peer.Grant) bool {
+	return grant.Cluster != "" && a.holder.Cluster() != "" && grant.Cluster != a.holder.Cluster()
+}
+
 // handleFailure records that a renewal failed, usually because the node did not
 // respond. The caller holds the mutex.
 func (a *Agent) handleFailure(now time.Duration, address string, request *peer.Renew, err error) {
@@ -191,6 +211,7 @@
 		return searchInterval
 	}
 	a.grantedRenewals.Add(1)
+	a.lastGrant = now
 	if duration > 0 {
 		a.leaseTerm = grant.Term
 		a.publishExpiry(now)
--- a/httpgateway/gateway.go
+++ b/httpgateway/gateway.go
@@ -102,6 +102,10 @@
 // Server returns an HTTP server for clients; the caller passes it a listener to serve.
 func (g *Gateway) Server() *http.Server { return g.proxy.Server() }
 
+// SetSeeds replaces the addresses of the control nodes to contact if no known one grants a
+// lease.
+func (g *Gateway) SetSeeds(seeds []string) { g.agent.SetSeeds(seeds) }
+
 // Status returns the state of the gateway's lease and of its copy of the registry.
 func (g *Gateway) Status() agent.Status { return g.agent.Status() }
 
