control, storage: bound the log of a control node in bytes

Cause: the log was compacted after 4,096 entries, 1,024 were kept, and their bytes did not count. The file grew in steps of 16 MiB.

--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -39,6 +39,9 @@
 	Data  []byte    `cbor:"4,keyasint,omitempty"`
 }
 
+// Size returns the size of the entry in bytes, as counted against limits.
+func (e Entry) Size() int { return len(e.Data) + entryOverheadBytes }
+
 // HardState is the part of a member's state that must be on disk before any message
 // that depends on it is sent. Its CBOR form is stored.
 type HardState struct {
--- a/consensus/log.go
+++ b/consensus/log.go
@@ -122,7 +122,7 @@
 	size := 0
 	count := 0
 	for _, entry := range window {
-		size += len(entry.Data) + entryOverheadBytes
+		size += entry.Size()
 		if count > 0 && size > maxBytes {
 			break
 		}
--- a/consensus/snapshot.go
+++ b/consensus/snapshot.go
@@ -36,6 +36,22 @@
 	return snapshot.Index - keep + 1
 }
 
+// RetainableEntries returns how many of the last entries up to and including an index fit
+// into both limits, at least one. It is the value of keep for Compact that bounds the
+// retained log in bytes too.
+func (n *Node) RetainableEntries(index, maxEntries uint64, maxBytes int) uint64 {
+	count := uint64(0)
+	size := 0
+	for position := index; position > n.log.boundaryIndex && count < maxEntries; position-- {
+		size += n.log.entries[position-n.log.boundaryIndex-1].Size()
+		if size > maxBytes {
+			break
+		}
+		count++
+	}
+	return max(count, 1)
+}
+
 // sendSnapshot sends the newest snapshot to a member whose next entry is compacted.
 // Since the snapshot may be large, isPaused delays the next one for several election
 // timeouts.
--- a/control/driver/driver.go
+++ b/control/driver/driver.go
@@ -39,6 +39,9 @@
 	Seed              uint64
 	// SnapshotInterval is the number of log entries applied between two snapshots.
 	SnapshotInterval uint64
+	// SnapshotBytes is the size of the log entries, in bytes, applied between two
+	// snapshots. Entries of half that size are retained before a snapshot.
+	SnapshotBytes int
 	// Voters is the number of voters of a complete group, if greater than the number
 	// at its bootstrap.
 	Voters int
@@ -62,6 +65,8 @@
 	// that of the newest snapshot on disk.
 	applied       uint64
 	snapshotIndex uint64
+	// bytesSinceSnapshot is the size of the entries applied since then.
+	bytesSinceSnapshot int
 
 	waiters map[uint64]waiter // by log index
 	// addresses are the addresses of members as reported by other nodes.
@@ -259,6 +264,7 @@
 		d.log.Info("membership change committed", "index", entry.Index, "term", entry.Term)
 	}
 	d.applied = entry.Index
+	d.bytesSinceSnapshot += entry.Size()
 	d.answerWaiter(entry, result)
 	return nil
 }
--- a/control/engine/config.go
+++ b/control/engine/config.go
@@ -16,7 +16,8 @@
 	DefaultStartupTimeout   = 100 * time.Millisecond
 	DefaultReplaceAfter     = 3 * time.Second
 	DefaultGatewayGrace     = time.Second
-	DefaultSnapshotInterval = 4096 // entries
+	DefaultSnapshotInterval = 4096     // entries
+	DefaultSnapshotBytes    = 16 << 20 // bytes
 	DefaultLinkMbps         = 100
 )
 
@@ -54,6 +55,10 @@
 	TickInterval time.Duration
 	// SnapshotInterval is the number of log entries applied between two snapshots.
 	SnapshotInterval uint64
+	// SnapshotBytes is the size of the log entries, in bytes, applied between two
+	// snapshots. It bounds the log on disk and in memory to about twice as much; a smaller
+	// value costs more frequent snapshots, which have the size of the registry.
+	SnapshotBytes int
 
 	// ReplaceAfter is how long a voter must be unreachable before a node at a
 	// different address may replace it.
@@ -77,6 +82,9 @@
 	if c.SnapshotInterval == 0 {
 		c.SnapshotInterval = DefaultSnapshotInterval
 	}
+	if c.SnapshotBytes == 0 {
+		c.SnapshotBytes = DefaultSnapshotBytes
+	}
 	if c.Seed == 0 {
 		c.Seed = identity.NewSeed()
 	}
--- a/control/engine/machine.go
+++ b/control/engine/machine.go
@@ -36,6 +36,7 @@
 		StartupTimeout:    config.StartupTimeout,
 		Seed:              config.Seed,
 		SnapshotInterval:  config.SnapshotInterval,
+		SnapshotBytes:     config.SnapshotBytes,
 		Voters:            config.Voters,
 	}, now)
 	if err != nil {
--- a/control/node.go
+++ b/control/node.go
@@ -112,6 +112,7 @@
 		Seed:              options.Seed,
 		TickInterval:      options.TickInterval,
 		SnapshotInterval:  options.SnapshotInterval,
+		SnapshotBytes:     options.SnapshotBytes,
 		ReplaceAfter:      options.ReplaceAfter,
 		Voters:            options.Voters,
 	}
--- a/control/options.go
+++ b/control/options.go
@@ -93,6 +93,10 @@
 	// SnapshotInterval is the number of log entries applied between two snapshots.
 	// Default 4096.
 	SnapshotInterval uint64
+	// SnapshotBytes is the size of the log entries, in bytes, applied between two
+	// snapshots. The log on disk and in memory has about twice that size at most, beside
+	// two snapshots on disk. Default 16 MiB.
+	SnapshotBytes int
 }
 
 // validate checks the fields that have no default.
--- a/storage/disk.go
+++ b/storage/disk.go
@@ -22,7 +22,10 @@
 	folderMode       = 0o700
 	lockTimeout      = 5 * time.Second // how long to wait for another process to close the file
 	identityBytes    = 16
-	formatVersion    = 1
+	// growthBytes is the step by which the file grows. bbolt's own, 16 MiB, is a large part
+	// of a small disk.
+	growthBytes   = 1 << 20
+	formatVersion = 1
 )
 
 // The buckets of the file and the keys of the singleton records. The log bucket has one
@@ -91,6 +94,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("storage: open %s: %w", path, err)
 	}
+	database.AllocSize = growthBytes
 	return &Disk{database: database}, nil
 }
 
