agent, lease: a leaving gateway follows the registry until it ends

Cause: releasing the lease ended the copy of the registry too. The primary answers a release without a transfer, and the agent dropped later grants with lease.ErrReleased, while the requests in flight were still decided by the last state: drains, evacuations, homes, routes, cold replicas, the directory.

Change: a draining gateway renews with Renew.Follows at the ordinary interval; the primary sends transfers and the activation serial, no lease, and waits for it in no acknowledgement. Why it works: the gateway activates what the primary has approved, as before, and is only no longer waited for. Older releases on either side behave as before; the golden messages gain one line.

--- a/control/fixture_test.go
+++ b/control/fixture_test.go
@@ -256,6 +256,7 @@
 
 	mutex       sync.Mutex
 	hello       func() peer.HelloReply // answers Hello; may be nil
+	leaving     bool                   // the gateway has released its lease and follows the registry
 	holder      *lease.Holder
 	copy        *registry.Table
 	received    uint32
@@ -355,8 +356,10 @@
 		Term:           g.holder.Term(),
 		ReceivedSerial: g.received,
 		ActiveSerial:   g.active,
-		LeaseValid:     g.holder.Valid(sent),
+		LeaseValid:     g.holder.Valid(sent) && !g.leaving,
+		Follows:        g.leaving,
 	}
+	renew.Gateway.Draining = g.leaving
 	g.mutex.Unlock()
 	var grant peer.Grant
 	if err := g.network.Call(ctx, address, peer.KindRenew, &renew, &grant); err != nil || !grant.QuorumConfirmed {
--- a/control/leases/leases.go
+++ b/control/leases/leases.go
@@ -98,6 +98,7 @@
 		ReceivedSerial: renew.ReceivedSerial,
 		ActiveSerial:   renew.ActiveSerial,
 		Release:        renew.Gateway.Draining,
+		Follows:        renew.Follows,
 		LeaseValid:     renew.LeaseValid,
 		Term:           renew.Term,
 	})
--- a/gateway/agent/renew.go
+++ b/gateway/agent/renew.go
@@ -175,6 +175,7 @@
 		Term:           a.holder.Term(),
 		ReceivedSerial: a.receivedSerialLocked(),
 		LeaseValid:     a.Valid(),
+		Follows:        a.options.Gateway.Draining,
 	}
 	if active := a.active.Load(); active != nil {
 		request.ActiveSerial = active.Serial()
@@ -204,7 +205,7 @@
 func (a *Agent) handleGrant(sent time.Duration, grant *peer.Grant) time.Duration {
 	duration := time.Duration(grant.LeaseMS) * time.Millisecond
 	now := a.options.Clock()
-	if err := a.holder.HandleGrant(now, sent, grant.Term, grant.Cluster, duration); err != nil {
+	if err := a.observeGrant(now, sent, grant, duration); err != nil {
 		a.rejectedRenewals.Add(1)
 		a.logger.Warn("lease grant ignored", "term", grant.Term, "error", err)
 		a.controlNodes.primary = ""
@@ -212,7 +213,7 @@
 	}
 	a.grantedRenewals.Add(1)
 	a.lastGrant = now
-	if duration > 0 {
+	if duration > 0 && !a.options.Gateway.Draining {
 		a.leaseTerm = grant.Term
 		a.publishExpiry(now)
 	}
@@ -228,6 +229,16 @@
 	return a.options.LeaseConfig.RenewalInterval
 }
 
+// observeGrant passes a grant to the holder of the lease. A draining gateway has released
+// its lease and accepts no other one, but follows the registry until it ends. The caller
+// holds the mutex.
+func (a *Agent) observeGrant(now, sent time.Duration, grant *peer.Grant, duration time.Duration) error {
+	if a.options.Gateway.Draining {
+		return a.holder.Observe(grant.Term, grant.Cluster)
+	}
+	return a.holder.HandleGrant(now, sent, grant.Term, grant.Cluster, duration)
+}
+
 // publishExpiry stores the end of the lease for Valid and Remaining, which do not
 // lock. The caller holds the mutex.
 func (a *Agent) publishExpiry(now time.Duration) {
@@ -238,7 +249,8 @@
 
 // ReleaseLease releases the lease for good: Valid reports false from then on. It then
 // notifies the primary, if the primary can be reached, with a renewal that marks the
-// gateway as draining.
+// gateway as draining. Run goes on following the registry, by which the requests that are
+// still in flight are decided.
 func (a *Agent) ReleaseLease(ctx context.Context) {
 	a.mutex.Lock()
 	a.holder.Release()
--- a/lease/grantor.go
+++ b/lease/grantor.go
@@ -94,7 +94,8 @@
 	}
 	if request.Release {
 		g.release(now, id)
-		return Decision{ActivationSerial: g.ActivationSerial()}
+		confirmed := request.Follows && g.hasRecentQuorumContact(now)
+		return Decision{QuorumConfirmed: confirmed, ActivationSerial: g.ActivationSerial()}
 	}
 	if !g.hasRecentQuorumContact(now) {
 		return Decision{}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -65,6 +65,9 @@
 	ActiveSerial uint32
 	// Release ends the lease. The holder has already stopped acting on it.
 	Release bool
+	// Follows asks for the activation serial in the reply to a release: the holder has no
+	// lease any more, but still acts on its active serial until it ends.
+	Follows bool
 	// LeaseValid is true if the holder's lease was valid when it sent the request.
 	LeaseValid bool
 	// Term is the newest term that the holder knew when it sent the request.
@@ -77,7 +80,7 @@
 	// on leases, see Config.MaxQuorumContactAge. The holder may then accept a transfer
 	// and ActivationSerial. It does not mean that a lease was granted, see LeaseDuration.
 	// If it is false, no lease was granted and the holder must ignore the other fields.
-	// It is always false in the reply to a release.
+	// In the reply to a release it is false unless the holder follows.
 	QuorumConfirmed bool
 	// LeaseDuration is the duration of the granted lease, counted from the time at which
 	// the holder sent the request. It is 0 if no lease was granted. If QuorumConfirmed
--- a/lease/quorumcontact_test.go
+++ b/lease/quorumcontact_test.go
@@ -1,6 +1,9 @@
 package lease
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // TestReportNeedsLaterQuorumContact reports a new active serial after the quorum contact.
 // Since then another primary may have been elected and may have granted a lease to a
@@ -36,3 +39,31 @@
 	}
 	wantInForce(t, grantor, later, 6, true)
 }
+
+// TestReleasedHolderFollows guards against a primary that tells a leaving holder nothing:
+// the holder still acts on its active serial. It gets no lease, and is not waited for.
+func TestReleasedHolderFollows(t *testing.T) {
+	grantor := NewGrantor(DefaultConfig(), 1, 0, 10)
+	grantor.ExpectReclaims(0, nil)
+	now := DefaultConfig().GracePeriod() + time.Millisecond
+	request := RenewalRequest{Holder: "g", Incarnation: "i", ReceivedSerial: 10, ActiveSerial: 10, Term: 1}
+	if decision := grantor.Renew(now, now, true, request); decision.LeaseDuration == 0 {
+		t.Fatal("the holder got no lease")
+	}
+	grantor.SetSerial(11)
+	request.Release, request.Follows = true, true
+	decision := grantor.Renew(now+10*time.Millisecond, now+20*time.Millisecond, true, request)
+	if !decision.QuorumConfirmed || decision.ActivationSerial != 11 || decision.LeaseDuration != 0 {
+		t.Errorf("a holder that follows gets %+v, want serial 11 without a lease", decision)
+	}
+	if serial, known := grantor.SerialInForce(); !known || serial != 11 {
+		t.Errorf("serial in force is %d, %v; want 11, since the released lease is not waited for", serial, known)
+	}
+	if late := grantor.Renew(now+time.Second, now+20*time.Millisecond, true, request); late.QuorumConfirmed {
+		t.Error("a grantor without recent quorum contact confirms a serial")
+	}
+	request.Follows = false
+	if old := grantor.Renew(now+30*time.Millisecond, now+30*time.Millisecond, true, request); old.QuorumConfirmed {
+		t.Error("a holder of an older release, which does not follow, is confirmed")
+	}
+}
--- a/peer/golden_messages_test.go
+++ b/peer/golden_messages_test.go
@@ -98,7 +98,10 @@
 	add("Join empty", peer.Join{})
 	add("JoinReply", filled[peer.JoinReply]())
 	add("JoinReply empty", peer.JoinReply{})
-	add("Renew", filled[peer.Renew]())
+	renew := filled[peer.Renew]()
+	renew.Follows = false // from before that field: older programs send this one
+	add("Renew", renew)
+	add("Renew, follows", filled[peer.Renew]())
 	add("Renew empty", peer.Renew{})
 	add("Grant", filled[peer.Grant]())
 	add("Grant empty", peer.Grant{})
--- a/peer/lease.go
+++ b/peer/lease.go
@@ -32,6 +32,9 @@
 	ActiveVersion uint64 `cbor:"6,keyasint"` // version of the active configuration
 	// LeaseValid is true if the gateway had a valid lease when it sent the message.
 	LeaseValid bool `cbor:"7,keyasint,omitempty"`
+	// Follows asks for transfers and the activation serial although the gateway has
+	// released its lease: it is shutting down, but still has requests in flight.
+	Follows bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Grant answers Renew. A node that is not the primary, or a primary that a quorum has
