cmd: ignore SIGHUP from the start of a process until it is handled

Cause: a SIGHUP ends a process that doesn't handle it, and the programs asked for it some 5 ms after their start, the product's daemons after their ports were bound. deckpulley-control had one channel of one place for all signals, so that a waiting SIGHUP dropped a SIGTERM.

Change: internal/startsignal ignores the signal in a constructor, before the Go runtime starts; the daemons ask for their signals before they read their settings, each kind on a channel of its own.

--- a/cmd/deckpulley-control/daemon.go
+++ b/cmd/deckpulley-control/daemon.go
@@ -42,6 +42,14 @@
 
 // runDaemon runs a control node until SIGTERM or SIGINT, or until the node fails.
 func runDaemon(ctx context.Context, source *settingsSource) error {
+	// Signals are received from before the settings are read, so that no change of them is
+	// missed. SIGHUP has its own channel: package signal drops a signal if the channel is
+	// full, and a pending reload must not cause a termination signal to be dropped.
+	terminate, hangUp := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(terminate, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(hangUp, syscall.SIGHUP)
+	defer signal.Stop(terminate)
+	defer signal.Stop(hangUp)
 	loaded, err := source.load()
 	if err != nil {
 		return err
@@ -50,14 +58,11 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	if err := d.node.Start(); err != nil {
 		return err
 	}
 	d.serving.Go(func() { d.serveResult <- d.server.Serve(d.listener) })
-	return d.supervise(ctx, signals)
+	return d.supervise(ctx, terminate, hangUp)
 }
 
 // newDaemon binds both ports, opens the data folder and creates the node. It closes
@@ -122,14 +127,12 @@
 
 // supervise reloads the settings on SIGHUP, and returns after a termination signal or
 // a failure of the server or the node.
-func (d *daemon) supervise(ctx context.Context, signals <-chan os.Signal) error {
+func (d *daemon) supervise(ctx context.Context, terminate, hangUp <-chan os.Signal) error {
 	for {
 		select {
-		case received := <-signals:
-			if received == syscall.SIGHUP {
-				d.reload()
-				continue
-			}
+		case <-hangUp:
+			d.reload()
+		case received := <-terminate:
 			d.logger.Info("shutting down", "signal", received.String())
 			return d.shutDown(ctx)
 		case err := <-d.serveResult:
--- a/cmd/deckpulley-control/main.go
+++ b/cmd/deckpulley-control/main.go
@@ -5,6 +5,10 @@
 // or a usage error.
 package main
 
-import "os"
+import (
+	"os"
+
+	_ "github.com/deckpulley/deckpulley/internal/startsignal" // for its effect
+)
 
 func main() { os.Exit(execute(newCommand())) }
--- a/cmd/deckpulley-gateway/daemon.go
+++ b/cmd/deckpulley-gateway/daemon.go
@@ -61,6 +61,14 @@
 
 // runDaemon runs a gateway until SIGTERM or SIGINT, or until a port fails.
 func runDaemon(source *settingsSource) error {
+	// Signals are received from before the settings are read, so that no change of them is
+	// missed. SIGHUP has its own channel: package signal drops a signal if the channel is
+	// full, and a pending reload must not cause a termination signal to be dropped.
+	terminate, hangUp := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(terminate, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(hangUp, syscall.SIGHUP)
+	defer signal.Stop(terminate)
+	defer signal.Stop(hangUp)
 	loaded, err := source.load()
 	if err != nil {
 		return err
@@ -69,13 +77,6 @@
 	if err != nil {
 		return err
 	}
-	// SIGHUP has its own channel: package signal drops a signal if the channel is full,
-	// and a pending reload must not cause a termination signal to be dropped.
-	terminate, hangUp := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(terminate, syscall.SIGTERM, syscall.SIGINT)
-	signal.Notify(hangUp, syscall.SIGHUP)
-	defer signal.Stop(terminate)
-	defer signal.Stop(hangUp)
 	return d.run(terminate, hangUp)
 }
 
--- a/cmd/deckpulley-gateway/main.go
+++ b/cmd/deckpulley-gateway/main.go
@@ -6,6 +6,10 @@
 // or flags.
 package main
 
-import "os"
+import (
+	"os"
+
+	_ "github.com/deckpulley/deckpulley/internal/startsignal" // for its effect
+)
 
 func main() { os.Exit(execute(newCommand())) }
--- a/cmd/deckpulley-platform/main.go
+++ b/cmd/deckpulley-platform/main.go
@@ -16,6 +16,7 @@
 
 	"github.com/spf13/cobra"
 
+	_ "github.com/deckpulley/deckpulley/internal/startsignal" // for its effect
 	"github.com/deckpulley/deckpulley/platform"
 )
 
