catalog: cut long lines into chunks by their content

Cause: chunks end after lines; a document without line breaks was cut each 8 KiB from its start, and a change of its length renewed every chunk after it.

Change: lines of more than 16 KiB are cut by a rolling hash (gear) into chunks of 1 to 8 KiB. Shorter lines are cut as before, which the golden chunks show.

Evidence: TestSmallChangeOfOneLine fails with the old rule: a change of the first route of 1,048,587 octets adds 1,050,654.

--- a/catalog/chunks.go
+++ b/catalog/chunks.go
@@ -10,18 +10,56 @@
 	"github.com/deckpulley/deckpulley/registry"
 )
 
-// The text of a configuration is stored in chunks. A chunk ends after a line that
-// is chosen by the line's content (content-defined chunking), so that a small
-// change of a large text changes few records. The rule must not change: a release with
-// other chunk boundaries would replace the chunks of every stored text.
+// The text of a configuration is stored in chunks whose boundaries depend on the text near
+// them alone (content-defined chunking), so that a small change of a large text changes few
+// records. The boundaries are a format: a release with others would replace the chunks of
+// every stored text once. Their rules:
+//
+//   - A line of at most longLineBytes octets ends a chunk if the XXH64 hash of the line,
+//     with its line break, is a multiple of chunkLineModulus. A chunk that would exceed
+//     maxChunkBytes ends there.
+//   - A longer line, as in JSON without line breaks, begins a chunk and ends one, and is cut
+//     by a rolling hash: see gearEnd.
+//
+// Releases that lack the last rule read the chunks, whose boundaries they take from
+// the stored list.
 const (
-	chunkLineModulus = 32      // on average one line in 32 ends a chunk
-	maxChunkBytes    = 8 << 10 // octets
-	digestBytes      = 16      // length of the SHA-256 prefix that names a chunk, in octets
+	chunkLineModulus = 32                // on average one line in 32 ends a chunk
+	maxChunkBytes    = 8 << 10           // octets
+	longLineBytes    = 2 * maxChunkBytes // octets
+	digestBytes      = 16 // length of the SHA-256 prefix that names a chunk, in octets
 )
 
 // SplitChunks returns the chunks of a text in order. Their concatenation is the text.
 func SplitChunks(text string) []string {
+	var chunks []string
+	for len(text) > 0 {
+		lines := shortLines(text)
+		chunks = append(chunks, splitLines(text[:lines])...)
+		text = text[lines:]
+		end := lineEnd(text, 0, len(text))
+		chunks = append(chunks, splitLong(text[:end])...)
+		text = text[end:]
+	}
+	return chunks
+}
+
+// shortLines returns the length of the lines at the start of a text that have at most
+// longLineBytes octets each.
+func shortLines(text string) int {
+	offset := 0
+	for offset < len(text) {
+		end := lineEnd(text, offset, len(text))
+		if end-offset > longLineBytes {
+			break
+		}
+		offset = end
+	}
+	return offset
+}
+
+// splitLines returns the chunks of lines of at most longLineBytes octets.
+func splitLines(text string) []string {
 	var chunks []string
 	start := 0 // of the chunk
 	for offset := 0; offset < len(text); {
