catalog: bound the list of a document's chunks

Cause: a line whose hash is chosen ends a chunk wherever it stands, so that a document of 2 MB may have 28,728 chunks. The list of their digests is one record of at most 64 KiB.

Evidence: TestManyShortLines fails without it: 28,728 digests do not fit into a record.

--- a/catalog/chunks.go
+++ b/catalog/chunks.go
@@ -20,13 +20,16 @@
 //     maxChunkBytes ends there.
 //   - A longer line, as in JSON without line breaks, begins a chunk and ends one, and is cut
 //     by a rolling hash: see gearEnd.
+//   - If these rules give more than maxLineChunks chunks, the whole text is cut by the
+//     rolling hash. The list of the chunks' digests would exceed a record otherwise.
 //
-// Releases that lack the last rule read the chunks, whose boundaries they take from
+// Releases that lack the last two rules read the chunks, whose boundaries they take from
 // the stored list.
 const (
 	chunkLineModulus = 32                // on average one line in 32 ends a chunk
 	maxChunkBytes    = 8 << 10           // octets
 	longLineBytes    = 2 * maxChunkBytes // octets
+	maxLineChunks    = 3000
 	digestBytes      = 16 // length of the SHA-256 prefix that names a chunk, in octets
 )
 
@@ -41,6 +44,9 @@
 		chunks = append(chunks, splitLong(text[:end])...)
 		text = text[end:]
 	}
+	if len(chunks) > maxLineChunks {
+		return splitLong(strings.Join(chunks, ""))
+	}
 	return chunks
 }
 
--- a/catalog/chunks_test.go
+++ b/catalog/chunks_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"github.com/deckpulley/deckpulley/registry"
 )
 
 func TestSplitChunksConcatenateToText(t *testing.T) {
@@ -72,3 +74,16 @@
 		}
 	}
 }
+
+// TestManyShortLines guards against a list of digests that exceeds a record: a document in
+// which one frequent line ends a chunk could not be stored.
+func TestManyShortLines(t *testing.T) {
+	line := "x\n"
+	for !endsChunk(line) {
+		line = "x" + line
+	}
+	text := strings.Repeat(line, 2<<20/len(line))
+	if records, digests := ChunkRecords(text); len(digests)*digestBytes > registry.MaxDataBytes-1024 || len(records) == 0 {
+		t.Errorf("%d digests do not fit into a record", len(digests))
+	}
+}
