control, storage: a full disk suspends a control node and does not end it

Callers saw: a control node whose disk is full ends, and again at every start until there is room.

Cause: every failed write was final, since after a failed sync the content of the disk is unknown. A write that fails for lack of room fails before anything is synced and changes nothing.

Change: the store tells the two apart (NoSpaceError). The node then discards its replicated log, role and leases, says so in log, metrics and readiness, and tries twice a second to open the store anew and to complete a synced write; then it starts from what is on the disk, as after a restart. Why it is safe: what was not written was neither sent nor counted, and nothing in memory outlives the failure.

Evidence: TestFullDiskDoesNotEndNode fails before (the node stops).

--- a/control/driver/driver.go
+++ b/control/driver/driver.go
@@ -72,6 +72,8 @@
 	// addresses are the addresses of members as reported by other nodes.
 	addresses map[consensus.ID]string
 	failure   error // a failed write outside of ProcessReady; stops the node
+	// suspended is true while this node does not participate because its disk is full.
+	suspended bool
 }
 
 // New loads the state from the disk, and starts the replicated log if this node belongs to
--- a/control/driver/group.go
+++ b/control/driver/group.go
@@ -36,7 +36,7 @@
 // The snapshot, which contains the group's id, is written before the id itself, so that
 // completeGroupEntry can finish after a crash between the two writes.
 func (d *Driver) EnterGroup(now time.Duration, cluster string, snapshot consensus.Snapshot) bool {
-	if d.cluster != "" {
+	if d.cluster != "" || d.suspended {
 		return false
 	}
 	if snapshot.Index > 0 {
@@ -82,7 +82,7 @@
 // applied it returns a snapshot with index 0: by then the group has had a majority, so its
 // leader brings members up to date.
 func (d *Driver) BootstrapState() peer.Bootstrap {
-	if d.state == nil || d.applied != 1 {
+	if d.node == nil || d.state == nil || d.applied != 1 {
 		return peer.Bootstrap{}
 	}
 	data, err := d.state.Encode(d.cluster)
--- a/control/engine/engine.go
+++ b/control/engine/engine.go
@@ -63,13 +63,26 @@
 			e.handle(event)
 			e.handleQueued()
 		}
-		if err := e.machine.process(e.queue.Now()); err != nil {
+		if err := e.process(e.queue.Now()); err != nil {
 			return err
 		}
 		e.publish()
 	}
 }
 
+// process does the work that the inputs caused. A full disk suspends this node; other
+// failures are returned.
+func (e *Engine) process(now time.Duration) error {
+	err := e.machine.resume(now)
+	if err == nil {
+		err = e.machine.process(now)
+	}
+	if err == nil {
+		return nil
+	}
+	return e.machine.suspend(now, err)
+}
+
 // handle reads the clock after the event was taken from the queue. So no event is
 // handled with a time before it was sent, and a process that was frozen accounts for the
 // elapsed time before it handles the events that were queued meanwhile.
--- a/control/engine/machine.go
+++ b/control/engine/machine.go
@@ -22,6 +22,8 @@
 	driver     *driver.Driver
 	transfers  *transfer.Sender
 	leadership *leadership // nil unless this node leads
+	// nextResume is the time of the next attempt to resume while the driver is suspended.
+	nextResume time.Duration
 }
 
 // newMachine loads the state from the disk.
@@ -115,6 +117,7 @@
 // observe returns the observation that the event loop publishes.
 func (m *machine) observe(now time.Duration) *Observation {
 	o := &Observation{
+		DiskFull:   m.driver.Suspended(),
 		At:         now,
 		Identity:   m.driver.Identity(),
 		Cluster:    m.driver.Cluster(),
--- a/control/engine/observation.go
+++ b/control/engine/observation.go
@@ -25,6 +25,9 @@
 	// the serial of its table.
 	Catalog *catalog.State
 	Serial  uint32
+	// DiskFull is true while this node does not participate in its group because its disk
+	// is full. Catalog and Serial are then those from before.
+	DiskFull bool
 	// Applied is the index of the newest log entry that the catalog includes.
 	Applied uint64
 	// Primary is true while this node leads and has applied everything that was
@@ -71,6 +74,8 @@
 // Otherwise it returns an error with the reason.
 func (o *Observation) Ready() *api.Error {
 	switch {
+	case o.DiskFull:
+		return apierror.NotReady("the disk of this node is full")
 	case o.Cluster == "" || o.Catalog == nil:
 		return apierror.NotReady("this node belongs to no group yet")
 	case !o.Voter():
--- a/control/fixture_test.go
+++ b/control/fixture_test.go
@@ -34,6 +34,7 @@
 	nodes   map[string]*Node
 	// stores replace the disks of the nodes whose names are keys.
 	stores   map[string]*stallingDisk
+	full     map[string]*fillingDisk
 	gateways map[string]*testGateway
 	wipes    int
 }
@@ -65,6 +66,7 @@
 		disks:    make(map[string]*storage.Memory),
 		nodes:    make(map[string]*Node),
 		gateways: make(map[string]*testGateway),
+		full:     make(map[string]*fillingDisk),
 	}
 	initial := make(map[string]string)
 	for _, name := range controlNames {
@@ -106,6 +108,9 @@
 		if store, named := f.stores[name]; named {
 			options.Store = store
 		}
+		if disk, named := f.full[name]; named {
+			options.Store = disk
+		}
 		node, err := New(options)
 		if err != nil {
 			f.t.Fatalf("creating %s: %v", name, err)
--- a/control/metrics/metrics.go
+++ b/control/metrics/metrics.go
@@ -28,6 +28,7 @@
 	DroppedMessages  prometheus.Counter
 	ForeignMessages  prometheus.Counter
 	UnknownAddresses prometheus.Counter
+	DiskFull         prometheus.Gauge
 }
 
 const namespace = "deckpulley_control"
@@ -73,5 +74,6 @@
 	m.DroppedMessages = counter("dropped_messages_total", "Messages of the log dropped because the event queue was full.")
 	m.ForeignMessages = counter("foreign_messages_total", "Messages of the log dropped because they belong to another group.")
 	m.UnknownAddresses = counter("unknown_addresses_total", "Messages of the log not sent for want of the member's address.")
+	m.DiskFull = gauge("disk_full", "1 while this node does not participate because its disk is full.")
 	return m
 }
--- a/storage/disk.go
+++ b/storage/disk.go
@@ -48,8 +48,9 @@
 // the method returns. A write that was interrupted by a power loss is undone completely at
 // the next Open.
 type Disk struct {
+	path     string
 	database *bolt.DB
-	failed   *FinalError // error of the first failed write, returned by all later calls
+	failed   error // error of the first failed write, returned by all later calls
 }
 
 var _ Store = (*Disk)(nil)
@@ -95,7 +96,7 @@
 		return nil, fmt.Errorf("storage: open %s: %w", path, err)
 	}
 	database.AllocSize = growthBytes
-	return &Disk{database: database}, nil
+	return &Disk{path: path, database: database}, nil
 }
 
 // prepare creates the buckets, the format and the identity of a new store in one
@@ -139,17 +140,45 @@
 	return errors.Join(handle.Sync(), handle.Close())
 }
 
-// write runs one synced transaction. The first failure is final, because the state on disk
-// is unknown after a failed sync.
+// write runs one synced transaction. The first failure is kept. Unless the disk is full it
+// is final, because the state on disk is unknown after a failed sync.
 func (d *Disk) write(operation string, change func(*bolt.Tx) error) error {
 	if d.failed != nil {
 		return d.failed
 	}
-	if err := d.database.Update(change); err != nil {
+	err := d.database.Update(change)
+	switch {
+	case err == nil:
+		return nil
+	case isNoSpace(err):
+		d.failed = &NoSpaceError{Operation: operation, Err: err}
+	default:
 		d.failed = &FinalError{Operation: operation, Err: err}
+	}
+	return d.failed
+}
+
+// Recover implements Store. The file is opened anew, so that nothing of the failed
+// transaction is left in memory. The synced write shows that there is room, and that all
+// earlier writes are on the disk as well.
+func (d *Disk) Recover() error {
+	var full *NoSpaceError
+	if !errors.As(d.failed, &full) {
+		return d.failed
+	}
+	if err := d.database.Close(); err != nil {
+		d.failed = &FinalError{Operation: "close", Err: err}
 		return d.failed
 	}
-	return nil
+	reopened, err := openFile(d.path)
+	if err != nil {
+		d.failed = &FinalError{Operation: "open", Err: err}
+		return d.failed
+	}
+	*d = *reopened
+	return d.write("recover", func(tx *bolt.Tx) error {
+		return putRecord(tx.Bucket(metaBucket), formatKey, singletonIndex, formatVersion)
+	})
 }
 
 // putRecord stores the record of a value under a key. See encodeRecord for the position.
--- a/storage/memory.go
+++ b/storage/memory.go
@@ -70,6 +70,14 @@
 	m.writes = 0
 }
 
+// Recover implements Store. A Memory is never full.
+func (m *Memory) Recover() error {
+	if m.down {
+		return &FinalError{Operation: "recover", Err: ErrCrash}
+	}
+	return nil
+}
+
 // Down reports whether the store has crashed and was not reopened yet.
 func (m *Memory) Down() bool {
 	return m.down
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -23,8 +23,9 @@
 
 // Store is the storage of one member. It is not safe for concurrent use.
 //
-// A failed write returns a *FinalError: the state on disk is unknown and the process must
-// exit. A failed sync is never retried.
+// A failed write returns a *NoSpaceError if the disk is full, after which Recover may make
+// the store usable again, and otherwise a *FinalError: the state on disk is unknown and the
+// process must exit. A failed sync is never retried.
 type Store interface {
 	// Load reads all records and verifies their checksums. It returns a *CorruptError
 	// if a record is corrupt, and never skips such a record.
@@ -39,6 +40,11 @@
 	// deletes all entries if the log does not have the last entry that the snapshot
 	// includes.
 	SaveSnapshot(snapshot consensus.Snapshot, keepFrom uint64) error
+	// Recover makes the store usable after a *NoSpaceError if there is room again: it opens
+	// the store anew and completes a synced write. The caller must then Load the state and
+	// discard what it has in memory. It returns the *NoSpaceError while the disk is full,
+	// or a *FinalError.
+	Recover() error
 	// Close closes the store. It does not write anything.
 	Close() error
 }
