transport, control: bound queued messages in bytes

Change: 16 MiB for the frames to one peer, for the waiting one-way messages of one connection, and for the consensus messages that wait for the event loop; a larger one waits alone. The replicated log sends again what is dropped.

No figure of memory was taken.

--- a/consensus/message.go
+++ b/consensus/message.go
@@ -62,6 +62,18 @@
 	LeadershipTransfer bool `cbor:"13,keyasint,omitempty"`
 }
 
+// Size returns the size of the message's entries and snapshot, in bytes.
+func (m Message) Size() int {
+	size := 0
+	for _, entry := range m.Entries {
+		size += entry.Size()
+	}
+	if m.Snapshot != nil {
+		size += len(m.Snapshot.Data)
+	}
+	return size
+}
+
 // validate returns ErrMalformed for a message that no correct member sends.
 func (m Message) validate() error {
 	if m.From == None || m.From == m.To {
--- a/control/engine/engine.go
+++ b/control/engine/engine.go
@@ -15,6 +15,10 @@
 	"github.com/deckpulley/deckpulley/peer"
 )
 
+// maxQueuedBytes bounds the size of the consensus messages that wait for the event loop, in
+// bytes. A larger one is queued if none waits.
+const maxQueuedBytes = 16 << 20
+
 // maxBatch bounds the number of events handled before their writes are synced.
 const maxBatch = 1024
 
@@ -26,6 +30,8 @@
 	metrics  *metrics.Metrics
 	observed atomic.Pointer[Observation]
 	machine  *machine // owned by the event loop
+	// queuedBytes is the size of the consensus messages in the queue.
+	queuedBytes atomic.Int64
 }
 
 // New loads the state from the disk and prepares an event loop that takes its events from
@@ -150,18 +156,32 @@
 	}
 }
 
-// ServeConsensus handles peer.KindConsensus. The message is dropped if the queue is full:
-// the replicated log retransmits.
+// ServeConsensus handles peer.KindConsensus. The message is dropped if the queue is full, by
+// the number of events or by the bytes of such messages: the replicated log retransmits.
 func (e *Engine) ServeConsensus(_ context.Context, _ string, decode func(any) error) (any, error) {
 	var wrapped peer.ConsensusMessage
 	if err := decode(&wrapped); err != nil {
 		return nil, err
 	}
-	queued := e.queue.Offer(func(now time.Duration) {
-		e.machine.step(now, wrapped)
-	})
-	if !queued {
+	if !e.offerConsensus(wrapped) {
 		e.metrics.DroppedMessages.Inc()
 	}
 	return nil, nil
 }
+
+// offerConsensus queues a consensus message. It returns false if there is no room.
+func (e *Engine) offerConsensus(wrapped peer.ConsensusMessage) bool {
+	size := int64(wrapped.Message.Size())
+	if queued := e.queuedBytes.Add(size); size > 0 && queued > size && queued > maxQueuedBytes {
+		e.queuedBytes.Add(-size)
+		return false
+	}
+	offered := e.queue.Offer(func(now time.Duration) {
+		e.queuedBytes.Add(-size)
+		e.machine.step(now, wrapped)
+	})
+	if !offered {
+		e.queuedBytes.Add(-size)
+	}
+	return offered
+}
--- a/transport/inbound.go
+++ b/transport/inbound.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -23,7 +24,9 @@
 	node       *Node
 	connection *conn
 	oneWay     chan envelope // created for the first one-way message
-	group      sync.WaitGroup
+	// oneWayBytes is the size of the bodies of the messages in oneWay.
+	oneWayBytes atomic.Int64
+	group       sync.WaitGroup
 
 	mutex sync.Mutex
 	calls map[uint64]context.CancelFunc
@@ -67,22 +70,32 @@
 }
 
 // queueOneWay passes a message to the goroutine that handles one-way messages in the
-// order of their arrival. It drops the message if the queue is full, since the
-// connection's calls and pings must not wait for a slow handler.
+// order of their arrival. It drops the message if the queue is full, by the number of
+// messages or by their bytes, since the connection's calls and pings must not wait for a
+// slow handler.
 func (i *inbound) queueOneWay(ctx context.Context, message envelope) {
 	if i.oneWay == nil {
 		i.oneWay = make(chan envelope, i.node.config.QueueLength)
 		i.group.Go(func() { i.handleOneWay(ctx) })
 	}
+	size := int64(len(message.Body))
+	queued := i.oneWayBytes.Load()
+	if queued > 0 && queued+size > int64(i.node.config.QueueBytes) {
+		i.node.counters.dropped(message.Kind)
+		return
+	}
+	i.oneWayBytes.Add(size)
 	select {
 	case i.oneWay <- message:
 	default:
+		i.oneWayBytes.Add(-size)
 		i.node.counters.dropped(message.Kind)
 	}
 }
 
 func (i *inbound) handleOneWay(ctx context.Context) {
 	for message := range i.oneWay {
+		i.oneWayBytes.Add(-int64(len(message.Body)))
 		if ctx.Err() != nil {
 			return
 		}
--- a/transport/link.go
+++ b/transport/link.go
@@ -38,7 +38,7 @@
 	return &link{
 		node:    node,
 		address: address,
-		queue:   newSendQueue(node.config.QueueLength),
+		queue:   newSendQueue(node.config.QueueLength, node.config.QueueBytes),
 		stop:    stop,
 		pending: make(map[uint64]*pendingCall),
 	}
--- a/transport/node.go
+++ b/transport/node.go
@@ -87,6 +87,9 @@
 	if config.QueueLength == 0 {
 		config.QueueLength = DefaultQueueLength
 	}
+	if config.QueueBytes == 0 {
+		config.QueueBytes = DefaultQueueBytes
+	}
 	if config.MaxFrameBytes == 0 {
 		config.MaxFrameBytes = DefaultMaxFrameBytes
 	}
--- a/transport/queue.go
+++ b/transport/queue.go
@@ -11,11 +11,13 @@
 
 // sendQueue is a bounded FIFO queue that uses no memory for items while it is empty.
 type sendQueue struct {
-	limit int           // items
-	wake  chan struct{} // holds a token whenever there may be an item to take
+	limit     int           // items
+	byteLimit int           // bytes of all frames; one larger frame may wait alone
+	wake      chan struct{} // holds a token whenever there may be an item to take
 
 	mutex   sync.Mutex
 	items   []outgoing
+	bytes   int // of the items' frames
 	retired bool
 }
 
@@ -28,8 +30,8 @@
 	queueRetired // the link has ended; the node must create a new one
 )
 
-func newSendQueue(limit int) *sendQueue {
-	return &sendQueue{limit: limit, wake: make(chan struct{}, 1)}
+func newSendQueue(limit, byteLimit int) *sendQueue {
+	return &sendQueue{limit: limit, byteLimit: byteLimit, wake: make(chan struct{}, 1)}
 }
 
 // push appends an item, unless the queue is full or retired.
@@ -39,10 +41,11 @@
 	if q.retired {
 		return queueRetired
 	}
-	if len(q.items) >= q.limit {
+	if len(q.items) >= q.limit || len(q.items) > 0 && q.bytes+len(item.frame) > q.byteLimit {
 		return queueFull
 	}
 	q.items = append(q.items, item)
+	q.bytes += len(item.frame)
 	q.signalLocked()
 	return pushed
 }
@@ -65,6 +68,7 @@
 	first := q.items[0]
 	q.items[0] = outgoing{}
 	q.items = q.items[1:]
+	q.bytes -= len(first.frame)
 	if len(q.items) == 0 {
 		q.items = nil
 	} else {
@@ -79,6 +83,7 @@
 	defer q.mutex.Unlock()
 	items := q.items
 	q.items = nil
+	q.bytes = 0
 	return items
 }
 
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -73,6 +73,10 @@
 	// one-way messages that wait for their handler on one accepted connection. Zero
 	// selects DefaultQueueLength.
 	QueueLength int
+	// QueueBytes bounds the bytes of these frames and messages. One that is larger is
+	// queued alone. A lower value drops more messages to a peer that does not read, which
+	// their senders then send again. Zero selects DefaultQueueBytes.
+	QueueBytes int
 	// MaxFrameBytes bounds the content of a frame. Zero selects DefaultMaxFrameBytes.
 	MaxFrameBytes int
 	// DialTimeout bounds the time to connect, without the handshake. Zero selects
@@ -86,6 +90,7 @@
 // Defaults of Config.
 const (
 	DefaultQueueLength   = 1024
+	DefaultQueueBytes    = 16 << 20
 	DefaultMaxFrameBytes = 64 << 20
 	DefaultDialTimeout   = time.Second
 	// DefaultHandshakeTimeout allows for two round trips between distant regions and
