--- a/cmd/deckpulley-control/daemon.go
+++ b/cmd/deckpulley-control/daemon.go
@@ -26,6 +26,7 @@
 
 // daemon is a control node with its operators' port and its peers' port.
 type daemon struct {
+	running  *settings.Settings // as applied last
 	source   *settingsSource
 	logger   *slog.Logger
 	level    *slog.LevelVar
@@ -50,6 +51,9 @@
 	signal.Notify(hangUp, syscall.SIGHUP)
 	defer signal.Stop(terminate)
 	defer signal.Stop(hangUp)
+	watchContext, stopWatch := context.WithCancel(context.Background())
+	defer stopWatch()
+	source.watch(watchContext, hangUp)
 	loaded, err := source.load()
 	if err != nil {
 		return err
@@ -68,7 +72,7 @@
 // newDaemon binds both ports, opens the data folder and creates the node. It closes
 // nothing after an error, since the process then exits.
 func newDaemon(source *settingsSource, loaded *settings.Settings) (*daemon, error) {
-	d := &daemon{source: source, level: new(slog.LevelVar), serveResult: make(chan error, 1)}
+	d := &daemon{running: loaded, source: source, level: new(slog.LevelVar), serveResult: make(chan error, 1)}
 	d.level.Set(loaded.LogLevel())
 	d.logger = loaded.NewLogger(os.Stderr, d.level)
 	for _, warning := range loaded.Warnings() {
@@ -172,10 +176,11 @@
 	}
 	keys, keysErr := loaded.Keys()
 	tokens, tokensErr := loaded.Tokens()
-	if err := errors.Join(keysErr, tokensErr); err != nil {
+	if err := errors.Join(d.running.CheckReload(loaded), keysErr, tokensErr); err != nil {
 		d.logger.Error("settings not reloaded", "error", err)
 		return
 	}
+	d.running = loaded
 	d.level.Set(loaded.LogLevel())
 	d.tokens.Store(&tokens)
 	d.network.SetKeys(keys)
--- a/cmd/deckpulley-gateway/daemon.go
+++ b/cmd/deckpulley-gateway/daemon.go
@@ -42,6 +42,7 @@
 
 // daemon is a gateway with its ports.
 type daemon struct {
+	running   *settings.Settings // as applied last
 	source    *settingsSource
 	logger    *slog.Logger
 	level     *slog.LevelVar
@@ -69,6 +70,9 @@
 	signal.Notify(hangUp, syscall.SIGHUP)
 	defer signal.Stop(terminate)
 	defer signal.Stop(hangUp)
+	watchContext, stopWatch := context.WithCancel(context.Background())
+	defer stopWatch()
+	source.watch(watchContext, hangUp)
 	loaded, err := source.load()
 	if err != nil {
 		return err
@@ -91,7 +95,7 @@
 	if err != nil {
 		return nil, &usageError{err}
 	}
-	d := &daemon{source: source, level: new(slog.LevelVar)}
+	d := &daemon{running: loaded, source: source, level: new(slog.LevelVar)}
 	d.level.Set(loaded.LogLevel())
 	d.logger = loaded.NewLogger(os.Stderr, d.level).With("region", loaded.Region)
 	d.tokens.Store(&tokens)
@@ -247,6 +251,9 @@
 	if err != nil {
 		return err
 	}
+	if err := d.running.CheckReload(loaded); err != nil {
+		return err
+	}
 	keys, err := loaded.Keys()
 	if err != nil {
 		return err
@@ -258,6 +265,7 @@
 	if err := d.gateway.SetTicketKeys(keys); err != nil {
 		return err
 	}
+	d.running = loaded
 	d.network.SetKeys(keys)
 	d.gateway.Agent().SetSeeds(loaded.Seeds)
 	d.tokens.Store(&tokens)
