control, storage: a group forms although a node is ended before it exists

Cause: bootstrap is true at the very first start alone, and a process took the initial control nodes from its settings alone.

Change: a node stores them on its disk before it answers anybody. One that was ended before that says so in Hello, accepts an initial node as its coordinator, and the next one by name coordinates in its place. Every initial node must still have said that it belongs to no group; the first membership names all disks. The golden messages gain two lines, the store a key that earlier releases do not read. storage.Memory is safe for concurrent use, since tests watch it.

No run on real processes was made.

--- a/control/bootstrap/bootstrap.go
+++ b/control/bootstrap/bootstrap.go
@@ -4,7 +4,9 @@
 // Members are identified by their disks: a node with an empty disk is a new member, even
 // if it was a member before with another disk. A new group is bootstrapped only if every
 // initial control node reports that it belongs to none, and only by the coordinator, which
-// is the one with the lowest name. A node that belongs to a group never bootstraps another.
+// is the one with the lowest name that knows the initial control nodes. One that was ended
+// before it had recorded them does not, since only the very first start names them. A node
+// that belongs to a group never bootstraps another.
 // A node that finds an existing group asks to join it.
 package bootstrap
 
@@ -66,6 +68,8 @@
 	// coordinator is the disk identity of the node that this node lets bootstrap the
 	// group; consensus.None if none has asked.
 	coordinator consensus.ID
+	// coordinatorName is its name.
+	coordinatorName string
 }
 
 // New returns the bootstrapper of a node.
@@ -164,23 +168,42 @@
 		BootstrapCoordinator: b.recordCoordinator(observed, hello),
 		Leader:               observed.Status.Leader,
 		Members:              observed.Status.Membership.Members,
+		Initial:              b.isInitial() && observed.Cluster == "",
 	}, nil
 }
 
+// isInitial reports whether this node is an initial control node and knows it.
+func (b *Bootstrapper) isInitial() bool {
+	_, listed := b.config.InitialControl[b.config.Name]
+	return listed
+}
+
 // recordCoordinator records the sender of a Hello as the coordinator, if this node belongs
-// to no group and the sender is an initial control node with a lower name. It returns the
-// current coordinator. The coordinator is identified by its disk, so that AcceptBootstrap
-// rejects a bootstrap that was sent by an earlier disk of the same node.
+// to no group and mayCoordinate holds for the sender. It returns the current coordinator.
+// The coordinator is identified by its disk, so that AcceptBootstrap rejects a bootstrap
+// that was sent by an earlier disk of the same node.
 func (b *Bootstrapper) recordCoordinator(observed *engine.Observation, hello peer.Hello) consensus.ID {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	_, listed := b.config.InitialControl[hello.Name]
-	if observed.Cluster == "" && listed && hello.Identity != consensus.None && hello.Name < b.config.Name {
+	if observed.Cluster == "" && hello.Identity != consensus.None && b.mayCoordinate(hello) {
 		b.coordinator = hello.Identity
+		b.coordinatorName = hello.Name
 	}
 	return b.coordinator
 }
 
+// mayCoordinate reports whether the sender of a Hello may coordinate the bootstrap. A node
+// that knows the initial control nodes accepts those with a lower name than its own. Another
+// one accepts every node that says that it is one, of several the one with the lowest name.
+// The caller holds the mutex.
+func (b *Bootstrapper) mayCoordinate(hello peer.Hello) bool {
+	if len(b.config.InitialControl) > 0 {
+		_, listed := b.config.InitialControl[hello.Name]
+		return listed && hello.Name < b.config.Name
+	}
+	return hello.Initial && (b.coordinatorName == "" || hello.Name <= b.coordinatorName)
+}
+
 // ServeBootstrap handles peer.KindBootstrap: it stores the first state of a new group and
 // makes this node a voter of it, unless the node belongs to a group already.
 func (b *Bootstrapper) ServeBootstrap(ctx context.Context, from string, decode func(any) error) (any, error) {
@@ -199,21 +222,22 @@
 	return &peer.BootstrapReply{Accepted: accepted}, nil
 }
 
-// mayBootstrap reports whether this node may bootstrap a group: it has the lowest name of
-// the initial control nodes, every other one has just replied that it belongs to no group
-// and has this node as its coordinator, and no other node that replied belongs to a group.
+// mayBootstrap reports whether this node may bootstrap a group: it is an initial control
+// node, every other one has just replied that it belongs to no group and has this node as
+// its coordinator, those with lower names do not know that they are initial control nodes,
+// and no other node that replied belongs to a group.
 func (b *Bootstrapper) mayBootstrap(observed *engine.Observation, greetings []discovery.Greeting) bool {
-	if _, listed := b.config.InitialControl[b.config.Name]; !listed {
+	if !b.isInitial() {
 		return false
 	}
 	for name, address := range b.config.InitialControl {
 		if name == b.config.Name {
 			continue
 		}
-		if name < b.config.Name {
+		reply, answered := discovery.ReplyFrom(greetings, address)
+		if name < b.config.Name && reply.Initial {
 			return false
 		}
-		reply, answered := discovery.ReplyFrom(greetings, address)
 		if !answered || reply.Name != name || reply.Cluster != "" || reply.BootstrapCoordinator != observed.Identity {
 			return false
 		}
--- a/control/discovery/greeter.go
+++ b/control/discovery/greeter.go
@@ -45,11 +45,18 @@
 	return greetings
 }
 
+// isInitial reports whether this node is an initial control node that belongs to no group.
+func (g *Greeter) isInitial(observed *engine.Observation) bool {
+	_, listed := g.engine.InitialControl()[g.name]
+	return listed && observed.Cluster == ""
+}
+
 // greetOne returns nil if the address does not answer.
 func (g *Greeter) greetOne(ctx context.Context, address string) *Greeting {
 	ctx, cancel := context.WithTimeout(ctx, g.callTimeout)
 	defer cancel()
-	hello := peer.Hello{Name: g.name, Identity: g.engine.Observe().Identity}
+	observed := g.engine.Observe()
+	hello := peer.Hello{Name: g.name, Identity: observed.Identity, Initial: g.isInitial(observed)}
 	answer := &Greeting{Address: address}
 	if err := g.network.Call(ctx, address, peer.KindHello, &hello, &answer.Reply); err != nil {
 		return nil
--- a/control/driver/driver.go
+++ b/control/driver/driver.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 	"time"
 
@@ -45,6 +46,9 @@
 	// Voters is the number of voters of a complete group, if greater than the number
 	// at its bootstrap.
 	Voters int
+	// InitialControl has the control nodes that bootstrap a new group, as peer addresses
+	// by name; empty if this node only joins an existing group.
+	InitialControl map[string]string
 }
 
 // Driver runs one node of the replicated log. Its methods must be called only on the event
@@ -71,7 +75,9 @@
 	waiters map[uint64]waiter // by log index
 	// addresses are the addresses of members as reported by other nodes.
 	addresses map[consensus.ID]string
-	failure   error // a failed write outside of ProcessReady; stops the node
+	// initialControl is Config.InitialControl, or that of an earlier start of the process.
+	initialControl map[string]string
+	failure        error // a failed write outside of ProcessReady; stops the node
 	// suspended is true while this node does not participate because its disk is full.
 	suspended bool
 }
@@ -95,7 +101,7 @@
 		return nil, err
 	}
 	if d.cluster == "" {
-		return d, nil
+		return d, d.recordInitialControl(loaded)
 	}
 	if err := d.open(loaded, now); err != nil {
 		return nil, err
@@ -127,6 +133,29 @@
 	return d.restore(loaded.Snapshot)
 }
 
+// recordInitialControl stores the initial control nodes, before this node answers anybody.
+// Only the very first start of a site names them: a process that ends before the group is
+// bootstrapped must know them at its next start.
+func (d *Driver) recordInitialControl(loaded storage.State) error {
+	d.initialControl = loaded.InitialControl
+	if len(d.config.InitialControl) == 0 {
+		return nil
+	}
+	d.initialControl = d.config.InitialControl
+	if maps.Equal(d.initialControl, loaded.InitialControl) {
+		return nil
+	}
+	if err := d.config.Store.SetInitialControl(d.initialControl); err != nil {
+		return fmt.Errorf("control: recording the initial control nodes: %w", err)
+	}
+	return nil
+}
+
+// InitialControl returns the control nodes that bootstrap a new group, as peer addresses by
+// name. It is empty if this node only joins an existing group, or belonged to one at its
+// start.
+func (d *Driver) InitialControl() map[string]string { return d.initialControl }
+
 // Identity returns the identity of this node's disk.
 func (d *Driver) Identity() consensus.ID { return d.identity }
 
--- a/control/engine/config.go
+++ b/control/engine/config.go
@@ -63,6 +63,9 @@
 	// ReplaceAfter is how long a voter must be unreachable before a node at a
 	// different address may replace it.
 	ReplaceAfter time.Duration
+	// InitialControl has the control nodes that bootstrap a new group, as peer addresses
+	// by name; empty if this node only joins an existing group.
+	InitialControl map[string]string
 	// Voters is the number of voters of a complete group, if greater than the number
 	// at its bootstrap.
 	Voters int
--- a/control/engine/engine.go
+++ b/control/engine/engine.go
@@ -25,11 +25,12 @@
 // Engine runs the event loop of one node, and is the interface of other goroutines to it.
 // Its methods are safe for concurrent use.
 type Engine struct {
-	config   Config
-	queue    *eventqueue.Queue
-	metrics  *metrics.Metrics
-	observed atomic.Pointer[Observation]
-	machine  *machine // owned by the event loop
+	config         Config
+	queue          *eventqueue.Queue
+	metrics        *metrics.Metrics
+	observed       atomic.Pointer[Observation]
+	machine        *machine // owned by the event loop
+	initialControl map[string]string
 	// queuedBytes is the size of the consensus messages in the queue.
 	queuedBytes atomic.Int64
 }
@@ -42,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Engine{config: config, queue: queue, metrics: metrics, machine: machine}
+	e := &Engine{config: config, queue: queue, metrics: metrics, machine: machine, initialControl: machine.driver.InitialControl()}
 	e.observed.Store(machine.observe(queue.Now()))
 	return e, nil
 }
@@ -135,6 +136,10 @@
 	}
 }
 
+// InitialControl returns the control nodes that bootstrap a new group, as peer addresses by
+// name, as configured or as recorded at an earlier start.
+func (e *Engine) InitialControl() map[string]string { return e.initialControl }
+
 // Observe returns the newest observation.
 func (e *Engine) Observe() *Observation { return e.observed.Load() }
 
--- a/control/engine/machine.go
+++ b/control/engine/machine.go
@@ -40,6 +40,7 @@
 		SnapshotInterval:  config.SnapshotInterval,
 		SnapshotBytes:     config.SnapshotBytes,
 		Voters:            config.Voters,
+		InitialControl:    config.InitialControl,
 	}, now)
 	if err != nil {
 		return nil, err
--- a/control/node.go
+++ b/control/node.go
@@ -115,13 +115,14 @@
 		SnapshotBytes:     options.SnapshotBytes,
 		ReplaceAfter:      options.ReplaceAfter,
 		Voters:            options.Voters,
+		InitialControl:    options.InitialControl,
 	}
 }
 
 // assemble creates the components that use the engine.
 func (n *Node) assemble(nodeMetrics *metrics.Metrics) {
 	options := n.options
-	contacts := discovery.NewContacts(n.engine, options.PeerAddress, options.Seeds, options.InitialControl)
+	contacts := discovery.NewContacts(n.engine, options.PeerAddress, options.Seeds, n.engine.InitialControl())
 	n.contacts = contacts
 	n.describer = discovery.NewDescriber(n.description(), n.engine, n.network, options.CallTimeout)
 	n.reader = readindex.New(n.engine, n.network, options.PeerAddress, options.CallTimeout)
@@ -131,7 +132,7 @@
 		Name:           options.Name,
 		PeerAddress:    options.PeerAddress,
 		Zone:           options.Zone,
-		InitialControl: options.InitialControl,
+		InitialControl: n.engine.InitialControl(),
 		Interval:       options.DiscoveryInterval,
 		CallTimeout:    options.CallTimeout,
 		Engine:         n.engine,
--- a/peer/golden_messages_test.go
+++ b/peer/golden_messages_test.go
@@ -86,9 +86,15 @@
 		add(fmt.Sprintf("ConsensusMessage kind %d", kind), message)
 	}
 	add("ConsensusMessage empty", peer.ConsensusMessage{})
-	add("Hello", filled[peer.Hello]())
+	hello := filled[peer.Hello]()
+	hello.Initial = false // from before that field: older programs send this one
+	add("Hello", hello)
+	add("Hello, initial", filled[peer.Hello]())
 	add("Hello empty", peer.Hello{})
-	add("HelloReply", filled[peer.HelloReply]())
+	helloReply := filled[peer.HelloReply]()
+	helloReply.Initial = false
+	add("HelloReply", helloReply)
+	add("HelloReply, initial", filled[peer.HelloReply]())
 	add("HelloReply empty", peer.HelloReply{})
 	add("Form", filled[peer.Bootstrap]())
 	add("Form empty", peer.Bootstrap{})
--- a/peer/membership.go
+++ b/peer/membership.go
@@ -15,6 +15,9 @@
 type Hello struct {
 	Name     string       `cbor:"1,keyasint"`           // of the sender
 	Identity consensus.ID `cbor:"2,keyasint,omitempty"` // of the sender, if it is a control node
+	// Initial is true if the sender is an initial control node of a cluster that it knows
+	// of no bootstrap of yet.
+	Initial bool `cbor:"3,keyasint,omitempty"`
 }
 
 // HelloReply answers Hello. Every control node sends it, whether it is a member of a
@@ -30,6 +33,8 @@
 	BootstrapCoordinator consensus.ID       `cbor:"4,keyasint,omitempty"`
 	Leader               consensus.ID       `cbor:"5,keyasint,omitempty"`
 	Members              []consensus.Member `cbor:"6,keyasint,omitempty"`
+	// Initial has the same meaning as in Hello.
+	Initial bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Bootstrap sends a new control node the first membership of a new cluster. A node
--- a/storage/disk.go
+++ b/storage/disk.go
@@ -39,6 +39,7 @@
 	formatKey    = []byte("format")   // in meta
 	identityKey  = []byte("identity") // in meta
 	clusterKey   = []byte("cluster")  // in meta
+	initialKey   = []byte("initial")  // in meta
 	hardStateKey = []byte("hard")     // in state
 	logBoundsKey = []byte("bounds")   // in state
 	currentKey   = []byte("current")  // in snapshot
@@ -197,6 +198,13 @@
 	})
 }
 
+// SetInitialControl implements Store.
+func (d *Disk) SetInitialControl(addresses map[string]string) error {
+	return d.write("set initial control nodes", func(tx *bolt.Tx) error {
+		return putRecord(tx.Bucket(metaBucket), initialKey, singletonIndex, addresses)
+	})
+}
+
 // Save implements Store.
 func (d *Disk) Save(state *consensus.HardState, entries []consensus.Entry) error {
 	if state == nil && len(entries) == 0 {
--- a/storage/load.go
+++ b/storage/load.go
@@ -38,6 +38,9 @@
 	if err := getRecord(tx, metaBucket, clusterKey, &loaded.Cluster, false); err != nil {
 		return err
 	}
+	if err := getRecord(tx, metaBucket, initialKey, &loaded.InitialControl, false); err != nil {
+		return err
+	}
 	if err := getRecord(tx, stateBucket, hardStateKey, &loaded.HardState, false); err != nil {
 		return err
 	}
--- a/storage/memory.go
+++ b/storage/memory.go
@@ -1,14 +1,18 @@
 package storage
 
 import (
+	"maps"
 	"slices"
+	"sync"
 
 	"github.com/deckpulley/deckpulley/consensus"
 )
 
 // Memory is an in-memory Store for tests. It can simulate a power loss before or after any
-// write.
+// write. It is safe for concurrent use, so that a test can watch the store of a running
+// member.
 type Memory struct {
+	mutex   sync.Mutex
 	durable State
 	writes  int // since the last ScheduleCrash or Reopen
 	plan    CrashPlan
@@ -37,11 +41,17 @@
 
 // Wipe deletes everything and sets a new identity, as if the disk had been replaced.
 func (m *Memory) Wipe(identity consensus.ID) {
-	*m = Memory{durable: State{Identity: identity}}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.durable = State{Identity: identity}
+	m.writes, m.plan, m.down = 0, CrashPlan{}, false
+	m.unsyncedWrites, m.history = 0, nil
 }
 
 // ScheduleCrash schedules a power loss. The next write has number 1.
 func (m *Memory) ScheduleCrash(plan CrashPlan) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
 	m.plan = plan
 	m.writes = 0
 }
@@ -50,11 +60,20 @@
 // were reported as synced, as with a faulty disk. Tests use it to verify that their checks
 // detect lost writes.
 func (m *Memory) DropSyncedWrites(writes int) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
 	m.unsyncedWrites = writes
 }
 
 // Crash simulates a power loss now. Load and all writes fail until Reopen.
 func (m *Memory) Crash() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.crash()
+}
+
+// crash is Crash for a caller that holds the mutex.
+func (m *Memory) crash() {
 	m.down = true
 	if m.unsyncedWrites > 0 && len(m.history) > 0 {
 		m.durable = m.history[0]
@@ -65,6 +84,8 @@
 // Reopen restores the power and cancels a scheduled power loss. Only the durable state
 // is left.
 func (m *Memory) Reopen() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
 	m.down = false
 	m.plan = CrashPlan{}
 	m.writes = 0
@@ -72,6 +93,8 @@
 
 // Recover implements Store. A Memory is never full.
 func (m *Memory) Recover() error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
 	if m.down {
 		return &FinalError{Operation: "recover", Err: ErrCrash}
 	}
@@ -80,11 +103,15 @@
 
 // Down reports whether the store has crashed and was not reopened yet.
 func (m *Memory) Down() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
 	return m.down
 }
 
 // Load implements Store.
 func (m *Memory) Load() (State, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
 	if m.down {
 		return State{}, ErrCrash
 	}
@@ -96,6 +123,11 @@
 	return m.write(func(stored *State) { stored.Cluster = cluster })
 }
 
+// SetInitialControl implements Store.
+func (m *Memory) SetInitialControl(addresses map[string]string) error {
+	return m.write(func(stored *State) { stored.InitialControl = maps.Clone(addresses) })
+}
+
 // Save implements Store.
 func (m *Memory) Save(state *consensus.HardState, entries []consensus.Entry) error {
 	return m.write(func(stored *State) {
@@ -136,19 +168,21 @@
 // write applies one change as a synced transaction. A scheduled power loss happens before
 // or after the change.
 func (m *Memory) write(change func(*State)) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
 	if m.down {
 		return &FinalError{Operation: "write", Err: ErrCrash}
 	}
 	m.writes++
 	crashes := m.plan.Write != 0 && m.writes == m.plan.Write
 	if crashes && !m.plan.AfterWrite {
-		m.Crash()
+		m.crash()
 		return &FinalError{Operation: "write", Err: ErrCrash}
 	}
 	m.recordHistory()
 	change(&m.durable)
 	if crashes {
-		m.Crash()
+		m.crash()
 		return &FinalError{Operation: "write", Err: ErrCrash}
 	}
 	return nil
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -12,8 +12,11 @@
 	Identity consensus.ID
 	// Cluster is the random ID of the cluster. It is empty until the member has
 	// bootstrapped or joined a cluster.
-	Cluster   string
-	HardState consensus.HardState
+	Cluster string
+	// InitialControl has the control nodes that bootstrap a new cluster, as peer addresses
+	// by name; empty unless SetInitialControl was called.
+	InitialControl map[string]string
+	HardState      consensus.HardState
 	// Snapshot is the latest snapshot; its index is 0 if there is none.
 	Snapshot consensus.Snapshot
 	// Entries is the log, sorted by index and without gaps. The first entries may be
@@ -32,6 +35,9 @@
 	Load() (State, error)
 	// SetCluster stores the ID of the cluster that this disk belongs to.
 	SetCluster(cluster string) error
+	// SetInitialControl stores the control nodes that bootstrap a new cluster, as peer
+	// addresses by name.
+	SetInitialControl(addresses map[string]string) error
 	// Save appends entries and the hard state in one synced transaction. Existing
 	// entries from the first new index on are deleted. state may be nil, and entries
 	// may be empty.
