--- a/control/operation/routemap.go
+++ b/control/operation/routemap.go
@@ -33,7 +33,7 @@
 
 func (o *Operation) checkRouteMap(request *peer.RouteMapOperation) *api.Error {
 	if len(request.Text) > configuration.MaxDocumentBytes {
-		return apierror.Invalid("text", fmt.Sprintf("must have at most %d bytes", configuration.MaxDocumentBytes))
+		return apierror.Invalid("text", fmt.Sprintf("has %d bytes, at most %d", len(request.Text), configuration.MaxDocumentBytes))
 	}
 	kind := "routemap"
 	if request.Change == nil {
