daemonsignal: one place for the signals of both daemons

Cause: both daemons asked for their signals, and watched their settings file, in the same lines.

No behaviour changes.

--- a/cmd/deckpulley-control/command.go
+++ b/cmd/deckpulley-control/command.go
@@ -1,15 +1,12 @@
 package main
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"os"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
-	"github.com/deckpulley/deckpulley/internal/filewatch"
 	"github.com/deckpulley/deckpulley/settings"
 )
 
@@ -77,20 +74,6 @@
 	overrides settings.Overrides
 }
 
-// watch starts a goroutine that passes a SIGHUP to hangUp each time the content of the
-// settings file has changed since now, until ctx ends.
-func (s *settingsSource) watch(ctx context.Context, hangUp chan<- os.Signal) {
-	if s.path == "" {
-		return
-	}
-	go filewatch.New(s.path).Run(ctx, func() {
-		select {
-		case hangUp <- syscall.SIGHUP:
-		default: // one is waiting
-		}
-	})
-}
-
 // load reads the settings. Every error that it returns is a usageError.
 func (s *settingsSource) load() (*settings.Settings, error) {
 	loaded, err := settings.LoadFor(settings.RoleControl, s.path, s.overrides)
--- a/cmd/deckpulley-control/daemon.go
+++ b/cmd/deckpulley-control/daemon.go
@@ -8,13 +8,12 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/deckpulley/deckpulley/control"
+	"github.com/deckpulley/deckpulley/internal/daemonsignal"
 	"github.com/deckpulley/deckpulley/settings"
 	"github.com/deckpulley/deckpulley/storage"
 	"github.com/deckpulley/deckpulley/transport"
@@ -43,17 +42,8 @@
 
 // runDaemon runs a control node until SIGTERM or SIGINT, or until the node fails.
 func runDaemon(ctx context.Context, source *settingsSource) error {
-	// Signals are received from before the settings are read, so that no change of them is
-	// missed. SIGHUP has its own channel: package signal drops a signal if the channel is
-	// full, and a pending reload must not cause a termination signal to be dropped.
-	terminate, hangUp := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(terminate, syscall.SIGTERM, syscall.SIGINT)
-	signal.Notify(hangUp, syscall.SIGHUP)
-	defer signal.Stop(terminate)
-	defer signal.Stop(hangUp)
-	watchContext, stopWatch := context.WithCancel(context.Background())
-	defer stopWatch()
-	source.watch(watchContext, hangUp)
+	signals, stop := daemonsignal.Notify(source.path)
+	defer stop()
 	loaded, err := source.load()
 	if err != nil {
 		return err
@@ -66,7 +56,7 @@
 		return err
 	}
 	d.serving.Go(func() { d.serveResult <- d.server.Serve(d.listener) })
-	return d.supervise(ctx, terminate, hangUp)
+	return d.supervise(ctx, signals)
 }
 
 // newDaemon binds both ports, opens the data folder and creates the node. It closes
@@ -131,12 +121,12 @@
 
 // supervise reloads the settings on SIGHUP, and returns after a termination signal or
 // a failure of the server or the node.
-func (d *daemon) supervise(ctx context.Context, terminate, hangUp <-chan os.Signal) error {
+func (d *daemon) supervise(ctx context.Context, signals daemonsignal.Signals) error {
 	for {
 		select {
-		case <-hangUp:
+		case <-signals.HangUp:
 			d.reload()
-		case received := <-terminate:
+		case received := <-signals.Terminate:
 			d.logger.Info("shutting down", "signal", received.String())
 			return d.shutDown(ctx)
 		case err := <-d.serveResult:
--- a/cmd/deckpulley-control/main.go
+++ b/cmd/deckpulley-control/main.go
@@ -5,10 +5,6 @@
 // or a usage error.
 package main
 
-import (
-	"os"
-
-	_ "github.com/deckpulley/deckpulley/internal/startsignal" // for its effect
-)
+import "os"
 
 func main() { os.Exit(execute(newCommand())) }
--- a/cmd/deckpulley-gateway/daemon.go
+++ b/cmd/deckpulley-gateway/daemon.go
@@ -11,15 +11,14 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/deckpulley/deckpulley/dispatch"
 	"github.com/deckpulley/deckpulley/gateway"
 	"github.com/deckpulley/deckpulley/httpgateway"
+	"github.com/deckpulley/deckpulley/internal/daemonsignal"
 	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/settings"
 	"github.com/deckpulley/deckpulley/transport"
@@ -62,17 +61,8 @@
 
 // runDaemon runs a gateway until SIGTERM or SIGINT, or until a port fails.
 func runDaemon(source *settingsSource) error {
-	// Signals are received from before the settings are read, so that no change of them is
-	// missed. SIGHUP has its own channel: package signal drops a signal if the channel is
-	// full, and a pending reload must not cause a termination signal to be dropped.
-	terminate, hangUp := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(terminate, syscall.SIGTERM, syscall.SIGINT)
-	signal.Notify(hangUp, syscall.SIGHUP)
-	defer signal.Stop(terminate)
-	defer signal.Stop(hangUp)
-	watchContext, stopWatch := context.WithCancel(context.Background())
-	defer stopWatch()
-	source.watch(watchContext, hangUp)
+	signals, stop := daemonsignal.Notify(source.path)
+	defer stop()
 	loaded, err := source.load()
 	if err != nil {
 		return err
@@ -81,7 +71,7 @@
 	if err != nil {
 		return err
 	}
-	return d.run(terminate, hangUp)
+	return d.run(signals)
 }
 
 // newDaemon binds all ports and creates the gateway. It closes nothing after an error,
@@ -195,9 +185,9 @@
 	return hex.EncodeToString(random[:]), binary.LittleEndian.Uint64(random[:])
 }
 
-// run serves until terminate delivers a signal or a server fails, and then shuts down.
-// It reloads the settings for each signal from hangUp.
-func (d *daemon) run(terminate, hangUp <-chan os.Signal) error {
+// run serves until a signal terminates the daemon or a server fails, and then shuts down.
+// It reloads the settings for each SIGHUP.
+func (d *daemon) run(signals daemonsignal.Signals) error {
 	if err := d.gateway.Start(); err != nil {
 		return fmt.Errorf("starting the gateway: %w", err)
 	}
@@ -205,9 +195,9 @@
 	d.logger.Info("gateway started", "callers", d.callers.listener.Addr().String(), "operators", d.operators.listener.Addr().String())
 	for {
 		select {
-		case <-hangUp:
+		case <-signals.HangUp:
 			d.reload()
-		case received := <-terminate:
+		case received := <-signals.Terminate:
 			d.logger.Info("shutting down", "signal", received.String())
 			d.shutDown()
 			return nil
--- a/cmd/deckpulley-gateway/daemon_test.go
+++ b/cmd/deckpulley-gateway/daemon_test.go
@@ -18,6 +18,7 @@
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/control"
 	"github.com/deckpulley/deckpulley/httpgateway"
+	"github.com/deckpulley/deckpulley/internal/daemonsignal"
 	"github.com/deckpulley/deckpulley/internal/freeport"
 	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/settings"
@@ -143,7 +144,7 @@
 	}
 	terminate := make(chan os.Signal, 1)
 	ended := make(chan error, 1)
-	go func() { ended <- f.daemon.run(terminate, nil) }()
+	go func() { ended <- f.daemon.run(daemonsignal.Signals{Terminate: terminate}) }()
 	f.t.Cleanup(func() {
 		terminate <- syscall.SIGTERM
 		if err := <-ended; err != nil {
--- a/cmd/deckpulley-gateway/main.go
+++ b/cmd/deckpulley-gateway/main.go
@@ -6,10 +6,6 @@
 // or flags.
 package main
 
-import (
-	"os"
-
-	_ "github.com/deckpulley/deckpulley/internal/startsignal" // for its effect
-)
+import "os"
 
 func main() { os.Exit(execute(newCommand())) }
