benchmark: measure what changes of large documents cost

Cause: nobody had measured the log, the store and the restart after many small changes of a large document.

--- a/cmd/deckpulley-bench/main.go
+++ b/cmd/deckpulley-bench/main.go
@@ -31,7 +31,7 @@
 		SilenceErrors: true,
 	}
 	command.AddCommand(
-		measureCommand("control", "Measure updates, recovery, elections and the cost of leases", "updates, recovery, failover, leases", benchmark.Control),
+		measureCommand("control", "Measure updates, recovery, elections and the cost of leases", "updates, recovery, documents, failover, leases", benchmark.Control),
 		measureCommand("gateway", "Measure the added latency and the cost of requests and events", "latency, capacity", benchmark.Gateway),
 		&cobra.Command{
 			Use:    workerCommand + " KIND",
--- a/internal/benchmark/control.go
+++ b/internal/benchmark/control.go
@@ -18,6 +18,7 @@
 var controlMeasurements = []measurement{
 	{"updates", measureUpdates},
 	{"recovery", measureRecovery},
+	{"documents", measureDocuments},
 	{"failover", measureFailover},
 	{"leases", measureLeases},
 }
