soak: take events out of a schedule while its finding stays

Cause: a finding came with some 30 events, and which of them it takes had to be found by hand.

Change: deckpulley-soak shrink SCHEDULE leaves out halves, quarters and single events while a finding of the same rule stays, each candidate played up to three times, and writes the smallest schedule.

--- a/cmd/deckpulley-soak/main.go
+++ b/cmd/deckpulley-soak/main.go
@@ -9,6 +9,8 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -26,6 +28,9 @@
 // errFindings makes the program exit with status 1.
 var errFindings = errors.New("a rule was broken")
 
+// errNoFinding means that a schedule that is to be shrunk broke no rule.
+var errNoFinding = errors.New("no rule was broken")
+
 // options are the command-line flags.
 type options struct {
 	seed     uint64
@@ -64,7 +69,11 @@
 		Use: "replay SCHEDULE", Short: "Play a schedule that was written by run", Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, arguments []string) error { return replaySchedule(flags, arguments[0]) },
 	}
-	root.AddCommand(run, replay)
+	shrink := &cobra.Command{
+		Use: "shrink SCHEDULE", Short: "Take events out of a schedule while its finding stays, and write the smallest one", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, arguments []string) error { return shrinkSchedule(flags, arguments[0]) },
+	}
+	root.AddCommand(run, replay, shrink)
 	return root
 }
 
@@ -99,34 +108,104 @@
 	return err
 }
 
-// play plays a schedule, which it writes first, and writes and prints the result. It reports
-// whether there are findings.
+// playsOfCandidate is how often a candidate is played before its finding counts as gone: the
+// times of a run are real.
+const playsOfCandidate = 3
+
+// shrinkSchedule plays a schedule until it shows a finding, takes events out while one of the
+// same rule stays, and writes the smallest schedule beside the first.
+func shrinkSchedule(flags options, path string) error {
+	schedule, err := soak.Read(path)
+	if err != nil {
+		return err
+	}
+	wanted, err := rulesOf(flags, schedule)
+	if err != nil {
+		return err
+	}
+	if len(wanted) == 0 {
+		return fmt.Errorf("%w in %d plays", errNoFinding, playsOfCandidate)
+	}
+	smallest, err := soak.Shrink(schedule, func(candidate soak.Schedule) (bool, error) {
+		return showsAny(flags, candidate, wanted)
+	})
+	target := strings.TrimSuffix(path, ".json") + "-smallest.json"
+	if writeErr := smallest.Write(target); writeErr != nil {
+		return errors.Join(err, writeErr)
+	}
+	fmt.Printf("%d of %d events are left: %s\n", len(smallest.Events), len(schedule.Events), target)
+	return err
+}
+
+// rulesOf plays a schedule up to playsOfCandidate times and returns the rules that the first
+// play with findings broke.
+func rulesOf(flags options, schedule soak.Schedule) ([]platform.Rule, error) {
+	for range playsOfCandidate {
+		result, err := playOnce(flags, schedule)
+		if err != nil {
+			return nil, err
+		}
+		if len(result.Findings) == 0 {
+			continue
+		}
+		var rules []platform.Rule
+		for _, finding := range result.Findings {
+			rules = append(rules, finding.Rule)
+		}
+		return rules, nil
+	}
+	return nil, nil
+}
+
+// showsAny reports whether one of playsOfCandidate plays breaks one of the rules.
+func showsAny(flags options, schedule soak.Schedule, rules []platform.Rule) (bool, error) {
+	for range playsOfCandidate {
+		result, err := playOnce(flags, schedule)
+		if err != nil {
+			return false, err
+		}
+		for _, finding := range result.Findings {
+			if slices.Contains(rules, finding.Rule) {
+				return true, nil
+			}
+		}
+	}
+	return false, nil
+}
+
+// play plays a schedule and reports whether there are findings.
 func play(flags options, schedule soak.Schedule) (found bool, err error) {
+	result, err := playOnce(flags, schedule)
+	return len(result.Findings) > 0, err
+}
+
+// playOnce plays a schedule, which it writes first, and writes and prints the result.
+func playOnce(flags options, schedule soak.Schedule) (result platform.Result, err error) {
 	folder := flags.folder
 	if folder == "" {
 		if folder, err = os.MkdirTemp("", "deckpulley-soak-"); err != nil {
-			return false, err
+			return result, err
 		}
 	}
 	if folder, err = newFolder(filepath.Join(folder, fmt.Sprintf("seed-%d", schedule.Seed))); err != nil {
-		return false, err
+		return result, err
 	}
 	if err := schedule.Write(filepath.Join(folder, "schedule.json")); err != nil {
-		return false, err
+		return result, err
 	}
-	result, err := platform.Play(schedule, platform.Options{Program: flags.program, Folder: folder, Race: flags.race})
+	result, err = platform.Play(schedule, platform.Options{Program: flags.program, Folder: folder, Race: flags.race})
 	if err != nil {
-		return false, fmt.Errorf("seed %d: %w", schedule.Seed, err)
+		return result, fmt.Errorf("seed %d: %w", schedule.Seed, err)
 	}
 	text, err := json.MarshalIndent(result, "", "  ")
 	if err != nil {
-		return false, err
+		return result, err
 	}
 	if err := os.WriteFile(filepath.Join(folder, "record.json"), append(text, '\n'), 0o600); err != nil {
-		return false, err
+		return result, err
 	}
 	printResult(result, folder)
-	return len(result.Findings) > 0, nil
+	return result, nil
 }
 
 // newFolder creates a folder, or one with a number after its name if there is one already: a
