benchmark: change one route at a time

Cause: each change of the measurement of documents also took back the one before.

Change: each route keeps its changed timeout.

--- a/internal/benchmark/documents.go
+++ b/internal/benchmark/documents.go
@@ -148,15 +148,21 @@
 	version uint64
 	routes  int
 	changed int // route that was changed last; -1 before the first change
+	// timeouts has the timeout of each route, in milliseconds.
+	timeouts []int
 }
 
+// firstTimeout is the timeout of a route before its first change, in milliseconds.
+const firstTimeout = 1000
+
 // newDocument returns a document of about the given size.
 func newDocument(size int) *document {
 	d := &document{version: 1, changed: -1}
 	length := 0
 	for length < size {
-		length += len(routeText(d.routes, false))
+		length += len(routeText(d.routes, firstTimeout))
 		d.routes++
+		d.timeouts = append(d.timeouts, firstTimeout)
 	}
 	return d
 }
@@ -165,13 +171,10 @@
 func (d *document) change() {
 	d.version++
 	d.changed = (d.changed + 997) % d.routes
+	d.timeouts[d.changed]++
 }
 
-func routeText(route int, changed bool) string {
-	timeout := 1000
-	if changed {
-		timeout = 20_000
-	}
+func routeText(route, timeout int) string {
 	return fmt.Sprintf(`{"name":"r%d","host":"h%d.example","path_prefix":"/p%d/","timeout_ms":%d,"service":%q},`, route, route%97, route, timeout, documentService)
 }
 
@@ -179,7 +182,7 @@
 	var text strings.Builder
 	fmt.Fprintf(&text, `{"version":%d,"routes":[`, d.version)
 	for route := range d.routes {
-		text.WriteString(routeText(route, route == d.changed))
+		text.WriteString(routeText(route, d.timeouts[route]))
 	}
 	text.WriteString(`]}`)
 	return text.String()
@@ -188,13 +191,9 @@
 func (d *document) routeMap() routemap.Map {
 	routes := make([]routemap.Route, 0, d.routes)
 	for route := range d.routes {
-		timeout := time.Second
-		if route == d.changed {
-			timeout = 20 * time.Second
-		}
 		routes = append(routes, routemap.Route{
 			Name: fmt.Sprint("r", route), Host: fmt.Sprintf("h%d.example", route%97), PathPrefix: fmt.Sprintf("/p%d/", route),
-			Kind: routemap.Idempotent, Timeout: timeout, MaxAttempts: 1,
+			Kind: routemap.Idempotent, Timeout: time.Duration(d.timeouts[route]) * time.Millisecond, MaxAttempts: 1,
 			Targets: []routemap.Target{{Service: documentService, Weight: 1}},
 		})
 	}
