agent, bootstrap: say why renewals end and that no leader is known

Cause: the record of the stale gateway cannot tell three hypotheses apart: a gateway logged nothing but the addresses that it knew, and a control node nothing at all while no leader was known.

--- a/control/bootstrap/bootstrap.go
+++ b/control/bootstrap/bootstrap.go
@@ -14,6 +14,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,10 @@
 // the slowest answer, so gateways that are down would delay a restart.
 const roundsBeforeGateways = 4
 
+// roundsBeforeWarning is the number of rounds of discovery in succession without a leader
+// after which this is logged. An election takes fewer.
+const roundsBeforeWarning = 8
+
 // Config configures a Bootstrapper. All fields but InitialControl are required.
 type Config struct {
 	// Name, PeerAddress and Zone describe this node as a member of the group.
@@ -123,12 +128,29 @@
 
 // countRound counts the rounds in succession in which no control node knew a leader.
 func (b *Bootstrapper) countRound(greetings []discovery.Greeting) {
-	b.roundsWithoutLeader++
 	for _, greeting := range greetings {
 		if greeting.Reply.Leader != consensus.None {
 			b.roundsWithoutLeader = 0
+			return
 		}
 	}
+	b.roundsWithoutLeader++
+	if b.roundsWithoutLeader == roundsBeforeWarning {
+		b.warnNoLeader(greetings)
+	}
+}
+
+// warnNoLeader logs that no control node knows a leader: which members this node's log
+// lists, and who answered.
+func (b *Bootstrapper) warnNoLeader(greetings []discovery.Greeting) {
+	answered := make([]string, 0, len(greetings))
+	for _, greeting := range greetings {
+		answered = append(answered, greeting.Address)
+	}
+	slices.Sort(answered)
+	observed := b.engine.Observe()
+	b.log.Warn("no control node knows a leader", "cluster", observed.Cluster, "term", observed.Status.Term,
+		"members", membership.Addresses(observed.Status.Membership), "answered", answered)
 }
 
 // stableMember reports whether this node's log lists it as a voter with its current name,
--- a/gateway/agent/agent.go
+++ b/gateway/agent/agent.go
@@ -53,6 +53,7 @@
 	active           atomic.Pointer[catalog.State]
 	grantedRenewals  atomic.Uint64
 	rejectedRenewals atomic.Uint64
+	renewalFailures  failureCounts
 
 	mutex        sync.Mutex
 	controlNodes *controlNodes
@@ -68,6 +69,10 @@
 	// while no renewal was granted for searchAfter.
 	lastGrant time.Duration
 	searching bool
+	// lastFailure is the reason why the last renewal that was not granted failed, and
+	// lastFailureAddress the node that it was sent to.
+	lastFailure        RenewalFailure
+	lastFailureAddress string
 	// leaseTerm is the term of the primary that granted the latest lease.
 	leaseTerm uint64
 	table     *registry.Table
@@ -94,6 +99,7 @@
 		activated:    make(chan struct{}),
 		lastGrant:    options.Clock(),
 
+		renewalFailures:     newFailureCounts(),
 		consecutiveFailures: make(map[string]int),
 	}
 	options.Network.Handle(peer.KindNotify, a.serveNotify)
@@ -131,6 +137,11 @@
 	LeaseRemaining   time.Duration
 	GrantedRenewals  uint64
 	RejectedRenewals uint64 // not granted, failed, or granted by a message that was ignored
+	// RenewalFailures counts the renewals that were not granted, by reason.
+	RenewalFailures map[RenewalFailure]uint64
+	// SinceGrant is the time since the last granted renewal, or since the start if none
+	// was granted.
+	SinceGrant time.Duration
 }
 
 // Status returns the current status.
@@ -145,6 +156,8 @@
 		LeaseRemaining:   a.Remaining(),
 		GrantedRenewals:  a.grantedRenewals.Load(),
 		RejectedRenewals: a.rejectedRenewals.Load(),
+		RenewalFailures:  a.renewalFailures.snapshot(),
+		SinceGrant:       a.options.Clock() - a.lastGrant,
 	}
 	if active := a.active.Load(); active != nil {
 		status.ActiveSerial = active.Serial()
--- a/gateway/agent/renew.go
+++ b/gateway/agent/renew.go
@@ -103,12 +103,13 @@
 	redirected = a.controlNodes.recordReply(now, address, grant.QuorumConfirmed, grant.Primary)
 	if !grant.QuorumConfirmed {
 		a.rejectedRenewals.Add(1)
+		a.recordFailure(address, refusalReason(&grant, address))
 		if err := a.handleRedirect(&grant); err != nil {
 			a.logger.Debug("redirect ignored", "address", address, "error", err)
 		}
 		return searchInterval, redirected
 	}
-	return a.handleGrant(sent, &grant), false
+	return a.handleGrant(sent, address, &grant), false
 }
 
 // errOtherCluster means that a node of another cluster answered a renewal: its address
@@ -129,6 +130,7 @@
 		a.holder.Release()
 	}
 	a.rejectedRenewals.Add(1)
+	a.recordFailure(address, callFailure(err))
 	a.consecutiveFailures[address]++
 	a.controlNodes.recordFailure(address, now+a.suspicionTime(request))
 	a.logger.Debug("renewal failed", "address", address, "error", err)
@@ -202,11 +204,12 @@
 
 // handleGrant applies a grant for the renewal sent at the time sent. It returns the
 // time to wait before the next renewal. The caller holds the mutex.
-func (a *Agent) handleGrant(sent time.Duration, grant *peer.Grant) time.Duration {
+func (a *Agent) handleGrant(sent time.Duration, address string, grant *peer.Grant) time.Duration {
 	duration := time.Duration(grant.LeaseMS) * time.Millisecond
 	now := a.options.Clock()
 	if err := a.observeGrant(now, sent, grant, duration); err != nil {
 		a.rejectedRenewals.Add(1)
+		a.recordFailure(address, grantFailure(err))
 		a.logger.Warn("lease grant ignored", "term", grant.Term, "error", err)
 		a.controlNodes.primary = ""
 		return searchInterval
@@ -219,6 +222,7 @@
 	}
 	received, err := a.applyGrantTransfer(grant)
 	if err != nil {
+		a.recordFailure(address, FailureInvalidTransfer)
 		a.logger.Error("registry transfer failed", "error", err)
 		return searchInterval
 	}
--- a/gateway/agent/search.go
+++ b/gateway/agent/search.go
@@ -53,7 +53,8 @@
 	if lost != a.searching {
 		a.searching = lost
 		if lost {
-			a.logger.Warn("no control node grants renewals", "known", a.controlNodes.addresses())
+			a.logger.Warn("no control node grants renewals", "known", a.controlNodes.addresses(),
+				"last_called", a.lastFailureAddress, "reason", string(a.lastFailure))
 		} else {
 			a.logger.Warn("a control node grants renewals again", "primary", a.controlNodes.primary)
 		}
