agent: a gateway without a primary takes the newest state in force from others

What callers saw: a gateway answers 404 for routes that were acknowledged tens of seconds before, and serves dropped ones, while the gateways beside it decide by the new configuration. Cause: only a primary's grant can bring a gateway newer state. While none grants its renewals (it knows only nodes that are gone, or its group has lost its majority) a gateway keeps its state, whatever the processes that it reaches hold.

--- a/gateway/agent/agent.go
+++ b/gateway/agent/agent.go
@@ -53,6 +53,8 @@
 	active           atomic.Pointer[catalog.State]
 	grantedRenewals  atomic.Uint64
 	rejectedRenewals atomic.Uint64
+	fetches          fetchCounts
+	source           *stateSource
 	renewalFailures  failureCounts
 
 	mutex        sync.Mutex
@@ -73,6 +75,10 @@
 	// lastFailureAddress the node that it was sent to.
 	lastFailure        RenewalFailure
 	lastFailureAddress string
+	// newestHeard is the newest active serial that another gateway has reported, and
+	// behindSince the time since which it is newer than the active one; 0 if it is not.
+	newestHeard uint32
+	behindSince time.Duration
 	// leaseTerm is the term of the primary that granted the latest lease.
 	leaseTerm uint64
 	table     *registry.Table
@@ -99,6 +105,7 @@
 		activated:    make(chan struct{}),
 		lastGrant:    options.Clock(),
 
+		source:              newStateSource(options.Logger),
 		renewalFailures:     newFailureCounts(),
 		consecutiveFailures: make(map[string]int),
 	}
@@ -106,6 +113,7 @@
 	options.Network.Handle(peer.KindRenew, a.serveRenew)
 	options.Network.Handle(peer.KindHello, a.serveHello)
 	options.Network.Handle(peer.KindJoin, a.serveJoin)
+	options.Network.Handle(peer.KindFetchState, a.serveFetchState)
 	return a
 }
 
@@ -142,6 +150,11 @@
 	// SinceGrant is the time since the last granted renewal, or since the start if none
 	// was granted.
 	SinceGrant time.Duration
+	// NewestHeardSerial is the newest active serial that another gateway has reported;
+	// 0 if none.
+	NewestHeardSerial uint32
+	// Fetches counts the requests to other gateways for their state, by result.
+	Fetches map[FetchResult]uint64
 }
 
 // Status returns the current status.
@@ -158,6 +171,9 @@
 		RejectedRenewals: a.rejectedRenewals.Load(),
 		RenewalFailures:  a.renewalFailures.snapshot(),
 		SinceGrant:       a.options.Clock() - a.lastGrant,
+
+		NewestHeardSerial: a.newestHeard,
+		Fetches:           a.fetches.snapshot(),
 	}
 	if active := a.active.Load(); active != nil {
 		status.ActiveSerial = active.Serial()
--- a/gateway/agent/handlers.go
+++ b/gateway/agent/handlers.go
@@ -70,9 +70,10 @@
 		return nil, errNoControlNode
 	}
 	return &peer.HelloReply{
-		Name:    a.options.Gateway.Name,
-		Cluster: a.holder.Cluster(),
-		Members: a.controlNodes.consensusMembers(),
+		Name:         a.options.Gateway.Name,
+		Cluster:      a.holder.Cluster(),
+		Members:      a.controlNodes.consensusMembers(),
+		ActiveSerial: a.activeSerial(),
 	}, nil
 }
 
--- a/gateway/agent/renew.go
+++ b/gateway/agent/renew.go
@@ -178,9 +178,9 @@
 		ReceivedSerial: a.receivedSerialLocked(),
 		LeaseValid:     a.Valid(),
 		Follows:        a.options.Gateway.Draining,
+		ActiveSerial:   a.activeSerial(),
 	}
 	if active := a.active.Load(); active != nil {
-		request.ActiveSerial = active.Serial()
 		request.ActiveVersion = active.Version()
 	}
 	address := a.controlNodes.next()
--- a/gateway/agent/replication.go
+++ b/gateway/agent/replication.go
@@ -65,6 +65,15 @@
 	return a.newest.Serial()
 }
 
+// activeSerial returns the serial of the active state, or 0 if there is none.
+func (a *Agent) activeSerial() uint32 {
+	active := a.active.Load()
+	if active == nil {
+		return 0
+	}
+	return active.Serial()
+}
+
 // applyGrantTransfer applies the transfer of a grant, if it has one. It reports
 // whether the serial changed. The caller holds the mutex.
 func (a *Agent) applyGrantTransfer(grant *peer.Grant) (bool, error) {
--- a/gateway/agent/search.go
+++ b/gateway/agent/search.go
@@ -57,6 +57,7 @@
 				"last_called", a.lastFailureAddress, "reason", string(a.lastFailure))
 		} else {
 			a.logger.Warn("a control node grants renewals again", "primary", a.controlNodes.primary)
+			a.behindSince = 0
 		}
 	}
 	return lost
@@ -87,16 +88,23 @@
 	for _, address := range a.searchAddresses(round) {
 		ask(address)
 	}
+	newest := greeting{}
 	for pending > 0 {
 		answer := <-answers
 		pending--
 		if answer.err != nil || !a.recordGreeting(answer) {
 			continue
 		}
+		if isNewerSerial(answer.reply.ActiveSerial, newest.reply.ActiveSerial) {
+			newest = answer
+		}
 		for _, member := range answer.reply.Members {
 			ask(member.Address)
 		}
 	}
+	if newest.reply.ActiveSerial != 0 {
+		a.catchUp(ctx, newest.address, newest.reply.ActiveSerial)
+	}
 }
 
 // greet sends a Hello to one process.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -7,7 +7,6 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"github.com/deckpulley/deckpulley/api"
-	"github.com/deckpulley/deckpulley/gateway/agent"
 	"github.com/deckpulley/deckpulley/ticket"
 )
 
@@ -87,6 +86,7 @@
 		{"active_version", "Configuration version that decides.", func() float64 { return float64(g.agent.Status().ActiveVersion) }},
 		{"primary_term", "Newest term seen of a primary.", func() float64 { return float64(g.agent.Status().Term) }},
 		{"renewal_age_seconds", "Time since the last granted renewal.", func() float64 { return g.agent.Status().SinceGrant.Seconds() }},
+		{"newest_heard_serial", "Newest active serial that another gateway has reported.", func() float64 { return float64(g.agent.Status().NewestHeardSerial) }},
 		{"running_requests", "Requests in progress.", func() float64 { return float64(g.activity.current()) }},
 		{"ledger_tickets", "Tickets remembered.", func() float64 { return float64(g.tickets.size()) }},
 	}
@@ -104,13 +104,7 @@
 		prometheus.NewCounterFunc(granted, func() float64 { return float64(g.agent.Status().GrantedRenewals) }),
 		prometheus.NewCounterFunc(refused, func() float64 { return float64(g.agent.Status().RejectedRenewals) }),
 	)
-	for _, reason := range agent.RenewalFailures() {
-		failed := prometheus.CounterOpts{
-			Namespace: metricsNamespace, Name: "renewal_failures_total", Help: "Renewals of the lease without a grant, by reason.",
-			ConstLabels: prometheus.Labels{"reason": string(reason)},
-		}
-		g.registry.MustRegister(prometheus.NewCounterFunc(failed, func() float64 { return float64(g.agent.Status().RenewalFailures[reason]) }))
-	}
+	g.registry.MustRegister(newAgentCollector(g.agent))
 }
 
 // classLabel returns the value of the label "class" for a request.
--- a/peer/golden_messages_test.go
+++ b/peer/golden_messages_test.go
@@ -53,6 +53,7 @@
 		{"owner", peer.KindOwner, 14},
 		{"replica loads", peer.KindReplicaLoads, 15},
 		{"load digest", peer.KindLoadDigest, 16},
+		{"fetch state", peer.KindFetchState, 17},
 	}
 	for _, test := range kinds {
 		if test.kind != test.want {
@@ -92,9 +93,12 @@
 	add("Hello, initial", filled[peer.Hello]())
 	add("Hello empty", peer.Hello{})
 	helloReply := filled[peer.HelloReply]()
+	helloReply.ActiveSerial = 0
+	initialReply := helloReply
 	helloReply.Initial = false
 	add("HelloReply", helloReply)
-	add("HelloReply, initial", filled[peer.HelloReply]())
+	add("HelloReply, initial", initialReply)
+	add("HelloReply, active serial", filled[peer.HelloReply]())
 	add("HelloReply empty", peer.HelloReply{})
 	add("Form", filled[peer.Bootstrap]())
 	add("Form empty", peer.Bootstrap{})
@@ -164,6 +168,10 @@
 	add("LoadDigest empty", peer.LoadDigest{})
 	add("RegionLoads", filled[peer.RegionLoads]())
 	add("RegionLoads empty", peer.RegionLoads{})
+	add("FetchState", filled[peer.FetchState]())
+	add("FetchState empty", peer.FetchState{})
+	add("FetchStateReply", filled[peer.FetchStateReply]())
+	add("FetchStateReply empty", peer.FetchStateReply{})
 	return cases
 }
 
--- a/peer/kinds.go
+++ b/peer/kinds.go
@@ -29,4 +29,5 @@
 	KindOwner             transport.Kind = 14 // stream OwnerRequest to RunEvents, gateway to the owner of a ticket
 	KindReplicaLoads      transport.Kind = 15 // one-way ReplicaLoads, gateway to its group's aggregator
 	KindLoadDigest        transport.Kind = 16 // one-way LoadDigest, aggregator to its group's gateways and other aggregators
+	KindFetchState        transport.Kind = 17 // call FetchState/FetchStateReply, gateway to gateway
 )
--- a/peer/lease.go
+++ b/peer/lease.go
@@ -70,10 +70,7 @@
 // UnpackTransfer returns the transfer, which it decompresses if necessary. It returns
 // nil if the grant has no transfer.
 func (g *Grant) UnpackTransfer() (*registry.Transfer, error) {
-	if g.Packed != nil {
-		return g.Packed.Unpack()
-	}
-	return g.Transfer, nil
+	return unpackEither(g.Transfer, g.Packed)
 }
 
 // Notify informs a gateway of a new serial, a new activation serial or a new primary,
--- a/peer/membership.go
+++ b/peer/membership.go
@@ -21,7 +21,7 @@
 }
 
 // HelloReply answers Hello. Every control node sends it, whether it is a member of a
-// cluster or not.
+// cluster or not, and every gateway that belongs to a cluster.
 type HelloReply struct {
 	Name     string       `cbor:"1,keyasint"`
 	Identity consensus.ID `cbor:"2,keyasint"`
@@ -35,6 +35,9 @@
 	Members              []consensus.Member `cbor:"6,keyasint,omitempty"`
 	// Initial has the same meaning as in Hello.
 	Initial bool `cbor:"7,keyasint,omitempty"`
+	// ActiveSerial is the serial of the state by which the sender decides, if it is a
+	// gateway and has one.
+	ActiveSerial uint32 `cbor:"8,keyasint,omitempty"`
 }
 
 // Bootstrap sends a new control node the first membership of a new cluster. A node
--- a/registry/transfer.go
+++ b/registry/transfer.go
@@ -50,6 +50,10 @@
 	return Transfer{Full: true, To: state.soa.Serial, Added: allRecords(state)}
 }
 
+// FullTransfer returns the transfer that brings an empty secondary to the serial of the
+// view. The view must not be the zero View.
+func (v View) FullTransfer() Transfer { return fullTransfer(v.state) }
+
 // allRecords returns the records in the order of the tree.
 func allRecords(state *tableState) []Record {
 	records := make([]Record, 0, state.count)
