locator, agent: processes without a group take the state in force from gateways

Cause: a control node with an empty disk asks only control nodes which gateways there are, and a restarted gateway gets its first state from a primary alone. Both reach gateways, which have the state, but do not know their addresses. Change: Hello of a gateway carries its address, and the answer to it the addresses of some gateways. A restarted gateway that no primary answers fetches the active state from a gateway of the cluster that its seeds name; it has no lease until a primary grants one. The golden files of the messages gain entries, none changes.

--- a/control/bootstrap/bootstrap.go
+++ b/control/bootstrap/bootstrap.go
@@ -183,7 +183,13 @@
 		return nil, err
 	}
 	observed := b.engine.Observe()
+	var gateways []string
+	if hello.PeerAddress != "" {
+		b.config.Contacts.RecordGateway(hello.PeerAddress)
+		gateways = b.config.Contacts.Gateways()
+	}
 	return &peer.HelloReply{
+		Gateways:             gateways,
 		Name:                 b.config.Name,
 		Identity:             observed.Identity,
 		Cluster:              observed.Cluster,
--- a/control/discovery/contacts.go
+++ b/control/discovery/contacts.go
@@ -20,6 +20,9 @@
 	// gatewaysPerRound is the number of gateways that one round of discovery asks. A later
 	// round asks others.
 	gatewaysPerRound = 8
+	// maxGreetedBy bounds the gateways that are stored from their Hello messages. The one
+	// that asked the longest ago makes room for a new one.
+	maxGreetedBy = 32
 )
 
 // Contacts are the addresses of other control nodes that a node knows. Its methods
@@ -33,6 +36,8 @@
 	seeds []string
 	// learned are the addresses in answers of other nodes, the newest last.
 	learned []string
+	// greetedBy are the addresses of the gateways that have sent Hello, the newest last.
+	greetedBy []string
 	// gatewayCursor is the position of the next gateway that Gateways returns.
 	gatewayCursor int
 	// primary is the peer address of the primary according to the last answer of a
@@ -59,20 +64,25 @@
 	c.seeds = slices.Clone(seeds)
 }
 
+// RecordGateway stores the address of a gateway that has sent Hello to this node.
+func (c *Contacts) RecordGateway(address string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.greetedBy = slices.DeleteFunc(c.greetedBy, func(known string) bool { return known == address })
+	c.greetedBy = append(c.greetedBy, address)
+	c.greetedBy = c.greetedBy[max(0, len(c.greetedBy)-maxGreetedBy):]
+}
+
 // Gateways returns the peer addresses of at most gatewaysPerRound gateways in the
-// registry, which know the control nodes. Successive calls go through all of them.
+// registry, or of those that have asked this node if it has no copy of the registry. They
+// know the control nodes. Successive calls go through all of them.
 func (c *Contacts) Gateways() []string {
-	catalog := c.engine.Observe().Catalog
-	if catalog == nil {
-		return nil
-	}
-	var addresses []string
-	for _, gateway := range catalog.Gateways() {
-		addresses = append(addresses, gateway.PeerAddress)
-	}
-	slices.Sort(addresses)
+	addresses := c.registeredGateways()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if len(addresses) == 0 {
+		addresses = slices.Clone(c.greetedBy)
+	}
 	count := min(len(addresses), gatewaysPerRound)
 	sample := make([]string, 0, count)
 	for range count {
@@ -82,6 +92,20 @@
 	return sample
 }
 
+// registeredGateways returns the peer addresses of the gateways in the registry, sorted.
+func (c *Contacts) registeredGateways() []string {
+	catalog := c.engine.Observe().Catalog
+	if catalog == nil {
+		return nil
+	}
+	var addresses []string
+	for _, gateway := range catalog.Gateways() {
+		addresses = append(addresses, gateway.PeerAddress)
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
 // Addresses returns the peer addresses of the seeds, the initial control nodes and the
 // members, and the learned addresses; each once, without this node's own.
 func (c *Contacts) Addresses() []string {
--- a/control/message/golden_test.go
+++ b/control/message/golden_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/deckpulley/deckpulley/api"
 	"github.com/deckpulley/deckpulley/control/internal/golden"
+	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/transport"
 )
 
@@ -21,7 +22,7 @@
 		{name: "describe", kind: KindDescribe, want: 64},
 		{name: "read_index", kind: KindReadIndex, want: 65},
 		{name: "overview", kind: KindOverview, want: 66},
-		{name: "where", kind: KindWhere, want: 67},
+		{name: "where", kind: peer.KindWhere, want: 67},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -77,9 +78,9 @@
 			RepairDone: true,
 		}},
 		{name: "overview-empty", message: Overview{}},
-		{name: "where-request", message: WhereRequest{Region: "region-1", Limit: 3}},
-		{name: "where-reply", message: WhereReply{Addresses: []string{"10.0.1.1:8080", "10.0.1.2:8080"}}},
-		{name: "where-reply-empty", message: WhereReply{}},
+		{name: "where-request", message: peer.WhereRequest{Region: "region-1", Limit: 3}},
+		{name: "where-reply", message: peer.WhereReply{Addresses: []string{"10.0.1.1:8080", "10.0.1.2:8080"}}},
+		{name: "where-reply-empty", message: peer.WhereReply{}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/control/message/message.go
+++ b/control/message/message.go
@@ -8,12 +8,12 @@
 	"github.com/deckpulley/deckpulley/transport"
 )
 
-// Kinds of messages. They start at 64, to leave room for kinds of package peer.
+// Kinds of messages. They start at 64, to leave room for kinds of package peer, which also
+// has 67.
 const (
 	KindDescribe  transport.Kind = 64 // call DescribeRequest/Description, control to control
 	KindReadIndex transport.Kind = 65 // call ReadIndexRequest/ReadIndexReply, control to the primary
 	KindOverview  transport.Kind = 66 // call OverviewRequest/Overview, control to the primary
-	KindWhere     transport.Kind = 67 // call WhereRequest/WhereReply, control without a group to a member
 )
 
 // DescribeRequest asks a control node for its description, which includes what the group's
@@ -50,15 +50,3 @@
 	Status     api.StatusAnswer `cbor:"1,keyasint"`
 	RepairDone bool             `cbor:"2,keyasint"`
 }
-
-// WhereRequest asks a member which gateways the clients of a region should use. The type
-// must be comparable, since it is the key of a cache of answers.
-type WhereRequest struct {
-	Region string `cbor:"1,keyasint"`
-	Limit  int    `cbor:"2,keyasint"`
-}
-
-// WhereReply answers WhereRequest. It is empty if the member knows no gateway.
-type WhereReply struct {
-	Addresses []string `cbor:"1,keyasint,omitempty"`
-}
--- a/control/metrics/metrics.go
+++ b/control/metrics/metrics.go
@@ -23,6 +23,7 @@
 	Updates          *prometheus.CounterVec
 	Renewals         *prometheus.CounterVec
 	Operations       *prometheus.CounterVec
+	Lookups          *prometheus.CounterVec
 	SyncSeconds      prometheus.Histogram
 	InForceSeconds   prometheus.Histogram
 	DroppedMessages  prometheus.Counter
@@ -68,6 +69,7 @@
 	m.Snapshots = counter("snapshots_total", "Snapshots that this node has taken.")
 	m.Updates = labeled("updates_total", "Updates applied, by response code.", "code")
 	m.Renewals = labeled("renewals_total", "Lease renewals decided, by decision.", "decision")
+	m.Lookups = labeled("lookups_total", "Lookups of gateways for clients, by result.", "result")
 	m.Operations = labeled("orders_total", "Orders answered at this node, by answer.", "answer")
 	m.SyncSeconds = histogram("sync_seconds", "Time of one synced write to the disk, in seconds.", prometheus.ExponentialBuckets(0.0001, 2, 16))
 	m.InForceSeconds = histogram("in_force_seconds", "Time from the commit of an order until it was in force everywhere, in seconds.", prometheus.ExponentialBuckets(0.001, 2, 14))
--- a/control/metrics/traffic.go
+++ b/control/metrics/traffic.go
@@ -25,7 +25,7 @@
 	message.KindDescribe:  "describe",
 	message.KindReadIndex: "read_index",
 	message.KindOverview:  "overview",
-	message.KindWhere:     "where",
+	peer.KindWhere:        "where",
 }
 
 func kindName(kind transport.Kind) string {
--- a/control/metrics/traffic_test.go
+++ b/control/metrics/traffic_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/deckpulley/deckpulley/control/message"
+	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/transport"
 )
 
@@ -15,7 +16,7 @@
 		{kind: message.KindDescribe, want: "describe"},
 		{kind: message.KindReadIndex, want: "read_index"},
 		{kind: message.KindOverview, want: "overview"},
-		{kind: message.KindWhere, want: "where"},
+		{kind: peer.KindWhere, want: "where"},
 	}
 	for _, c := range cases {
 		t.Run(c.want, func(t *testing.T) {
--- a/control/node.go
+++ b/control/node.go
@@ -126,7 +126,7 @@
 	n.contacts = contacts
 	n.describer = discovery.NewDescriber(n.description(), n.engine, n.network, options.CallTimeout)
 	n.reader = readindex.New(n.engine, n.network, options.PeerAddress, options.CallTimeout)
-	n.locator = locator.New(options.Name, n.engine, n.network, contacts, n.log)
+	n.locator = locator.New(options.Name, n.engine, n.network, contacts, nodeMetrics.Lookups, n.log)
 	n.updates = updates.New(n.engine, n.network, options.PeerAddress, n.log)
 	n.bootstrapper = bootstrap.New(bootstrap.Config{
 		Name:           options.Name,
@@ -199,7 +199,7 @@
 	n.network.Handle(message.KindDescribe, n.describer.Serve)
 	n.network.Handle(message.KindReadIndex, n.reader.Serve)
 	n.network.Handle(message.KindOverview, n.reporter.Serve)
-	n.network.Handle(message.KindWhere, n.locator.Serve)
+	n.network.Handle(peer.KindWhere, n.locator.Serve)
 }
 
 // Start begins to serve peers and to participate in the control group.
--- a/gateway/agent/agent.go
+++ b/gateway/agent/agent.go
@@ -114,6 +114,7 @@
 	options.Network.Handle(peer.KindHello, a.serveHello)
 	options.Network.Handle(peer.KindJoin, a.serveJoin)
 	options.Network.Handle(peer.KindFetchState, a.serveFetchState)
+	options.Network.Handle(peer.KindWhere, a.serveWhere)
 	return a
 }
 
--- a/gateway/agent/catchup.go
+++ b/gateway/agent/catchup.go
@@ -79,8 +79,9 @@
 // catchUp fetches and activates the state of another gateway that has reported a newer
 // active serial. No renewal is granted meanwhile, so no primary tells this gateway what is
 // in force.
-func (a *Agent) catchUp(ctx context.Context, address string, serial uint32) {
-	request, behind := a.nextFetch(address, serial)
+func (a *Agent) catchUp(ctx context.Context, source greeting) {
+	address := source.address
+	request, behind := a.nextFetch(address, &source.reply)
 	if !behind {
 		return
 	}
@@ -92,14 +93,22 @@
 		a.logger.Debug("fetching the state of another gateway failed", "address", address, "error", err)
 		return
 	}
-	a.handleFetchReply(address, &reply)
+	a.handleFetchReply(address, request.Cluster, &reply)
 }
 
-// nextFetch records that another gateway has reported an active serial, and returns the
+// hasNoState reports whether this gateway has neither received nor activated a state.
+func (a *Agent) hasNoState() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.newest == nil && a.active.Load() == nil
+}
+
+// nextFetch records the active serial that another gateway has reported, and returns the
 // request for its state. It returns false if this gateway's state is as new.
-func (a *Agent) nextFetch(address string, serial uint32) (peer.FetchState, bool) {
+func (a *Agent) nextFetch(address string, reply *peer.HelloReply) (peer.FetchState, bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	serial := reply.ActiveSerial
 	if isNewerSerial(serial, a.newestHeard) {
 		a.newestHeard = serial
 	}
@@ -112,17 +121,17 @@
 		a.logger.Warn("another gateway decides by a newer state", "active_serial", active, "newer_serial", serial, "address", address)
 	}
 	return peer.FetchState{
-		Cluster:        a.holder.Cluster(),
+		Cluster:        reply.Cluster,
 		ReceivedSerial: a.receivedSerialLocked(),
 		ActiveSerial:   active,
 	}, true
 }
 
 // handleFetchReply activates the state in another gateway's answer.
-func (a *Agent) handleFetchReply(address string, reply *peer.FetchStateReply) {
+func (a *Agent) handleFetchReply(address, cluster string, reply *peer.FetchStateReply) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	result, err := a.adoptState(reply)
+	result, err := a.adoptState(cluster, reply)
 	a.fetches.add(result)
 	if err != nil {
 		a.logger.Error("state of another gateway not usable", "address", address, "error", err)
@@ -138,9 +147,11 @@
 }
 
 // adoptState activates the state in another gateway's answer if it is newer than the
-// active one. The caller holds the mutex.
-func (a *Agent) adoptState(reply *peer.FetchStateReply) (FetchResult, error) {
-	if reply.Cluster != a.holder.Cluster() {
+// active one. A gateway that belongs to no cluster yet enters the one that it has asked
+// for, which is that of the processes that its seeds know. The caller holds the mutex.
+func (a *Agent) adoptState(cluster string, reply *peer.FetchStateReply) (FetchResult, error) {
+	own := a.holder.Cluster()
+	if reply.Cluster != cluster || own != "" && own != cluster {
 		return FetchFailed, errOtherCluster
 	}
 	if !isNewerSerial(reply.ActiveSerial, a.activeSerial()) {
@@ -157,6 +168,9 @@
 	if err != nil {
 		return FetchFailed, err
 	}
+	if err := a.holder.Observe(a.holder.Term(), cluster); err != nil {
+		return FetchFailed, err
+	}
 	a.activateState(state)
 	return FetchActivated, nil
 }
--- a/gateway/agent/catchup_test.go
+++ b/gateway/agent/catchup_test.go
@@ -145,6 +145,32 @@
 	})
 }
 
+// TestRestartedGatewayTakesStateInForceFromGateway guards against a gateway that, after a
+// restart, rejects all requests until there is a primary, although the control node that it
+// reaches knows a gateway that decides by the state in force.
+func TestRestartedGatewayTakesStateInForceFromGateway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stale := newStaleGateway(t)
+		stale.memory.Partition("g3", "c3")
+		left := newFakeControlNode(t, stale.memory, "c5")
+		left.hello = &peer.HelloReply{Identity: "c5", Cluster: "c", Gateways: []string{"g2"}}
+		restarted, stop := startAgent(t, stale.memory.Node("g3", "g3"), Options{
+			Gateway: peer.GatewayInfo{Name: "g3", Incarnation: "i", PeerAddress: "g3"},
+			Seeds:   []string{"c5"},
+		})
+		time.Sleep(maxCatchUpTime)
+		if active := restarted.Active(); active == nil || active.Version() != 2 || restarted.Status().Cluster != "c" {
+			t.Errorf("the restarted gateway decides by %v, want version 2", active)
+		}
+		if restarted.Valid() {
+			t.Error("the restarted gateway has a lease that no primary has granted")
+		}
+		stop()
+		_ = left.network.Close()
+		stale.close()
+	})
+}
+
 // TestAdoptStateChecksTransfer checks that a transfer which does not lead to the named
 // state changes nothing, and that each form of a valid one leads to it.
 func TestAdoptStateChecksTransfer(t *testing.T) {
@@ -169,12 +195,12 @@
 		{"no transfer", peer.FetchStateReply{Cluster: "c", ActiveSerial: serial}, FetchDeferred, from},
 		{"not newer", peer.FetchStateReply{Cluster: "c", ActiveSerial: from, Transfer: &base}, FetchUnneeded, from},
 		{"not compressed", peer.FetchStateReply{Cluster: "c", ActiveSerial: serial, Packed: peer.PackedTransfer("x")}, FetchFailed, from},
-		{"other cluster", peer.FetchStateReply{Cluster: "d", ActiveSerial: serial, Transfer: &full}, FetchFailed, from},
+		{"other cluster than asked for", peer.FetchStateReply{Cluster: "d", ActiveSerial: serial, Transfer: &full}, FetchFailed, from},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			a := newFollower(t, base)
-			result, err := a.adoptState(&c.reply)
+			result, err := a.adoptState("c", &c.reply)
 			if result != c.result || (err != nil) != (result == FetchFailed) {
 				t.Errorf("result %q and error %v, want %q", result, err, c.result)
 			}
@@ -196,7 +222,7 @@
 	if _, err := a.applyTransfer(table.TransferSince(a.activeSerial())); err != nil {
 		t.Fatal(err)
 	}
-	result, err := a.adoptState(&peer.FetchStateReply{Cluster: "c", ActiveSerial: approved.To, Transfer: &approved})
+	result, err := a.adoptState("c", &peer.FetchStateReply{Cluster: "c", ActiveSerial: approved.To, Transfer: &approved})
 	if err != nil || result != FetchActivated || a.Active().Version() != 1 {
 		t.Fatalf("result %q, error %v, version %d; want version 1 activated", result, err, a.Active().Version())
 	}
--- a/gateway/agent/handlers.go
+++ b/gateway/agent/handlers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"github.com/deckpulley/deckpulley/directory"
 	"github.com/deckpulley/deckpulley/peer"
 )
 
@@ -74,6 +75,7 @@
 		Cluster:      a.holder.Cluster(),
 		Members:      a.controlNodes.consensusMembers(),
 		ActiveSerial: a.activeSerial(),
+		Gateways:     a.gatewaysFor(&hello),
 	}, nil
 }
 
@@ -95,3 +97,27 @@
 		Members: a.controlNodes.consensusMembers(),
 	}, nil
 }
+
+// gatewaysFor returns the addresses of some gateways for the answer to another gateway. The
+// caller holds the mutex.
+func (a *Agent) gatewaysFor(hello *peer.Hello) []string {
+	if hello.PeerAddress == "" {
+		return nil
+	}
+	return a.gatewaySample(0)
+}
+
+// serveWhere tells a control node without a copy of the registry which gateways clients
+// should use.
+func (a *Agent) serveWhere(_ context.Context, _ string, decode func(any) error) (any, error) {
+	var request peer.WhereRequest
+	if err := decode(&request); err != nil {
+		return nil, err
+	}
+	active := a.active.Load()
+	if active == nil {
+		return &peer.WhereReply{}, nil
+	}
+	query := directory.Query{Region: request.Region, Limit: max(0, request.Limit), Node: a.options.Gateway.Name, Partitioned: !a.Valid()}
+	return &peer.WhereReply{Addresses: query.Answer(active.Gateways())}, nil
+}
--- a/gateway/agent/search.go
+++ b/gateway/agent/search.go
@@ -89,21 +89,33 @@
 		ask(address)
 	}
 	newest := greeting{}
+	cluster := ""
 	for pending > 0 {
 		answer := <-answers
 		pending--
 		if answer.err != nil || !a.recordGreeting(answer) {
 			continue
 		}
+		if cluster == "" {
+			cluster = answer.reply.Cluster
+		}
+		if answer.reply.Cluster != cluster {
+			continue // this gateway belongs to no cluster yet, and the answers name several
+		}
 		if isNewerSerial(answer.reply.ActiveSerial, newest.reply.ActiveSerial) {
 			newest = answer
 		}
 		for _, member := range answer.reply.Members {
 			ask(member.Address)
 		}
+		if a.hasNoState() {
+			for _, address := range answer.reply.Gateways {
+				ask(address)
+			}
+		}
 	}
 	if newest.reply.ActiveSerial != 0 {
-		a.catchUp(ctx, newest.address, newest.reply.ActiveSerial)
+		a.catchUp(ctx, newest)
 	}
 }
 
@@ -112,7 +124,7 @@
 	callContext, cancel := context.WithTimeout(ctx, searchTimeout)
 	defer cancel()
 	answer := greeting{address: address}
-	hello := peer.Hello{Name: a.options.Gateway.Name}
+	hello := peer.Hello{Name: a.options.Gateway.Name, PeerAddress: a.options.Gateway.PeerAddress}
 	answer.err = a.options.Network.Call(callContext, address, peer.KindHello, &hello, &answer.reply)
 	return answer
 }
--- a/peer/golden_messages_test.go
+++ b/peer/golden_messages_test.go
@@ -88,17 +88,23 @@
 	}
 	add("ConsensusMessage empty", peer.ConsensusMessage{})
 	hello := filled[peer.Hello]()
-	hello.Initial = false // from before that field: older programs send this one
+	hello.PeerAddress = "" // from before that field, like the next: older programs send these
+	initialHello := hello
+	hello.Initial = false
 	add("Hello", hello)
-	add("Hello, initial", filled[peer.Hello]())
+	add("Hello, initial", initialHello)
+	add("Hello, peer address", filled[peer.Hello]())
 	add("Hello empty", peer.Hello{})
 	helloReply := filled[peer.HelloReply]()
+	helloReply.Gateways = nil
+	servingReply := helloReply
 	helloReply.ActiveSerial = 0
 	initialReply := helloReply
 	helloReply.Initial = false
 	add("HelloReply", helloReply)
 	add("HelloReply, initial", initialReply)
-	add("HelloReply, active serial", filled[peer.HelloReply]())
+	add("HelloReply, active serial", servingReply)
+	add("HelloReply, gateways", filled[peer.HelloReply]())
 	add("HelloReply empty", peer.HelloReply{})
 	add("Form", filled[peer.Bootstrap]())
 	add("Form empty", peer.Bootstrap{})
--- a/peer/membership.go
+++ b/peer/membership.go
@@ -18,6 +18,8 @@
 	// Initial is true if the sender is an initial control node of a cluster that it knows
 	// of no bootstrap of yet.
 	Initial bool `cbor:"3,keyasint,omitempty"`
+	// PeerAddress is the address of the sender, if it is a gateway.
+	PeerAddress string `cbor:"4,keyasint,omitempty"`
 }
 
 // HelloReply answers Hello. Every control node sends it, whether it is a member of a
@@ -38,6 +40,9 @@
 	// ActiveSerial is the serial of the state by which the sender decides, if it is a
 	// gateway and has one.
 	ActiveSerial uint32 `cbor:"8,keyasint,omitempty"`
+	// Gateways are the peer addresses of some gateways of the cluster, in an answer to a
+	// gateway.
+	Gateways []string `cbor:"9,keyasint,omitempty"`
 }
 
 // Bootstrap sends a new control node the first membership of a new cluster. A node
