agent, locator: a region that reaches others keeps its clients without a primary

Cause: a node without a leader, or a gateway without a lease, took itself for partitioned together with its region and named the gateways of all regions, although it reached those. Measured: TestGatewayThatReachesOtherRegionIsNotPartitioned and TestLookupsStayInRegionWithoutLeader hold it; they call what is new.

--- a/control/discovery/contacts.go
+++ b/control/discovery/contacts.go
@@ -6,6 +6,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/deckpulley/deckpulley/consensus"
 	"github.com/deckpulley/deckpulley/control/engine"
@@ -20,6 +21,9 @@
 	// gatewaysPerRound is the number of gateways that one round of discovery asks. A later
 	// round asks others.
 	gatewaysPerRound = 8
+	// otherRegionTimeout is the time for which an answer of a gateway of another region
+	// shows that this region is not partitioned.
+	otherRegionTimeout = 3 * time.Second
 	// maxGreetedBy bounds the gateways that are stored from their Hello messages. The one
 	// that asked the longest ago makes room for a new one.
 	maxGreetedBy = 32
@@ -30,6 +34,7 @@
 type Contacts struct {
 	engine         *engine.Engine
 	peerAddress    string
+	region         string
 	initialControl map[string]string
 
 	mutex sync.Mutex
@@ -43,15 +48,18 @@
 	// primary is the peer address of the primary according to the last answer of a
 	// member.
 	primary string
+	// otherRegionContact is the time at which a gateway of another region last answered.
+	otherRegionContact time.Time
 }
 
-// NewContacts returns the contacts of the node at a peer address. It starts with the
-// seeds and with initialControl, the addresses by name of the nodes that bootstrap a new
-// group.
-func NewContacts(engine *engine.Engine, peerAddress string, seeds []string, initialControl map[string]string) *Contacts {
+// NewContacts returns the contacts of the node at a peer address in a region. It starts
+// with the seeds and with initialControl, the addresses by name of the nodes that bootstrap
+// a new group.
+func NewContacts(engine *engine.Engine, peerAddress, region string, seeds []string, initialControl map[string]string) *Contacts {
 	return &Contacts{
 		engine:         engine,
 		peerAddress:    peerAddress,
+		region:         region,
 		seeds:          slices.Clone(seeds),
 		initialControl: initialControl,
 	}
@@ -151,9 +159,39 @@
 	c.engine.RecordAddresses(ctx, members)
 }
 
+// ReachesOtherRegion reports whether a gateway of another region has answered lately. Only
+// a node that has known no leader for a while asks gateways.
+func (c *Contacts) ReachesOtherRegion() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return time.Since(c.otherRegionContact) <= otherRegionTimeout
+}
+
+// recordRegions records the contact if one of the answers is from a gateway of another
+// region.
+func (c *Contacts) recordRegions(greetings []Greeting) {
+	catalog := c.engine.Observe().Catalog
+	if catalog == nil {
+		return
+	}
+	elsewhere := make(map[string]bool)
+	for _, gateway := range catalog.Gateways() {
+		elsewhere[gateway.PeerAddress] = gateway.Region != c.region
+	}
+	for _, greeting := range greetings {
+		if elsewhere[greeting.Address] {
+			c.mutex.Lock()
+			c.otherRegionContact = time.Now()
+			c.mutex.Unlock()
+			return
+		}
+	}
+}
+
 // AddFromGreetings stores the addresses of members of this node's group, or of any group
-// while this node belongs to none.
+// while this node belongs to none, and which regions were reached.
 func (c *Contacts) AddFromGreetings(ctx context.Context, greetings []Greeting) {
+	c.recordRegions(greetings)
 	cluster := c.engine.Observe().Cluster
 	for _, greeting := range greetings {
 		if cluster == "" || greeting.Reply.Cluster == cluster {
--- a/control/executor/forward_test.go
+++ b/control/executor/forward_test.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	contacts := discovery.NewContacts(started, "here", nil, nil)
+	contacts := discovery.NewContacts(started, "here", "north", nil, nil)
 	contacts.SetPrimary("there")
 	return New(Config{PeerAddress: "here", Queue: queue, Engine: started, Network: network, Contacts: contacts, Metrics: metrics.New(), Logger: log})
 }
--- a/control/locator/locator.go
+++ b/control/locator/locator.go
@@ -106,7 +106,7 @@
 		return nil
 	}
 	query := directory.Query{Region: request.Region, Limit: request.Limit, Node: l.name}
-	query.Partitioned = observed.Status.Leader == consensus.None
+	query.Partitioned = observed.Status.Leader == consensus.None && !l.contacts.ReachesOtherRegion()
 	return query.Answer(observed.Catalog.Gateways())
 }
 
--- a/control/lookup_test.go
+++ b/control/lookup_test.go
@@ -37,3 +37,31 @@
 		}
 	})
 }
+
+// TestLookupsStayInRegionWithoutLeader guards against a directory that sends clients to all
+// regions, whatever their homes are, as long as the group has no leader.
+func TestLookupsStayInRegionWithoutLeader(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.start(controlNames...)
+		f.startGateway("gateway-1")
+		f.startGateway("gateway-2")
+		left := f.nodes["control-2"]
+		f.await("both gateways in the registry", func() bool {
+			catalog := left.engine.Observe().Catalog
+			return catalog != nil && len(catalog.Gateways()) == 2 && len(left.Where("region-1", 8)) > 0
+		})
+		f.stop("control-1")
+		f.stop("control-3")
+		time.Sleep(3 * time.Second)
+		if !left.contacts.ReachesOtherRegion() {
+			t.Error("the node reaches no other region although it reaches two gateways there")
+		}
+		for _, name := range []string{"gateway-1", "gateway-2"} {
+			f.partition(left.options.PeerAddress, name+":1")
+		}
+		time.Sleep(5 * time.Second)
+		if left.contacts.ReachesOtherRegion() {
+			t.Error("the node reaches another region although it is partitioned from all gateways")
+		}
+	})
+}
--- a/control/node.go
+++ b/control/node.go
@@ -122,7 +122,7 @@
 // assemble creates the components that use the engine.
 func (n *Node) assemble(nodeMetrics *metrics.Metrics) {
 	options := n.options
-	contacts := discovery.NewContacts(n.engine, options.PeerAddress, options.Seeds, n.engine.InitialControl())
+	contacts := discovery.NewContacts(n.engine, options.PeerAddress, options.Region, options.Seeds, n.engine.InitialControl())
 	n.contacts = contacts
 	n.describer = discovery.NewDescriber(n.description(), n.engine, n.network, options.CallTimeout)
 	n.reader = readindex.New(n.engine, n.network, options.PeerAddress, options.CallTimeout)
--- a/gateway/agent/agent.go
+++ b/gateway/agent/agent.go
@@ -78,7 +78,10 @@
 	// newestHeard is the newest active serial that another gateway has reported, and
 	// behindSince the time since which it is newer than the active one; 0 if it is not.
 	newestHeard uint32
-	behindSince time.Duration
+	// otherRegionContact is the time at which a gateway of another region last answered a
+	// search; 0 if none did.
+	otherRegionContact time.Duration
+	behindSince        time.Duration
 	// leaseTerm is the term of the primary that granted the latest lease.
 	leaseTerm uint64
 	table     *registry.Table
@@ -132,6 +135,17 @@
 	return max(0, time.Duration(a.leaseExpiry.Load())-a.options.Clock())
 }
 
+// Partitioned reports whether this gateway may be partitioned together with its region: it
+// has no lease, and no gateway of another region has answered lately.
+func (a *Agent) Partitioned() bool {
+	if a.Valid() {
+		return false
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.otherRegionContact == 0 || a.options.Clock()-a.otherRegionContact > otherRegionTimeout
+}
+
 // Active returns the active state; nil before the first activation.
 func (a *Agent) Active() *catalog.State { return a.active.Load() }
 
--- a/gateway/agent/catchup_test.go
+++ b/gateway/agent/catchup_test.go
@@ -171,6 +171,24 @@
 	})
 }
 
+// TestGatewayThatReachesOtherRegionIsNotPartitioned guards against a gateway that sends
+// clients to all regions, whatever their homes are, as long as there is no primary.
+func TestGatewayThatReachesOtherRegionIsNotPartitioned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stale := newStaleGateway(t)
+		time.Sleep(maxCatchUpTime)
+		if stale.gateway.Valid() || stale.gateway.Partitioned() {
+			t.Error("the gateway takes itself for partitioned although it reaches another region")
+		}
+		stale.memory.Partition("g", "g2")
+		time.Sleep(maxCatchUpTime)
+		if !stale.gateway.Partitioned() {
+			t.Error("the gateway does not take itself for partitioned although it reaches nobody")
+		}
+		stale.close()
+	})
+}
+
 // TestAdoptStateChecksTransfer checks that a transfer which does not lead to the named
 // state changes nothing, and that each form of a valid one leads to it.
 func TestAdoptStateChecksTransfer(t *testing.T) {
--- a/gateway/agent/handlers.go
+++ b/gateway/agent/handlers.go
@@ -118,6 +118,6 @@
 	if active == nil {
 		return &peer.WhereReply{}, nil
 	}
-	query := directory.Query{Region: request.Region, Limit: max(0, request.Limit), Node: a.options.Gateway.Name, Partitioned: !a.Valid()}
+	query := directory.Query{Region: request.Region, Limit: max(0, request.Limit), Node: a.options.Gateway.Name, Partitioned: a.Partitioned()}
 	return &peer.WhereReply{Addresses: query.Answer(active.Gateways())}, nil
 }
--- a/gateway/agent/search.go
+++ b/gateway/agent/search.go
@@ -21,6 +21,9 @@
 	gatewaysPerRound = 8
 	// maxAskedPerRound bounds the number of processes that one round asks.
 	maxAskedPerRound = 64
+	// otherRegionTimeout is the time for which an answer of a gateway of another region
+	// shows that this region is not partitioned.
+	otherRegionTimeout = 3 * searchRoundInterval
 )
 
 // runSearch searches for the control nodes whenever the renewals have not been granted
@@ -179,6 +182,7 @@
 	if reply.Cluster == "" || a.holder.Cluster() != "" && reply.Cluster != a.holder.Cluster() {
 		return false
 	}
+	a.recordRegion(answer.address)
 	if reply.Identity == consensus.None || reply.Leader == consensus.None {
 		return true // a gateway, or a control node that is cut off from its group
 	}
@@ -190,6 +194,21 @@
 	return true
 }
 
+// recordRegion records the contact if the address is that of a gateway of another region.
+// The caller holds the mutex.
+func (a *Agent) recordRegion(address string) {
+	active := a.active.Load()
+	if active == nil {
+		return
+	}
+	for _, gateway := range active.Gateways() {
+		if gateway.PeerAddress == address && gateway.Region != a.options.Gateway.Region {
+			a.otherRegionContact = a.options.Clock()
+			return
+		}
+	}
+}
+
 // followPrimary makes the next renewal go to an address, and cancels a renewal in progress
 // to another node. The caller holds the mutex.
 func (a *Agent) followPrimary(address string) {
--- a/gateway/agent/search_test.go
+++ b/gateway/agent/search_test.go
@@ -46,14 +46,14 @@
 func newReplacedCore(t *testing.T) *replacedCore {
 	t.Helper()
 	core := &replacedCore{t: t, memory: transport.NewMemory(), table: newTable(t)}
-	record := catalog.GatewayRecord("g2", catalog.Gateway{PeerAddress: "g2", Incarnation: "i", Up: true})
+	record := catalog.GatewayRecord("g2", catalog.Gateway{PeerAddress: "g2", Region: "south", Incarnation: "i", Up: true})
 	update := registry.NewUpdate(catalog.Apex, nil, []registry.Record{registry.Add(record)})
 	core.table.Apply(&update, nil)
 	first := newFakeControlNode(t, core.memory, "c1")
 	first.table = core.table
 	first.setGrant(core.grant(1, "c1"))
 	core.gateway, core.stop = startAgent(t, core.memory.Node("g", "g"), Options{
-		Gateway: peer.GatewayInfo{Name: "g", Incarnation: "i", PeerAddress: "g"},
+		Gateway: peer.GatewayInfo{Name: "g", Region: "north", Incarnation: "i", PeerAddress: "g"},
 		Seeds:   []string{"c1"},
 	})
 	time.Sleep(time.Second)
--- a/httpgateway/gateway.go
+++ b/httpgateway/gateway.go
@@ -125,7 +125,7 @@
 		Node:     g.options.Info.Name,
 		Draining: g.deregistered.Load(),
 	}
-	query.Partitioned = !query.Draining && !g.agent.Valid()
+	query.Partitioned = !query.Draining && g.agent.Partitioned()
 	return query.Answer(state.Gateways())
 }
 
