soak: disks that are lost and seeds that change

Cause: the soak never lost a disk and never changed the seeds, the two disturbances around which the stale gateways of the incident were found. Change: half of the schedules delete the data folder of one control node, and up to two times the settings of all processes name other seeds, with SIGHUP or by the file alone. They are drawn from random numbers of their own, so the other events of a seed stay as they were.

--- a/internal/soak/platform/machine.go
+++ b/internal/soak/platform/machine.go
@@ -160,6 +160,44 @@
 	return u.start()
 }
 
+// wipe sends SIGKILL, deletes the data folder and starts the process again.
+func (u *unit) wipe() error {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if u.closed {
+		return nil
+	}
+	u.expected = true
+	if err := u.process.Kill(); err != nil {
+		return err
+	}
+	if err := os.RemoveAll(u.settings.DataDir); err != nil {
+		return err
+	}
+	if err := os.MkdirAll(u.settings.DataDir, 0o700); err != nil {
+		return err
+	}
+	u.settings.Bootstrap = false
+	time.Sleep(restartDelay)
+	u.record.countRestart()
+	return u.start()
+}
+
+// reseed lets the settings file name other seeds, and sends SIGHUP if signal is set.
+func (u *unit) reseed(seeds []string, signal bool) error {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if u.closed {
+		return nil
+	}
+	u.settings.Seeds = seeds
+	u.settings.Bootstrap = false
+	if err := u.writeSettings(); err != nil || !signal {
+		return err
+	}
+	return u.process.HangUp()
+}
+
 // hangUp rewrites the settings file, once in part and once whole, and sends SIGHUP each
 // time.
 func (u *unit) hangUp() error {
--- a/internal/soak/platform/play.go
+++ b/internal/soak/platform/play.go
@@ -111,12 +111,31 @@
 		load.depart(event)
 	case soak.Trickle:
 		load.trickle(event)
+	case soak.Wipe:
+		err = s.controls[event.Node].wipe()
+	case soak.Reseed:
+		err = s.reseed(event)
 	}
 	if err != nil {
 		s.record.report(RuleRecovery, "%s of %s %d at %v: %v", event.Kind, event.Role, event.Node, event.At, err)
 	}
 }
 
+// reseed lets the settings of all processes name some of the control nodes as seeds.
+func (s *site) reseed(event soak.Event) error {
+	seeds := make([]string, 0, event.Count)
+	for i := range event.Count {
+		control := s.controls[(event.Detail+i)%len(s.controls)]
+		seeds = append(seeds, control.settings.ListenAddrs.Control)
+	}
+	for _, u := range s.units() {
+		if err := u.reseed(seeds, event.Signal); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // restartAll kills all processes of a role at once and starts them again.
 func (s *site) restartAll(role soak.Role) error {
 	var kills []func() error
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -45,8 +45,17 @@
 	// Trickle opens Count connections whose requests arrive in part and never end, and closes
 	// them after For.
 	Trickle Kind = "trickle"
+	// Wipe sends SIGKILL to a control node, deletes its data folder and starts it again.
+	Wipe Kind = "wipe"
+	// Reseed lets the settings of all processes name Count of the seeds, from number Detail
+	// on, with SIGHUP if Signal is set.
+	Reseed Kind = "reseed"
 )
 
+// rareKinds come at most a few times in a schedule. They are drawn apart from the others, so
+// that the other events of a seed stay what they were in earlier releases.
+var rareKinds = []Kind{Wipe, Reseed}
+
 // Role is the role of a process.
 type Role string
 
@@ -65,9 +74,10 @@
 	Kind Kind `json:"kind"`
 	Role Role `json:"role,omitempty"`
 	// Node is the number of the machine, or of the replica of Drain and Malform.
-	Node   int `json:"node"`
-	Count  int `json:"count,omitempty"`
-	Detail int `json:"detail,omitempty"`
+	Node   int  `json:"node"`
+	Count  int  `json:"count,omitempty"`
+	Detail int  `json:"detail,omitempty"`
+	Signal bool `json:"signal,omitempty"`
 }
 
 // Schedule is what a run plays.
@@ -107,6 +117,13 @@
 	maxCrowd      = 300
 	minCrowd      = 50
 	maxDepartures = 60
+	// rareStream selects the random numbers of rareKinds.
+	rareStream = 0x52415245
+	// maxReseeds bounds the changes of the seeds. earliestWipe and latestWipe are fractions
+	// of the length: one disk may be lost, and its successor needs some seconds.
+	maxReseeds   = 3
+	earliestWipe = 0.1
+	latestWipe   = 0.4
 )
 
 // Draw draws a schedule. The same options give the same schedule.
@@ -120,10 +137,26 @@
 	for at := between(random, 0, meanSeriesGap); at < last; at += between(random, 0, 2*meanSeriesGap) {
 		schedule.addSeries(random, at, last, options.MalformedForms)
 	}
+	schedule.addRare(rand.New(rand.NewPCG(options.Seed, rareStream)), last)
 	slices.SortStableFunc(schedule.Events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return schedule
 }
 
+// addRare adds the loss of one disk, in half of the schedules, and changes of the seeds.
+func (s *Schedule) addRare(random *rand.Rand, last time.Duration) {
+	if random.IntN(2) == 0 {
+		fraction := func(part float64) time.Duration { return time.Duration(part * float64(s.Length)) }
+		at := between(random, fraction(earliestWipe), fraction(latestWipe))
+		s.Events = append(s.Events, Event{At: at, Kind: Wipe, Role: RoleControl, Node: random.IntN(s.Controls)})
+	}
+	for range random.IntN(maxReseeds) {
+		s.Events = append(s.Events, Event{
+			At: between(random, 0, last), Kind: Reseed,
+			Count: 1 + random.IntN(s.Controls), Detail: random.IntN(s.Controls), Signal: random.IntN(2) == 0,
+		})
+	}
+}
+
 // addSeries adds some events of one kind, one soon after the other.
 func (s *Schedule) addSeries(random *rand.Rand, at, last time.Duration, forms int) {
 	kind := drawKind(random)
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -55,8 +55,8 @@
 			t.Errorf("seed %d: %v", seed, err)
 		}
 	}
-	if len(kinds) != len(kindWeights) {
-		t.Errorf("20 seeds drew %d kinds of %d", len(kinds), len(kindWeights))
+	if all := len(kindWeights) + len(rareKinds); len(kinds) != all {
+		t.Errorf("20 seeds drew %d kinds of %d", len(kinds), all)
 	}
 	if overlaps == 0 {
 		t.Error("no two disturbances overlap")
