--- a/internal/soak/platform/machine.go
+++ b/internal/soak/platform/machine.go
@@ -183,7 +183,8 @@
 	return u.start()
 }
 
-// reseed lets the settings file name other seeds, and sends SIGHUP if signal is set.
+// reseed lets the settings file name other seeds, and sends SIGHUP if signal is set. The
+// file is replaced as a whole: the process may be starting, and ends if it reads half of it.
 func (u *unit) reseed(seeds []string, signal bool) error {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
@@ -192,7 +193,15 @@
 	}
 	u.settings.Seeds = seeds
 	u.settings.Bootstrap = false
-	if err := u.writeSettings(); err != nil || !signal {
+	text, err := json.Marshal(&u.settings)
+	if err != nil {
+		return err
+	}
+	next := u.settingsFile() + ".next"
+	if err := os.WriteFile(next, text, 0o600); err != nil {
+		return err
+	}
+	if err := os.Rename(next, u.settingsFile()); err != nil || !signal {
 		return err
 	}
 	return u.process.HangUp()
