soak: one place that ends and starts a process again

Cause: kill and wipe were the same but for the data folder. Change: killAndStart with what happens between.

--- a/internal/soak/platform/machine.go
+++ b/internal/soak/platform/machine.go
@@ -145,23 +145,21 @@
 }
 
 // kill sends SIGKILL and starts the process again.
-func (u *unit) kill() error {
-	u.mutex.Lock()
-	defer u.mutex.Unlock()
-	if u.closed {
-		return nil
-	}
-	u.expected = true
-	if err := u.process.Kill(); err != nil {
-		return err
-	}
-	time.Sleep(restartDelay)
-	u.record.countRestart()
-	return u.start()
-}
+func (u *unit) kill() error { return u.killAndStart(func() error { return nil }) }
 
 // wipe sends SIGKILL, deletes the data folder and starts the process again.
 func (u *unit) wipe() error {
+	return u.killAndStart(func() error {
+		u.settings.Bootstrap = false
+		if err := os.RemoveAll(u.settings.DataDir); err != nil {
+			return err
+		}
+		return os.MkdirAll(u.settings.DataDir, 0o700)
+	})
+}
+
+// killAndStart sends SIGKILL, calls between, and starts the process again.
+func (u *unit) killAndStart(between func() error) error {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
 	if u.closed {
@@ -171,13 +169,9 @@
 	if err := u.process.Kill(); err != nil {
 		return err
 	}
-	if err := os.RemoveAll(u.settings.DataDir); err != nil {
+	if err := between(); err != nil {
 		return err
 	}
-	if err := os.MkdirAll(u.settings.DataDir, 0o700); err != nil {
-		return err
-	}
-	u.settings.Bootstrap = false
 	time.Sleep(restartDelay)
 	u.record.countRestart()
 	return u.start()
