soak: play the replacement of every control node on real processes

Nothing of ours replaced a whole core at other addresses on real processes of deckpulley-platform, and the relays of the fleet lose nothing: a connection to a lost machine was accepted or refused, never left without an answer.

Change: `deckpulley-soak turnover` plays the case, with the times of the case or shifted by a seed, in variants (who is cut off from what, how the seeds change, how late a successor starts, whether lost addresses refuse). relay.NewLossy loses packets: a connection that is opened during a cut hangs, and held data arrives with TCP's next retransmission.

--- a/cmd/deckpulley-soak/main.go
+++ b/cmd/deckpulley-soak/main.go
@@ -73,7 +73,7 @@
 		Use: "shrink SCHEDULE", Short: "Take events out of a schedule while its finding stays, and write the smallest one", Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, arguments []string) error { return shrinkSchedule(flags, arguments[0]) },
 	}
-	root.AddCommand(run, replay, shrink)
+	root.AddCommand(run, replay, shrink, newTurnoverCommand(&flags))
 	return root
 }
 
--- a/internal/fleet/relay/forward.go
+++ b/internal/fleet/relay/forward.go
@@ -13,13 +13,13 @@
 
 // forward relays one client connection to the target. It dials the target only once both
 // directions are open, because a TCP handshake needs both.
-func (n *Network) forward(client net.Conn, target string, outbound, inbound *gate) {
-	defer n.tasks.Done()
+func (l *link) forward(client net.Conn) {
+	n, outbound, inbound := l.network, l.outbound, l.inbound
 	defer client.Close()
 	if outbound.wait(n.context) != nil || inbound.wait(n.context) != nil {
 		return
 	}
-	server, err := new(net.Dialer).DialContext(n.context, "tcp", target)
+	server, err := new(net.Dialer).DialContext(n.context, "tcp", l.target)
 	if err != nil {
 		return
 	}
@@ -38,7 +38,7 @@
 		readers.Add(1)
 		go func() { defer readers.Done(); readChunks(ctx, from, chunks, gate) }()
 		writers.Add(1)
-		go func() { defer writers.Done(); writeChunks(ctx, cancel, to, chunks, gate) }()
+		go func() { defer writers.Done(); l.writeChunks(ctx, cancel, to, chunks, gate) }()
 	}
 	pump(server, client, outbound)
 	pump(client, server, inbound)
@@ -100,9 +100,9 @@
 
 // writeChunks writes the chunks of one direction, each as soon as it is due and the gate is
 // open. It calls abort if the connection is broken.
-func writeChunks(ctx context.Context, abort context.CancelFunc, to net.Conn, chunks <-chan chunk, gate *gate) {
+func (l *link) writeChunks(ctx context.Context, abort context.CancelFunc, to net.Conn, chunks <-chan chunk, gate *gate) {
 	for next := range chunks {
-		if sleepUntil(ctx, next.due) != nil || gate.wait(ctx) != nil {
+		if sleepUntil(ctx, next.due) != nil || l.await(ctx, gate) != nil {
 			return
 		}
 		if next.end == notEnded {
@@ -119,6 +119,23 @@
 	}
 }
 
+// await waits until data can pass a gate now. What a lossy network held back passes with the
+// first retransmission that finds the gate open.
+func (l *link) await(ctx context.Context, gate *gate) error {
+	sent := time.Now()
+	for !gate.isOpen() {
+		if err := gate.wait(ctx); err != nil {
+			return err
+		}
+		if l.network.lossy {
+			if err := sleepUntil(ctx, nextRetransmission(sent, time.Now())); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 func send(ctx context.Context, chunks chan<- chunk, next chunk) bool {
 	select {
 	case chunks <- next:
--- a/internal/fleet/relay/gate.go
+++ b/internal/fleet/relay/gate.go
@@ -65,3 +65,10 @@
 		return ctx.Err()
 	}
 }
+
+// isOpen reports whether the gate is open now.
+func (g *gate) isOpen() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return !g.closed
+}
