control: a successor is a voter before the next loss

A successor was also let into the group only once the voter could be replaced; each of its rounds of discovery waited 1 s for every lost node that its seeds still named, and its request to join was dropped after 1 s.

Change: a voter is replaced after 1 s, the time after which it counts as unreachable. A node that will be needed unless a voter responds enters the group at once, so that its copy starts when it is added. Calls of a round of discovery end after 0.5 s unless nobody knew a leader in the round before; a primary that several members name is asked once a round; a request to join is kept for 2 s.

--- a/control/bootstrap/bootstrap.go
+++ b/control/bootstrap/bootstrap.go
@@ -33,6 +33,11 @@
 // the slowest answer, so gateways that are down would delay a restart.
 const roundsBeforeGateways = 4
 
+// firstRoundDivisor divides the call timeout into the timeout of a call in a round of
+// discovery that follows one in which a control node knew a leader, or the start. A lost node
+// that is still listed as a seed or a member doesn't answer, and every round waits for it.
+const firstRoundDivisor = 2
+
 // roundsBeforeWarning is the number of rounds of discovery in succession without a leader
 // after which this is logged. An election takes fewer.
 const roundsBeforeWarning = 8
@@ -83,7 +88,7 @@
 		config:  config,
 		log:     config.Logger,
 		engine:  config.Engine,
-		greeter: discovery.NewGreeter(config.Name, config.Engine, config.Network, config.Contacts, config.CallTimeout),
+		greeter: discovery.NewGreeter(config.Name, config.Engine, config.Network, config.Contacts),
 	}
 }
 
@@ -112,7 +117,7 @@
 // discover runs one round: it sends a Hello to every known node and, depending on the
 // replies, bootstraps a group, asks to join one, or completes a bootstrap.
 func (b *Bootstrapper) discover(ctx context.Context) {
-	greetings := b.greeter.Greet(ctx, b.roundsWithoutLeader >= roundsBeforeGateways)
+	greetings := b.greeter.Greet(ctx, b.roundTimeout(), b.roundsWithoutLeader >= roundsBeforeGateways)
 	b.countRound(greetings)
 	b.config.Contacts.AddFromGreetings(ctx, greetings)
 	observed := b.engine.Observe()
@@ -126,6 +131,14 @@
 	}
 }
 
+// roundTimeout returns the timeout of one call in the next round of discovery.
+func (b *Bootstrapper) roundTimeout() time.Duration {
+	if b.roundsWithoutLeader > 0 {
+		return b.config.CallTimeout
+	}
+	return b.config.CallTimeout / firstRoundDivisor
+}
+
 // countRound counts the rounds in succession in which no control node knew a leader.
 func (b *Bootstrapper) countRound(greetings []discovery.Greeting) {
 	for _, greeting := range greetings {
--- a/control/bootstrap/join.go
+++ b/control/bootstrap/join.go
@@ -38,6 +38,7 @@
 // requestJoin sends a join request to each discovered member, and to the primary that its
 // reply names, until one accepts.
 func (b *Bootstrapper) requestJoin(ctx context.Context, observed *engine.Observation, greetings []discovery.Greeting) (peer.JoinReply, error) {
+	asked := make(map[string]bool)
 	for _, greeting := range greetings {
 		cluster := greeting.Reply.Cluster
 		if cluster == "" || observed.Cluster != "" && cluster != observed.Cluster {
@@ -45,7 +46,8 @@
 		}
 		reply, err := b.callJoin(ctx, greeting.Address)
 		b.config.Contacts.SetPrimary(reply.Primary)
-		if err == nil && !reply.Accepted && reply.Primary != "" && reply.Primary != greeting.Address {
+		if err == nil && !reply.Accepted && reply.Primary != "" && reply.Primary != greeting.Address && !asked[reply.Primary] {
+			asked[reply.Primary] = true // several members may name a primary that is lost
 			reply, err = b.callJoin(ctx, reply.Primary)
 		}
 		if err == nil && reply.Accepted {
@@ -56,7 +58,7 @@
 }
 
 func (b *Bootstrapper) callJoin(ctx context.Context, address string) (peer.JoinReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, b.config.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, b.roundTimeout())
 	defer cancel()
 	join := peer.Join{Member: b.self(b.engine.Observe().Identity)}
 	var reply peer.JoinReply
--- a/control/discovery/greeter.go
+++ b/control/discovery/greeter.go
@@ -11,21 +11,22 @@
 
 // Greeter sends Hello messages to ask other nodes which group they belong to.
 type Greeter struct {
-	name        string
-	engine      *engine.Engine
-	network     transport.Network
-	contacts    *Contacts
-	callTimeout time.Duration
+	name     string
+	engine   *engine.Engine
+	network  transport.Network
+	contacts *Contacts
 }
 
-// NewGreeter returns the greeter of a node with a name. The timeout bounds one call.
-func NewGreeter(name string, engine *engine.Engine, network transport.Network, contacts *Contacts, callTimeout time.Duration) *Greeter {
-	return &Greeter{name: name, engine: engine, network: network, contacts: contacts, callTimeout: callTimeout}
+// NewGreeter returns the greeter of a node with a name.
+func NewGreeter(name string, engine *engine.Engine, network transport.Network, contacts *Contacts) *Greeter {
+	return &Greeter{name: name, engine: engine, network: network, contacts: contacts}
 }
 
 // Greet sends Hello to all contacts concurrently, and to some gateways if includeGateways
-// is set, and returns the answers.
-func (g *Greeter) Greet(ctx context.Context, includeGateways bool) []Greeting {
+// is set, and returns the answers that arrive within the timeout.
+func (g *Greeter) Greet(ctx context.Context, timeout time.Duration, includeGateways bool) []Greeting {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	targets := g.contacts.Addresses()
 	if includeGateways {
 		targets = append(targets, g.contacts.Gateways()...)
@@ -53,8 +54,6 @@
 
 // greetOne returns nil if the address does not answer.
 func (g *Greeter) greetOne(ctx context.Context, address string) *Greeting {
-	ctx, cancel := context.WithTimeout(ctx, g.callTimeout)
-	defer cancel()
 	observed := g.engine.Observe()
 	hello := peer.Hello{Name: g.name, Identity: observed.Identity, Initial: g.isInitial(observed)}
 	answer := &Greeting{Address: address}
--- a/control/engine/config.go
+++ b/control/engine/config.go
@@ -14,7 +14,7 @@
 const (
 	DefaultTickInterval     = 25 * time.Millisecond
 	DefaultStartupTimeout   = 100 * time.Millisecond
-	DefaultReplaceAfter     = 3 * time.Second
+	DefaultReplaceAfter     = time.Second
 	DefaultGatewayGrace     = time.Second
 	DefaultSnapshotInterval = 4096     // entries
 	DefaultSnapshotBytes    = 16 << 20 // bytes
@@ -60,8 +60,10 @@
 	// value costs more frequent snapshots, which have the size of the registry.
 	SnapshotBytes int
 
-	// ReplaceAfter is how long a voter must be unreachable before a node at a
-	// different address may replace it.
+	// ReplaceAfter is how long a voter must be unreachable, or a new leader must have been
+	// elected, before a node at a different address may replace it. Until then the loss of
+	// another voter may end the group; a shorter time replaces voters that pause, if such a
+	// node runs.
 	ReplaceAfter time.Duration
 	// InitialControl has the control nodes that bootstrap a new group, as peer addresses
 	// by name; empty if this node only joins an existing group.
--- a/control/engine/members.go
+++ b/control/engine/members.go
@@ -44,7 +44,7 @@
 	leadership.members.RecordJoin(request)
 	_, known := membership.Find(status.Membership, member.ID)
 	repair := m.repair(now, status)
-	reply.Accepted = known || repair.CanAdmit(request)
+	reply.Accepted = known || repair.CanAdmit(request) || repair.MayAdmitSoon(request)
 	return reply
 }
 
--- a/control/membership/repair.go
+++ b/control/membership/repair.go
@@ -89,6 +89,23 @@
 	return found
 }
 
+// MayAdmitSoon reports whether the node that asks to join may become a voter unless the one
+// that it would replace responds. It can enter the group meanwhile, so that it receives its
+// copy as soon as it is added.
+func (r *Repair) MayAdmitSoon(request JoinRequest) bool {
+	for _, voter := range r.Status.Membership.Members {
+		if voter.ID != request.Member.ID && replaceable(voter, request.Member) && !r.Reachable(voter.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// replaceable reports whether a member is a voter that a node may replace once it is lost.
+func replaceable(voter, node consensus.Member) bool {
+	return !voter.Learner && (voter.Address == node.Address || voter.Name == node.Name || voter.Zone == node.Zone)
+}
+
 // Next returns the next change, or false if none is possible or needed now. There is at
 // most one learner at a time: it is promoted or removed before another is added.
 func (r *Repair) Next() (Change, bool) {
@@ -159,8 +176,7 @@
 // other learner could be added.
 func (r *Repair) replacesNobody(learner consensus.Member) bool {
 	for _, voter := range r.Status.Membership.Members {
-		replaceable := voter.Address == learner.Address || voter.Name == learner.Name || voter.Zone == learner.Zone
-		if replaceable && !voter.Learner && !r.Reachable(voter.ID) {
+		if replaceable(voter, learner) && !r.Reachable(voter.ID) {
 			return false
 		}
 	}
--- a/control/membership/tracker.go
+++ b/control/membership/tracker.go
@@ -8,8 +8,9 @@
 	"github.com/deckpulley/deckpulley/consensus"
 )
 
-// joinTimeout is how long a join request remains valid unless it is repeated.
-const joinTimeout = time.Second
+// joinTimeout is how long a join request remains valid unless it is repeated. A node that
+// knows addresses of lost nodes repeats it only after it has waited for their answers.
+const joinTimeout = 2 * time.Second
 
 // JoinRequest is a node's request to become a voter, or a member's request to change its
 // description.
--- a/control/options.go
+++ b/control/options.go
@@ -71,8 +71,8 @@
 	DiscoveryInterval time.Duration
 	// CallTimeout bounds one call to another control node. Default 1 s.
 	CallTimeout time.Duration
-	// ReplaceAfter is how long a voter must be unreachable before a node at a
-	// different address may replace it. Default 3 s.
+	// ReplaceAfter is how long a voter must be unreachable, or a new leader must have been
+	// elected, before a node at a different address may replace it. Default 1 s.
 	ReplaceAfter time.Duration
 	// GatewayGrace delays two changes of a gateway's record. It is the time between
 	// the expiry of the gateway's lease and the record that it holds none, and the
