control: a primary tells gateways that were away where it is

Cause: such a gateway searches among the nodes that it knew, former members and the other gateways. If all control nodes are new, and the gateways that it knows were cut off too, nobody answers who knows the new ones. The new primary has its address in the registry but notified only gateways that had renewed with it or were marked up.

Change: once a second a primary notifies up to eight gateways that are marked down and have never renewed with it; successive rounds go through all of them.

Result: TestPrimaryRemindsGatewayThatMissedTheReplacement failed without the call (the gateway was last notified by a control node that is gone) and holds.

--- a/control/engine/leadership.go
+++ b/control/engine/leadership.go
@@ -25,6 +25,7 @@
 	leases *leases.Manager
 
 	nextMaintenance time.Duration
+	nextReminder    time.Duration
 	// soaPending and nsPending are true while an update of the SOA record or of
 	// the NS records is in progress.
 	soaPending bool
--- a/control/engine/members.go
+++ b/control/engine/members.go
@@ -17,6 +17,13 @@
 // membership, the leases, and the SOA and NS records.
 const maintenanceInterval = 100 * time.Millisecond
 
+// Limits of the reminders that a primary sends to silent gateways: the time between two
+// rounds, and the number of gateways of one round.
+const (
+	reminderInterval  = time.Second
+	remindersPerRound = 8
+)
+
 // Join asks this node's group to admit a node as a voter. Only the primary accepts the
 // request; the reply names the primary.
 func (e *Engine) Join(ctx context.Context, member consensus.Member) (peer.JoinReply, error) {
@@ -66,6 +73,7 @@
 	m.updateSOA(now, leadership)
 	m.updateNSRecords(now, leadership)
 	m.expireLeases(now, leadership)
+	m.remindSilentGateways(now, leadership)
 	m.repairGroup(now)
 }
 
--- a/control/engine/renewal.go
+++ b/control/engine/renewal.go
@@ -140,6 +140,22 @@
 // notifyGateways asks the gateways to renew immediately, since there is a new serial, a
 // new serial to activate or a new primary.
 func (m *machine) notifyGateways(leadership *leadership) {
+	m.notify(leadership, leadership.leases.Addresses(m.driver.Catalog()))
+}
+
+// remindSilentGateways tells some of the gateways that are down and have not renewed with
+// this primary where it is. Nobody else may tell those that were partitioned while all control
+// nodes were replaced.
+func (m *machine) remindSilentGateways(now time.Duration, leadership *leadership) {
+	if now < leadership.nextReminder || m.driver.Catalog() == nil {
+		return
+	}
+	leadership.nextReminder = now + reminderInterval
+	m.notify(leadership, leadership.leases.SilentAddresses(m.driver.Catalog(), remindersPerRound))
+}
+
+// notify sends a notification to gateways.
+func (m *machine) notify(leadership *leadership, addresses []string) {
 	review := leadership.leases.LastReview()
 	notify := peer.Notify{
 		Cluster:          m.driver.Cluster(),
@@ -148,7 +164,7 @@
 		Serial:           review.Serial,
 		ActivationSerial: review.Activate,
 	}
-	for _, address := range leadership.leases.Addresses(m.driver.Catalog()) {
+	for _, address := range addresses {
 		m.config.Network.Send(address, peer.KindNotify, &notify)
 	}
 }
--- a/control/fixture_test.go
+++ b/control/fixture_test.go
@@ -269,6 +269,7 @@
 	granted     map[uint64]int // leases granted, by term
 	failure     error
 	activations []uint32 // every serial that the gateway activated, in order
+	notifiedBy  string   // primary that the newest notification names
 }
 
 func (f *fleet) startGateway(name string) *testGateway {
@@ -319,7 +320,14 @@
 	}
 }
 
-func (g *testGateway) serveNotify(context.Context, string, func(any) error) (any, error) {
+func (g *testGateway) serveNotify(_ context.Context, _ string, decode func(any) error) (any, error) {
+	var notify peer.Notify
+	if err := decode(&notify); err != nil {
+		return nil, err
+	}
+	g.mutex.Lock()
+	g.notifiedBy = notify.Primary
+	g.mutex.Unlock()
 	select {
 	case g.notify <- struct{}{}:
 	default:
--- a/control/leases/gateways.go
+++ b/control/leases/gateways.go
@@ -1,6 +1,7 @@
 package leases
 
 import (
+	"slices"
 	"time"
 
 	"github.com/deckpulley/deckpulley/catalog"
@@ -136,6 +137,28 @@
 	}
 }
 
+// SilentAddresses returns the peer addresses of at most limit gateways that are marked down
+// and have never renewed with this primary. All control nodes that such a gateway knew may
+// have been replaced while it was away. Successive calls go through all of them.
+func (m *Manager) SilentAddresses(current *catalog.State, limit int) []string {
+	var addresses []string
+	for name, record := range current.Gateways() {
+		observed := m.gateways[name]
+		renewed := observed != nil && observed.info.PeerAddress != ""
+		if !record.Up && !renewed && record.PeerAddress != "" {
+			addresses = append(addresses, record.PeerAddress)
+		}
+	}
+	slices.Sort(addresses)
+	count := min(len(addresses), limit)
+	next := make([]string, 0, count)
+	for range count {
+		next = append(next, addresses[m.silentCursor%len(addresses)])
+		m.silentCursor++
+	}
+	return next
+}
+
 // latestEarlierRenewal returns the latest time at which a gateway that never renewed with
 // this primary can have renewed with an earlier one: a lease renewed then expires at the
 // end of the grace period, for which a new primary waits for leases of earlier primaries.
--- a/control/leases/leases.go
+++ b/control/leases/leases.go
@@ -46,6 +46,9 @@
 	reportsChanged bool
 	review         Review
 
+	// silentCursor is the position of the next gateway that SilentAddresses returns.
+	silentCursor int
+
 	notifiedSerial   uint32
 	notifiedActivate uint32
 	records          recordQueue
--- a/control/replacedgroup_test.go
+++ b/control/replacedgroup_test.go
@@ -128,6 +128,35 @@
 	})
 }
 
+// TestPrimaryRemindsGatewayThatMissedTheReplacement guards against a gateway that never hears
+// of a group whose members were all replaced while it was partitioned, if nobody that it knew
+// is left: the primary notified only gateways that were up or had renewed with it.
+func TestPrimaryRemindsGatewayThatMissedTheReplacement(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.start(controlNames...)
+		gateway := f.startGateway("gateway-1")
+		f.mustSend(f.primary(), "order-1", 0)
+		f.await("a lease", gateway.valid)
+		others := []string{"control-1:1", "control-2:1", "control-3:1", "control-4:1", "control-5:1", "control-6:1"}
+		f.partition(gateway.address, others...)
+		for number, lost := range []string{"control-1", "control-2", "control-3"} {
+			name := fmt.Sprint("control-", number+4)
+			f.lose(lost)
+			f.startSuccessor(lost, name)
+			f.nodes[name].SetSeeds([]string{"control-4:1", "control-5:1", "control-6:1", "control-3:1"})
+			f.expectVoterInTime(name, lost)
+		}
+		f.heal(gateway.address, others...)
+		const maxTime = 5 * time.Second
+		time.Sleep(maxTime)
+		gateway.mutex.Lock()
+		defer gateway.mutex.Unlock()
+		if want := f.primary().options.PeerAddress; gateway.notifiedBy != want {
+			t.Errorf("%v after the partition, the gateway was last notified by %q, want the primary %q", maxTime, gateway.notifiedBy, want)
+		}
+	})
+}
+
 // serveHello sets the answer of a gateway to Hello.
 func (g *testGateway) serveHello(reply func() peer.HelloReply) {
 	g.mutex.Lock()
