membership: appoint witnesses while a successor catches up

One learner kept the group from removing the lost voter and appointing witnesses until it had its copy, or for 10 s if it did not respond. A copy over a slow link or to a slow disk takes seconds, and another loss meanwhile ended the group.

Change: a learner that has not caught up no longer keeps the leader from removing a voter that has been away for 3 s.

Result: the new case of TestWitnessesAreAppointedForTwoVoters failed before (no change) and holds; TestTakeoverHistories, 1,000 histories, holds. Not seen on real processes.

--- a/control/membership/repair.go
+++ b/control/membership/repair.go
@@ -130,13 +130,15 @@
 
 // advanceLearner returns the next change for the only learner. A learner that has failed or
 // is no longer needed is removed. Once a learner has caught up, the voter that it replaces
-// is removed, and with the next change the learner is promoted.
+// is removed, and with the next change the learner is promoted. While it catches up, the
+// others may get witnesses as if there were none: a copy over a slow link or to a slow disk
+// takes a while, and another voter may be lost meanwhile.
 func (r *Repair) advanceLearner(learner consensus.Member) (Change, bool) {
 	if r.superseded(learner) || r.idle(learner.ID) > LearnerTimeout {
 		return r.remove(learner, "unresponsive learner "+learner.Name+" removed")
 	}
 	if !r.caughtUp(learner) {
-		return Change{}, false
+		return r.appointWitnesses()
 	}
 	if replaced, found := r.replacedVoter(r.requestOf(learner)); found {
 		return r.remove(replaced, "voter "+replaced.Name+" removed for its replacement")
--- a/control/membership/witnesses_test.go
+++ b/control/membership/witnesses_test.go
@@ -32,6 +32,7 @@
 	know := map[consensus.ID]bool{"a": true, "b": true, "c": true}
 	lost := map[consensus.ID]time.Duration{"b": now, "c": now - 4*time.Second}
 	five := witnesses("1", 5)
+	copying := consensus.Member{ID: "d", Address: "d", Zone: "zone-c", Learner: true}
 	cases := []struct {
 		name     string
 		current  consensus.Membership
@@ -53,6 +54,10 @@
 			name: "a node replaces the voter", current: three, contact: lost, know: know, possible: five, voters: 3, joins: []JoinRequest{{Member: consensus.Member{ID: "d", Address: "d", Zone: "zone-c"}, ReceivedAt: now}},
 			want: &consensus.Membership{Members: []consensus.Member{a, b, c, {ID: "d", Address: "d", Zone: "zone-c", Learner: true}}},
 		},
+		{
+			name: "the successor of the voter has not caught up", current: consensus.Membership{Members: []consensus.Member{a, b, c, copying}}, contact: map[consensus.ID]time.Duration{"b": now, "c": now - 4*time.Second, "d": now}, know: know, possible: five, voters: 3,
+			want: &consensus.Membership{Members: []consensus.Member{a, b, copying}, Witnesses: five},
+		},
 		{name: "witnesses are running", current: two(five), contact: lost, know: know, possible: five, voters: 3},
 		{name: "one witness has ended", current: two(five), contact: lost, know: know, possible: five[1:], voters: 3},
 		{name: "witnesses have restarted", current: two(five), contact: lost, know: know, possible: witnesses("2", 5), voters: 3, want: ptr(two(witnesses("2", 5)))},
