--- a/internal/soak/turnover/machine.go
+++ b/internal/soak/turnover/machine.go
@@ -140,6 +140,16 @@
 	return !m.lost && now.Sub(m.started) > contactTime && now.Sub(m.cutUntil) > contactTime
 }
 
+// each calls a function with each process of the machine.
+func (m *machine) each(call func(*process.Process) error) error {
+	for _, u := range m.units {
+		if err := call(u.process); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // isLost reports whether the machine is gone.
 func (m *machine) isLost() bool {
 	m.mutex.Lock()
--- a/internal/soak/turnover/plan.go
+++ b/internal/soak/turnover/plan.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -39,6 +40,10 @@
 	FromInitialCore Isolation = "initial-core"
 	// FromAll cuts a gateway off from all other machines.
 	FromAll Isolation = "all"
+	// Frozen suspends the processes of a gateway's machine.
+	Frozen Isolation = "frozen"
+	// Killed ends the processes of a gateway's machine, and starts them again afterwards.
+	Killed Isolation = "killed"
 )
 
 // Plan is what a play does. Times count from the start of traffic.
@@ -132,7 +137,7 @@
 		return &FieldError{Field: "cut", Reason: "must leave the machines with a control node alone"}
 	case len(p.Replacements) > zoneCount:
 		return &FieldError{Field: "replacements", Reason: fmt.Sprintf("must be at most %d", zoneCount)}
-	case p.Isolation != FromCore && p.Isolation != FromInitialCore && p.Isolation != FromAll:
+	case !slices.Contains([]Isolation{FromCore, FromInitialCore, FromAll, Frozen, Killed}, p.Isolation):
 		return &FieldError{Field: "isolation", Reason: fmt.Sprintf("%q is not known", p.Isolation)}
 	}
 	switch p.SeedChange {
--- a/internal/soak/turnover/play.go
+++ b/internal/soak/turnover/play.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/deckpulley/deckpulley/internal/fleet/process"
 )
 
 const (
@@ -143,7 +145,7 @@
 		events = append(events, event{at: at, step: func() error { return p.replace(zone) }})
 	}
 	if plan.CutMachines > 0 {
-		events = append(events, event{at: plan.CutAt, step: p.cut})
+		events = append(events, event{at: plan.CutAt, step: p.isolate})
 	}
 	if plan.SeedChange != SeedsUnchanged {
 		events = append(events, event{at: plan.SeedsAt, step: p.changeSeeds})
@@ -172,7 +174,7 @@
 	p.record.mutex.Lock()
 	p.core[zone] = coreMember{number: number, since: time.Now()}
 	p.record.mutex.Unlock()
-	if s.plan.Isolation != FromInitialCore {
+	if s.plan.Isolation == FromCore || s.plan.Isolation == FromAll {
 		p.isolateFrom(successor)
 	}
 	p.record.disturbCore()
@@ -211,25 +213,54 @@
 	}
 }
 
-// cut cuts machines off and heals them.
-func (p *play) cut() error {
-	s := p.site
-	end := p.record.started.Add(s.plan.CutAt + s.plan.CutFor)
+// isolate cuts machines off, or suspends or ends their processes, and undoes that.
+func (p *play) isolate() error {
+	end := p.record.started.Add(p.site.plan.CutAt + p.site.plan.CutFor)
 	for _, m := range p.cutMachines() {
 		m.setCutUntil(end)
-		others := s.running()
-		if s.plan.Isolation != FromAll {
-			others = s.controls()
+		if err := p.isolateMachine(m); err != nil {
+			return err
 		}
-		s.cut(m, others, true)
 	}
 	time.Sleep(time.Until(end))
 	for _, m := range p.cutMachines() {
-		s.cut(m, s.running(), false)
+		if err := p.returnMachine(m); err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
+func (p *play) isolateMachine(m *machine) error {
+	s := p.site
+	switch s.plan.Isolation {
+	case Frozen:
+		return m.each((*process.Process).Freeze)
+	case Killed:
+		return m.each((*process.Process).Kill)
+	case FromAll:
+		s.cut(m, s.running(), true)
+	default:
+		s.cut(m, s.controls(), true)
+	}
+	return nil
+}
+
+func (p *play) returnMachine(m *machine) error {
+	switch p.site.plan.Isolation {
+	case Frozen:
+		return m.each((*process.Process).Thaw)
+	case Killed:
+		for _, u := range m.units {
+			u.settings.Seeds, u.settings.Bootstrap = p.listedSeeds(), false
+		}
+		return m.start()
+	default:
+		p.site.cut(m, p.site.running(), false)
+		return nil
+	}
+}
+
 // changeSeeds lets the settings of all processes name the present control nodes.
 func (p *play) changeSeeds() error {
 	seeds := p.listedSeeds()
