engine, consensus: a renewal builds the status of the log once

Groups that never have witnesses listed the possible ones for every repair.

Change: who needs the term, the leader or the members alone asks for them; Status is built for the observation. Witnesses are listed for groups of three alone.

--- a/consensus/status.go
+++ b/consensus/status.go
@@ -102,3 +102,12 @@
 func (n *Node) Leadership() (term uint64, leading bool) {
 	return n.term, n.role == Leader
 }
+
+// Leader returns the leader that this member knows, None if it knows none. It is cheaper than
+// Status.
+func (n *Node) Leader() ID { return n.leader }
+
+// CurrentMembership returns the newest membership in the log, committed or not. It is cheaper
+// than Status, which copies it: the caller must not change it, and must not use it after the
+// next call of a method that changes this member.
+func (n *Node) CurrentMembership() Membership { return n.membership() }
--- a/control/driver/driver.go
+++ b/control/driver/driver.go
@@ -247,7 +247,7 @@
 	if len(messages) == 0 {
 		return
 	}
-	current := d.node.Status().Membership
+	current := d.node.CurrentMembership()
 	for _, message := range messages {
 		address := d.AddressOf(current, message.To)
 		if address == "" {
--- a/control/engine/leadership.go
+++ b/control/engine/leadership.go
@@ -35,17 +35,17 @@
 // updateLeadership creates or discards the leadership state after the replicated log
 // has changed its role or term.
 func (m *machine) updateLeadership(now time.Duration) {
-	status := m.driver.Consensus().Status()
-	if m.leadership != nil && (status.Role != consensus.Leader || status.Term != m.leadership.term) {
-		m.log.Warn("leadership lost", "term", m.leadership.term, "newest_term", status.Term)
+	term, leading := m.driver.Consensus().Leadership()
+	if m.leadership != nil && (!leading || term != m.leadership.term) {
+		m.log.Warn("leadership lost", "term", m.leadership.term, "newest_term", term)
 		m.leadership = nil
 		m.driver.FailWaiters(driver.ErrLeadershipLost)
 	}
-	if m.leadership == nil && status.Role == consensus.Leader {
-		m.log.Info("elected leader", "term", status.Term)
+	if m.leadership == nil && leading {
+		m.log.Info("elected leader", "term", term)
 		m.metrics.Elections.Inc()
 		m.leadership = &leadership{
-			term:      status.Term,
+			term:      term,
 			electedAt: now,
 			members:   membership.NewTracker(),
 		}
--- a/control/engine/members.go
+++ b/control/engine/members.go
@@ -118,7 +118,7 @@
 // puts additions before deletions, since the registry never deletes the last NS record.
 func (m *machine) nsRecordChanges() []registry.Record {
 	missing := make(map[string]bool)
-	for _, member := range m.driver.Consensus().Status().Membership.Members {
+	for _, member := range m.driver.Consensus().CurrentMembership().Members {
 		if !member.Learner {
 			missing[member.Name] = true
 		}
@@ -182,8 +182,11 @@
 	}
 }
 
-// possibleWitnesses returns the gateways that have a lease.
+// possibleWitnesses returns the gateways that have a lease, if the group may have witnesses.
 func (m *machine) possibleWitnesses(now time.Duration) []consensus.Witness {
+	if m.driver.State().Voters != membership.WitnessedGroup {
+		return nil
+	}
 	holders := m.leadership.leases.Holders(now)
 	witnesses := make([]consensus.Witness, 0, len(holders))
 	for _, holder := range holders {
--- a/control/engine/renewal.go
+++ b/control/engine/renewal.go
@@ -38,17 +38,18 @@
 	if m.driver.Consensus() == nil {
 		return grant
 	}
-	status := m.driver.Consensus().Status()
-	grant.Term = status.Term
-	grant.ControlAddresses = membership.Addresses(status.Membership)
+	node := m.driver.Consensus()
+	members := node.CurrentMembership()
+	grant.Term, _ = node.Leadership()
+	grant.ControlAddresses = membership.Addresses(members)
 	leadership, serving := m.serving()
 	if !serving {
-		grant.Primary = m.driver.AddressOf(status.Membership, status.Leader)
+		grant.Primary = m.driver.AddressOf(members, node.Leader())
 		m.addFirstTable(now, &grant, renew)
 		return grant
 	}
-	if m.mustRefuseRenewal(renew, status.Term) {
-		grant.Primary = m.driver.AddressOf(status.Membership, status.Leader)
+	if m.mustRefuseRenewal(renew, grant.Term) {
+		grant.Primary = m.driver.AddressOf(members, node.Leader())
 		return grant
 	}
 	contact, known := m.driver.Consensus().QuorumContact()
--- a/control/membership/witnesses.go
+++ b/control/membership/witnesses.go
@@ -2,19 +2,23 @@
 
 import "github.com/deckpulley/deckpulley/consensus"
 
-// witnessedVoters is the number of voters of a group with witnesses.
-const witnessedVoters = 2
+const (
+	// WitnessedGroup is the number of voters of a complete group that gets witnesses when
+	// one of them stays away.
+	WitnessedGroup = 3
+	// witnessedVoters is the number of voters of a group with witnesses.
+	witnessedVoters = 2
+)
 
 // appointWitnesses returns the change that lets a group of three bear another loss while a
 // voter stays away: the voter is removed, and witnesses are appointed for the other two.
 // Later it replaces the witnesses once many of them have ended.
 func (r *Repair) appointWitnesses() (Change, bool) {
-	const completeGroup = 3
-	if r.Voters != completeGroup || len(r.Witnesses) < minWitnesses || !r.reachableVotersKnowWitnesses() {
+	if r.Voters != WitnessedGroup || len(r.Witnesses) < minWitnesses || !r.reachableVotersKnowWitnesses() {
 		return Change{}, false
 	}
 	switch r.countVoters() {
-	case completeGroup:
+	case WitnessedGroup:
 		return r.shrink()
 	case witnessedVoters:
 		if r.witnessesFresh() || !r.Status.MembershipCommitted {
