agent, control: one selection of a part of a list, one kind of counts

Cause: which gateways a round asks or notifies stood in three places, with two ways of counting on; two types of the agent counted by a label each in a way of their own. The nodes that searches add to the known control nodes had no bound. A fetch that was no longer needed left the time since which the gateway was behind. Two mutations of the model had no name, so that their String panicked.

--- a/control/discovery/contacts.go
+++ b/control/discovery/contacts.go
@@ -11,6 +11,7 @@
 	"github.com/deckpulley/deckpulley/consensus"
 	"github.com/deckpulley/deckpulley/control/engine"
 	"github.com/deckpulley/deckpulley/control/membership"
+	"github.com/deckpulley/deckpulley/internal/rotation"
 	"github.com/deckpulley/deckpulley/peer"
 )
 
@@ -43,8 +44,8 @@
 	learned []string
 	// greetedBy are the addresses of the gateways that have sent Hello, the newest last.
 	greetedBy []string
-	// gatewayCursor is the position of the next gateway that Gateways returns.
-	gatewayCursor int
+	// gatewayPosition is that of the next gateway that Gateways returns.
+	gatewayPosition uint64
 	// primary is the peer address of the primary according to the last answer of a
 	// member.
 	primary string
@@ -91,12 +92,8 @@
 	if len(addresses) == 0 {
 		addresses = slices.Clone(c.greetedBy)
 	}
-	count := min(len(addresses), gatewaysPerRound)
-	sample := make([]string, 0, count)
-	for range count {
-		sample = append(sample, addresses[c.gatewayCursor%len(addresses)])
-		c.gatewayCursor++
-	}
+	sample := rotation.Window(addresses, c.gatewayPosition, gatewaysPerRound)
+	c.gatewayPosition += uint64(len(sample))
 	return sample
 }
 
--- a/control/leases/gateways.go
+++ b/control/leases/gateways.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/deckpulley/deckpulley/catalog"
+	"github.com/deckpulley/deckpulley/internal/rotation"
 	"github.com/deckpulley/deckpulley/lease"
 	"github.com/deckpulley/deckpulley/peer"
 )
@@ -150,12 +151,8 @@
 		}
 	}
 	slices.Sort(addresses)
-	count := min(len(addresses), limit)
-	next := make([]string, 0, count)
-	for range count {
-		next = append(next, addresses[m.silentCursor%len(addresses)])
-		m.silentCursor++
-	}
+	next := rotation.Window(addresses, m.silentPosition, limit)
+	m.silentPosition += uint64(len(next))
 	return next
 }
 
--- a/control/leases/leases.go
+++ b/control/leases/leases.go
@@ -46,8 +46,8 @@
 	reportsChanged bool
 	review         Review
 
-	// silentCursor is the position of the next gateway that SilentAddresses returns.
-	silentCursor int
+	// silentPosition is that of the next gateway that SilentAddresses returns.
+	silentPosition uint64
 
 	notifiedSerial   uint32
 	notifiedActivate uint32
--- a/gateway/agent/agent.go
+++ b/gateway/agent/agent.go
@@ -53,9 +53,9 @@
 	active           atomic.Pointer[catalog.State]
 	grantedRenewals  atomic.Uint64
 	rejectedRenewals atomic.Uint64
-	fetches          fetchCounts
+	fetches          counts[FetchResult]
 	source           *stateSource
-	renewalFailures  failureCounts
+	renewalFailures  counts[RenewalFailure]
 
 	mutex        sync.Mutex
 	controlNodes *controlNodes
@@ -110,7 +110,8 @@
 		lastGrant:    options.Clock(),
 
 		source:              newStateSource(options.Logger),
-		renewalFailures:     newFailureCounts(),
+		fetches:             newCounts(FetchResults()),
+		renewalFailures:     newCounts(RenewalFailures()),
 		consecutiveFailures: make(map[string]int),
 	}
 	options.Network.Handle(peer.KindNotify, a.serveNotify)
--- a/gateway/agent/catchup.go
+++ b/gateway/agent/catchup.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync/atomic"
 	"time"
 
 	"github.com/deckpulley/deckpulley/catalog"
@@ -40,34 +39,6 @@
 // names.
 var errUnusableState = errors.New("agent: the transfer does not lead to the active state of its sender")
 
-// fetchCounts counts the requests to other gateways for their state, by result. It is safe
-// for concurrent use.
-type fetchCounts struct {
-	activated, unneeded, deferred, failed atomic.Uint64
-}
-
-func (c *fetchCounts) add(result FetchResult) {
-	switch result {
-	case FetchActivated:
-		c.activated.Add(1)
-	case FetchUnneeded:
-		c.unneeded.Add(1)
-	case FetchDeferred:
-		c.deferred.Add(1)
-	case FetchFailed:
-		c.failed.Add(1)
-	}
-}
-
-func (c *fetchCounts) snapshot() map[FetchResult]uint64 {
-	return map[FetchResult]uint64{
-		FetchActivated: c.activated.Load(),
-		FetchUnneeded:  c.unneeded.Load(),
-		FetchDeferred:  c.deferred.Load(),
-		FetchFailed:    c.failed.Load(),
-	}
-}
-
 // isNewerSerial reports whether a serial is newer than another one. Zero means none.
 func isNewerSerial(serial, than uint32) bool {
 	if serial == 0 || than == 0 {
@@ -114,6 +85,7 @@
 	}
 	active := a.activeSerial()
 	if !isNewerSerial(serial, active) {
+		a.behindSince = 0
 		return peer.FetchState{}, false
 	}
 	if a.behindSince == 0 {
--- a/gateway/agent/control.go
+++ b/gateway/agent/control.go
@@ -9,6 +9,9 @@
 	"github.com/deckpulley/deckpulley/placement"
 )
 
+// maxMembers bounds the number of members whose addresses are kept while searches add some.
+const maxMembers = 16
+
 // maxFormerMembers bounds the number of former members whose addresses are kept.
 const maxFormerMembers = 16
 
@@ -53,11 +56,13 @@
 }
 
 // addFound adds a control node that a search has found to the members, until a control
-// node reports its members again.
+// node reports its members again. Of very many found nodes the newest are kept.
 func (c *controlNodes) addFound(address string) {
-	if !slices.Contains(c.members, address) {
-		c.members = slices.Insert(slices.Clone(c.members), 0, address)
+	if slices.Contains(c.members, address) {
+		return
 	}
+	members := slices.Insert(slices.Clone(c.members), 0, address)
+	c.members = members[:min(len(members), maxMembers)]
 }
 
 // addresses lists the known control nodes without duplicates: the primary, the
--- a/gateway/agent/failures.go
+++ b/gateway/agent/failures.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"sync/atomic"
 
 	"github.com/deckpulley/deckpulley/lease"
 	"github.com/deckpulley/deckpulley/peer"
@@ -41,31 +40,10 @@
 	}
 }
 
-// failureCounts counts the failed renewals by reason. It is safe for concurrent use.
-type failureCounts struct {
-	counts map[RenewalFailure]*atomic.Uint64
-}
-
-func newFailureCounts() failureCounts {
-	counts := make(map[RenewalFailure]*atomic.Uint64)
-	for _, reason := range RenewalFailures() {
-		counts[reason] = new(atomic.Uint64)
-	}
-	return failureCounts{counts: counts}
-}
-
-func (f *failureCounts) snapshot() map[RenewalFailure]uint64 {
-	counts := make(map[RenewalFailure]uint64, len(f.counts))
-	for reason, count := range f.counts {
-		counts[reason] = count.Load()
-	}
-	return counts
-}
-
 // recordFailure counts a renewal that was not granted and keeps its reason for the log.
 // The caller holds the mutex.
 func (a *Agent) recordFailure(address string, reason RenewalFailure) {
-	a.renewalFailures.counts[reason].Add(1)
+	a.renewalFailures.add(reason)
 	a.lastFailure = reason
 	a.lastFailureAddress = address
 }
--- a/gateway/agent/search.go
+++ b/gateway/agent/search.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/deckpulley/deckpulley/consensus"
+	"github.com/deckpulley/deckpulley/internal/rotation"
 	"github.com/deckpulley/deckpulley/peer"
 	"github.com/deckpulley/deckpulley/placement"
 )
@@ -174,16 +175,7 @@
 		}
 	}
 	slices.Sort(addresses)
-	count := uint64(len(addresses))
-	if count <= gatewaysPerRound {
-		return addresses
-	}
-	start := placement.Hash(a.options.Gateway.Name)%count + round%count*gatewaysPerRound
-	sample := make([]string, 0, gatewaysPerRound)
-	for i := range uint64(gatewaysPerRound) {
-		sample = append(sample, addresses[(start+i)%count])
-	}
-	return sample
+	return rotation.Window(addresses, placement.Hash(a.options.Gateway.Name)+round*gatewaysPerRound, gatewaysPerRound)
 }
 
 // recordGreeting records the answer of a process. It returns false if the process
--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -52,7 +52,7 @@
 	count
 )
 
-// Mutations of takeovers, which the model in package consensus detects.
+// Mutations of takeovers, which the model in package control/membership detects.
 const (
 	// TakeOverUncommitted lets a voter take over although it does not know that its newest
 	// membership is committed.
@@ -92,7 +92,7 @@
 
 // String returns the name of the mutation in the report of deckpulley-simulate.
 func (d Defect) String() string {
-	return [count]string{
+	return [...]string{
 		"commit of an older term by counting",
 		"two membership changes at once",
 		"vote for a less complete log",
@@ -107,5 +107,8 @@
 		"order acknowledged before the commit",
 		"lease granted without proof of leadership",
 		"lease counted from the grant's arrival",
+		ChangeOldContent:    "change of content from before the lease",
+		TakeOverUncommitted: "takeover in an uncommitted membership",
+		LeaveWitnessesAlone: "epoch left without both voters",
 	}[d]
 }
