--- a/internal/soak/platform/machine.go
+++ b/internal/soak/platform/machine.go
@@ -243,13 +243,16 @@
 }
 
 // hangUp rewrites the settings file, once in part and once whole, and sends SIGHUP each
-// time.
+// time. While the process is starting the file stays whole, as it could not start without.
 func (u *unit) hangUp() error {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
 	if u.closed {
 		return nil
 	}
+	if time.Since(u.started) < startTime {
+		return u.process.HangUp()
+	}
 	if err := os.WriteFile(u.settingsFile(), []byte("{"), 0o600); err != nil {
 		return err
 	}
--- a/internal/soak/turnover/plan.go
+++ b/internal/soak/turnover/plan.go
@@ -113,7 +113,7 @@
 const (
 	firstLoss           = 4 * time.Second
 	catchUpTime         = 4 * time.Second
-	maxExtraGap         = 3 * time.Second
+	maxExtraGap         = 500 * time.Millisecond
 	minReplacementDelay = 100 * time.Millisecond
 	maxReplacementDelay = 1500 * time.Millisecond
 	maxCutDelay         = 2 * time.Second
