--- a/internal/soak/platform/machine.go
+++ b/internal/soak/platform/machine.go
@@ -228,15 +228,7 @@
 	}
 	u.settings.Seeds = seeds
 	u.settings.Bootstrap = false
-	text, err := json.Marshal(&u.settings)
-	if err != nil {
-		return err
-	}
-	next := u.settingsFile() + ".next"
-	if err := os.WriteFile(next, text, 0o600); err != nil {
-		return err
-	}
-	if err := os.Rename(next, u.settingsFile()); err != nil || !signal {
+	if err := soak.ReplaceSettings(u.settingsFile(), &u.settings); err != nil || !signal {
 		return err
 	}
 	return u.process.HangUp()
--- a/internal/soak/platform/operator.go
+++ b/internal/soak/platform/operator.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -51,7 +50,7 @@
 	deadline := time.Now().Add(orderTimeout)
 	for attempt := first; time.Now().Before(deadline); attempt++ {
 		address := o.site.controls[attempt%len(o.site.controls)].listens().control
-		status, text = o.call(method, "http://"+address+path, base, body)
+		status, text = standin.CallOperator(&o.http, method, "http://"+address+path, base, body)
 		if status > 0 && status < http.StatusInternalServerError && status != http.StatusTooManyRequests && status != http.StatusRequestTimeout {
 			return status, text, nil
 		}
@@ -60,26 +59,6 @@
 	return 0, "", errNotTaken
 }
 
-func (o *operators) call(method, url, base, body string) (status int, text string) {
-	request, err := http.NewRequestWithContext(context.Background(), method, url, strings.NewReader(body))
-	if err != nil {
-		return 0, ""
-	}
-	if base != "" {
-		request.Header.Set("If-Match", base)
-	}
-	response, err := o.http.Do(request)
-	if err != nil {
-		return 0, ""
-	}
-	defer response.Body.Close()
-	read, err := io.ReadAll(response.Body)
-	if err != nil {
-		return 0, ""
-	}
-	return response.StatusCode, string(read)
-}
-
 // configure submits the next version. Two operators that come at once build on the same
 // version: one of them wins, or both are the same.
 func (o *operators) configure(first int) error {
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"encoding/json"
 	"errors"
+	"os"
 	"path/filepath"
 	"reflect"
 	"testing"
@@ -80,3 +82,41 @@
 		}
 	}
 }
+
+// TestScheduleLosesOneControlNode checks that a schedule loses one disk of a control node or
+// replaces one control node, as many as the group bears.
+func TestScheduleLosesOneControlNode(t *testing.T) {
+	replaced := 0
+	for seed := range uint64(100) {
+		schedule := Draw(Options{Seed: seed, Length: 10 * time.Second, Gateways: 4, MalformedForms: 1})
+		counts := make(map[Kind]int)
+		for _, event := range schedule.Events {
+			counts[event.Kind]++
+		}
+		if lost := counts[Wipe] + counts[Replace]; lost != 1 {
+			t.Errorf("seed %d loses %d control nodes, want 1", seed, lost)
+		}
+		replaced += counts[Replace]
+	}
+	if replaced == 0 || replaced == 100 {
+		t.Errorf("%d of 100 schedules replace a control node, want some", replaced)
+	}
+}
+
+// TestReplaceSettings checks that a file has the new settings and no other file is left.
+func TestReplaceSettings(t *testing.T) {
+	folder := t.TempDir()
+	path := filepath.Join(folder, "settings.json")
+	for _, want := range []string{`{"a":1}`, `{"a":2}`} {
+		if err := ReplaceSettings(path, json.RawMessage(want)); err != nil {
+			t.Fatal(err)
+		}
+		text, err := os.ReadFile(path)
+		if err != nil || string(text) != want {
+			t.Errorf("the file has %s, %v, want %s", text, err, want)
+		}
+	}
+	if entries, err := os.ReadDir(folder); err != nil || len(entries) != 1 {
+		t.Errorf("the folder has %v, %v, want the file alone", entries, err)
+	}
+}
--- a/internal/soak/turnover/machine.go
+++ b/internal/soak/turnover/machine.go
@@ -1,7 +1,6 @@
 package turnover
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -9,6 +8,7 @@
 	"time"
 
 	"github.com/deckpulley/deckpulley/internal/fleet/process"
+	"github.com/deckpulley/deckpulley/internal/soak"
 	"github.com/deckpulley/deckpulley/platform"
 )
 
@@ -39,7 +39,7 @@
 	if err := os.MkdirAll(u.settings.DataDir, 0o700); err != nil {
 		return err
 	}
-	if err := u.writeSettings(); err != nil {
+	if err := soak.ReplaceSettings(u.settingsFile(), &u.settings); err != nil {
 		return err
 	}
 	started, err := process.Start(process.Command{
@@ -51,19 +51,6 @@
 	return err
 }
 
-// writeSettings replaces the settings file as a whole.
-func (u *unit) writeSettings() error {
-	text, err := json.Marshal(&u.settings)
-	if err != nil {
-		return err
-	}
-	next := u.settingsFile() + ".next"
-	if err := os.WriteFile(next, text, 0o600); err != nil {
-		return err
-	}
-	return os.Rename(next, u.settingsFile())
-}
-
 // changeSeeds lets the settings name other seeds, in the given way.
 func (u *unit) changeSeeds(seeds []string, change SeedChange) error {
 	u.settings.Seeds = seeds
@@ -72,7 +59,7 @@
 		u.settings.Limits.LinkMbps++
 		u.settings.Bounds.TTLMaxS++
 	}
-	if err := u.writeSettings(); err != nil || change == SeedsInFile {
+	if err := soak.ReplaceSettings(u.settingsFile(), &u.settings); err != nil || change == SeedsInFile {
 		return err
 	}
 	return u.process.HangUp()
--- a/internal/soak/turnover/operator.go
+++ b/internal/soak/turnover/operator.go
@@ -1,15 +1,15 @@
 package turnover
 
 import (
-	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	standin "github.com/deckpulley/deckpulley/internal/standin/platform"
 )
 
 const (
@@ -111,21 +111,5 @@
 // callConfiguration calls one control node's configuration interface.
 func callConfiguration(client *http.Client, target *machine, method, base, body string) (status int, text string) {
 	url := "http://" + target.control().settings.ListenAddrs.Control + "/config"
-	request, err := http.NewRequestWithContext(context.Background(), method, url, strings.NewReader(body))
-	if err != nil {
-		return 0, ""
-	}
-	if base != "" {
-		request.Header.Set("If-Match", base)
-	}
-	response, err := client.Do(request)
-	if err != nil {
-		return 0, ""
-	}
-	defer response.Body.Close()
-	read, err := io.ReadAll(response.Body)
-	if err != nil {
-		return 0, ""
-	}
-	return response.StatusCode, string(read)
+	return standin.CallOperator(client, method, url, base, body)
 }
