transport: a test that gave a busy machine 15 ms to open a connection

Change: a dialing that timed out is repeated, five calls at most. As strict as before: with the handshake bounded by DialTimeout the test fails as it did (tried), and any other error ends it.

--- a/transport/handshake_test.go
+++ b/transport/handshake_test.go
@@ -25,8 +25,18 @@
 	path.Delay("a", "b", oneWay)
 	path.Delay("b", "a", oneWay)
 	dialer := listenTCP(t, Config{Name: "a", Keys: [][]byte{keyNew}, DialTimeout: oneWay}, make(chan string, 1))
-	if err := dialer.Call(testContext(t), address, kindEcho, text{}, &text{}); err != nil {
-		t.Fatalf("calling over a path with a delay of %v in each direction: %v", oneWay, err)
+	// The first dialing has a quarter of DialTimeout, which a busy machine may exceed; a
+	// handshake that ended with DialTimeout would fail each time.
+	var callErr error
+	for range 5 {
+		callErr = dialer.Call(testContext(t), address, kindEcho, text{}, &text{})
+		var timeout net.Error
+		if !errors.As(callErr, &timeout) || !timeout.Timeout() || !errors.Is(callErr, ErrNotSent) {
+			break
+		}
+	}
+	if callErr != nil {
+		t.Fatalf("calling over a path with a delay of %v in each direction: %v", oneWay, callErr)
 	}
 }
 
