--- a/control/successor_test.go
+++ b/control/successor_test.go
@@ -25,12 +25,15 @@
 }
 
 // startSuccessor starts a node with an empty disk in the zone of a lost one, at another
-// address. Its seeds are the first control nodes.
+// address. Its seeds are the nodes that run and the lost one, as the operators' list lags.
 func (f *fleet) startSuccessor(lost, name string) {
 	f.t.Helper()
 	options := f.options[lost]
 	options.Name, options.PeerAddress, options.OperatorAddress = name, name+":1", name+":2"
-	options.InitialControl, options.Seeds = nil, []string{"control-1:1", "control-2:1", "control-3:1"}
+	options.InitialControl, options.Seeds = nil, []string{f.options[lost].PeerAddress}
+	for running := range f.nodes {
+		options.Seeds = append(options.Seeds, f.options[running].PeerAddress)
+	}
 	f.options[name] = options
 	f.disks[name] = storage.NewMemory(consensus.ID("disk-" + name))
 	f.start(name)
